Add a first path from caller to engine and service

Not yet there: at-most-once records, limits, prefix-aware placement, configuration files, messages between instances.

--- /dev/null
+++ b/internal/cli/rcdemo/demo.go
@@ -0,0 +1,158 @@
+// Package rcdemo runs router instances and stand-ins of everything around them
+// in one process.
+package rcdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+// Key is the bearer key of the demo's client account.
+const Key = "demo-key"
+
+const (
+	zones          = 2
+	enginesPerZone = 3
+	model          = "advice"
+	weights        = "w1"
+)
+
+// Config holds the demo's options.
+type Config struct {
+	Listen netip.AddrPort // Callers' listener of the first instance.
+	Out    io.Writer      // Where the addresses and example commands go.
+	Log    zerolog.Logger
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg Config) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "demo")
+		}
+	}()
+	first, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return err
+	}
+	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New()}
+	if err := d.startUpstreams(); err != nil {
+		return err
+	}
+	second, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.addInstance("i-1", "zone-1", first)
+	d.addInstance("i-2", "zone-2", second)
+	d.greet(first.Addr(), second.Addr())
+	stop, cancel := context.WithCancel(ctx)
+	d.group.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
+	return d.group.Run()
+}
+
+type demo struct {
+	cfg     Config
+	group   run.Group
+	listing radishcrank.Listing
+	table   *rcfaketable.Table
+	objects *rcfakeobject.Store
+}
+
+func (d *demo) startUpstreams() error {
+	ledger := rcfakeservice.NewLedger()
+	for z := 1; z <= zones; z++ {
+		zone := radishcrank.AvailabilityZone(fmt.Sprintf("zone-%d", z))
+		for n := 1; n <= enginesPerZone; n++ {
+			id := radishcrank.UpstreamID(fmt.Sprintf("engine-%d-%d", z, n))
+			engine := rcfakeengine.New(rcfakeengine.Config{
+				ID:               id,
+				Models:           map[radishcrank.ModelID]radishcrank.WeightsVersion{model: weights},
+				CacheBlocks:      2000,
+				BlockTokens:      rcconfig.DefaultSettings().BlockTokens,
+				BytesPerToken:    rcconfig.DefaultSettings().BytesPerToken,
+				MaxBatch:         16,
+				PrefillPerSecond: 20000,
+				DecodePerSecond:  100,
+				AnswerTokens:     32,
+				LoadWeights:      500 * time.Millisecond,
+			})
+			err := d.serve(engine.Handler(), radishcrank.Upstream{
+				ID: id, Role: radishcrank.RoleEngine, Zone: zone, Models: []radishcrank.ModelID{model},
+			})
+			if err != nil {
+				return err
+			}
+		}
+		err := d.serve(ledger.Handler(), radishcrank.Upstream{
+			ID: radishcrank.UpstreamID(fmt.Sprintf("booking-%d", z)), Role: radishcrank.RoleService, Zone: zone, Service: "booking",
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve starts an upstream on a free port and lists it.
+func (d *demo) serve(h http.Handler, up radishcrank.Upstream) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
+	d.listing.Upstreams = append(d.listing.Upstreams, up)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	d.group.Add(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	}, func(error) { server.Close() })
+	return nil
+}
+
+func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) {
+	daemon := rcdaemon.New(rcdaemon.Config{
+		ID: id, Zone: zone, Callers: callers,
+		Document: document(),
+		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
+		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.group.Add(func() error { return daemon.Run(ctx) }, func(error) { cancel() })
+}
+
+func document() *rcconfig.Document {
+	return &rcconfig.Document{
+		Revision: 1,
+		Defaults: rcconfig.DefaultSettings(),
+		Accounts: []rcconfig.Account{{ID: "demo", KeyHashes: []string{rcconfig.HashKey(Key)}}},
+		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
+		Models:   []rcconfig.Model{{ID: model, Weights: weights}},
+	}
+}
+
+func (d *demo) greet(addrs ...net.Addr) {
+	fmt.Fprintf(d.cfg.Out, "Instances serve callers at %v.\n\n", addrs)
+	fmt.Fprintf(d.cfg.Out, "curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", addrs[0], Key, model)
+	fmt.Fprintf(d.cfg.Out, "curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: r-1' -d '{\"Depot\":\"Riga\"}'\n", addrs[0], Key)
+}
--- /dev/null
+++ b/internal/serving/rcfront/error.go
@@ -0,0 +1,70 @@
+package rcfront
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// errorBody is the OpenAI API's error object with the outcome added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string              `json:"message"`
+	Type    string              `json:"type"`
+	Code    string              `json:"code"`
+	Outcome radishcrank.Outcome `json:"outcome"`
+}
+
+func newErrorBody(r *radishcrank.Refusal) errorBody {
+	kind := "server_error"
+	if r.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{Message: r.Message, Type: kind, Code: r.Code, Outcome: r.Outcome}}
+}
+
+// handleError implements echo.HTTPErrorHandler.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := asRefusal(err)
+	h := c.Response().Header()
+	h.Set(radishcrank.HeaderOutcome, string(refusal.Outcome))
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfter(refusal.RetryAfter))
+	}
+	if err := c.JSON(refusal.Status, newErrorBody(refusal)); err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("error answer was not delivered")
+	}
+}
+
+// asRefusal turns the router's own errors, such as an unknown path, into refusals too.
+func asRefusal(err error) *radishcrank.Refusal {
+	var he *echo.HTTPError
+	if !errors.As(err, &he) {
+		return radishcrank.AsRefusal(err)
+	}
+	text := http.StatusText(he.Code)
+	return &radishcrank.Refusal{
+		Status:  he.Code,
+		Code:    strings.ReplaceAll(strings.ToLower(text), " ", "_"),
+		Message: strings.ToLower(text),
+		Outcome: radishcrank.OutcomeNotRun,
+	}
+}
+
+// retryAfter rounds up to whole seconds, at least 1.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
--- /dev/null
+++ b/internal/serving/rcfront/generate.go
@@ -0,0 +1,149 @@
+package rcfront
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// completionRequest holds the fields of both request forms that the router uses.
+type completionRequest struct {
+	Model               string    `json:"model"`
+	Prompt              string    `json:"prompt"`
+	Messages            []message `json:"messages"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatPrompt is the canonical text of a chat. A message's text depends only on
+// the messages before it, so chats that share leading messages share a prefix.
+func chatPrompt(messages []message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString("<|")
+		b.WriteString(m.Role)
+		b.WriteString("|>")
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func (s *Server) serveChat(c echo.Context) error {
+	var body completionRequest
+	if err := decode(c, &body); err != nil {
+		return err
+	}
+	if len(body.Messages) == 0 {
+		return invalid(http.StatusBadRequest, "missing_messages", "messages must not be empty")
+	}
+	return s.generate(c, body, chatPrompt(body.Messages), true)
+}
+
+func (s *Server) serveCompletion(c echo.Context) error {
+	var body completionRequest
+	if err := decode(c, &body); err != nil {
+		return err
+	}
+	if body.Prompt == "" {
+		return invalid(http.StatusBadRequest, "missing_prompt", "prompt must not be empty")
+	}
+	return s.generate(c, body, body.Prompt, false)
+}
+
+// decode reads a JSON body of limited size.
+func decode(c echo.Context, v any) error {
+	k := c.Get(callKey).(*call)
+	r := http.MaxBytesReader(c.Response(), c.Request().Body, k.settings.MaxBodyBytes)
+	err := json.NewDecoder(r).Decode(v)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) || err != nil {
+		return invalid(http.StatusBadRequest, "malformed_json", "the request body is not valid JSON")
+	}
+	return nil
+}
+
+func (s *Server) generate(c echo.Context, body completionRequest, prompt string, chat bool) error {
+	k := c.Get(callKey).(*call)
+	if !s.servesModel(k, body.Model) {
+		return invalid(http.StatusNotFound, "model_not_found", "the model does not exist")
+	}
+	req := radishcrank.Request{
+		ID:        k.id,
+		Account:   k.account.ID,
+		Model:     radishcrank.ModelID(body.Model),
+		Prompt:    prompt,
+		Chat:      chat,
+		Stream:    body.Stream,
+		MaxTokens: min(max(body.MaxTokens, body.MaxCompletionTokens, 0), k.settings.MaxTokens),
+		Priority:  radishcrank.Priority(k.settings.Priority),
+		Deadline:  time.Now().Add(k.settings.FirstTokenDeadline),
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), k.settings.StreamTimeout)
+	defer cancel()
+	release, err := s.cfg.Admitter.Admit(ctx, req)
+	if err != nil {
+		return err
+	}
+	var usage radishcrank.Usage
+	defer func() { release(usage) }()
+	if req.Stream {
+		sink := newStreamSink(c, req)
+		err := s.cfg.Generator.Generate(ctx, req, sink)
+		usage = sink.usage
+		return sink.end(err)
+	}
+	sink := &wholeSink{}
+	if err := s.cfg.Generator.Generate(ctx, req, sink); err != nil {
+		return err
+	}
+	usage = sink.finish.Usage
+	return c.JSON(http.StatusOK, wholeAnswer(req, sink))
+}
+
+func (s *Server) servesModel(k *call, model string) bool {
+	for _, m := range k.doc.Models {
+		if string(m.ID) == model {
+			return true
+		}
+	}
+	return false
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) serveModels(c echo.Context) error {
+	k := c.Get(callKey).(*call)
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range k.doc.Models {
+		list.Data = append(list.Data, modelInfo{ID: string(m.ID), Object: "model", OwnedBy: "radishcrank"})
+	}
+	return c.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/serving/rcfront/service.go
@@ -0,0 +1,50 @@
+package rcfront
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// serveService passes a call on to a plain service.
+func (s *Server) serveService(c echo.Context) error {
+	k := c.Get(callKey).(*call)
+	service, ok := k.doc.Service(c.Param("name"))
+	if !ok {
+		return invalid(http.StatusNotFound, "service_not_found", "the service does not exist")
+	}
+	r := c.Request()
+	path := "/" + c.Param("*")
+	key := r.Header.Get(radishcrank.HeaderIdempotencyKey)
+	if service.RunsAtMostOnce(r.Method, path) && key == "" {
+		return invalid(http.StatusBadRequest, "missing_idempotency_key", "this call needs an Idempotency-Key header")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, k.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
+	}
+	if err != nil {
+		return invalid(http.StatusBadRequest, "incomplete_body", "the request body is incomplete")
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	answer, err := s.cfg.Calls.Run(r.Context(), radishcrank.ServiceCall{
+		Account:        k.account.ID,
+		Service:        service.Name,
+		Method:         r.Method,
+		Path:           path,
+		ContentType:    r.Header.Get("Content-Type"),
+		Body:           body,
+		IdempotencyKey: key,
+	})
+	if err != nil {
+		return err
+	}
+	return c.Blob(answer.Status, answer.ContentType, answer.Body)
+}
--- /dev/null
+++ b/internal/serving/rcfront/sink.go
@@ -0,0 +1,172 @@
+package rcfront
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
+)
+
+// completion is an answer, or one chunk of it, in either form of the API.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *delta   `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func newUsage(u radishcrank.Usage) *usage {
+	return &usage{
+		PromptTokens:        u.PromptTokens,
+		CompletionTokens:    u.CompletionTokens,
+		TotalTokens:         u.PromptTokens + u.CompletionTokens,
+		PromptTokensDetails: promptDetails{CachedTokens: u.CachedTokens},
+	}
+}
+
+// streamSink writes an answer as server-sent events.
+type streamSink struct {
+	c       echo.Context
+	req     radishcrank.Request
+	out     *rcsse.Writer
+	created int64
+	next    int
+	usage   radishcrank.Usage
+	done    bool
+}
+
+func newStreamSink(c echo.Context, req radishcrank.Request) *streamSink {
+	return &streamSink{c: c, req: req, out: rcsse.NewWriter(c.Response()), created: time.Now().Unix()}
+}
+
+// Token implements radishcrank.StreamSink.
+func (s *streamSink) Token(t radishcrank.Token) error {
+	ch := choice{Text: &t.Text}
+	if s.req.Chat {
+		d := delta{Content: t.Text}
+		if t.Index == 0 {
+			d.Role = "assistant"
+		}
+		ch = choice{Delta: &d}
+	}
+	s.next = t.Index + 1
+	return s.send(t.Index, ch, nil)
+}
+
+// Finish implements radishcrank.StreamSink.
+func (s *streamSink) Finish(f radishcrank.Finish) error {
+	ch := choice{FinishReason: &f.Reason}
+	if s.req.Chat {
+		ch.Delta = &delta{}
+	} else {
+		ch.Text = new(string)
+	}
+	s.usage = f.Usage
+	if err := s.send(s.next, ch, newUsage(f.Usage)); err != nil {
+		return err
+	}
+	s.done = true
+	return s.out.Event("", 0, []byte("[DONE]"))
+}
+
+func (s *streamSink) send(index int, ch choice, u *usage) error {
+	s.commit()
+	object := "text_completion"
+	if s.req.Chat {
+		object = "chat.completion.chunk"
+	}
+	data, err := json.Marshal(completion{
+		ID: string(s.req.ID), Object: object, Created: s.created, Model: string(s.req.Model),
+		Choices: []choice{ch}, Usage: u,
+	})
+	if err != nil {
+		return err
+	}
+	return s.out.Event(string(s.req.ID), index, data)
+}
+
+// commit sends the headers with the first event, so that a request that fails
+// before it still gets a status.
+func (s *streamSink) commit() {
+	if s.c.Response().Committed {
+		return
+	}
+	s.c.Response().Header().Set("Content-Type", "text/event-stream")
+	s.c.Response().Header().Set("Cache-Control", "no-store")
+	s.c.Response().WriteHeader(http.StatusOK)
+}
+
+// end reports a failure after the headers as an error event without [DONE].
+func (s *streamSink) end(err error) error {
+	if err == nil || !s.c.Response().Committed || s.done {
+		return err
+	}
+	data, jsonErr := json.Marshal(newErrorBody(radishcrank.AsRefusal(err)))
+	if jsonErr == nil {
+		s.out.Event("", 0, data)
+	}
+	return err
+}
+
+// wholeSink collects an answer.
+type wholeSink struct {
+	text   strings.Builder
+	finish radishcrank.Finish
+}
+
+// Token implements radishcrank.StreamSink.
+func (s *wholeSink) Token(t radishcrank.Token) error {
+	s.text.WriteString(t.Text)
+	return nil
+}
+
+// Finish implements radishcrank.StreamSink.
+func (s *wholeSink) Finish(f radishcrank.Finish) error {
+	s.finish = f
+	return nil
+}
+
+func wholeAnswer(req radishcrank.Request, s *wholeSink) completion {
+	text := s.text.String()
+	ch := choice{Text: &text, FinishReason: &s.finish.Reason}
+	object := "text_completion"
+	if req.Chat {
+		object = "chat.completion"
+		ch = choice{Message: &message{Role: "assistant", Content: text}, FinishReason: &s.finish.Reason}
+	}
+	return completion{
+		ID: string(req.ID), Object: object, Created: time.Now().Unix(), Model: string(req.Model),
+		Choices: []choice{ch}, Usage: newUsage(s.finish.Usage),
+	}
+}
