Harden the callers' listener and add the operators' listener

Cause: the first path accepted any body and had no way to look into an instance.

Bodies are limited in size and time, both text forms of the API are read, usage is sent as its own chunk on request, and unknown methods get 405. The operators' listener serves status, dump, explain, configuration, drain and expvar metrics behind an operator key; the command line calls it.

Tests run the published Go client library against the router. They found two faults: a wrong method got 404, because a middleware group hides echo's 405; and a stream that broke after two tokens reported NotRun. Both are fixed here.

--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -25,7 +25,11 @@
 )
 
 type commands struct {
-	Demo demoCommand `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
+	Status  statusCommand  `cmd:"" help:"Print the short state of an instance."`
+	Dump    dumpCommand    `cmd:"" help:"Print the whole state of an instance as JSON, without secrets."`
+	Explain explainCommand `cmd:"" help:"Print where a request would go, and each term of the choice."`
+	Drain   drainCommand   `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
+	Demo    demoCommand    `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
 // streams are what a command reads and writes.
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwatch"
@@ -57,6 +58,7 @@
 // New assembles an instance.
 func New(cfg Config) *Daemon {
 	board := rcboard.New()
+	metrics := &rcmetric.Set{}
 	dialer := rcengine.NewDialer()
 	document := func() *rcconfig.Document { return cfg.Document }
 	chooser := rcdecision.New(rcdecision.Config{
@@ -64,6 +66,8 @@
 		BlockBytes: func() int { return cfg.Document.Defaults.BlockTokens * cfg.Document.Defaults.BytesPerToken },
 	})
 	front := rcfront.New(rcfront.Config{
+		Metrics:   metrics,
+		Ready:     func() bool { return true },
 		Document:  document,
 		Generator: rcrelay.New(rcrelay.Config{Board: board, Chooser: chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
 		Admitter:  rclimit.New(rclimit.Config{Board: board}),
--- a/internal/serving/rcfront/generate.go
+++ b/internal/serving/rcfront/generate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,21 +10,23 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // completionRequest holds the fields of both request forms that the router uses.
 type completionRequest struct {
-	Model               string    `json:"model"`
-	Prompt              string    `json:"prompt"`
-	Messages            []message `json:"messages"`
-	Stream              bool      `json:"stream"`
-	MaxTokens           int       `json:"max_tokens"`
-	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Model               string        `json:"model"`
+	Prompt              singlePrompt  `json:"prompt"`
+	Messages            []message     `json:"messages"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       streamOptions `json:"stream_options"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Choices             *int          `json:"n"`
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // chatPrompt is the canonical text of a chat. A message's text depends only on
@@ -37,7 +37,7 @@
 		b.WriteString("<|")
 		b.WriteString(m.Role)
 		b.WriteString("|>")
-		b.WriteString(m.Content)
+		b.WriteString(string(m.Content))
 		b.WriteByte('\n')
 	}
 	return b.String()
@@ -62,20 +62,17 @@
 	if body.Prompt == "" {
 		return invalid(http.StatusBadRequest, "missing_prompt", "prompt must not be empty")
 	}
-	return s.generate(c, body, body.Prompt, false)
+	return s.generate(c, body, string(body.Prompt), false)
 }
 
 // decode reads a JSON body of limited size.
 func decode(c echo.Context, v any) error {
-	k := c.Get(callKey).(*call)
-	r := http.MaxBytesReader(c.Response(), c.Request().Body, k.settings.MaxBodyBytes)
-	err := json.NewDecoder(r).Decode(v)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
+	body, err := readBody(c)
+	if err != nil {
+		return err
 	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || err != nil {
-		return invalid(http.StatusBadRequest, "malformed_json", "the request body is not valid JSON")
+	if err := json.Unmarshal(body, v); err != nil {
+		return invalid(http.StatusBadRequest, "malformed_json", "the request body is not a valid request: "+err.Error())
 	}
 	return nil
 }
@@ -85,6 +82,9 @@
 	if !s.servesModel(k, body.Model) {
 		return invalid(http.StatusNotFound, "model_not_found", "the model does not exist")
 	}
+	if body.Choices != nil && *body.Choices != 1 {
+		return invalid(http.StatusBadRequest, "unsupported_n", "n must be 1")
+	}
 	req := radishcrank.Request{
 		ID:        k.id,
 		Account:   k.account.ID,
@@ -98,26 +98,42 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), k.settings.StreamTimeout)
 	defer cancel()
+	s.cfg.Metrics.Add(rcmetric.Requests, 1)
 	release, err := s.cfg.Admitter.Admit(ctx, req)
 	if err != nil {
+		s.cfg.Metrics.Add(rcmetric.RequestsRefused, 1)
 		return err
 	}
-	var usage radishcrank.Usage
-	defer func() { release(usage) }()
+	var used radishcrank.Usage
+	defer func() { release(used) }()
 	if req.Stream {
-		sink := newStreamSink(c, req)
-		err := s.cfg.Generator.Generate(ctx, req, sink)
-		usage = sink.usage
+		sink := newStreamSink(c, req, body.StreamOptions.IncludeUsage)
+		err = s.cfg.Generator.Generate(ctx, req, sink)
+		used = sink.finish.Usage
+		s.count(used, err)
 		return sink.end(err)
 	}
 	sink := &wholeSink{}
-	if err := s.cfg.Generator.Generate(ctx, req, sink); err != nil {
+	err = s.cfg.Generator.Generate(ctx, req, sink)
+	used = sink.finish.Usage
+	s.count(used, err)
+	if err != nil {
 		return err
 	}
-	usage = sink.finish.Usage
 	return c.JSON(http.StatusOK, wholeAnswer(req, sink))
 }
 
+// count adds a finished request to the metrics.
+func (s *Server) count(u radishcrank.Usage, err error) {
+	if err != nil {
+		s.cfg.Metrics.Add(rcmetric.RequestsFailed, 1)
+		return
+	}
+	s.cfg.Metrics.Add(rcmetric.PromptTokens, int64(u.PromptTokens))
+	s.cfg.Metrics.Add(rcmetric.CachedTokens, int64(u.CachedTokens))
+	s.cfg.Metrics.Add(rcmetric.GeneratedTokens, int64(u.CompletionTokens))
+}
+
 func (s *Server) servesModel(k *call, model string) bool {
 	for _, m := range k.doc.Models {
 		if string(m.ID) == model {
--- a/internal/serving/rcfront/server.go
+++ b/internal/serving/rcfront/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // Config holds the parts that a Server works with.
@@ -22,6 +23,8 @@
 	Generator radishcrank.Generator
 	Admitter  radishcrank.Admitter
 	Calls     radishcrank.CallRunner
+	Metrics   *rcmetric.Set
+	Ready     func() bool // False from the start of a shutdown on.
 	Log       zerolog.Logger
 }
 
@@ -36,17 +39,28 @@
 	s := &Server{cfg: cfg, echo: echo.New()}
 	s.echo.HideBanner = true
 	s.echo.HTTPErrorHandler = s.handleError
-	api := s.echo.Group("", s.identify)
-	api.POST("/v1/chat/completions", s.serveChat)
-	api.POST("/v1/completions", s.serveCompletion)
-	api.GET("/v1/models", s.serveModels)
-	api.Any("/services/:name/*", s.serveService)
+	s.echo.Use(s.identify)
+	s.echo.GET(pathReady, s.serveReady)
+	s.echo.POST("/v1/chat/completions", s.serveChat)
+	s.echo.POST("/v1/completions", s.serveCompletion)
+	s.echo.GET("/v1/models", s.serveModels)
+	s.echo.Any("/services/:name/*", s.serveService)
 	return s
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
+const pathReady = "/readyz"
+
+// serveReady tells the balancer whether the instance takes new work.
+func (s *Server) serveReady(c echo.Context) error {
+	if !s.cfg.Ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
 // call is one caller's request on its way through the server.
 type call struct {
 	id       radishcrank.RequestID
@@ -57,9 +71,13 @@
 
 const callKey = "call"
 
-// identify names the request and authenticates its account.
+// identify names the request and authenticates its account. The balancer's
+// readiness check needs no key.
 func (s *Server) identify(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if c.Request().URL.Path == pathReady {
+			return next(c)
+		}
 		k := &call{id: newRequestID(), doc: s.cfg.Document()}
 		c.Set(callKey, k)
 		c.Response().Header().Set(radishcrank.HeaderRequestID, string(k.id))
@@ -85,7 +103,8 @@
 func (s *Server) log(c echo.Context, k *call, start time.Time, err error) {
 	event := s.cfg.Log.Info()
 	if err != nil {
-		event = s.cfg.Log.Warn().Err(err)
+		refusal := asRefusal(err)
+		event = s.cfg.Log.Warn().Err(err).Str("Code", refusal.Code).Str("Outcome", string(refusal.Outcome))
 	}
 	event.Str("RequestID", string(k.id)).
 		Str("Account", string(k.account.ID)).
--- /dev/null
+++ b/internal/serving/rcfront/server_test.go
@@ -0,0 +1,233 @@
+package rcfront_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
+	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
+	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
+)
+
+const (
+	testKey      = "key-of-riga"
+	answerTokens = 5
+)
+
+type recordingCalls struct {
+	calls []radishcrank.ServiceCall
+}
+
+func (r *recordingCalls) Run(_ context.Context, call radishcrank.ServiceCall) (radishcrank.ServiceAnswer, error) {
+	r.calls = append(r.calls, call)
+	return radishcrank.ServiceAnswer{Status: http.StatusCreated, ContentType: "text/plain", Body: []byte("booked")}, nil
+}
+
+type fixture struct {
+	url    string
+	engine *rcfakeengine.Engine
+	calls  *recordingCalls
+}
+
+func newFixture(t *testing.T) *fixture {
+	engine := rcfakeengine.New(rcfakeengine.Config{
+		Models:      map[radishcrank.ModelID]radishcrank.WeightsVersion{"advice": "w1"},
+		CacheBlocks: 100, BlockTokens: 4, BytesPerToken: 4, MaxBatch: 8,
+		PrefillPerSecond: 1e6, DecodePerSecond: 1e4, AnswerTokens: answerTokens,
+	})
+	upstream := httptest.NewServer(engine.Handler())
+	t.Cleanup(upstream.Close)
+	addr, err := netip.ParseAddrPort(strings.TrimPrefix(upstream.URL, "http://"))
+	require.NoError(t, err)
+	board := rcboard.New()
+	report := engine.LoadReport()
+	board.Upstreams.Put("e1", radishcrank.Upstream{
+		ID: "e1", Role: radishcrank.RoleEngine, Addr: addr, Load: report, Incarnation: report.Incarnation,
+	})
+	doc := &rcconfig.Document{
+		Defaults: rcconfig.DefaultSettings(),
+		Accounts: []rcconfig.Account{{ID: "riga", KeyHashes: []string{rcconfig.HashKey(testKey)}}},
+		Models:   []rcconfig.Model{{ID: "advice", Weights: "w1"}},
+		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /releases"}}},
+	}
+	doc.Defaults.MaxBodyBytes = 4096
+	calls := &recordingCalls{}
+	server := httptest.NewServer(rcfront.New(rcfront.Config{
+		Document: func() *rcconfig.Document { return doc },
+		Generator: rcrelay.New(rcrelay.Config{
+			Board: board, Dialer: rcengine.NewDialer(), MaxAttempts: 2,
+			Chooser: rcdecision.New(rcdecision.Config{Board: board, BlockBytes: func() int { return 16 }}),
+		}),
+		Admitter: rclimit.New(rclimit.Config{Board: board}),
+		Calls:    calls,
+		Metrics:  &rcmetric.Set{},
+		Ready:    func() bool { return true },
+		Log:      zerolog.Nop(),
+	}))
+	t.Cleanup(server.Close)
+	return &fixture{url: server.URL, engine: engine, calls: calls}
+}
+
+func (f *fixture) client() openai.Client {
+	return openai.NewClient(option.WithBaseURL(f.url+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
+}
+
+func (f *fixture) post(t *testing.T, path, key, body string) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func expectedAnswer(prompt string) string {
+	var b strings.Builder
+	for i := range answerTokens {
+		b.WriteString(rcfakeengine.TokenText(prompt, "w1", i))
+	}
+	return b.String()
+}
+
+// Guards against answers that the published client library can't read or that
+// differ between the streamed and the whole form.
+func TestPublishedClient(t *testing.T) {
+	f := newFixture(t)
+	client := f.client()
+	params := openai.ChatCompletionNewParams{
+		Model:    "advice",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("rules"), openai.UserMessage("question")},
+	}
+	want := expectedAnswer("<|system|>rules\n<|user|>question\n")
+
+	whole, err := client.Chat.Completions.New(t.Context(), params)
+	require.NoError(t, err)
+	require.Equal(t, want, whole.Choices[0].Message.Content)
+	require.Equal(t, "stop", whole.Choices[0].FinishReason)
+	require.EqualValues(t, answerTokens, whole.Usage.CompletionTokens)
+
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		require.True(t, acc.AddChunk(stream.Current()))
+	}
+	require.NoError(t, stream.Err())
+	require.Equal(t, want, acc.Choices[0].Message.Content)
+	require.EqualValues(t, answerTokens, acc.Usage.CompletionTokens)
+
+	completion, err := client.Completions.New(t.Context(), openai.CompletionNewParams{
+		Model: "advice", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("raw")},
+	})
+	require.NoError(t, err)
+	require.Equal(t, expectedAnswer("raw"), completion.Choices[0].Text)
+
+	models, err := client.Models.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "advice", models.Data[0].ID)
+}
+
+// Guards against bad input that gets a 5xx, an unclear answer or no outcome.
+func TestBadRequests(t *testing.T) {
+	f := newFixture(t)
+	const chat = "/v1/chat/completions"
+	valid := `{"model":"advice","messages":[{"role":"user","content":"q"}]}`
+	for _, tt := range []struct {
+		name, path, key, body string
+		status                int
+		code                  string
+	}{
+		{"no key", chat, "", valid, 401, "invalid_api_key"},
+		{"wrong key", chat, "other", valid, 401, "invalid_api_key"},
+		{"malformed", chat, testKey, `{"model":`, 400, "malformed_json"},
+		{"trailing data", chat, testKey, valid + "{}", 400, "malformed_json"},
+		{"wrong type", chat, testKey, `{"model":7}`, 400, "malformed_json"},
+		{"image part", chat, testKey, `{"model":"advice","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, 400, "malformed_json"},
+		{"no messages", chat, testKey, `{"model":"advice"}`, 400, "missing_messages"},
+		{"two choices", chat, testKey, `{"model":"advice","n":2,"messages":[{"role":"user","content":"q"}]}`, 400, "unsupported_n"},
+		{"two prompts", "/v1/completions", testKey, `{"model":"advice","prompt":["a","b"]}`, 400, "malformed_json"},
+		{"oversized", chat, testKey, `{"model":"` + strings.Repeat("x", 5000) + `"}`, 413, "body_too_large"},
+		{"unknown model", chat, testKey, `{"model":"none","messages":[{"role":"user","content":"q"}]}`, 404, "model_not_found"},
+		{"unknown path", "/v1/none", testKey, valid, 404, "not_found"},
+		{"wrong method", "/v1/models", testKey, "", 405, "method_not_allowed"},
+		{"unknown service", "/services/none/x", testKey, "", 404, "service_not_found"},
+		{"no idempotency key", "/services/booking/releases", testKey, "{}", 400, "missing_idempotency_key"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := f.post(t, tt.path, tt.key, tt.body)
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, string(radishcrank.OutcomeNotRun), resp.Header.Get(radishcrank.HeaderOutcome))
+			var body struct {
+				Error struct{ Code, Outcome string }
+			}
+			require.NoError(t, json.NewDecoder(resp.Body).Decode(&body))
+			require.Equal(t, tt.code, body.Error.Code)
+			require.Equal(t, "NotRun", body.Error.Outcome)
+		})
+	}
+	require.Empty(t, f.calls.calls)
+	require.Equal(t, http.StatusOK, f.post(t, chat, testKey, valid).StatusCode)
+}
+
+// Guards against a truncated answer that looks complete to the caller.
+func TestTruncatedStreamHasNoTerminator(t *testing.T) {
+	f := newFixture(t)
+	f.engine.SetFaults(rcfakeengine.Faults{DropAfter: 2})
+	resp := f.post(t, "/v1/chat/completions", testKey, `{"model":"advice","stream":true,"messages":[{"role":"user","content":"q"}]}`)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NotContains(t, string(body), "[DONE]")
+	require.NotContains(t, string(body), `"finish_reason":"stop"`)
+	require.Contains(t, string(body), `"outcome":"MayHaveRun"`)
+}
+
+// Guards against a caller that holds a connection by sending its body slowly
+// and delays another caller.
+func TestSlowSenderHarmsNobody(t *testing.T) {
+	f := newFixture(t)
+	r, w := io.Pipe()
+	defer w.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+"/v1/completions", r)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	started := make(chan struct{})
+	go func() {
+		close(started)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	client := &http.Client{Timeout: 10 * time.Second}
+	other, err := http.NewRequest(http.MethodPost, f.url+"/v1/completions", strings.NewReader(`{"model":"advice","prompt":"q"}`))
+	require.NoError(t, err)
+	other.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(other)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	line, err := bufio.NewReader(resp.Body).ReadString('}')
+	require.NoError(t, err)
+	require.Contains(t, line, "text_completion")
+}
--- a/internal/serving/rcfront/service.go
+++ b/internal/serving/rcfront/service.go
@@ -1,13 +1,12 @@
 package rcfront
 
 import (
-	"errors"
-	"io"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // serveService passes a call on to a plain service.
@@ -23,17 +22,14 @@
 	if service.RunsAtMostOnce(r.Method, path) && key == "" {
 		return invalid(http.StatusBadRequest, "missing_idempotency_key", "this call needs an Idempotency-Key header")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, k.settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is too large")
-	}
+	body, err := readBody(c)
 	if err != nil {
-		return invalid(http.StatusBadRequest, "incomplete_body", "the request body is incomplete")
+		return err
 	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
+	s.cfg.Metrics.Add(rcmetric.ServiceCalls, 1)
 	answer, err := s.cfg.Calls.Run(r.Context(), radishcrank.ServiceCall{
 		Account:        k.account.ID,
 		Service:        service.Name,
--- a/internal/serving/rcfront/sink.go
+++ b/internal/serving/rcfront/sink.go
@@ -61,13 +61,14 @@
 	req     radishcrank.Request
 	out     *rcsse.Writer
 	created int64
+	usage   bool // Send the token counts in a last chunk of their own.
 	next    int
-	usage   radishcrank.Usage
+	finish  radishcrank.Finish
 	done    bool
 }
 
-func newStreamSink(c echo.Context, req radishcrank.Request) *streamSink {
-	return &streamSink{c: c, req: req, out: rcsse.NewWriter(c.Response()), created: time.Now().Unix()}
+func newStreamSink(c echo.Context, req radishcrank.Request, usage bool) *streamSink {
+	return &streamSink{c: c, req: req, out: rcsse.NewWriter(c.Response()), created: time.Now().Unix(), usage: usage}
 }
 
 // Token implements radishcrank.StreamSink.
@@ -81,7 +82,7 @@
 		ch = choice{Delta: &d}
 	}
 	s.next = t.Index + 1
-	return s.send(t.Index, ch, nil)
+	return s.send(t.Index, []choice{ch}, nil)
 }
 
 // Finish implements radishcrank.StreamSink.
@@ -92,15 +93,20 @@
 	} else {
 		ch.Text = new(string)
 	}
-	s.usage = f.Usage
-	if err := s.send(s.next, ch, newUsage(f.Usage)); err != nil {
+	s.finish = f
+	if err := s.send(s.next, []choice{ch}, nil); err != nil {
 		return err
 	}
+	if s.usage {
+		if err := s.send(s.next+1, []choice{}, newUsage(f.Usage)); err != nil {
+			return err
+		}
+	}
 	s.done = true
 	return s.out.Event("", 0, []byte("[DONE]"))
 }
 
-func (s *streamSink) send(index int, ch choice, u *usage) error {
+func (s *streamSink) send(index int, choices []choice, u *usage) error {
 	s.commit()
 	object := "text_completion"
 	if s.req.Chat {
@@ -108,7 +114,7 @@
 	}
 	data, err := json.Marshal(completion{
 		ID: string(s.req.ID), Object: object, Created: s.created, Model: string(s.req.Model),
-		Choices: []choice{ch}, Usage: u,
+		Choices: choices, Usage: u,
 	})
 	if err != nil {
 		return err
@@ -132,7 +138,12 @@
 	if err == nil || !s.c.Response().Committed || s.done {
 		return err
 	}
-	data, jsonErr := json.Marshal(newErrorBody(radishcrank.AsRefusal(err)))
+	refusal := *radishcrank.AsRefusal(err)
+	if refusal.Outcome == radishcrank.OutcomeNotRun {
+		// The refusal of a later attempt does not undo the tokens already delivered.
+		refusal.Outcome = radishcrank.OutcomeMayHaveRun
+	}
+	data, jsonErr := json.Marshal(newErrorBody(&refusal))
 	if jsonErr == nil {
 		s.out.Event("", 0, data)
 	}
@@ -163,7 +174,7 @@
 	object := "text_completion"
 	if req.Chat {
 		object = "chat.completion"
-		ch = choice{Message: &message{Role: "assistant", Content: text}, FinishReason: &s.finish.Reason}
+		ch = choice{Message: &message{Role: "assistant", Content: promptText(text)}, FinishReason: &s.finish.Reason}
 	}
 	return completion{
 		ID: string(req.ID), Object: object, Created: time.Now().Unix(), Model: string(req.Model),
--- /dev/null
+++ b/internal/serving/rcops/client.go
@@ -0,0 +1,137 @@
+package rcops
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	clientTimeout  = 30 * time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// ErrUnauthorized says that the operator key was refused.
+var ErrUnauthorized = errors.New("the operator key is missing or wrong")
+
+// ClientConfig says which instance a Client talks to.
+type ClientConfig struct {
+	URL string // Base URL of the operators' listener.
+	Key string // Operator key.
+	// HTTP is the transport's client; nil uses one with a 30 s timeout.
+	HTTP *http.Client
+}
+
+// Client calls the operators' API of one instance.
+type Client struct {
+	cfg ClientConfig
+}
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Timeout: clientTimeout}
+	}
+	return &Client{cfg: cfg}
+}
+
+// Status fetches the instance's status.
+func (c *Client) Status(ctx context.Context) (status Status, err error) {
+	err = c.call(ctx, http.MethodGet, PathStatus, nil, &status)
+	return status, err
+}
+
+// Dump fetches the instance's whole state as JSON.
+func (c *Client) Dump(ctx context.Context) (dump json.RawMessage, err error) {
+	err = c.call(ctx, http.MethodGet, PathDump, nil, &dump)
+	return dump, err
+}
+
+// Explain asks where a request would go.
+func (c *Client) Explain(ctx context.Context, req ExplainRequest) (explanation Explanation, err error) {
+	err = c.call(ctx, http.MethodPost, PathExplain, req, &explanation)
+	return explanation, err
+}
+
+// Drain makes the instance refuse new work and stop when its work has ended.
+func (c *Client) Drain(ctx context.Context) (status Status, err error) {
+	err = c.call(ctx, http.MethodPost, PathDrain, struct{}{}, &status)
+	return status, err
+}
+
+// Show implements Configs.
+func (c *Client) Show(ctx context.Context, revision uint64) (shown ConfigRevision, err error) {
+	query := url.Values{"revision": {strconv.FormatUint(revision, 10)}}
+	err = c.call(ctx, http.MethodGet, PathConfig+"?"+query.Encode(), nil, &shown)
+	return shown, err
+}
+
+// Push implements Configs.
+func (c *Client) Push(ctx context.Context, req PushRequest) (committed ConfigRevision, err error) {
+	err = c.call(ctx, http.MethodPost, PathConfig, req, &committed)
+	return committed, err
+}
+
+// History implements Configs.
+func (c *Client) History(ctx context.Context, limit int) (list []ConfigRevision, err error) {
+	err = c.call(ctx, http.MethodGet, PathHistory+"?limit="+strconv.Itoa(limit), nil, &list)
+	return list, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, message, answer any) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "%s %s", method, path)
+		}
+	}()
+	var body io.Reader
+	if message != nil {
+		data, err := json.Marshal(message)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.cfg.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return problemError(resp.StatusCode, data)
+	}
+	return json.Unmarshal(data, answer)
+}
+
+func problemError(status int, data []byte) error {
+	var p Problem
+	if err := json.Unmarshal(data, &p); err != nil || p.Error == "" {
+		return fmt.Errorf("status %d", status)
+	}
+	switch status {
+	case http.StatusUnauthorized:
+		return ErrUnauthorized
+	case http.StatusConflict:
+		return &ConflictError{Newest: p.Newest, Diff: p.Diff}
+	}
+	return errors.New(p.Error)
+}
