--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -29,6 +29,7 @@
 	Dump    dumpCommand    `cmd:"" help:"Print the whole state of an instance as JSON, without secrets."`
 	Explain explainCommand `cmd:"" help:"Print where a request would go, and each term of the choice."`
 	Drain   drainCommand   `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
+	Config  configCommand  `cmd:"" help:"Check, compare and commit the fleet's configuration."`
 	Demo    demoCommand    `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
--- a/internal/serving/rcfront/body.go
+++ b/internal/serving/rcfront/body.go
@@ -14,16 +14,12 @@
 	"github.com/labstack/echo/v4"
 )
 
-// bodyReadTimeout bounds how long a caller may take to send a request body, so
-// that slow senders do not hold connections.
-const bodyReadTimeout = 30 * time.Second
-
 // readBody reads the whole request body within its size and time limits.
 func readBody(c echo.Context) (body []byte, err error) {
 	k := c.Get(callKey).(*call)
 	rc := http.NewResponseController(c.Response())
 	// Writers of tests have no deadlines; a real connection always has.
-	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := rc.SetReadDeadline(time.Now().Add(k.settings.BodyReadTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
 	defer rc.SetReadDeadline(time.Time{})
@@ -35,7 +31,7 @@
 	case errors.As(err, &tooLarge):
 		return nil, invalid(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the request body exceeds %d bytes", tooLarge.Limit))
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, invalid(http.StatusRequestTimeout, "body_too_slow", fmt.Sprintf("the request body did not arrive within %v", bodyReadTimeout))
+		return nil, invalid(http.StatusRequestTimeout, "body_too_slow", fmt.Sprintf("the request body did not arrive within %v", k.settings.BodyReadTimeout))
 	}
 	return nil, invalid(http.StatusBadRequest, "incomplete_body", "the request body is incomplete")
 }
--- a/internal/serving/rcfront/service.go
+++ b/internal/serving/rcfront/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
@@ -17,7 +18,12 @@
 		return invalid(http.StatusNotFound, "service_not_found", "the service does not exist")
 	}
 	r := c.Request()
-	path := "/" + c.Param("*")
+	// The path goes on as the caller encoded it, so that the upstream reads the
+	// same path as the check of repeatability.
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+c.Param("name"))
+	if !strings.HasPrefix(path, "/") {
+		return invalid(http.StatusBadRequest, "malformed_path", "the service's name must not be encoded")
+	}
 	key := r.Header.Get(radishcrank.HeaderIdempotencyKey)
 	if service.RunsAtMostOnce(r.Method, path) && key == "" {
 		return invalid(http.StatusBadRequest, "missing_idempotency_key", "this call needs an Idempotency-Key header")
