Choose engines by cached prefix and predicted time to first token

The chooser picked the engine with the fewest requests of the instance, so shared prefixes were recomputed on every engine.

go test -p 2 -race ./internal/routing/... passes.

--- /dev/null
+++ b/internal/routing/rcdecision/chooser_test.go
@@ -0,0 +1,267 @@
+package rcdecision
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+const blockBytes = 400
+
+func testUpstream(id string) radishcrank.Upstream {
+	return radishcrank.Upstream{
+		ID:          radishcrank.UpstreamID(id),
+		Role:        radishcrank.RoleEngine,
+		Zone:        "z1",
+		Incarnation: 1,
+		Load: radishcrank.LoadReport{
+			Incarnation:      1,
+			Weights:          map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "w1"},
+			CacheBlocks:      1000,
+			PrefillPerSecond: 1000,
+			DecodePerSecond:  50,
+			MaxBatch:         8,
+			ReportedAt:       time.Now(),
+		},
+	}
+}
+
+func testChooser(n int, change func(cfg *Config)) (*Chooser, *rcboard.Board) {
+	board := rcboard.New()
+	for i := range n {
+		up := testUpstream(fmt.Sprintf("e%02d", i))
+		board.Upstreams.Put(up.ID, up)
+	}
+	cfg := Config{Board: board, Instance: "i1", Zone: "z1", BlockBytes: func() int { return blockBytes }}
+	if change != nil {
+		change(&cfg)
+	}
+	return New(cfg), board
+}
+
+func testRequest(i int, text string) radishcrank.Request {
+	return radishcrank.Request{
+		ID:      radishcrank.RequestID(fmt.Sprintf("r%d", i)),
+		Account: "a",
+		Model:   "m",
+		Prompt:  strings.Repeat(text, 4*blockBytes)[:4*blockBytes],
+	}
+}
+
+// serve runs a request to its end.
+func serve(t *testing.T, c *Chooser, req radishcrank.Request) radishcrank.Placement {
+	t.Helper()
+	p, err := c.Choose(t.Context(), req, nil)
+	require.NoError(t, err)
+	c.Observe(req, p, radishcrank.Observation{Kind: radishcrank.ObservedFirstToken})
+	c.Observe(req, p, radishcrank.Observation{Kind: radishcrank.ObservedDone})
+	return p
+}
+
+func termOf(t *testing.T, p radishcrank.Placement, name string) time.Duration {
+	t.Helper()
+	for _, term := range p.Terms {
+		if term.Name == name {
+			return term.Value
+		}
+	}
+	t.Fatalf("no term %s", name)
+	return 0
+}
+
+// Guards against a repeated prefix that is sent to an engine without it, and
+// against a prediction that does not add up from its terms.
+func TestRepeatedPrefixStays(t *testing.T) {
+	c, _ := testChooser(12, nil)
+	first := serve(t, c, testRequest(0, "rules "))
+	require.Zero(t, first.CachedBlocks)
+	for i := range 20 {
+		p := serve(t, c, testRequest(i+1, "rules "))
+		require.Equal(t, first.Upstream.ID, p.Upstream.ID)
+		require.Equal(t, 4, p.CachedBlocks)
+		sum := time.Duration(0)
+		for _, term := range p.Terms[:6] {
+			sum += term.Value
+		}
+		require.Equal(t, p.PredictedTTFT, sum)
+	}
+}
+
+// Guards against a dead incarnation whose cache still attracts requests.
+func TestRestartVoidsAffinity(t *testing.T) {
+	c, board := testChooser(12, nil)
+	first := serve(t, c, testRequest(0, "rules "))
+	up := first.Upstream
+	up.Incarnation++
+	board.Upstreams.Put(up.ID, up)
+	require.Zero(t, serve(t, c, testRequest(1, "rules ")).CachedBlocks)
+}
+
+// Guards against a leaving, excluded or refused engine that gets a request, and
+// against a refusal that does not promise NotRun.
+func TestIneligibleEnginesGetNothing(t *testing.T) {
+	refused := refuse{}
+	c, board := testChooser(3, func(cfg *Config) { cfg.Breaker = refused })
+	up, _ := board.Upstreams.Get("e00")
+	up.Leaving = true
+	board.Upstreams.Put(up.ID, up)
+	refused["e01"] = true
+	for i := range 50 {
+		require.Equal(t, radishcrank.UpstreamID("e02"), serve(t, c, testRequest(i, fmt.Sprint(i))).Upstream.ID)
+	}
+	_, err := c.Choose(t.Context(), testRequest(0, "x"), []radishcrank.UpstreamID{"e02"})
+	var refusal *radishcrank.Refusal
+	require.True(t, errors.As(err, &refusal))
+	require.Equal(t, radishcrank.OutcomeNotRun, refusal.Outcome)
+}
+
+type refuse map[radishcrank.UpstreamID]bool
+
+func (r refuse) Allow(id radishcrank.UpstreamID) (float64, bool) { return 1, !r[id] }
+
+type slowStart map[radishcrank.UpstreamID]float64
+
+func (s slowStart) Allow(id radishcrank.UpstreamID) (float64, bool) {
+	if w, ok := s[id]; ok {
+		return w, true
+	}
+	return 1, true
+}
+
+// Guards against an engine in slow start that gets its full share or nothing.
+func TestSlowStartThins(t *testing.T) {
+	c, _ := testChooser(2, func(cfg *Config) { cfg.Breaker = slowStart{"e00": 0.2} })
+	n := 0
+	for i := range 1000 {
+		if serve(t, c, testRequest(i, fmt.Sprint(i))).Upstream.ID == "e00" {
+			n++
+		}
+	}
+	require.InDelta(t, 100, n, 50)
+}
+
+// Guards against one hot text that overloads its engine: queues must push
+// requests to other engines once waiting costs more than recomputing.
+func TestHotTextSpreads(t *testing.T) {
+	c, _ := testChooser(12, nil)
+	perEngine := make(map[radishcrank.UpstreamID]int)
+	for i := range 96 {
+		p, err := c.Choose(t.Context(), testRequest(i, "rules "), nil)
+		require.NoError(t, err)
+		perEngine[p.Upstream.ID]++
+	}
+	for id, n := range perEngine {
+		require.LessOrEqual(t, n, 10, "engine %s", id) // 96 over 12 engines, times 1.25.
+	}
+}
+
+// Guards against instances that all send to the same engine because their
+// boards say the same.
+func TestInstancesDoNotHerd(t *testing.T) {
+	chosen := make(map[radishcrank.UpstreamID]int)
+	for i := range 100 {
+		c, _ := testChooser(20, func(cfg *Config) { cfg.Instance = radishcrank.InstanceID(fmt.Sprint(i)) })
+		req := testRequest(0, "x")
+		req.Prompt = "short" // No block, so no engine is better than another.
+		chosen[serve(t, c, req).Upstream.ID]++
+	}
+	require.Greater(t, len(chosen), 15)
+}
+
+// Guards against a queue estimate that ignores requests sent since the report,
+// counts them twice once a report includes them, or never drains.
+func TestQueueFollowsReportAndDispatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, board := testChooser(1, nil)
+		queue := func() time.Duration {
+			return termOf(t, c.Explain(testRequest(99, "other "))[0].Placement, TermPrefillQueue)
+		}
+		require.Zero(t, queue())
+		time.Sleep(time.Millisecond)
+		_, err := c.Choose(t.Context(), testRequest(0, "rules "), nil) // 400 tokens, 400 ms.
+		require.NoError(t, err)
+		require.InDelta(t, 400*time.Millisecond, queue(), float64(5*time.Millisecond))
+		time.Sleep(100 * time.Millisecond)
+		require.InDelta(t, 300*time.Millisecond, queue(), float64(5*time.Millisecond))
+		up, _ := board.Upstreams.Get("e00")
+		up.Load.ReportedAt, up.Load.QueuedTokens, up.Load.Running = time.Now(), 300, 1
+		board.Upstreams.Put(up.ID, up)
+		require.InDelta(t, 300*time.Millisecond, queue(), float64(5*time.Millisecond))
+		time.Sleep(time.Second)
+		require.Zero(t, queue())
+	})
+}
+
+// Guards against trust in an engine that stopped reporting.
+func TestSilentEngineIsDistrusted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, board := testChooser(2, nil)
+		time.Sleep(20 * time.Second)
+		up, _ := board.Upstreams.Get("e00")
+		up.Load.ReportedAt = time.Now()
+		board.Upstreams.Put(up.ID, up)
+		silent, _ := board.Upstreams.Get("e01")
+		silent.MissedReports = 4
+		board.Upstreams.Put(silent.ID, silent)
+		for i := range 20 {
+			req := testRequest(i, fmt.Sprint(i))
+			require.Equal(t, radishcrank.UpstreamID("e00"), serve(t, c, req).Upstream.ID)
+		}
+	})
+}
+
+// fakeKept keeps the blocks of every prompt.
+type fakeKept struct {
+	importTime time.Duration
+	imported   int
+}
+
+func (k *fakeKept) Kept(chain []radishcrank.BlockHash) int { return len(chain) }
+func (k *fakeKept) ImportTime(int) time.Duration           { return k.importTime }
+
+func (k *fakeKept) Import(_ context.Context, _ radishcrank.Upstream, blocks []radishcrank.BlockHash) error {
+	k.imported += len(blocks)
+	return nil
+}
+
+// Guards against an import that is slower than recomputing, or one that is
+// predicted but not carried out.
+func TestImportsWhereCheaper(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		kept := &fakeKept{importTime: 50 * time.Millisecond}
+		if slow {
+			kept.importTime = time.Second
+		}
+		c, _ := testChooser(2, func(cfg *Config) { cfg.Kept = kept })
+		p := serve(t, c, testRequest(0, "rules "))
+		if slow {
+			require.Zero(t, kept.imported)
+			require.Zero(t, termOf(t, p, TermImport))
+			continue
+		}
+		require.Equal(t, 4, kept.imported)
+		require.Equal(t, kept.importTime, p.PredictedTTFT)
+	}
+}
+
+// Guards against an explanation that counts as a dispatch or hides a candidate.
+func TestExplainDispatchesNothing(t *testing.T) {
+	c, _ := testChooser(12, nil)
+	home := serve(t, c, testRequest(0, "rules "))
+	before := c.Explain(testRequest(1, "rules "))
+	require.Equal(t, before, c.Explain(testRequest(1, "rules ")))
+	require.GreaterOrEqual(t, len(before), 3)
+	require.Equal(t, home.Upstream.ID, before[0].Upstream.ID)
+	require.True(t, before[0].Chosen)
+	require.True(t, before[0].Home)
+}
--- /dev/null
+++ b/internal/routing/rcdecision/cost.go
@@ -0,0 +1,220 @@
+package rcdecision
+
+import (
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
+	"github.com/radishcrank/radishcrank/internal/routing/rcplacement"
+)
+
+// Names of the terms of a placement. The first ones add up to the predicted
+// time to first token; TermRecompute and TermOffPlacement count only for the score.
+const (
+	TermPrefillQueue = "PrefillQueue" // Prompts ahead in the engine's prefill.
+	TermBatchQueue   = "BatchQueue"   // Requests ahead while the batch is full.
+	TermPrefill      = "Prefill"      // Tokens of the prompt that are not cached.
+	TermImport       = "Import"       // Blocks loaded from the kept KV store.
+	TermCrossZone    = "CrossZone"    // Distance of the engine's availability zone.
+	TermDistrust     = "Distrust"     // The load report is old or reports are missing.
+	TermRecompute    = "Recompute"    // Weighted cost of the prefill.
+	TermOffPlacement = "OffPlacement" // Weighted cost of a second copy of the prefix.
+)
+
+const (
+	// tieTolerance is below what a load report can tell.
+	tieTolerance = time.Millisecond
+
+	// A report is trusted for trustedAge. After it, each second costs distrustRate,
+	// up to maxDistrust, so that a fresh report of some load is preferred to an
+	// old one of none.
+	trustedAge   = 2 * time.Second
+	distrustRate = 0.02
+	maxDistrust  = 200 * time.Millisecond
+
+	// missedCost is the cost of each report that could not be fetched in a row
+	// after the first, up to maxMissed.
+	missedCost = 500 * time.Millisecond
+	maxMissed  = 10
+
+	// assumedTokens is the length of an answer until one was seen.
+	assumedTokens = 64
+)
+
+// candidate is an engine that is considered for a request.
+type candidate struct {
+	view     int
+	engine   *engine
+	holder   rcindex.Holder // Zero if the index knows of no cached block.
+	home     bool           // The prefix is placed on the engine.
+	missing  int            // Prompt tokens that the engine has to prefill.
+	imported int            // Leading blocks to import.
+	ttft     time.Duration
+	score    time.Duration
+	over     bool // Above the load bound.
+}
+
+// terms holds the parts of a candidate's cost in the order in which explain shows them.
+type terms struct {
+	prefillQueue, batchQueue, prefill, imports, crossZone, distrust time.Duration
+	recompute, offPlacement                                         time.Duration
+}
+
+func (t *terms) ttft() time.Duration {
+	return t.prefillQueue + t.batchQueue + t.prefill + t.imports + t.crossZone + t.distrust
+}
+
+func (t *terms) list() []radishcrank.Term {
+	return []radishcrank.Term{
+		{Name: TermPrefillQueue, Value: t.prefillQueue},
+		{Name: TermBatchQueue, Value: t.batchQueue},
+		{Name: TermPrefill, Value: t.prefill},
+		{Name: TermImport, Value: t.imports},
+		{Name: TermCrossZone, Value: t.crossZone},
+		{Name: TermDistrust, Value: t.distrust},
+		{Name: TermRecompute, Value: t.recompute},
+		{Name: TermOffPlacement, Value: t.offPlacement},
+	}
+}
+
+// best scores the candidates and returns the place of the chosen one, or -1. An
+// engine above the load bound is chosen only if all candidates are. Among equal
+// scores a hash of request, instance and engine decides, so that instances with
+// the same view do not all choose the same engine.
+func (d *decision) best() int {
+	bound := rcplacement.Bound(d.places)
+	under := false
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		t := d.cost(c)
+		c.ttft = t.ttft()
+		c.score = c.ttft + t.recompute + t.offPlacement
+		c.over = d.places[c.view].Over(bound)
+		under = under || !c.over
+	}
+	lowest := time.Duration(-1)
+	for i := range d.candidates {
+		if c := &d.candidates[i]; c.over && under {
+			continue
+		} else if lowest < 0 || c.score < lowest {
+			lowest = c.score
+		}
+	}
+	best, bestHash := -1, uint64(0)
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		if (c.over && under) || c.score > lowest+tieTolerance {
+			continue
+		}
+		if h := rcplacement.Mix(d.seed ^ c.engine.key); best < 0 || h < bestHash {
+			best, bestHash = i, h
+		}
+	}
+	return best
+}
+
+// cost computes the terms of a candidate and notes what it would prefill.
+func (d *decision) cost(c *candidate) terms {
+	v := &d.views[c.view]
+	var t terms
+	t.prefillQueue = c.engine.backlog(v, d.now)
+	t.batchQueue = d.c.batchWait(v)
+	d.missing(c)
+	t.prefill = seconds(float64(c.missing) / v.prefillRate)
+	d.tryImport(c, &t)
+	if d.c.cfg.Zone != "" && v.zone != d.c.cfg.Zone {
+		t.crossZone = d.c.cfg.CrossZone(v.zone)
+	}
+	t.distrust = d.distrust(v)
+	weight := d.c.cfg.RecomputeWeight()
+	t.recompute = time.Duration(weight * float64(t.prefill))
+	if !c.home {
+		t.offPlacement = t.recompute
+	}
+	return t
+}
+
+// missing counts the prompt tokens that are not expected in the engine's cache.
+func (d *decision) missing(c *candidate) {
+	bytes := len(d.req.Prompt) - int(c.holder.Expected*float64(d.blockBytes))
+	c.missing = radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
+	c.imported = 0
+}
+
+// tryImport replaces prefill by import of kept KV where that is faster.
+func (d *decision) tryImport(c *candidate, t *terms) {
+	if d.c.cfg.Kept == nil {
+		return
+	}
+	chain := d.chain(d.views[c.view].weights)
+	kept := d.c.cfg.Kept.Kept(chain)
+	if kept <= c.holder.Blocks {
+		return
+	}
+	bytes := len(d.req.Prompt) - kept*d.blockBytes
+	missing := radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
+	prefill := seconds(float64(missing) / d.views[c.view].prefillRate)
+	imports := d.c.cfg.Kept.ImportTime(kept - c.holder.Blocks)
+	if prefill+imports < t.prefill {
+		c.missing, c.imported = missing, kept
+		t.prefill, t.imports = prefill, imports
+	}
+}
+
+// batchWait predicts how long a request waits for a place in the batch.
+func (c *Chooser) batchWait(v *loadView) time.Duration {
+	ahead := v.engine.occupied(v) - v.maxBatch + 1
+	if v.maxBatch <= 0 || ahead <= 0 {
+		return 0
+	}
+	return seconds(float64(ahead) * c.generation(v) / float64(v.maxBatch))
+}
+
+// generation returns the seconds that an answer takes after its first token.
+func (c *Chooser) generation(v *loadView) float64 {
+	if c.duration > 0 {
+		return c.duration
+	}
+	return assumedTokens / v.decodeRate
+}
+
+// occupation returns how long the request occupies the engine: its prefill, and
+// its share of the batch while it generates.
+func (c *Chooser) occupation(cand *candidate) time.Duration {
+	v := &c.scratch.views[cand.view]
+	prefill := float64(cand.missing) / v.prefillRate
+	return seconds(prefill + c.generation(v)/float64(max(1, v.maxBatch)))
+}
+
+// distrust returns the cost of an old load report. An engine that has not
+// reported its time is taken to be fresh.
+func (d *decision) distrust(v *loadView) time.Duration {
+	cost := time.Duration(max(0, min(v.missed, maxMissed)-1)) * missedCost
+	if v.reportedAt.IsZero() {
+		return cost
+	}
+	old := d.now.Sub(v.reportedAt) - trustedAge
+	if old <= 0 {
+		return cost
+	}
+	return cost + min(maxDistrust, time.Duration(distrustRate*float64(old)))
+}
+
+// placement returns a candidate as a Placement, or false if the upstream has
+// left or restarted since the scan.
+func (d *decision) placement(c *candidate) (p radishcrank.Placement, ok bool) {
+	v := &d.views[c.view]
+	row, ok := d.c.cfg.Board.Upstreams.Get(v.id)
+	if !ok || row.Leaving || row.Incarnation != v.incarnation {
+		return p, false
+	}
+	t := d.cost(c)
+	return radishcrank.Placement{
+		Upstream:      row,
+		Weights:       v.weights,
+		CacheKeys:     d.chain(v.weights),
+		CachedBlocks:  c.holder.Blocks,
+		PredictedTTFT: t.ttft(),
+		Terms:         t.list(),
+	}, true
+}
--- /dev/null
+++ b/internal/routing/rcdecision/decision.go
@@ -0,0 +1,311 @@
+package rcdecision
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
+	"github.com/radishcrank/radishcrank/internal/routing/rcplacement"
+	"github.com/radishcrank/radishcrank/internal/routing/rcprefix"
+)
+
+const randomCandidates = 2
+
+// loadView is what a decision needs of an upstream's row.
+type loadView struct {
+	id           radishcrank.UpstreamID
+	zone         radishcrank.AvailabilityZone
+	incarnation  radishcrank.Incarnation
+	weights      radishcrank.WeightsVersion
+	running      int
+	waiting      int
+	queuedTokens int
+	maxBatch     int
+	prefillRate  float64 // Tokens a second.
+	decodeRate   float64 // Tokens a second of one request.
+	reportedAt   time.Time
+	missed       int
+	engine       *engine
+	verdict      verdict
+}
+
+// verdict remembers what the circuit breaker said of an engine in one decision.
+type verdict uint8
+
+const (
+	verdictUnknown verdict = iota
+	verdictAllowed
+	verdictRefused
+)
+
+// versionChain is the prompt's chain under one weights version.
+type versionChain struct {
+	weights radishcrank.WeightsVersion
+	engines int
+	chain   []radishcrank.BlockHash
+	hashed  bool
+}
+
+// decision is the working set of one choice. Its slices are reused.
+type decision struct {
+	c          *Chooser
+	req        radishcrank.Request
+	now        time.Time
+	seed       uint64 // Hash of request and instance.
+	blockBytes int
+	weights    radishcrank.WeightsVersion // Of most engines.
+	versions   []versionChain
+	views      []loadView
+	places     []rcplacement.Engine
+	holders    []rcindex.Holder
+	order      []int
+	candidates []candidate
+}
+
+// decide scans the board and scores the candidates. c.mu must be locked until
+// the decision is no longer used.
+func (c *Chooser) decide(req radishcrank.Request, exclude []radishcrank.UpstreamID) *decision {
+	d := &c.scratch
+	*d = decision{
+		c:          c,
+		req:        req,
+		now:        time.Now(),
+		seed:       xxhash.Sum64String(string(req.ID)) ^ rcplacement.Mix(xxhash.Sum64String(string(c.cfg.Instance))),
+		blockBytes: c.cfg.BlockBytes(),
+		versions:   d.versions[:0],
+		views:      d.views[:0],
+		places:     d.places[:0],
+		holders:    d.holders[:0],
+		order:      d.order[:0],
+		candidates: d.candidates[:0],
+	}
+	d.scan(exclude)
+	if len(d.views) == 0 {
+		return d
+	}
+	d.addReplicas()
+	d.addHolders()
+	d.addRandom()
+	if len(d.candidates) == 0 {
+		d.addAll()
+	}
+	return d
+}
+
+// scan collects the engines that can serve the request.
+func (d *decision) scan(exclude []radishcrank.UpstreamID) {
+	d.c.round++
+	d.c.cfg.Board.Upstreams.Range(func(id radishcrank.UpstreamID, row radishcrank.Upstream) bool {
+		weights, serves := row.Load.Weights[d.req.Model]
+		if row.Role != radishcrank.RoleEngine || row.Leaving || !serves || slices.Contains(exclude, id) {
+			return true
+		}
+		if !hasAdapter(&row.Load, d.req.Adapter) {
+			return true
+		}
+		d.views = append(d.views, d.c.view(&row, weights))
+		if v := &d.views[len(d.views)-1]; v.engine.changed(v) {
+			d.c.cfg.Index.SetUpstream(row)
+		}
+		return true
+	})
+	for i := range d.views {
+		v := &d.views[i]
+		v.engine.place, v.engine.round = i, d.c.round
+		d.places = append(d.places, rcplacement.Engine{
+			Key:  v.engine.key,
+			Load: float64(v.engine.occupied(v)),
+			Room: float64(v.maxBatch),
+		})
+		d.count(v.weights)
+	}
+	d.c.prune()
+	most := 0
+	for _, v := range d.versions {
+		if v.engines > most || (v.engines == most && v.weights > d.weights) {
+			most, d.weights = v.engines, v.weights
+		}
+	}
+}
+
+func hasAdapter(load *radishcrank.LoadReport, adapter string) bool {
+	return adapter == "" || slices.Contains(load.Adapters, adapter)
+}
+
+// view extracts what a decision needs of a row.
+func (c *Chooser) view(row *radishcrank.Upstream, weights radishcrank.WeightsVersion) loadView {
+	e := c.engines[row.ID]
+	if e == nil {
+		e = &engine{key: rcplacement.Key(row.ID)}
+		c.engines[row.ID] = e
+	}
+	// Rates for engines that don't report any.
+	const defaultPrefill, defaultDecode = 5000, 50
+	load := &row.Load
+	v := loadView{
+		id:           row.ID,
+		zone:         row.Zone,
+		incarnation:  row.Incarnation,
+		weights:      weights,
+		running:      load.Running,
+		waiting:      load.Waiting,
+		queuedTokens: load.QueuedTokens,
+		maxBatch:     load.MaxBatch,
+		prefillRate:  load.PrefillPerSecond,
+		decodeRate:   load.DecodePerSecond,
+		reportedAt:   load.ReportedAt,
+		missed:       row.MissedReports,
+		engine:       e,
+	}
+	if v.prefillRate <= 0 {
+		v.prefillRate = defaultPrefill
+	}
+	if v.decodeRate <= 0 {
+		v.decodeRate = defaultDecode
+	}
+	return v
+}
+
+// prune forgets engines that no scan has seen for long.
+func (c *Chooser) prune() {
+	const rounds = 1 << 14 // Engines of other models are seen in other rounds.
+	if c.round%rounds != 0 {
+		return
+	}
+	for id, e := range c.engines {
+		if len(e.running) == 0 && c.round-e.round >= rounds {
+			delete(c.engines, id)
+		}
+	}
+}
+
+func (d *decision) count(weights radishcrank.WeightsVersion) {
+	for i := range d.versions {
+		if d.versions[i].weights == weights {
+			d.versions[i].engines++
+			return
+		}
+	}
+	d.versions = append(d.versions, versionChain{weights: weights, engines: 1})
+}
+
+func (d *decision) version(weights radishcrank.WeightsVersion) *versionChain {
+	for i := range d.versions {
+		if d.versions[i].weights == weights {
+			return &d.versions[i]
+		}
+	}
+	return &versionChain{}
+}
+
+// chain returns the prompt's chain under a weights version. It is hashed once
+// for each version, which is once a request outside a rolling update.
+func (d *decision) chain(weights radishcrank.WeightsVersion) []radishcrank.BlockHash {
+	v := d.version(weights)
+	if !v.hashed {
+		v.chain = rcprefix.Chain(scopeOf(&d.req, weights), d.req.Prompt, d.blockBytes)
+		v.hashed = true
+	}
+	return v.chain
+}
+
+// usable reports whether an engine may get the request. An engine in slow start
+// gets the share of requests that its weight says.
+func (d *decision) usable(i int) bool {
+	v := &d.views[i]
+	if v.verdict != verdictUnknown {
+		return v.verdict == verdictAllowed
+	}
+	v.verdict = verdictAllowed
+	if d.c.cfg.Breaker == nil {
+		return true
+	}
+	weight, ok := d.c.cfg.Breaker.Allow(v.id)
+	if !ok || unit(d.seed^v.engine.key) >= weight {
+		v.verdict = verdictRefused
+	}
+	return v.verdict == verdictAllowed
+}
+
+// unit maps a hash to [0, 1).
+func unit(h uint64) float64 { return float64(rcplacement.Mix(h)>>11) / (1 << 53) }
+
+// addReplicas adds the engines that the prompt's prefix is placed on.
+func (d *decision) addReplicas() {
+	var homes int
+	d.order, homes = d.c.cfg.Placement.Place(d.chain(d.weights), d.places, d.usable, d.order)
+	for n, i := range d.order {
+		if d.usable(i) {
+			d.add(i, n < homes)
+		}
+	}
+}
+
+// addHolders adds the engines that the index names, and fills in what is cached.
+func (d *decision) addHolders() {
+	for i := range d.versions {
+		d.lookup(d.versions[i].weights)
+	}
+}
+
+// lookup asks the index about the chain under one weights version.
+func (d *decision) lookup(weights radishcrank.WeightsVersion) {
+	d.holders = d.c.cfg.Index.Lookup(scopeOf(&d.req, weights), d.chain(weights), d.holders[:0])
+	for _, h := range d.holders {
+		e := d.c.engines[h.Upstream]
+		if e == nil || e.round != d.c.round {
+			continue
+		}
+		v := &d.views[e.place]
+		if v.incarnation != h.Incarnation || v.weights != weights || !d.usable(e.place) {
+			continue
+		}
+		d.candidates[d.add(e.place, false)].holder = h
+	}
+}
+
+// addRandom adds two engines chosen by a hash, which find idle engines that
+// neither the index nor the placement names.
+func (d *decision) addRandom() {
+	for range randomCandidates {
+		best, lowest := -1, uint64(0)
+		for i := range d.views {
+			h := rcplacement.Mix(d.seed + d.views[i].engine.key)
+			if (best < 0 || h < lowest) && d.find(i) < 0 && d.usable(i) {
+				best, lowest = i, h
+			}
+		}
+		if best >= 0 {
+			d.add(best, false)
+		}
+	}
+}
+
+// addAll adds the engines that only slow start holds back. It serves when
+// nothing else is left.
+func (d *decision) addAll() {
+	for i := range d.views {
+		if d.c.cfg.Breaker == nil {
+			return
+		}
+		if _, ok := d.c.cfg.Breaker.Allow(d.views[i].id); ok {
+			d.add(i, false)
+		}
+	}
+}
+
+func (d *decision) find(view int) int {
+	return slices.IndexFunc(d.candidates, func(c candidate) bool { return c.view == view })
+}
+
+// add adds a candidate unless it is one already, and returns its place.
+func (d *decision) add(view int, home bool) int {
+	if i := d.find(view); i >= 0 {
+		return i
+	}
+	d.candidates = append(d.candidates, candidate{view: view, home: home, engine: d.views[view].engine})
+	return len(d.candidates) - 1
+}
--- /dev/null
+++ b/internal/routing/rcindex/event_test.go
@@ -0,0 +1,93 @@
+package rcindex
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+func stored(seq uint64, blocks ...radishcrank.BlockHash) radishcrank.CacheEvent {
+	return radishcrank.CacheEvent{Seq: seq, Kind: radishcrank.CacheStored, Blocks: blocks}
+}
+
+func batchOf(first uint64, events ...radishcrank.CacheEvent) radishcrank.CacheEventBatch {
+	return radishcrank.CacheEventBatch{Incarnation: 1, First: first, Events: events}
+}
+
+// Guards against a gap that goes unnoticed, and against entries from before it
+// that are trusted as much as those after it.
+func TestGapLowersConfidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(Config{})
+		setUp(x, "u", 0)
+		chain := chainOf("c", 2)
+		require.Equal(t, Sync{Next: 2}, x.Apply("u", batchOf(1, stored(1, chain[0])), time.Now()))
+		require.Equal(t, Sync{Next: 6, Gap: true}, x.Apply("u", batchOf(1, stored(5, chain[1])), time.Now()))
+		h := x.Lookup(testScope, chain, nil)
+		require.Len(t, h, 1)
+		require.Equal(t, 2, h[0].Blocks)
+		require.InDelta(t, gapFactor, h[0].Confidence, 0.01)
+		require.InDelta(t, 1, x.Lookup(testScope, chain[1:], nil)[0].Confidence, 0.01)
+
+		// A resync proves the blocks that it names.
+		sync := x.Resync("u", batchOf(1, stored(1, chain[0]), stored(2), stored(3), stored(4), stored(5, chain[1])), time.Now().Add(time.Second))
+		require.Equal(t, Sync{Next: 6}, sync)
+		require.InDelta(t, 1, x.Lookup(testScope, chain, nil)[0].Confidence, 0.01)
+	})
+}
+
+// Guards against confidence that ignores how fast the engine evicts, or that
+// decays while the event stream proves that nothing was evicted.
+func TestConfidenceDecaysWithEvictions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(Config{})
+		slow, fast := setUp(x, "slow", 0), setUp(x, "fast", 10)
+		observed := setUp(x, "observed", 10)
+		chain := chainOf("c", 1)
+		for _, up := range []radishcrank.Upstream{slow, fast, observed} {
+			x.Confirm(up, testScope, chain)
+		}
+		time.Sleep(20 * time.Second)
+		x.Apply("observed", batchOf(1), time.Now())
+		confidence := make(map[radishcrank.UpstreamID]float64)
+		for _, h := range x.Lookup(testScope, chain, nil) {
+			confidence[h.Upstream] = h.Confidence
+		}
+		require.InDelta(t, 1, confidence["slow"], 0.01)
+		require.InDelta(t, 0.135, confidence["fast"], 0.01) // exp(-20 s * 10/s / 100 blocks)
+		require.InDelta(t, 1, confidence["observed"], 0.01)
+	})
+}
+
+// Guards against a snapshot whose entries come back as certain, or before the
+// upstream's incarnation is known.
+func TestRestoreLowersConfidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := New(Config{})
+		up := setUp(old, "u", 0)
+		chain := chainOf("c", 3)
+		old.Confirm(up, testScope, chain)
+		entries := old.Hot(2)
+		require.Len(t, entries, 2)
+		require.Equal(t, chain[0], entries[0].Block)
+
+		x := New(Config{})
+		x.Restore(entries)
+		require.Empty(t, x.Lookup(testScope, chain, nil))
+		setUp(x, "u", 0)
+		h := x.Lookup(testScope, chain, nil)
+		require.Len(t, h, 1)
+		require.Equal(t, 2, h[0].Blocks)
+		require.InDelta(t, restoreFactor, h[0].Confidence, 0.01)
+
+		restarted := New(Config{})
+		restarted.Restore(entries)
+		up.Incarnation++
+		restarted.SetUpstream(up)
+		require.Empty(t, restarted.Lookup(testScope, chain, nil))
+	})
+}
--- /dev/null
+++ b/internal/routing/rcindex/snapshot.go
@@ -0,0 +1,185 @@
+package rcindex
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// restoreFactor lowers the confidence of restored entries: what happened
+// between the snapshot and the restart is not known.
+const restoreFactor = 0.5
+
+// Entry is an entry of the index for snapshots.
+type Entry struct {
+	Block       radishcrank.BlockHash
+	Upstream    radishcrank.UpstreamID
+	Incarnation radishcrank.Incarnation
+	AccountTag  uint32 // As of the function AccountTag; 0 if not known.
+	Depth       int    // Blocks before this one; -1 if not known.
+	Confidence  float64
+	LastSeen    time.Time
+}
+
+// Hot returns up to n entries that are worth most, the best first.
+func (x *Index) Hot(n int) []Entry {
+	return x.hot(n, func(*upstream, *slot) bool { return true })
+}
+
+// HotOf returns up to n blocks of an upstream that are worth most, the best first.
+func (x *Index) HotOf(id radishcrank.UpstreamID, n int) []radishcrank.BlockHash {
+	entries := x.hot(n, func(u *upstream, _ *slot) bool { return u.id == id })
+	blocks := make([]radishcrank.BlockHash, 0, len(entries))
+	for _, e := range entries {
+		blocks = append(blocks, e.Block)
+	}
+	return blocks
+}
+
+func (x *Index) hot(n int, match func(*upstream, *slot) bool) []Entry {
+	x.registry.mu.RLock()
+	defer x.registry.mu.RUnlock()
+	best := ranking{}
+	worth := x.worth()
+	for i := range x.shards {
+		x.shards[i].rank(&best, n, worth, func(s *slot) bool {
+			u := x.registry.live(s.ref)
+			return u != nil && match(u, s)
+		})
+	}
+	slices.SortFunc(best, func(a, b ranked) int { return compareRanked(b, a) })
+	now := x.tick(time.Now())
+	entries := make([]Entry, 0, len(best))
+	for i := range best {
+		entries = append(entries, x.entry(&best[i].slot, now))
+	}
+	return entries
+}
+
+func (x *Index) entry(s *slot, now uint32) Entry {
+	u := x.registry.live(s.ref)
+	depth := int(s.depth)
+	if s.depth == unknownDepth {
+		depth = -1
+	}
+	return Entry{
+		Block:       s.block,
+		Upstream:    u.id,
+		Incarnation: u.incarnation,
+		AccountTag:  s.account,
+		Depth:       depth,
+		Confidence:  u.confidence(s, now),
+		LastSeen:    x.time(s.seen),
+	}
+}
+
+// Restore adds entries of a snapshot at half their confidence. Entries of
+// another incarnation than the known one are left out. Entries of upstreams
+// that are not known yet are used only after SetUpstream confirms their
+// incarnation.
+func (x *Index) Restore(entries []Entry) {
+	x.registry.mu.Lock()
+	for _, e := range entries {
+		u := x.registry.byID[e.Upstream]
+		if u == nil {
+			x.registry.add(e.Upstream, e.Incarnation)
+		} else if u.weights == nil && u.incarnation < e.Incarnation {
+			x.registry.renew(u, e.Incarnation)
+		}
+	}
+	x.registry.mu.Unlock()
+	x.registry.mu.RLock()
+	defer x.registry.mu.RUnlock()
+	worth := x.worth()
+	for i := range entries {
+		x.restore(&entries[i], worth)
+	}
+}
+
+func (x *Index) restore(e *Entry, worth func(*slot) float64) {
+	u := x.registry.byID[e.Upstream]
+	if u == nil || u.incarnation != e.Incarnation {
+		return
+	}
+	depth := uint16(unknownDepth)
+	if e.Depth >= 0 {
+		depth = depthOf(e.Depth)
+	}
+	x.shard(&e.Block).putNew(slot{
+		block:   e.Block,
+		ref:     u.ref,
+		account: e.AccountTag,
+		seen:    min(x.tick(e.LastSeen), x.tick(time.Now())),
+		depth:   depth,
+		trust:   uint8(255 * min(max(e.Confidence, 0), 1) * restoreFactor),
+	}, worth)
+}
+
+// Forget removes all entries of a client account. Entries that only events
+// named, and no request of this instance, are not known to belong to it; they
+// match no other account's prompts and are evicted as they cool.
+func (x *Index) Forget(account radishcrank.ClientAccountID) {
+	tag := AccountTag(account)
+	for i := range x.shards {
+		x.shards[i].dropIf(func(s *slot) bool { return s.account == tag })
+	}
+}
+
+// ranked is a slot with its worth.
+type ranked struct {
+	slot  slot
+	worth float64
+}
+
+// ranking is a heap with the least worth on top. It implements heap.Interface.
+type ranking []ranked
+
+func (h ranking) Len() int           { return len(h) }
+func (h ranking) Less(i, j int) bool { return compareRanked(h[i], h[j]) < 0 }
+func (h ranking) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *ranking) Push(v any) { *h = append(*h, v.(ranked)) }
+
+// Pop implements heap.Interface.
+func (h *ranking) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// compareRanked orders by worth. Equal worth is ordered by content, so that the
+// result does not depend on the order of insertion.
+func compareRanked(a, b ranked) int {
+	switch {
+	case a.worth < b.worth:
+		return -1
+	case a.worth > b.worth:
+		return 1
+	}
+	if c := slices.Compare(b.slot.block[:], a.slot.block[:]); c != 0 {
+		return c
+	}
+	return int(int64(b.slot.ref) - int64(a.slot.ref))
+}
+
+// rank offers the shard's matching slots to a ranking of up to n.
+func (s *shard) rank(best *ranking, n int, worth func(*slot) float64, match func(*slot) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.slots {
+		e := &s.slots[i]
+		if n <= 0 || e.ref == 0 || !match(e) {
+			continue
+		}
+		r := ranked{slot: *e, worth: worth(e)}
+		if len(*best) < n {
+			heap.Push(best, r)
+		} else if compareRanked((*best)[0], r) < 0 {
+			(*best)[0] = r
+			heap.Fix(best, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/rcplacement/placer.go
@@ -0,0 +1,250 @@
+// Package rcplacement maps prefixes to engines without shared state, by
+// rendezvous hashing with bounded load. Instances that know the same engines
+// agree on the home of a prefix at once, whatever they have seen before.
+//
+// A prefix chain is a path in a tree of shared texts. The engines of a subtree
+// are the first ones of the rendezvous order of its root, and as many as its
+// load needs. Each level chooses among the engines of the level above, so a
+// shared text is computed on few engines, while the text of one caller, which
+// is deeper, stays on one. An instance without load counters uses the first
+// engine of the first level, which is among those that its peers use.
+package rcplacement
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+const (
+	// DefaultEngineLoad is the load that one engine is given of one subtree, in
+	// engine-seconds a second. The rest is room for other prefixes, and for the
+	// seconds until a rising load shows in the counters.
+	DefaultEngineLoad = 0.5
+
+	// LoadFactor bounds the load of an engine relative to the mean. An engine
+	// above it is passed over, but not before its batch is full.
+	LoadFactor = 1.25
+
+	maxSpare  = 4 // Further engines that Place returns.
+	scanLimit = 8 // Up to this many engines are found by scans rather than by sorting.
+)
+
+// Config holds the parameters of a Placer.
+type Config struct {
+	// Instances returns the number of live instances that send requests to the
+	// same engines; nil means one. Each is assumed to see the same load.
+	Instances func() int
+	// EngineLoad returns the load of one subtree that fits one engine, in
+	// engine-seconds a second; nil means DefaultEngineLoad.
+	EngineLoad func() float64
+}
+
+// Engine is an engine that prefixes can be placed on.
+type Engine struct {
+	Key  uint64  // As returned by Key.
+	Load float64 // Requests that it has, as far as is known.
+	Room float64 // Requests that it runs at once.
+}
+
+// Key returns the rendezvous key of an upstream.
+func Key(id radishcrank.UpstreamID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// Placer chooses the engines of prefixes.
+type Placer struct {
+	cfg      Config
+	counters counters
+}
+
+// New returns a Placer that has seen no load.
+func New(cfg Config) *Placer {
+	if cfg.Instances == nil {
+		cfg.Instances = func() int { return 1 }
+	}
+	if cfg.EngineLoad == nil {
+		cfg.EngineLoad = func() float64 { return DefaultEngineLoad }
+	}
+	p := &Placer{cfg: cfg}
+	p.counters.init(time.Now())
+	return p
+}
+
+// Note counts a request on the subtrees of its chain. cost is the time that the
+// request occupies one engine.
+func (p *Placer) Note(chain []radishcrank.BlockHash, cost time.Duration) {
+	now := time.Now()
+	for i := range levels(len(chain)) {
+		p.counters.add(levelKey(&chain[i]), cost.Seconds(), now)
+	}
+}
+
+// Bound returns the load from which on an engine is passed over.
+func Bound(engines []Engine) float64 {
+	if len(engines) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for i := range engines {
+		sum += engines[i].Load
+	}
+	return math.Ceil(LoadFactor * (sum + 1) / float64(len(engines)))
+}
+
+// Over reports whether an engine has no place for another request under a bound.
+func (e *Engine) Over(bound float64) bool { return e.Load+1 > max(bound, e.Room) }
+
+// Place appends to out the indexes of the engines that a chain belongs to, the
+// first choice first, and returns how many they are; some further engines of
+// the subtree above, which probably hold the shared part, follow them. Engines
+// that are not usable or above the load bound are passed over for the next ones
+// of the order, unless none is left. usable may be nil; it is asked only about
+// engines that come into question.
+func (p *Placer) Place(chain []radishcrank.BlockHash, engines []Engine, usable func(i int) bool, out []int) (placed []int, homes int) {
+	if len(chain) == 0 || len(engines) == 0 {
+		return out, 0
+	}
+	bound := Bound(engines)
+	s := selection{
+		engines: engines,
+		fits:    func(i int) bool { return !engines[i].Over(bound) && (usable == nil || usable(i)) },
+	}
+	s.fill()
+	now := time.Now()
+	instances := max(1, p.cfg.Instances())
+	for i := range levels(len(chain)) {
+		key := levelKey(&chain[i])
+		s.narrow(key, p.wanted(p.counters.load(key, instances, now)))
+		if len(s.ranks) <= 1 {
+			break
+		}
+	}
+	for _, r := range s.ranks {
+		out = append(out, r.engine)
+	}
+	slices.SortFunc(s.spare, compareRank)
+	for _, r := range s.spare[:min(len(s.spare), maxSpare)] {
+		out = append(out, r.engine)
+	}
+	return out, len(s.ranks)
+}
+
+// wanted returns the number of engines for a load.
+func (p *Placer) wanted(load float64) int {
+	return max(1, int(math.Ceil(load/p.cfg.EngineLoad())))
+}
+
+// Replicas returns how many engines the first level of a chain is spread over.
+func (p *Placer) Replicas(chain []radishcrank.BlockHash) int {
+	if len(chain) == 0 {
+		return 0
+	}
+	return p.wanted(p.counters.load(levelKey(&chain[0]), max(1, p.cfg.Instances()), time.Now()))
+}
+
+// rank is an engine's place in a rendezvous order; the highest score is first.
+type rank struct {
+	score  uint64
+	engine int
+}
+
+// selection is the set of engines of a subtree.
+type selection struct {
+	engines []Engine
+	fits    func(i int) bool
+	ranks   []rank
+	spare   []rank // Engines of the level above that were left out.
+}
+
+func (s *selection) fill() {
+	s.ranks = make([]rank, len(s.engines))
+	for i := range s.engines {
+		s.ranks[i].engine = i
+	}
+}
+
+// narrow keeps the first want engines of the order of a key that fit. If none
+// fits, it keeps the first ones regardless.
+func (s *selection) narrow(key uint64, want int) {
+	ranks := s.ranks
+	for i := range ranks {
+		ranks[i].score = Mix(s.engines[ranks[i].engine].Key ^ key)
+	}
+	sorted := want > scanLimit
+	if sorted {
+		slices.SortFunc(ranks, compareRank)
+	}
+	kept := 0
+	for i := 0; i < len(ranks) && kept < want; i++ {
+		if !sorted {
+			lift(ranks[i:])
+		}
+		if r := ranks[i]; s.fits(r.engine) {
+			copy(ranks[kept+1:i+1], ranks[kept:i])
+			ranks[kept] = r
+			kept++
+		}
+	}
+	if kept == 0 {
+		kept = min(want, len(ranks))
+	}
+	s.ranks = ranks[:kept]
+	if len(ranks) < len(s.engines) && kept < len(ranks) {
+		s.spare = ranks[kept:]
+	}
+}
+
+// lift swaps the best rank to the front.
+func lift(ranks []rank) {
+	best := 0
+	for j := 1; j < len(ranks); j++ {
+		if compareRank(ranks[j], ranks[best]) < 0 {
+			best = j
+		}
+	}
+	ranks[0], ranks[best] = ranks[best], ranks[0]
+}
+
+func compareRank(a, b rank) int {
+	switch {
+	case a.score > b.score:
+		return -1
+	case a.score < b.score:
+		return 1
+	}
+	return a.engine - b.engine
+}
+
+// Mix spreads the bits of x (the finalizer of SplitMix64).
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func levelKey(h *radishcrank.BlockHash) uint64 { return binary.LittleEndian.Uint64(h[:]) }
+
+// levels yields the depths of a chain that count as levels of the tree: the
+// first blocks, then depths that grow by about half, and the last block. Their
+// number is logarithmic, so small blocks do not make decisions slow.
+func levels(n int) func(yield func(int) bool) {
+	return func(yield func(int) bool) {
+		if n == 0 {
+			return
+		}
+		depth := 1
+		for depth < n {
+			if !yield(depth - 1) {
+				return
+			}
+			depth += max(1, depth/2)
+		}
+		yield(n - 1)
+	}
+}
--- a/types.go
+++ b/types.go
@@ -83,6 +83,8 @@
 	Models      []ModelID
 	Incarnation Incarnation
 	Load        LoadReport
+	// MissedReports counts the load reports in a row that could not be fetched.
+	MissedReports int
 }
 
 // Instance describes a router process as another one knows it.
