Run an instance from boot settings with an operators' listener

The instance stops its members in order: not ready, notice for the balancer, callers, controllers, operators. The demo's upstreams outlive its instances, whose running work needs them.

--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -25,8 +25,11 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
-// Key is the bearer key of the demo's client account.
-const Key = "demo-key"
+// Keys of the demo.
+const (
+	Key         = "demo-key"          // Bearer key of the client account.
+	OperatorKey = "demo-operator-key" // Key of the operators' listeners.
+)
 
 const (
 	zones          = 2
@@ -54,6 +57,7 @@
 		return err
 	}
 	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New()}
+	defer d.stopUpstreams()
 	if err := d.startUpstreams(); err != nil {
 		return err
 	}
@@ -61,8 +65,12 @@
 	if err != nil {
 		return err
 	}
-	d.addInstance("i-1", "zone-1", first)
-	d.addInstance("i-2", "zone-2", second)
+	if err := d.addInstance("i-1", "zone-1", first); err != nil {
+		return err
+	}
+	if err := d.addInstance("i-2", "zone-2", second); err != nil {
+		return err
+	}
 	d.greet(first.Addr(), second.Addr())
 	stop, cancel := context.WithCancel(ctx)
 	d.group.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
@@ -75,6 +83,9 @@
 	listing radishcrank.Listing
 	table   *rcfaketable.Table
 	objects *rcfakeobject.Store
+
+	operators []net.Addr
+	upstreams []*http.Server
 }
 
 func (d *demo) startUpstreams() error {
@@ -121,24 +132,43 @@
 	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
 	d.listing.Upstreams = append(d.listing.Upstreams, up)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	d.group.Add(func() error {
+	d.upstreams = append(d.upstreams, server)
+	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
-			return err
+			d.cfg.Log.Error().Err(err).Str("Upstream", string(up.ID)).Msg("stand-in stopped")
 		}
-		return nil
-	}, func(error) { server.Close() })
+	}()
 	return nil
 }
 
-func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) {
+// stopUpstreams ends the stand-ins. They outlive the instances, whose running
+// work needs them.
+func (d *demo) stopUpstreams() {
+	for _, server := range d.upstreams {
+		server.Close()
+	}
+}
+
+// addInstance adds a router instance whose operators' and peers' listeners get free ports.
+func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) error {
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.operators = append(d.operators, operators.Addr())
 	daemon := rcdaemon.New(rcdaemon.Config{
-		ID: id, Zone: zone, Callers: callers,
+		Boot: &rcconfig.Boot{
+			ID: id, Zone: zone, Region: "demo",
+			OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
+		},
+		Callers: callers, Operators: operators,
 		Document: document(),
 		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	d.group.Add(func() error { return daemon.Run(ctx) }, func(error) { cancel() })
+	d.group.Add(func() error { return daemon.Run(ctx, context.Background()) }, func(error) { cancel() })
+	return nil
 }
 
 func document() *rcconfig.Document {
@@ -151,8 +181,14 @@
 	}
 }
 
-func (d *demo) greet(addrs ...net.Addr) {
-	fmt.Fprintf(d.cfg.Out, "Instances serve callers at %v.\n\n", addrs)
-	fmt.Fprintf(d.cfg.Out, "curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", addrs[0], Key, model)
-	fmt.Fprintf(d.cfg.Out, "curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: r-1' -d '{\"Depot\":\"Riga\"}'\n", addrs[0], Key)
+func (d *demo) greet(callers ...net.Addr) {
+	w := d.cfg.Out
+	fmt.Fprintf(w, "Callers:   %v (instances i-1 and i-2)\n", callers)
+	fmt.Fprintf(w, "Operators: %v\n\n", d.operators)
+	fmt.Fprintf(w, "A streamed chat:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", callers[0], Key, model)
+	fmt.Fprintf(w, "A booking that runs once, however often it is sent, on either instance:\n")
+	for _, addr := range callers {
+		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", addr, Key)
+	}
+	fmt.Fprintf(w, "The state of the first instance:\n  RADISHCRANK_OPERATOR_KEY=%s go run ./cmd/radishcrank dump --url http://%s\n", OperatorKey, d.operators[0])
 }
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -3,14 +3,12 @@
 package rcdaemon
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
@@ -18,6 +16,7 @@
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
@@ -28,99 +27,119 @@
 )
 
 const (
-	reportInterval    = 250 * time.Millisecond
-	shutdownTimeout   = 30 * time.Second
-	headerReadTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
-	maxAttempts       = 4
+	reportInterval = 250 * time.Millisecond
+	maxAttempts    = 4
 )
 
-// Config holds the settings and platform clients of one instance.
+// Config holds the settings, listeners and platform clients of one instance.
 type Config struct {
-	ID       radishcrank.InstanceID
-	Zone     radishcrank.AvailabilityZone
-	Callers  net.Listener // Accepts callers' connections.
-	Document *rcconfig.Document
-	Table    radishcrank.TableService
-	Objects  radishcrank.ObjectStore
-	Lister   radishcrank.InstanceLister
-	Log      zerolog.Logger
+	Boot      *rcconfig.Boot
+	Callers   net.Listener // Accepts callers' connections.
+	Operators net.Listener // Accepts operators' connections.
+	Document  *rcconfig.Document
+	Table     radishcrank.TableService
+	Objects   radishcrank.ObjectStore
+	Lister    radishcrank.InstanceLister
+	// NoticeDelay is how long a stopping instance stays up after it reports not
+	// ready, so that the balancer notices.
+	NoticeDelay time.Duration
+	Log         zerolog.Logger
 }
 
 // Daemon is one router instance.
 type Daemon struct {
-	cfg   Config
-	board *rcboard.Board
-	watch *rcwatch.Watcher
-	http  *http.Server
+	cfg         Config
+	incarnation radishcrank.Incarnation
+	startedAt   time.Time
+	board       *rcboard.Board
+	metrics     *rcmetric.Set
+	chooser     *rcdecision.Chooser
+	watch       *rcwatch.Watcher
+	callers     *http.Server
+	operators   *http.Server
+
+	ready     atomic.Bool
+	draining  atomic.Bool
+	drainOnce sync.Once
+	drain     chan struct{} // Closed when an operator orders a drain.
 }
 
 // New assembles an instance.
 func New(cfg Config) *Daemon {
-	board := rcboard.New()
-	metrics := &rcmetric.Set{}
-	dialer := rcengine.NewDialer()
-	document := func() *rcconfig.Document { return cfg.Document }
-	chooser := rcdecision.New(rcdecision.Config{
-		Board:      board,
-		BlockBytes: func() int { return cfg.Document.Defaults.BlockTokens * cfg.Document.Defaults.BytesPerToken },
-	})
-	front := rcfront.New(rcfront.Config{
-		Metrics:   metrics,
-		Ready:     func() bool { return true },
-		Document:  document,
-		Generator: rcrelay.New(rcrelay.Config{Board: board, Chooser: chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
-		Admitter:  rclimit.New(rclimit.Config{Board: board}),
-		Calls:     rcidem.New(rcidem.Config{Board: board, Client: rcservice.New()}),
-		Log:       cfg.Log,
-	})
-	return &Daemon{
-		cfg:   cfg,
-		board: board,
-		watch: rcwatch.New(rcwatch.Config{Board: board, Lister: cfg.Lister, Dialer: dialer, Interval: reportInterval}),
-		http:  &http.Server{Handler: front, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes},
+	now := time.Now()
+	d := &Daemon{
+		cfg: cfg,
+		// A start time gives each start of an instance a higher number without storage.
+		incarnation: radishcrank.Incarnation(now.UnixNano()),
+		startedAt:   now,
+		board:       rcboard.New(),
+		metrics:     &rcmetric.Set{},
+		drain:       make(chan struct{}),
 	}
+	dialer := rcengine.NewDialer()
+	d.watch = rcwatch.New(rcwatch.Config{Board: d.board, Lister: cfg.Lister, Dialer: dialer, Interval: reportInterval})
+	d.chooser = rcdecision.New(d.chooserConfig())
+	d.callers = d.newCallersServer(dialer)
+	d.operators = d.newOperatorsServer()
+	return d
 }
 
 // Board returns the instance's shared tables.
 func (d *Daemon) Board() *rcboard.Board { return d.board }
 
-// Run serves until ctx ends, then shuts down gracefully.
-func (d *Daemon) Run(ctx context.Context) (err error) {
-	defer func() {
-		if err != nil {
-			err = trace.Wrap(err, "instance %s", d.cfg.ID)
-		}
-	}()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.watch.Refresh(ctx)
-	var g run.Group
-	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
-	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
-	g.Add(func() error { return d.watch.Run(watchCtx) }, func(error) { stopWatch() })
-	g.Add(d.serve, func(error) { d.shutdown() })
-	err = g.Run()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+// document returns the configuration in force.
+func (d *Daemon) document() *rcconfig.Document { return d.cfg.Document }
+
+// settings returns the fleet-wide settings as they apply in the instance's zone.
+func (d *Daemon) settings() rcconfig.Settings {
+	return d.document().SettingsIn(rcconfig.Scope{Zone: d.cfg.Boot.Zone})
 }
 
-func (d *Daemon) serve() error {
-	err := d.http.Serve(d.cfg.Callers)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+func (d *Daemon) chooserConfig() rcdecision.Config {
+	return rcdecision.Config{
+		Board:    d.board,
+		Instance: d.cfg.Boot.ID,
+		Zone:     d.cfg.Boot.Zone,
+		BlockBytes: func() int {
+			s := d.document().Defaults
+			return s.BlockTokens * s.BytesPerToken
+		},
+		BytesPerToken:   func() int { return d.document().Defaults.BytesPerToken },
+		RecomputeWeight: func() float64 { return d.settings().RecomputeWeight },
+		CrossZone: func(zone radishcrank.AvailabilityZone) time.Duration {
+			return d.document().SettingsIn(rcconfig.Scope{Zone: zone}).CrossZoneCost
+		},
 	}
-	return err
 }
 
-// shutdown lets running requests finish, up to the timeout.
-func (d *Daemon) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := d.http.Shutdown(ctx); err != nil {
-		d.cfg.Log.Error().Err(err).Int("Streams", d.board.Streams.Len()).Msg("shutdown deadline passed")
-		d.http.Close()
+func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
+	front := rcfront.New(rcfront.Config{
+		Document:  d.document,
+		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
+		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
+		Calls:     rcidem.New(rcidem.Config{Board: d.board, Client: rcservice.New()}),
+		Metrics:   d.metrics,
+		Ready:     d.ready.Load,
+		Log:       d.cfg.Log,
+	})
+	s := d.settings()
+	return &http.Server{
+		Handler:           front,
+		ReadHeaderTimeout: s.HeaderReadTimeout,
+		MaxHeaderBytes:    int(s.MaxHeaderBytes),
 	}
 }
+
+func (d *Daemon) newOperatorsServer() *http.Server {
+	ops := rcops.New(rcops.Config{
+		Authorize: d.authorizeOperator,
+		Status:    d.Status,
+		Dump:      d.dump,
+		Explain:   d.explain,
+		Drain:     d.Drain,
+		Configs:   d.configs(),
+		Metrics:   d.metrics,
+		Log:       d.cfg.Log,
+	})
+	return &http.Server{Handler: ops, ReadHeaderTimeout: operatorsHeaderTimeout}
+}
--- /dev/null
+++ b/internal/node/rcdaemon/operate.go
@@ -0,0 +1,87 @@
+package rcdaemon
+
+import (
+	"context"
+	"crypto/subtle"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+// authorizeOperator compares with every key hash, so that timing does not tell which one matched.
+func (d *Daemon) authorizeOperator(key string) bool {
+	hash := []byte(rcconfig.HashKey(key))
+	ok := 0
+	for _, h := range d.cfg.Boot.OperatorKeyHashes {
+		ok |= subtle.ConstantTimeCompare(hash, []byte(h))
+	}
+	return ok == 1
+}
+
+// Status returns the short state of the instance.
+func (d *Daemon) Status() rcops.Status {
+	s := rcops.Status{
+		Instance:    d.cfg.Boot.ID,
+		Zone:        d.cfg.Boot.Zone,
+		Incarnation: d.incarnation,
+		StartedAt:   d.startedAt,
+		Ready:       d.ready.Load(),
+		Draining:    d.draining.Load(),
+		Instances:   d.board.Instances.Len(),
+		Streams:     d.board.Streams.Len(),
+	}
+	for _, up := range d.board.Upstreams.Snapshot() {
+		if up.Role == radishcrank.RoleEngine {
+			s.Engines++
+		} else {
+			s.Services++
+		}
+	}
+	return s
+}
+
+// state is what a dump shows. Keys and key hashes are left out.
+type state struct {
+	Status   rcops.Status
+	Settings rcconfig.Settings
+	Accounts []radishcrank.ClientAccountID
+	Services []rcconfig.Service
+	Models   []rcconfig.Model
+	Board    rcboard.Dump
+}
+
+func (d *Daemon) dump() any {
+	doc := d.document()
+	s := state{
+		Status:   d.Status(),
+		Settings: d.settings(),
+		Services: doc.Services,
+		Models:   doc.Models,
+		Board:    d.board.Dump(),
+	}
+	for _, a := range doc.Accounts {
+		s.Accounts = append(s.Accounts, a.ID)
+	}
+	return s
+}
+
+func (d *Daemon) explain(_ context.Context, req rcops.ExplainRequest) (rcops.Explanation, error) {
+	s := d.document().Defaults
+	candidates := d.chooser.Explain(radishcrank.Request{
+		ID: "explain", Account: req.Account, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
+	})
+	e := rcops.Explanation{PromptBlocks: len(req.Prompt) / (s.BlockTokens * s.BytesPerToken)}
+	for _, c := range candidates {
+		e.Candidates = append(e.Candidates, rcops.Candidate{
+			Upstream:      c.Upstream.ID,
+			Chosen:        c.Chosen,
+			CachedBlocks:  c.CachedBlocks,
+			PredictedTTFT: c.PredictedTTFT,
+			Score:         c.Score,
+			Terms:         c.Terms,
+		})
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/node/rcdaemon/run.go
@@ -0,0 +1,123 @@
+package rcdaemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+)
+
+const (
+	operatorsHeaderTimeout = 5 * time.Second
+	operatorsStopTimeout   = 2 * time.Second
+)
+
+// Run serves until ctx ends or an operator orders a drain, then shuts down
+// gracefully: the members stop in the order in which they were added. If abort
+// ends during the shutdown, running work is cut.
+func (d *Daemon) Run(ctx, abort context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "instance %s", d.cfg.Boot.ID)
+		}
+	}()
+	d.watch.Refresh(ctx)
+	d.ready.Store(true)
+	var g run.Group
+	d.addStop(ctx, &g)
+	g.Add(func() error { return serve(d.callers, d.cfg.Callers) }, func(error) { d.stopCallers(abort) })
+	addLoop(&g, d.watch.Run)
+	g.Add(func() error { return serve(d.operators, d.cfg.Operators) }, func(error) { d.stopOperators() })
+	d.cfg.Log.Info().Stringer("Callers", d.cfg.Callers.Addr()).Stringer("Operators", d.cfg.Operators.Addr()).Msg("instance started")
+	err = g.Run()
+	d.cfg.Log.Info().Err(err).Msg("instance stopped")
+	return err
+}
+
+// addStop adds the member whose end stops the group.
+func (d *Daemon) addStop(ctx context.Context, g *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-d.drain:
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addLoop adds a member that runs until its context ends.
+func addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		if err := loop(ctx); !errors.Is(err, context.Canceled) {
+			return err
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+func serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Drain makes the instance refuse new work, finish what it has and stop.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() {
+		d.ready.Store(false)
+		d.draining.Store(true)
+		close(d.drain)
+	})
+}
+
+// stopCallers ends the callers' listener: the balancer is told first, then
+// running requests finish, up to the shutdown timeout.
+func (d *Daemon) stopCallers(abort context.Context) {
+	d.ready.Store(false)
+	d.draining.Store(true)
+	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
+	defer cancel()
+	d.wait(ctx, d.cfg.NoticeDelay)
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.logCut(err)
+		d.callers.Close()
+	}
+}
+
+// logCut lists the streams that a forced stop cuts.
+func (d *Daemon) logCut(err error) {
+	for id, s := range d.board.Streams.Snapshot() {
+		d.cfg.Log.Error().Err(err).
+			Str("RequestID", string(id)).
+			Str("Account", string(s.Account)).
+			Int("Delivered", s.Delivered).
+			Msg("stream cut by the end of the shutdown")
+	}
+}
+
+func (d *Daemon) wait(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) stopOperators() {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorsStopTimeout)
+	defer cancel()
+	if err := d.operators.Shutdown(ctx); err != nil {
+		d.operators.Close()
+	}
+}
