--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -61,12 +62,23 @@
 		return ExitUsage
 	}
 	if err := parsed.Run(); err != nil {
-		fmt.Fprintln(stderr, "radishcrank:", err)
+		fmt.Fprintln(stderr, "radishcrank:", oneLine(err))
 		return ExitError
 	}
 	return ExitOK
 }
 
+// oneLine joins the annotations of an error, which trace puts on lines of their own.
+func oneLine(err error) string {
+	var parts []string
+	for line := range strings.Lines(err.Error()) {
+		if part := strings.TrimSpace(line); part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return strings.Join(parts, ": ")
+}
+
 type demoCommand struct {
 	Listen string        `default:"127.0.0.1:8080" help:"Address of the callers' listener, IP:PORT."`
 	For    time.Duration `help:"Stop after this long, for instance 30s. Runs until interrupted by default."`
