rcrpc: add authenticated JSON-RPC between instances

Cause: instances had no way to talk to each other.

Change: typed JSON-RPC 2.0 calls over TCP by sourcegraph/jsonrpc2, framed by a four-byte length with a limit of 64 KiB.

--- /dev/null
+++ b/internal/peer/rcrpc/frame.go
@@ -0,0 +1,109 @@
+// Package rcrpc carries typed JSON-RPC 2.0 calls between instances over TCP.
+// Messages are length-framed, and both ends of a connection prove that they
+// know a shared key before the first call. The proof covers the start of a
+// connection and not each message, so a network that lets others write into
+// open connections needs TLS below this package.
+package rcrpc
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// MaxMessageBytes bounds one message. It keeps a slow or hostile peer from
+	// taking a visible part of an instance's 256 MB.
+	MaxMessageBytes = 64 << 10
+	// headerBytes is the length of the big-endian length before each message.
+	headerBytes = 4
+)
+
+// FrameSizeError says that a message is empty or longer than the limit.
+type FrameSizeError struct {
+	Size  int
+	Limit int
+}
+
+// Error implements error.
+func (e *FrameSizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes, want 1 to %d", e.Size, e.Limit)
+}
+
+// Encode returns the frame of a message.
+func Encode(message any) ([]byte, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxMessageBytes {
+		return nil, &FrameSizeError{Size: len(body), Limit: MaxMessageBytes}
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	return append(frame, body...), nil
+}
+
+// Decode reads one frame of at most limit bytes into message. Unknown fields are ignored.
+func Decode(r io.Reader, limit int, message any) error {
+	body, err := readFrame(r, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, message)
+}
+
+func readFrame(r io.Reader, limit int) ([]byte, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || uint64(size) > uint64(limit) {
+		return nil, &FrameSizeError{Size: int(size), Limit: limit}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		// The header promised more.
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return body, nil
+}
+
+// stream is the jsonrpc2.ObjectStream of an authenticated connection.
+type stream struct {
+	conn         net.Conn
+	idleTimeout  time.Duration
+	writeTimeout time.Duration
+}
+
+// WriteObject implements jsonrpc2.ObjectStream, which serialises its calls.
+func (s *stream) WriteObject(message any) error {
+	frame, err := Encode(message)
+	if err != nil {
+		return err
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
+		return err
+	}
+	_, err = s.conn.Write(frame)
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectStream. A connection that is silent for
+// the idle timeout is closed, because nobody can tell it from a dead one.
+func (s *stream) ReadObject(message any) error {
+	if err := s.conn.SetReadDeadline(time.Now().Add(s.idleTimeout)); err != nil {
+		return err
+	}
+	return Decode(s.conn, MaxMessageBytes, message)
+}
+
+// Close implements io.Closer.
+func (s *stream) Close() error { return s.conn.Close() }
--- /dev/null
+++ b/internal/peer/rcrpc/server.go
@@ -0,0 +1,162 @@
+package rcrpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// maxConnections leaves room for a zone of 34 instances in the middle of a
+	// replacement, and for relays of other zones.
+	maxConnections = 512
+	// maxRunningCalls bounds the calls that one connection may have running.
+	maxRunningCalls = 32
+	// acceptPause keeps a lack of file descriptors from becoming a busy loop.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Server accepts connections of other instances.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+	slots    chan struct{}
+}
+
+// NewServer returns a server on a listener, which Run closes.
+func NewServer(listener net.Listener, cfg Config) *Server {
+	return &Server{cfg: cfg.withDefaults(), listener: listener, slots: make(chan struct{}, maxConnections)}
+}
+
+// Run serves until ctx ends, then closes all connections.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "peer listener %s", s.listener.Addr())
+		}
+	}()
+	var running sync.WaitGroup
+	defer running.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { s.listener.Close() })()
+	for {
+		conn, err := s.listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if conn != nil {
+				conn.Close()
+			}
+			return ctx.Err()
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			pause(ctx, acceptPause)
+			continue
+		}
+		select {
+		case s.slots <- struct{}{}:
+			running.Go(func() { s.serve(ctx, conn) })
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer func() { <-s.slots }()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	peer, err := handshake(conn, s.cfg.Identity, s.cfg.Keys, false, s.cfg.DialTimeout)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	rpc := newConn(conn, peer, s.cfg)
+	<-rpc.DisconnectNotify()
+}
+
+// newConn starts JSON-RPC on an authenticated connection.
+func newConn(conn net.Conn, peer Identity, cfg Config) *jsonrpc2.Conn {
+	d := &dispatcher{handlers: cfg.Handlers, peer: peer, slots: make(chan struct{}, maxRunningCalls)}
+	s := &stream{conn: conn, idleTimeout: cfg.IdleTimeout, writeTimeout: cfg.WriteTimeout}
+	return jsonrpc2.NewConn(context.Background(), s, d, jsonrpc2.SetLogger(silent{}))
+}
+
+// silent keeps jsonrpc2 from writing to standard error; callers see its errors.
+type silent struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (silent) Printf(string, ...any) {}
+
+// dispatcher runs the calls of one connection.
+type dispatcher struct {
+	handlers *Handlers
+	peer     Identity
+	slots    chan struct{}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (d *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case d.slots <- struct{}{}:
+		go func() {
+			defer func() { <-d.slots }()
+			d.run(ctx, conn, req)
+		}()
+	default:
+		d.refuse(ctx, conn, req, &RemoteError{Code: CodeBusy, Message: "too many calls are running"})
+	}
+}
+
+func (d *dispatcher) run(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	answer, err := d.handlers.Serve(ctx, d.peer, req.Method, params)
+	if err != nil {
+		d.refuse(ctx, conn, req, err)
+		return
+	}
+	if req.Notif {
+		return
+	}
+	raw, err := json.Marshal(answer)
+	if err != nil || len(raw) > MaxMessageBytes-envelopeBytes {
+		d.refuse(ctx, conn, req, &RemoteError{Code: CodeFailed, Message: "the answer does not fit a message"})
+		return
+	}
+	if err := conn.Reply(ctx, req.ID, json.RawMessage(raw)); err != nil {
+		conn.Close()
+	}
+}
+
+func (d *dispatcher) refuse(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, err error) {
+	if req.Notif {
+		return
+	}
+	answer := &jsonrpc2.Error{Code: CodeFailed, Message: err.Error()}
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		answer.Code, answer.Message = remote.Code, remote.Message
+	}
+	if err := conn.ReplyWithError(ctx, req.ID, answer); err != nil {
+		conn.Close()
+	}
+}
