Decide among 500 engines within 100 us

A decision copied the whole Upstreams table and sorted all engines for each level of the prefix chain: 250 us among 500 engines on the busy machine.

Table.Changes lets the chooser take over only the rows that changed. Placement selects instead of sorting, and scores at most eight replicas and eight holders. The chooser counts only instances of zones whose engines it sees, and no longer copies the instance table for each decision.

RADISHCRANK_BOUNDS=1 go test -run TestBound ./internal/routing/... passes with the machine at load 19: decisions take 80 to 100 us there with the observations and a load report included, events 4.5 us.

--- a/internal/routing/rcdecision/chooser.go
+++ b/internal/routing/rcdecision/chooser.go
@@ -60,11 +60,14 @@
 	cfg Config
 
 	// mu is locked before all tables of the board and the index.
-	mu       sync.Mutex
-	engines  map[radishcrank.UpstreamID]*engine
-	round    uint64  // Counts scans of the board.
-	duration float64 // Mean seconds between first and last token of a request.
-	scratch  decision
+	mu        sync.Mutex
+	engines   map[radishcrank.UpstreamID]*engine
+	members   map[radishcrank.ModelID][]member // Engines that serve a model.
+	version   uint64                           // Of the Upstreams table.
+	instances instances
+	round     uint64  // Counts scans of the board.
+	duration  float64 // Mean seconds between first and last token of a request.
+	scratch   decision
 }
 
 // New returns a Chooser.
@@ -81,26 +84,21 @@
 	if cfg.Index == nil {
 		cfg.Index = rcindex.New(rcindex.Config{})
 	}
+	c := &Chooser{
+		cfg:       cfg,
+		engines:   make(map[radishcrank.UpstreamID]*engine),
+		members:   make(map[radishcrank.ModelID][]member),
+		instances: instances{live: make(map[radishcrank.InstanceID]radishcrank.AvailabilityZone)},
+	}
 	if cfg.Placement == nil {
-		cfg.Placement = rcplacement.New(rcplacement.Config{Instances: func() int { return liveInstances(cfg.Board) }})
+		c.cfg.Placement = rcplacement.New(rcplacement.Config{Instances: c.instances.sharing})
 	}
-	return &Chooser{cfg: cfg, engines: make(map[radishcrank.UpstreamID]*engine)}
+	return c
 }
 
 // Index returns the prefix index that the chooser works with.
 func (c *Chooser) Index() *rcindex.Index { return c.cfg.Index }
 
-func liveInstances(board *rcboard.Board) int {
-	n := 0
-	board.Instances.Range(func(_ radishcrank.InstanceID, row radishcrank.Instance) bool {
-		if !row.Leaving {
-			n++
-		}
-		return true
-	})
-	return max(1, n)
-}
-
 // Choose implements radishcrank.Chooser.
 func (c *Chooser) Choose(ctx context.Context, req radishcrank.Request, exclude []radishcrank.UpstreamID) (radishcrank.Placement, error) {
 	c.mu.Lock()
--- a/internal/routing/rcdecision/cost.go
+++ b/internal/routing/rcdecision/cost.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
-	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
 	"github.com/radishcrank/radishcrank/internal/routing/rcplacement"
 )
 
@@ -45,10 +44,9 @@
 type candidate struct {
 	view     int
 	engine   *engine
-	holder   rcindex.Holder // Zero if the index knows of no cached block.
-	home     bool           // The prefix is placed on the engine.
-	missing  int            // Prompt tokens that the engine has to prefill.
-	imported int            // Leading blocks to import.
+	home     bool // The prefix is placed on the engine.
+	missing  int  // Prompt tokens that the engine has to prefill.
+	imported int  // Leading blocks to import.
 	ttft     time.Duration
 	score    time.Duration
 	over     bool // Above the load bound.
@@ -117,13 +115,13 @@
 func (d *decision) cost(c *candidate) terms {
 	v := &d.views[c.view]
 	var t terms
-	t.prefillQueue = c.engine.backlog(v, d.now)
+	t.prefillQueue = c.engine.backlog(d.now)
 	t.batchQueue = d.c.batchWait(v)
 	d.missing(c)
 	t.prefill = seconds(float64(c.missing) / v.prefillRate)
 	d.tryImport(c, &t)
-	if d.c.cfg.Zone != "" && v.zone != d.c.cfg.Zone {
-		t.crossZone = d.c.cfg.CrossZone(v.zone)
+	if d.c.cfg.Zone != "" && v.row.Zone != d.c.cfg.Zone {
+		t.crossZone = d.c.cfg.CrossZone(v.row.Zone)
 	}
 	t.distrust = d.distrust(v)
 	weight := d.c.cfg.RecomputeWeight()
@@ -136,7 +134,7 @@
 
 // missing counts the prompt tokens that are not expected in the engine's cache.
 func (d *decision) missing(c *candidate) {
-	bytes := len(d.req.Prompt) - int(c.holder.Expected*float64(d.blockBytes))
+	bytes := len(d.req.Prompt) - int(d.views[c.view].holder.Expected*float64(d.blockBytes))
 	c.missing = radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
 	c.imported = 0
 }
@@ -148,13 +146,13 @@
 	}
 	chain := d.chain(d.views[c.view].weights)
 	kept := d.c.cfg.Kept.Kept(chain)
-	if kept <= c.holder.Blocks {
+	if kept <= d.views[c.view].holder.Blocks {
 		return
 	}
 	bytes := len(d.req.Prompt) - kept*d.blockBytes
 	missing := radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
 	prefill := seconds(float64(missing) / d.views[c.view].prefillRate)
-	imports := d.c.cfg.Kept.ImportTime(kept - c.holder.Blocks)
+	imports := d.c.cfg.Kept.ImportTime(kept - d.views[c.view].holder.Blocks)
 	if prefill+imports < t.prefill {
 		c.missing, c.imported = missing, kept
 		t.prefill, t.imports = prefill, imports
@@ -162,16 +160,16 @@
 }
 
 // batchWait predicts how long a request waits for a place in the batch.
-func (c *Chooser) batchWait(v *loadView) time.Duration {
-	ahead := v.engine.occupied(v) - v.maxBatch + 1
-	if v.maxBatch <= 0 || ahead <= 0 {
+func (c *Chooser) batchWait(v *view) time.Duration {
+	ahead := v.occupied - v.row.Load.MaxBatch + 1
+	if v.row.Load.MaxBatch <= 0 || ahead <= 0 {
 		return 0
 	}
-	return seconds(float64(ahead) * c.generation(v) / float64(v.maxBatch))
+	return seconds(float64(ahead) * c.generation(v) / float64(v.row.Load.MaxBatch))
 }
 
 // generation returns the seconds that an answer takes after its first token.
-func (c *Chooser) generation(v *loadView) float64 {
+func (c *Chooser) generation(v *view) float64 {
 	if c.duration > 0 {
 		return c.duration
 	}
@@ -183,17 +181,17 @@
 func (c *Chooser) occupation(cand *candidate) time.Duration {
 	v := &c.scratch.views[cand.view]
 	prefill := float64(cand.missing) / v.prefillRate
-	return seconds(prefill + c.generation(v)/float64(max(1, v.maxBatch)))
+	return seconds(prefill + c.generation(v)/float64(max(1, v.row.Load.MaxBatch)))
 }
 
 // distrust returns the cost of an old load report. An engine that has not
 // reported its time is taken to be fresh.
-func (d *decision) distrust(v *loadView) time.Duration {
-	cost := time.Duration(max(0, min(v.missed, maxMissed)-1)) * missedCost
-	if v.reportedAt.IsZero() {
+func (d *decision) distrust(v *view) time.Duration {
+	cost := time.Duration(max(0, min(v.row.MissedReports, maxMissed)-1)) * missedCost
+	if v.row.Load.ReportedAt.IsZero() {
 		return cost
 	}
-	old := d.now.Sub(v.reportedAt) - trustedAge
+	old := d.now.Sub(v.row.Load.ReportedAt) - trustedAge
 	if old <= 0 {
 		return cost
 	}
@@ -205,7 +203,7 @@
 func (d *decision) placement(c *candidate) (p radishcrank.Placement, ok bool) {
 	v := &d.views[c.view]
 	row, ok := d.c.cfg.Board.Upstreams.Get(v.id)
-	if !ok || row.Leaving || row.Incarnation != v.incarnation {
+	if !ok || row.Leaving || row.Incarnation != v.row.Incarnation {
 		return p, false
 	}
 	t := d.cost(c)
@@ -213,7 +211,7 @@
 		Upstream:      row,
 		Weights:       v.weights,
 		CacheKeys:     d.chain(v.weights),
-		CachedBlocks:  c.holder.Blocks,
+		CachedBlocks:  d.views[c.view].holder.Blocks,
 		PredictedTTFT: t.ttft(),
 		Terms:         t.list(),
 	}, true
--- a/internal/routing/rcdecision/decision.go
+++ b/internal/routing/rcdecision/decision.go
@@ -1,6 +1,7 @@
 package rcdecision
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,24 +13,17 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcprefix"
 )
 
-const randomCandidates = 2
+const (
+	randomCandidates = 2
+	maxHolders       = 8 // Of each weights version; scoring more makes a decision slow.
+)
 
-// loadView is what a decision needs of an upstream's row.
-type loadView struct {
-	id           radishcrank.UpstreamID
-	zone         radishcrank.AvailabilityZone
-	incarnation  radishcrank.Incarnation
-	weights      radishcrank.WeightsVersion
-	running      int
-	waiting      int
-	queuedTokens int
-	maxBatch     int
-	prefillRate  float64 // Tokens a second.
-	decodeRate   float64 // Tokens a second of one request.
-	reportedAt   time.Time
-	missed       int
-	engine       *engine
-	verdict      verdict
+// view is an engine that can serve the request.
+type view struct {
+	member
+	occupied int // Requests that it has by now.
+	verdict  verdict
+	holder   rcindex.Holder // Zero if the index knows of no cached block.
 }
 
 // verdict remembers what the circuit breaker said of an engine in one decision.
@@ -58,9 +52,10 @@
 	blockBytes int
 	weights    radishcrank.WeightsVersion // Of most engines.
 	versions   []versionChain
-	views      []loadView
+	views      []view
 	places     []rcplacement.Engine
 	holders    []rcindex.Holder
+	held       []held
 	order      []int
 	candidates []candidate
 }
@@ -79,6 +74,7 @@
 		views:      d.views[:0],
 		places:     d.places[:0],
 		holders:    d.holders[:0],
+		held:       d.held[:0],
 		order:      d.order[:0],
 		candidates: d.candidates[:0],
 	}
@@ -98,31 +94,21 @@
 // scan collects the engines that can serve the request.
 func (d *decision) scan(exclude []radishcrank.UpstreamID) {
 	d.c.round++
-	d.c.cfg.Board.Upstreams.Range(func(id radishcrank.UpstreamID, row radishcrank.Upstream) bool {
-		weights, serves := row.Load.Weights[d.req.Model]
-		if row.Role != radishcrank.RoleEngine || row.Leaving || !serves || slices.Contains(exclude, id) {
-			return true
-		}
-		if !hasAdapter(&row.Load, d.req.Adapter) {
-			return true
-		}
-		d.views = append(d.views, d.c.view(&row, weights))
-		if v := &d.views[len(d.views)-1]; v.engine.changed(v) {
-			d.c.cfg.Index.SetUpstream(row)
+	d.c.refresh()
+	for _, m := range d.c.membersOf(d.req.Model) {
+		if slices.Contains(exclude, m.id) || !hasAdapter(&m.row.Load, d.req.Adapter) {
+			continue
 		}
-		return true
-	})
-	for i := range d.views {
-		v := &d.views[i]
-		v.engine.place, v.engine.round = i, d.c.round
+		v := view{member: m, occupied: m.occupied()}
+		m.place, m.round = len(d.views), d.c.round
+		d.views = append(d.views, v)
 		d.places = append(d.places, rcplacement.Engine{
-			Key:  v.engine.key,
-			Load: float64(v.engine.occupied(v)),
-			Room: float64(v.maxBatch),
+			Key:  m.key,
+			Load: float64(v.occupied),
+			Room: float64(m.row.Load.MaxBatch),
 		})
-		d.count(v.weights)
+		d.count(m.weights)
 	}
-	d.c.prune()
 	most := 0
 	for _, v := range d.versions {
 		if v.engines > most || (v.engines == most && v.weights > d.weights) {
@@ -135,53 +121,6 @@
 	return adapter == "" || slices.Contains(load.Adapters, adapter)
 }
 
-// view extracts what a decision needs of a row.
-func (c *Chooser) view(row *radishcrank.Upstream, weights radishcrank.WeightsVersion) loadView {
-	e := c.engines[row.ID]
-	if e == nil {
-		e = &engine{key: rcplacement.Key(row.ID)}
-		c.engines[row.ID] = e
-	}
-	// Rates for engines that don't report any.
-	const defaultPrefill, defaultDecode = 5000, 50
-	load := &row.Load
-	v := loadView{
-		id:           row.ID,
-		zone:         row.Zone,
-		incarnation:  row.Incarnation,
-		weights:      weights,
-		running:      load.Running,
-		waiting:      load.Waiting,
-		queuedTokens: load.QueuedTokens,
-		maxBatch:     load.MaxBatch,
-		prefillRate:  load.PrefillPerSecond,
-		decodeRate:   load.DecodePerSecond,
-		reportedAt:   load.ReportedAt,
-		missed:       row.MissedReports,
-		engine:       e,
-	}
-	if v.prefillRate <= 0 {
-		v.prefillRate = defaultPrefill
-	}
-	if v.decodeRate <= 0 {
-		v.decodeRate = defaultDecode
-	}
-	return v
-}
-
-// prune forgets engines that no scan has seen for long.
-func (c *Chooser) prune() {
-	const rounds = 1 << 14 // Engines of other models are seen in other rounds.
-	if c.round%rounds != 0 {
-		return
-	}
-	for id, e := range c.engines {
-		if len(e.running) == 0 && c.round-e.round >= rounds {
-			delete(c.engines, id)
-		}
-	}
-}
-
 func (d *decision) count(weights radishcrank.WeightsVersion) {
 	for i := range d.versions {
 		if d.versions[i].weights == weights {
@@ -224,7 +163,7 @@
 		return true
 	}
 	weight, ok := d.c.cfg.Breaker.Allow(v.id)
-	if !ok || unit(d.seed^v.engine.key) >= weight {
+	if !ok || unit(d.seed^v.key) >= weight {
 		v.verdict = verdictRefused
 	}
 	return v.verdict == verdictAllowed
@@ -236,7 +175,7 @@
 // addReplicas adds the engines that the prompt's prefix is placed on.
 func (d *decision) addReplicas() {
 	var homes int
-	d.order, homes = d.c.cfg.Placement.Place(d.chain(d.weights), d.places, d.usable, d.order)
+	d.order, homes = d.c.cfg.Placement.Place(d.chain(d.weights), d.places, d.usable, d.seed, d.order)
 	for n, i := range d.order {
 		if d.usable(i) {
 			d.add(i, n < homes)
@@ -244,36 +183,55 @@
 	}
 }
 
-// addHolders adds the engines that the index names, and fills in what is cached.
+// addHolders adds the engines that the index names.
 func (d *decision) addHolders() {
 	for i := range d.versions {
 		d.lookup(d.versions[i].weights)
 	}
 }
 
-// lookup asks the index about the chain under one weights version.
+// lookup asks the index about the chain under one weights version. Of many
+// holders it adds those with the longest prefixes; equal ones are picked by a
+// hash, as ties between candidates are.
 func (d *decision) lookup(weights radishcrank.WeightsVersion) {
 	d.holders = d.c.cfg.Index.Lookup(scopeOf(&d.req, weights), d.chain(weights), d.holders[:0])
+	d.held = d.held[:0]
 	for _, h := range d.holders {
 		e := d.c.engines[h.Upstream]
 		if e == nil || e.round != d.c.round {
 			continue
 		}
 		v := &d.views[e.place]
-		if v.incarnation != h.Incarnation || v.weights != weights || !d.usable(e.place) {
+		if v.row.Incarnation != h.Incarnation || v.weights != weights {
 			continue
 		}
-		d.candidates[d.add(e.place, false)].holder = h
+		v.holder = h
+		if d.find(e.place) < 0 && d.usable(e.place) {
+			d.held = append(d.held, held{expected: h.Expected, hash: rcplacement.Mix(d.seed ^ v.key), view: e.place})
+		}
+	}
+	slices.SortFunc(d.held, func(a, b held) int {
+		return cmp.Or(cmp.Compare(b.expected, a.expected), cmp.Compare(a.hash, b.hash))
+	})
+	for _, h := range d.held[:min(len(d.held), maxHolders)] {
+		d.add(h.view, false)
 	}
 }
 
+// held is an engine that the index names, in the order of preference.
+type held struct {
+	expected float64
+	hash     uint64
+	view     int
+}
+
 // addRandom adds two engines chosen by a hash, which find idle engines that
 // neither the index nor the placement names.
 func (d *decision) addRandom() {
 	for range randomCandidates {
 		best, lowest := -1, uint64(0)
 		for i := range d.views {
-			h := rcplacement.Mix(d.seed + d.views[i].engine.key)
+			h := rcplacement.Mix(d.seed + d.views[i].key)
 			if (best < 0 || h < lowest) && d.find(i) < 0 && d.usable(i) {
 				best, lowest = i, h
 			}
--- a/internal/routing/rcdecision/engine.go
+++ b/internal/routing/rcdecision/engine.go
@@ -1,34 +1,45 @@
 package rcdecision
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
 )
 
-// engine is what the chooser itself knows of one engine: the requests that it
-// sent there. Load reports lag, and these correct them.
+// engine is what the chooser knows of one engine: its row on the board and the
+// requests that the chooser itself sent there, which correct the row's load
+// report, since reports lag.
 type engine struct {
-	key     uint64 // Rendezvous key.
-	round   uint64 // Scan that last saw the engine on the board.
-	place   int    // Place among the engines of that scan.
-	running []dispatched
-	ended   []time.Time // Ends of requests that the last report still counts.
-
-	// What the index was last told of the engine.
-	incarnation radishcrank.Incarnation
-	reportedAt  time.Time
-	weights     radishcrank.WeightsVersion
+	id          radishcrank.UpstreamID
+	key         uint64 // Rendezvous key.
+	row         radishcrank.Upstream
+	present     bool    // The row is on the board.
+	prefillRate float64 // Tokens a second.
+	decodeRate  float64 // Tokens a second of one request.
+	round       uint64  // Scan that last saw the engine.
+	place       int     // Place among the engines of that scan.
+	running     []dispatched
+	ended       []time.Time // Ends of requests that the last report may still count.
 }
 
-// changed reports whether a row says more than the index was told, and notes it.
-func (e *engine) changed(v *loadView) bool {
-	if e.incarnation == v.incarnation && e.reportedAt.Equal(v.reportedAt) && e.weights == v.weights {
-		return false
+// setRow takes over a row of the board and reports whether the engine may serve
+// other requests than before.
+func (e *engine) setRow(row radishcrank.Upstream, ok bool) (changed bool) {
+	// Rates for engines that don't report any.
+	const defaultPrefill, defaultDecode = 5000, 50
+	changed = e.present != ok || e.row.Role != row.Role || e.row.Leaving != row.Leaving ||
+		!maps.Equal(e.row.Load.Weights, row.Load.Weights)
+	e.row, e.present = row, ok
+	e.prefillRate, e.decodeRate = row.Load.PrefillPerSecond, row.Load.DecodePerSecond
+	if e.prefillRate <= 0 {
+		e.prefillRate = defaultPrefill
+	}
+	if e.decodeRate <= 0 {
+		e.decodeRate = defaultDecode
 	}
-	e.incarnation, e.reportedAt, e.weights = v.incarnation, v.reportedAt, v.weights
-	return true
+	return changed
 }
 
 // dispatched is a request that was sent to the engine and has not ended.
@@ -74,12 +85,13 @@
 
 // occupied returns the requests that the engine has by now: those of its report,
 // more by what was sent since and fewer by what has ended since.
-func (e *engine) occupied(load *loadView) int {
-	n := load.running + load.waiting
-	for i := len(e.running) - 1; i >= 0 && e.running[i].at.After(load.reportedAt); i-- {
+func (e *engine) occupied() int {
+	load := &e.row.Load
+	n := load.Running + load.Waiting
+	for i := len(e.running) - 1; i >= 0 && e.running[i].at.After(load.ReportedAt); i-- {
 		n++
 	}
-	for i := len(e.ended) - 1; i >= 0 && e.ended[i].After(load.reportedAt); i-- {
+	for i := len(e.ended) - 1; i >= 0 && e.ended[i].After(load.ReportedAt); i-- {
 		n--
 	}
 	// A request that was sent and has ended since the report counts in neither
@@ -89,21 +101,22 @@
 
 // backlog returns how long the engine's prefill is still busy: the queue of its
 // report, drained since, and the prompts sent since.
-func (e *engine) backlog(load *loadView, now time.Time) time.Duration {
-	free := load.reportedAt
+func (e *engine) backlog(now time.Time) time.Duration {
+	load := &e.row.Load
+	free := load.ReportedAt
 	if free.IsZero() {
 		free = now
 	}
-	free = free.Add(seconds(float64(load.queuedTokens) / load.prefillRate))
+	free = free.Add(seconds(float64(load.QueuedTokens) / e.prefillRate))
 	for i := range e.running {
 		d := &e.running[i]
-		if !d.at.After(load.reportedAt) || !d.firstToken.IsZero() {
+		if !d.at.After(load.ReportedAt) || !d.firstToken.IsZero() {
 			continue
 		}
 		if d.at.After(free) {
 			free = d.at
 		}
-		free = free.Add(seconds(float64(d.missing) / load.prefillRate))
+		free = free.Add(seconds(float64(d.missing) / e.prefillRate))
 	}
 	return max(0, free.Sub(now))
 }
--- a/internal/routing/rcdecision/explain.go
+++ b/internal/routing/rcdecision/explain.go
@@ -36,7 +36,7 @@
 			Placement:  p,
 			Score:      cand.score,
 			Home:       cand.home,
-			Confidence: cand.holder.Confidence,
+			Confidence: d.views[cand.view].holder.Confidence,
 			Overloaded: cand.over,
 			Chosen:     i == best,
 		})
--- a/internal/routing/rcplacement/placer.go
+++ b/internal/routing/rcplacement/placer.go
@@ -31,8 +31,8 @@
 	// above it is passed over, but not before its batch is full.
 	LoadFactor = 1.25
 
-	maxSpare  = 4 // Further engines that Place returns.
-	scanLimit = 8 // Up to this many engines are found by scans rather than by sorting.
+	maxHomes = 8 // Replicas that Place returns; more make a decision slow.
+	maxSpare = 4 // Further engines that Place returns.
 )
 
 // Config holds the parameters of a Placer.
@@ -98,22 +98,20 @@
 // Over reports whether an engine has no place for another request under a bound.
 func (e *Engine) Over(bound float64) bool { return e.Load+1 > max(bound, e.Room) }
 
-// Place appends to out the indexes of the engines that a chain belongs to, the
-// first choice first, and returns how many they are; some further engines of
-// the subtree above, which probably hold the shared part, follow them. Engines
-// that are not usable or above the load bound are passed over for the next ones
-// of the order, unless none is left. usable may be nil; it is asked only about
-// engines that come into question.
-func (p *Placer) Place(chain []radishcrank.BlockHash, engines []Engine, usable func(i int) bool, out []int) (placed []int, homes int) {
+// Place appends to out the indexes of engines that a chain belongs to, the first
+// choice first, and returns how many they are; some further engines of the
+// subtree above, which probably hold the shared part, follow them. Of many
+// replicas it returns a few that seed picks. Engines that are not usable or above
+// the load bound are passed over for the next ones of the order, unless none is
+// left. usable may be nil; it is asked only about engines that come into question.
+func (p *Placer) Place(chain []radishcrank.BlockHash, engines []Engine, usable func(i int) bool, seed uint64, out []int) (placed []int, homes int) {
 	if len(chain) == 0 || len(engines) == 0 {
 		return out, 0
 	}
 	bound := Bound(engines)
-	s := selection{
-		engines: engines,
-		fits:    func(i int) bool { return !engines[i].Over(bound) && (usable == nil || usable(i)) },
-	}
-	s.fill()
+	s := selections.Get().(*selection)
+	defer selections.Put(s)
+	s.reset(engines, func(i int) bool { return !engines[i].Over(bound) && (usable == nil || usable(i)) })
 	now := time.Now()
 	instances := max(1, p.cfg.Instances())
 	for i := range levels(len(chain)) {
@@ -123,14 +121,24 @@
 			break
 		}
 	}
-	for _, r := range s.ranks {
-		out = append(out, r.engine)
+	homes = min(len(s.ranks), maxHomes)
+	if homes < len(s.ranks) {
+		rescore(s.ranks, engines, seed)
+		selectTop(s.ranks, homes)
 	}
-	slices.SortFunc(s.spare, compareRank)
-	for _, r := range s.spare[:min(len(s.spare), maxSpare)] {
+	out = appendOrdered(out, s.ranks[:homes])
+	spare := min(len(s.spare), maxSpare)
+	rescore(s.spare, engines, seed)
+	selectTop(s.spare, spare)
+	return appendOrdered(out, s.spare[:spare]), homes
+}
+
+func appendOrdered(out []int, ranks []rank) []int {
+	slices.SortFunc(ranks, compareRank)
+	for _, r := range ranks {
 		out = append(out, r.engine)
 	}
-	return out, len(s.ranks)
+	return out
 }
 
 // wanted returns the number of engines for a load.
@@ -146,79 +154,6 @@
 	return p.wanted(p.counters.load(levelKey(&chain[0]), max(1, p.cfg.Instances()), time.Now()))
 }
 
-// rank is an engine's place in a rendezvous order; the highest score is first.
-type rank struct {
-	score  uint64
-	engine int
-}
-
-// selection is the set of engines of a subtree.
-type selection struct {
-	engines []Engine
-	fits    func(i int) bool
-	ranks   []rank
-	spare   []rank // Engines of the level above that were left out.
-}
-
-func (s *selection) fill() {
-	s.ranks = make([]rank, len(s.engines))
-	for i := range s.engines {
-		s.ranks[i].engine = i
-	}
-}
-
-// narrow keeps the first want engines of the order of a key that fit. If none
-// fits, it keeps the first ones regardless.
-func (s *selection) narrow(key uint64, want int) {
-	ranks := s.ranks
-	for i := range ranks {
-		ranks[i].score = Mix(s.engines[ranks[i].engine].Key ^ key)
-	}
-	sorted := want > scanLimit
-	if sorted {
-		slices.SortFunc(ranks, compareRank)
-	}
-	kept := 0
-	for i := 0; i < len(ranks) && kept < want; i++ {
-		if !sorted {
-			lift(ranks[i:])
-		}
-		if r := ranks[i]; s.fits(r.engine) {
-			copy(ranks[kept+1:i+1], ranks[kept:i])
-			ranks[kept] = r
-			kept++
-		}
-	}
-	if kept == 0 {
-		kept = min(want, len(ranks))
-	}
-	s.ranks = ranks[:kept]
-	if len(ranks) < len(s.engines) && kept < len(ranks) {
-		s.spare = ranks[kept:]
-	}
-}
-
-// lift swaps the best rank to the front.
-func lift(ranks []rank) {
-	best := 0
-	for j := 1; j < len(ranks); j++ {
-		if compareRank(ranks[j], ranks[best]) < 0 {
-			best = j
-		}
-	}
-	ranks[0], ranks[best] = ranks[best], ranks[0]
-}
-
-func compareRank(a, b rank) int {
-	switch {
-	case a.score > b.score:
-		return -1
-	case a.score < b.score:
-		return 1
-	}
-	return a.engine - b.engine
-}
-
 // Mix spreads the bits of x (the finalizer of SplitMix64).
 func Mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/state/rcboard/table.go
+++ b/internal/state/rcboard/table.go
@@ -21,6 +21,7 @@
 
 	mu   sync.RWMutex
 	rows map[K]V
+	log  changeLog[K]
 }
 
 // NewTable returns an empty table.
@@ -46,6 +47,7 @@
 func (t *Table[K, V]) Put(key K, row V) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.log.add(key)
 	t.rows[key] = row
 }
 
@@ -53,6 +55,7 @@
 func (t *Table[K, V]) Delete(key K) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.log.add(key)
 	delete(t.rows, key)
 }
 
@@ -61,6 +64,7 @@
 func (t *Table[K, V]) Update(key K, f func(row V, ok bool) (next V, keep bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.log.add(key)
 	row, ok := t.rows[key]
 	next, keep := f(row, ok)
 	if keep {
@@ -109,6 +113,7 @@
 		panic(fmt.Sprintf("rcboard: table %s of rank %d locked after rank %d", t.name, t.rank, tx.rank))
 	}
 	t.mu.Lock()
+	t.log.addUnknown()
 	tx.rank = t.rank
 	tx.unlocks = append(tx.unlocks, t.mu.Unlock)
 	return t.rows
