Watch upstreams within a traffic budget and feed the prefix index

The watcher asked every engine in turn and waited for the slowest, read no cache events, and took any list that the platform returned for true.

The list now has its own goroutine, so a notice of departure is in force after at most 1.5 s. A list that lacks most upstreams is doubted for 30 s. Missed reports are counted. Cache events feed the index; a gap leads to a resync. One instance of the zone exports the hot prefixes of a leaving engine and imports them where placement sends their load.

Above 1,000 engines an instance keeps only its own zone's, and above 64 it observes those for which it is one of the first two live instances of its zone by rendezvous, within 2,000 B/s for reports and events. Measured in virtual time for 500 engines over 8 minutes: at most 2,000 B/s after the first reports (TestTrafficStaysInBudget). At the target size that is 2.8 reports a second and no event streams.

The daemon passes its ID, zone, the index and Chooser.Moves to the watcher.

--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -77,8 +77,18 @@
 		drain:       make(chan struct{}),
 	}
 	dialer := rcengine.NewDialer()
-	d.watch = rcwatch.New(rcwatch.Config{Board: d.board, Lister: cfg.Lister, Dialer: dialer, Interval: reportInterval})
 	d.chooser = rcdecision.New(d.chooserConfig())
+	d.watch = rcwatch.New(rcwatch.Config{
+		Board:    d.board,
+		Lister:   cfg.Lister,
+		Dialer:   dialer,
+		Interval: reportInterval,
+		Instance: cfg.Boot.ID,
+		Zone:     cfg.Boot.Zone,
+		Index:    d.chooser.Index(),
+		Moves:    d.chooser.Moves,
+		Log:      cfg.Log,
+	})
 	d.callers = d.newCallersServer(dialer)
 	d.operators = d.newOperatorsServer()
 	return d
--- a/internal/routing/rcdecision/chooser.go
+++ b/internal/routing/rcdecision/chooser.go
@@ -60,14 +60,16 @@
 	cfg Config
 
 	// mu is locked before all tables of the board and the index.
-	mu        sync.Mutex
-	engines   map[radishcrank.UpstreamID]*engine
-	members   map[radishcrank.ModelID][]member // Engines that serve a model.
-	version   uint64                           // Of the Upstreams table.
-	instances instances
-	round     uint64  // Counts scans of the board.
-	duration  float64 // Mean seconds between first and last token of a request.
-	scratch   decision
+	mu         sync.Mutex
+	engines    map[radishcrank.UpstreamID]*engine
+	members    map[radishcrank.ModelID][]member // Engines that serve a model.
+	version    uint64                           // Of the Upstreams table.
+	instances  instances
+	round      uint64   // Counts scans of the board.
+	duration   float64  // Mean seconds between first and last token of a request.
+	recent     []recent // Ring of dispatches.
+	dispatches int      // Counts the entries of recent that were replaced.
+	scratch    decision
 }
 
 // New returns a Chooser.
@@ -135,6 +137,7 @@
 			continue
 		}
 		cand.engine.dispatch(req.ID, d.now, cand.missing)
+		c.remember(recent{upstream: p.Upstream.ID, scope: scopeOf(&req, p.Weights), chain: p.CacheKeys})
 		c.cfg.Placement.Note(d.chain(d.weights), c.occupation(cand))
 		return &p, p.CacheKeys[:cand.imported]
 	}
--- /dev/null
+++ b/internal/upstream/rcwatch/observe_test.go
@@ -0,0 +1,91 @@
+package rcwatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+)
+
+const (
+	targetZones     = 11
+	targetEngines   = 5500
+	targetInstances = 370
+)
+
+func zoneOf(i int) radishcrank.AvailabilityZone {
+	return radishcrank.AvailabilityZone(fmt.Sprintf("z%d", i%targetZones))
+}
+
+func targetBoard() *rcboard.Board {
+	board := rcboard.New()
+	for i := range targetInstances {
+		id := radishcrank.InstanceID(fmt.Sprintf("i%d", i))
+		board.Instances.Put(id, radishcrank.Instance{ID: id, Zone: zoneOf(i)})
+	}
+	return board
+}
+
+// Guards against engines that nobody observes, or that more instances observe
+// than the traffic allows.
+func TestEachEngineHasTwoObservers(t *testing.T) {
+	board := targetBoard()
+	listing := newFleet(targetEngines, zoneOf).listing
+	count := make(map[radishcrank.UpstreamID]int)
+	for i := 3; i < targetInstances; i += targetZones { // The instances of zone z3.
+		w := New(Config{Board: board, Instance: radishcrank.InstanceID(fmt.Sprintf("i%d", i)), Zone: "z3"})
+		chosen := w.choose(listing.Upstreams)
+		require.Len(t, chosen, targetEngines/targetZones)
+		observed := w.observed(chosen)
+		require.Less(t, len(observed), 60)
+		for _, up := range observed {
+			count[up.ID]++
+		}
+	}
+	require.Len(t, count, targetEngines/targetZones)
+	for id, n := range count {
+		require.Equal(t, observers, n, "engine %s", id)
+	}
+}
+
+// Guards against reports and events that use more than their share of 3 KB/s at
+// the target size, and against engines that are never asked.
+func TestTrafficStaysInBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(targetEngines/targetZones, func(int) radishcrank.AvailabilityZone { return "z0" })
+		for _, e := range fleet.engines {
+			e.report.EvictionsPerSecond = 51.0 / 2
+		}
+		start := time.Now()
+		w := watchFleet(t, fleet, func(cfg *Config) {
+			cfg.Instance, cfg.Zone = "i0", "z0"
+			for id, row := range targetBoard().Instances.Snapshot() {
+				cfg.Board.Instances.Put(id, row)
+			}
+		})
+		for id, e := range fleet.engines {
+			e.set(func() {
+				require.Positive(t, e.reports, "engine %s was never asked", id)
+				e.reports = 0
+			})
+		}
+		const minutes = 8
+		time.Sleep(minutes*time.Minute - time.Since(start))
+		w.stop()
+		// The first report of each engine is outside the budget.
+		bytes := -len(fleet.engines) * reportBytes
+		for id, e := range fleet.engines {
+			require.Positive(t, e.reports, "engine %s", id)
+			bytes += e.bytes
+		}
+		perSecond := float64(bytes) / (minutes * 60)
+		t.Logf("%.0f B/s", perSecond)
+		require.LessOrEqual(t, perSecond, float64(defaultBytesPerSecond))
+		require.Greater(t, perSecond, float64(defaultBytesPerSecond)*9/10, "the budget is not used")
+	})
+}
