Keep prefixes together while engines queue

Repeated prefill now costs more while the engines have a backlog. A request counts blocks that own requests ahead will have cached. The load of a text no longer includes the price of its replicas.

--- a/internal/routing/rcdecision/chooser_test.go
+++ b/internal/routing/rcdecision/chooser_test.go
@@ -265,3 +265,33 @@
 	require.True(t, before[0].Chosen)
 	require.True(t, before[0].Home)
 }
+
+// Guards against requests that queue for the same prefix on several engines,
+// because the index learns of a prefix only with the first token.
+func TestRequestsFollowPendingPrefix(t *testing.T) {
+	c, _ := testChooser(12, nil)
+	first, err := c.Choose(t.Context(), testRequest(0, "rules "), nil)
+	require.NoError(t, err)
+	second, err := c.Choose(t.Context(), testRequest(1, "rules "), nil)
+	require.NoError(t, err)
+	require.Equal(t, first.Upstream.ID, second.Upstream.ID)
+	require.Less(t, termOf(t, second, TermPrefill), termOf(t, first, TermPrefill)/10)
+}
+
+// Guards against a fleet that recomputes itself into overload: while all
+// engines queue, a request must wait longer for its prefix than while some idle.
+func TestCongestionRaisesRecomputeCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, board := testChooser(4, nil)
+		cost := func() time.Duration {
+			return termOf(t, c.Explain(testRequest(9, "rules "))[0].Placement, TermRecompute)
+		}
+		calm := cost()
+		require.Positive(t, calm)
+		for _, up := range board.Upstreams.Values() {
+			up.Load.QueuedTokens = 1000 // One second of prefill.
+			board.Upstreams.Put(up.ID, up)
+		}
+		require.InDelta(t, 3*calm, cost(), float64(time.Millisecond)) // 1 + 1 s / 500 ms
+	})
+}
--- a/internal/routing/rcdecision/cost.go
+++ b/internal/routing/rcdecision/cost.go
@@ -124,7 +124,7 @@
 		t.crossZone = d.c.cfg.CrossZone(v.row.Zone)
 	}
 	t.distrust = d.distrust(v)
-	weight := d.c.cfg.RecomputeWeight()
+	weight := d.c.cfg.RecomputeWeight() * (1 + d.congestion)
 	t.recompute = time.Duration(weight * float64(t.prefill))
 	if !c.home {
 		t.offPlacement = t.recompute
@@ -132,9 +132,32 @@
 	return t
 }
 
+// pendingConfidence is the chance that a block which a request ahead needs is
+// cached when the engine gets to the next one: the request may fail, or the
+// engine evict the block.
+const pendingConfidence = 0.95
+
+// congestionUnit is the mean backlog of the engines at which repeated prefill
+// counts twice. While engines queue, each second of it delays all requests
+// behind, so that a fleet near its capacity would otherwise recompute itself
+// into overload.
+const congestionUnit = 500 * time.Millisecond
+
+// setCongestion works out the mean backlog of all engines in congestionUnits.
+func (d *decision) setCongestion() {
+	var sum time.Duration
+	for i := range d.views {
+		sum += d.views[i].backlog(d.now)
+	}
+	d.congestion = float64(sum) / float64(len(d.views)) / float64(congestionUnit)
+}
+
 // missing counts the prompt tokens that are not expected in the engine's cache.
 func (d *decision) missing(c *candidate) {
-	bytes := len(d.req.Prompt) - int(d.views[c.view].holder.Expected*float64(d.blockBytes))
+	v := &d.views[c.view]
+	pending := float64(v.pending(d.chain(v.weights)))
+	cached := max(v.holder.Expected, pendingConfidence*pending)
+	bytes := len(d.req.Prompt) - int(cached*float64(d.blockBytes))
 	c.missing = radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
 	c.imported = 0
 }
@@ -176,12 +199,18 @@
 	return assumedTokens / v.decodeRate
 }
 
-// occupation returns how long the request occupies the engine: its prefill, and
-// its share of the batch while it generates.
-func (c *Chooser) occupation(cand *candidate) time.Duration {
-	v := &c.scratch.views[cand.view]
-	prefill := float64(cand.missing) / v.prefillRate
-	return seconds(prefill + c.generation(v)/float64(max(1, v.row.Load.MaxBatch)))
+// occupation returns how long the request would occupy the engine that has most
+// of it cached: the prefill of the rest, and its share of the batch while it
+// generates. Prefill of shared text is left out on purpose. It is the price of a
+// new replica, and counting it as load of the text would call for still more.
+func (d *decision) occupation(chosen *candidate) time.Duration {
+	missing := chosen.missing
+	for i := range d.candidates {
+		missing = min(missing, d.candidates[i].missing)
+	}
+	v := &d.views[chosen.view]
+	prefill := float64(missing) / v.prefillRate
+	return seconds(prefill + d.c.generation(v)/float64(max(1, v.row.Load.MaxBatch)))
 }
 
 // distrust returns the cost of an old load report. An engine that has not
--- a/internal/routing/rcdecision/decision.go
+++ b/internal/routing/rcdecision/decision.go
@@ -56,8 +56,9 @@
 	places     []rcplacement.Engine
 	holders    []rcindex.Holder
 	held       []held
-	order      []int
+	placed     rcplacement.Placement
 	candidates []candidate
+	congestion float64 // Mean backlog of the engines, in congestionUnits.
 }
 
 // decide scans the board and scores the candidates. c.mu must be locked until
@@ -75,13 +76,14 @@
 		places:     d.places[:0],
 		holders:    d.holders[:0],
 		held:       d.held[:0],
-		order:      d.order[:0],
+		placed:     d.placed,
 		candidates: d.candidates[:0],
 	}
 	d.scan(exclude)
 	if len(d.views) == 0 {
 		return d
 	}
+	d.setCongestion()
 	d.addReplicas()
 	d.addHolders()
 	d.addRandom()
@@ -174,11 +176,15 @@
 
 // addReplicas adds the engines that the prompt's prefix is placed on.
 func (d *decision) addReplicas() {
-	var homes int
-	d.order, homes = d.c.cfg.Placement.Place(d.chain(d.weights), d.places, d.usable, d.seed, d.order)
-	for n, i := range d.order {
+	d.placed = d.c.cfg.Placement.Place(d.chain(d.weights), d.places, d.usable, d.seed, d.placed)
+	for _, i := range d.placed.Homes {
 		if d.usable(i) {
-			d.add(i, n < homes)
+			d.add(i, true)
+		}
+	}
+	for _, i := range d.placed.Spare {
+		if d.usable(i) {
+			d.add(i, false)
 		}
 	}
 }
--- a/internal/routing/rcdecision/engine.go
+++ b/internal/routing/rcdecision/engine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -48,10 +49,25 @@
 	at         time.Time
 	firstToken time.Time // Zero until it arrived.
 	missing    int       // Prompt tokens to prefill.
+	chain      []radishcrank.BlockHash
 }
 
-func (e *engine) dispatch(id radishcrank.RequestID, now time.Time, missing int) {
-	e.running = append(e.running, dispatched{id: id, at: now, missing: missing})
+func (e *engine) dispatch(d dispatched) { e.running = append(e.running, d) }
+
+// pending returns how many leading blocks of a chain the requests ahead will
+// have cached by the time the engine gets to a new one.
+func (e *engine) pending(chain []radishcrank.BlockHash) int {
+	most := 0
+	for i := range e.running {
+		d := &e.running[i]
+		n := min(len(chain), len(d.chain))
+		if !d.firstToken.IsZero() || n <= most || d.chain[most] != chain[most] {
+			continue
+		}
+		// A hash names all blocks before it, so equal ones come first.
+		most += 1 + sort.Search(n-most-1, func(i int) bool { return d.chain[most+1+i] != chain[most+1+i] })
+	}
+	return most
 }
 
 func (e *engine) find(id radishcrank.RequestID) int {
--- a/internal/routing/rcdecision/move.go
+++ b/internal/routing/rcdecision/move.go
@@ -106,8 +106,7 @@
 				rows = append(rows, m.row)
 			}
 		}
-		places, homes := c.cfg.Placement.Place(r.chain, engines, nil, 0, nil)
-		for _, i := range places[:homes] {
+		for _, i := range c.cfg.Placement.Place(r.chain, engines, nil, 0, rcplacement.Placement{}).Homes {
 			moves = append(moves, Move{To: rows[i], Scope: r.scope, Chain: r.chain})
 		}
 	}
--- a/internal/routing/rcplacement/placer.go
+++ b/internal/routing/rcplacement/placer.go
@@ -33,6 +33,9 @@
 
 	maxHomes = 8 // Replicas that Place returns; more make a decision slow.
 	maxSpare = 4 // Further engines that Place returns.
+
+	// knownUses is how often a prefix must have been placed lately to count as known.
+	knownUses = 1.5
 )
 
 // Config holds the parameters of a Placer.
@@ -98,15 +101,26 @@
 // Over reports whether an engine has no place for another request under a bound.
 func (e *Engine) Over(bound float64) bool { return e.Load+1 > max(bound, e.Room) }
 
-// Place appends to out the indexes of engines that a chain belongs to, the first
-// choice first, and returns how many they are; some further engines of the
-// subtree above, which probably hold the shared part, follow them. Of many
-// replicas it returns a few that seed picks. Engines that are not usable or above
-// the load bound are passed over for the next ones of the order, unless none is
-// left. usable may be nil; it is asked only about engines that come into question.
-func (p *Placer) Place(chain []radishcrank.BlockHash, engines []Engine, usable func(i int) bool, seed uint64, out []int) (placed []int, homes int) {
+// Placement is where a chain belongs.
+type Placement struct {
+	// Homes are the indexes of the engines that the chain is placed on, the first
+	// choice first. Of many replicas they are a few that the seed picks.
+	Homes []int
+	// Spare are some further engines of the subtree above, which probably hold
+	// the shared part of the chain.
+	Spare []int
+	// Known is the number of leading blocks that this instance has placed several
+	// times lately. Other instances have placed them on the same engines.
+	Known int
+}
+
+// Place returns where a chain belongs. Engines that are not usable or above the
+// load bound are passed over for the next ones of the order, unless none is
+// left. usable may be nil; it is asked only about engines that come into
+// question. The result uses the slices of reuse.
+func (p *Placer) Place(chain []radishcrank.BlockHash, engines []Engine, usable func(i int) bool, seed uint64, reuse Placement) (result Placement) {
 	if len(chain) == 0 || len(engines) == 0 {
-		return out, 0
+		return Placement{Homes: reuse.Homes[:0], Spare: reuse.Spare[:0]}
 	}
 	bound := Bound(engines)
 	s := selections.Get().(*selection)
@@ -116,21 +130,25 @@
 	instances := max(1, p.cfg.Instances())
 	for i := range levels(len(chain)) {
 		key := levelKey(&chain[i])
-		s.narrow(key, p.wanted(p.counters.load(key, instances, now)))
-		if len(s.ranks) <= 1 {
-			break
+		load, seen := p.counters.load(key, instances, now)
+		if seen >= knownUses {
+			result.Known = i + 1
+		}
+		if len(s.ranks) > 1 {
+			s.narrow(key, p.wanted(load))
 		}
 	}
-	homes = min(len(s.ranks), maxHomes)
+	homes := min(len(s.ranks), maxHomes)
 	if homes < len(s.ranks) {
 		rescore(s.ranks, engines, seed)
 		selectTop(s.ranks, homes)
 	}
-	out = appendOrdered(out, s.ranks[:homes])
+	result.Homes = appendOrdered(reuse.Homes[:0], s.ranks[:homes])
 	spare := min(len(s.spare), maxSpare)
 	rescore(s.spare, engines, seed)
 	selectTop(s.spare, spare)
-	return appendOrdered(out, s.spare[:spare]), homes
+	result.Spare = appendOrdered(reuse.Spare[:0], s.spare[:spare])
+	return result
 }
 
 func appendOrdered(out []int, ranks []rank) []int {
@@ -151,7 +169,8 @@
 	if len(chain) == 0 {
 		return 0
 	}
-	return p.wanted(p.counters.load(levelKey(&chain[0]), max(1, p.cfg.Instances()), time.Now()))
+	load, _ := p.counters.load(levelKey(&chain[0]), max(1, p.cfg.Instances()), time.Now())
+	return p.wanted(load)
 }
 
 // Mix spreads the bits of x (the finalizer of SplitMix64).
--- a/internal/routing/rcplacement/placer_test.go
+++ b/internal/routing/rcplacement/placer_test.go
@@ -48,8 +48,8 @@
 		usable := rapid.SliceOfN(rapid.Bool(), len(engines), len(engines)).Draw(t, "usable")
 		for range 200 {
 			c := chain(rapid.SampledFrom([]string{"a", "ab", "abc", "abd", "b", "bc"}).Draw(t, "prompt"))
-			places, homes := p.Place(c, engines, func(i int) bool { return usable[i] }, 0, nil)
-			require.Positive(t, homes)
+			places := p.Place(c, engines, func(i int) bool { return usable[i] }, 0, Placement{}).Homes
+			require.NotEmpty(t, places)
 			sum, fits := 1.0, false
 			for i := range engines {
 				sum += engines[i].Load
@@ -58,7 +58,7 @@
 			for i := range engines {
 				fits = fits || usable[i] && engines[i].Load < bound
 			}
-			for _, i := range places[:homes] {
+			for _, i := range places {
 				require.True(t, !fits || usable[i] && engines[i].Load < bound, "engine %d of load %v, bound %v", i, engines[i].Load, bound)
 			}
 			engines[places[0]].Load++
@@ -76,12 +76,12 @@
 		left := slices.Delete(slices.Clone(engines), gone, gone+1)
 		for i := range 50 {
 			c := chain(fmt.Sprintf("%c%d", 'a'+i%26, i))
-			before, n := p.Place(c, engines, nil, 0, nil)
-			after, m := p.Place(c, left, nil, 0, nil)
-			require.Equal(t, 1, n)
-			require.Equal(t, 1, m)
+			before := p.Place(c, engines, nil, 0, Placement{}).Homes
+			after := p.Place(c, left, nil, 0, Placement{}).Homes
+			require.Len(t, before, 1)
+			require.Len(t, after, 1)
 			if before[0] != gone {
-				require.Equal(t, keys(engines, before[:1]), keys(left, after[:1]))
+				require.Equal(t, keys(engines, before), keys(left, after))
 			}
 		}
 	})
@@ -96,19 +96,19 @@
 		slices.Reverse(reversed)
 		warm, restarted := New(Config{}), New(Config{})
 		for i := range 400 {
-			warm.Note(chain(fmt.Sprintf("shared%d", i%4)), 50*time.Millisecond)
+			warm.Note(chain(fmt.Sprintf("shared%d", i%4)), 30*time.Millisecond)
 			time.Sleep(10 * time.Millisecond)
 		}
 		var homes []uint64
 		for i := range 4 {
-			places, n := warm.Place(chain(fmt.Sprintf("shared%d", i)), engines, nil, 0, nil)
-			homes = append(homes, keys(engines, places[:n])...)
+			places := warm.Place(chain(fmt.Sprintf("shared%d", i)), engines, nil, 0, Placement{}).Homes
+			homes = append(homes, keys(engines, places)...)
 		}
 		require.Greater(t, len(slices.Compact(slices.Sorted(slices.Values(homes)))), 1)
-		places, n := restarted.Place(chain("shared0"), reversed, nil, 0, nil)
-		require.Equal(t, 1, n)
-		first, _ := warm.Place(chain("shared")[:1], engines, nil, 0, nil)
-		require.Equal(t, keys(engines, first[:1]), keys(reversed, places[:1]))
+		places := restarted.Place(chain("shared0"), reversed, nil, 0, Placement{}).Homes
+		require.Len(t, places, 1)
+		set := warm.Place(chain("shared")[:1], engines, nil, 0, Placement{}).Homes
+		require.Equal(t, keys(engines, set[:1]), keys(reversed, places))
 	})
 }
 
@@ -121,8 +121,7 @@
 		c := chain("hot")
 		engines := fleet(40)
 		homes := func() int {
-			_, n := p.Place(c, engines, nil, 0, nil)
-			return n
+			return len(p.Place(c, engines, nil, 0, Placement{}).Homes)
 		}
 		require.Equal(t, 1, homes())
 		// 20/s here, 80/s in the fleet, of 50 ms each: 4 engines' load, 8 replicas.
@@ -155,7 +154,8 @@
 			}
 		}
 		require.Len(t, p.counters.sets, counterSets)
-		require.InDelta(t, 1, p.counters.load(levelKey(&hot[0]), 1, time.Now()), 0.2)
+		load, _ := p.counters.load(levelKey(&hot[0]), 1, time.Now())
+		require.InDelta(t, 1, load, 0.2)
 	})
 }
 
