Hold 1.68 million entries in the index and speed up decisions

The index rounded its capacity down to a power of two: 64 MiB held 1.05 million entries, a little less than 29 engines of 36,364 blocks. Buckets are now chosen by multiplication, so 1 MiB holds 26,214 entries.

Lookups compare weights once for each holder rather than for each block, and placement skips levels that leave no engine out.

--- a/internal/routing/rcdecision/cost.go
+++ b/internal/routing/rcdecision/cost.go
@@ -156,7 +156,7 @@
 func (d *decision) missing(c *candidate) {
 	v := &d.views[c.view]
 	pending := float64(v.pending(d.chain(v.weights)))
-	cached := max(v.holder.Expected, pendingConfidence*pending)
+	cached := max(d.holder(c.view).Expected, pendingConfidence*pending)
 	bytes := len(d.req.Prompt) - int(cached*float64(d.blockBytes))
 	c.missing = radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
 	c.imported = 0
@@ -169,13 +169,13 @@
 	}
 	chain := d.chain(d.views[c.view].weights)
 	kept := d.c.cfg.Kept.Kept(chain)
-	if kept <= d.views[c.view].holder.Blocks {
+	if kept <= d.holder(c.view).Blocks {
 		return
 	}
 	bytes := len(d.req.Prompt) - kept*d.blockBytes
 	missing := radishcrank.PromptTokens(max(0, bytes), d.c.cfg.BytesPerToken())
 	prefill := seconds(float64(missing) / d.views[c.view].prefillRate)
-	imports := d.c.cfg.Kept.ImportTime(kept - d.views[c.view].holder.Blocks)
+	imports := d.c.cfg.Kept.ImportTime(kept - d.holder(c.view).Blocks)
 	if prefill+imports < t.prefill {
 		c.missing, c.imported = missing, kept
 		t.prefill, t.imports = prefill, imports
@@ -240,7 +240,7 @@
 		Upstream:      row,
 		Weights:       v.weights,
 		CacheKeys:     d.chain(v.weights),
-		CachedBlocks:  d.views[c.view].holder.Blocks,
+		CachedBlocks:  d.holder(c.view).Blocks,
 		PredictedTTFT: t.ttft(),
 		Terms:         t.list(),
 	}, true
--- a/internal/routing/rcdecision/decision.go
+++ b/internal/routing/rcdecision/decision.go
@@ -23,7 +23,7 @@
 	member
 	occupied int // Requests that it has by now.
 	verdict  verdict
-	holder   rcindex.Holder // Zero if the index knows of no cached block.
+	holder   int // Place in decision.holders plus 1; 0 if the index knows of no cached block.
 }
 
 // verdict remembers what the circuit breaker said of an engine in one decision.
@@ -200,9 +200,11 @@
 // holders it adds those with the longest prefixes; equal ones are picked by a
 // hash, as ties between candidates are.
 func (d *decision) lookup(weights radishcrank.WeightsVersion) {
-	d.holders = d.c.cfg.Index.Lookup(scopeOf(&d.req, weights), d.chain(weights), d.holders[:0])
+	known := len(d.holders)
+	d.holders = d.c.cfg.Index.Lookup(scopeOf(&d.req, weights), d.chain(weights), d.holders)
 	d.held = d.held[:0]
-	for _, h := range d.holders {
+	for i := known; i < len(d.holders); i++ {
+		h := &d.holders[i]
 		e := d.c.engines[h.Upstream]
 		if e == nil || e.round != d.c.round {
 			continue
@@ -211,7 +213,7 @@
 		if v.row.Incarnation != h.Incarnation || v.weights != weights {
 			continue
 		}
-		v.holder = h
+		v.holder = i + 1
 		if d.find(e.place) < 0 && d.usable(e.place) {
 			d.held = append(d.held, held{expected: h.Expected, hash: rcplacement.Mix(d.seed ^ v.key), view: e.place})
 		}
@@ -234,17 +236,28 @@
 // addRandom adds two engines chosen by a hash, which find idle engines that
 // neither the index nor the placement names.
 func (d *decision) addRandom() {
-	for range randomCandidates {
-		best, lowest := -1, uint64(0)
-		for i := range d.views {
-			h := rcplacement.Mix(d.seed + d.views[i].key)
-			if (best < 0 || h < lowest) && d.find(i) < 0 && d.usable(i) {
-				best, lowest = i, h
-			}
+	type choice struct {
+		view int
+		hash uint64
+	}
+	var chosen [randomCandidates]choice // By rising hash.
+	n := 0
+	for i := range d.views {
+		c := choice{view: i, hash: rcplacement.Mix(d.seed + d.views[i].key)}
+		if (n == len(chosen) && c.hash >= chosen[n-1].hash) || d.find(i) >= 0 || !d.usable(i) {
+			continue
+		}
+		if n < len(chosen) {
+			n++
 		}
-		if best >= 0 {
-			d.add(best, false)
+		at := n - 1
+		for ; at > 0 && chosen[at-1].hash > c.hash; at-- {
+			chosen[at] = chosen[at-1]
 		}
+		chosen[at] = c
+	}
+	for _, c := range chosen[:n] {
+		d.add(c.view, false)
 	}
 }
 
@@ -261,6 +274,14 @@
 	}
 }
 
+// holder returns what the index says of an engine.
+func (d *decision) holder(view int) rcindex.Holder {
+	if i := d.views[view].holder; i > 0 {
+		return d.holders[i-1]
+	}
+	return rcindex.Holder{}
+}
+
 func (d *decision) find(view int) int {
 	return slices.IndexFunc(d.candidates, func(c candidate) bool { return c.view == view })
 }
--- a/internal/routing/rcdecision/engine.go
+++ b/internal/routing/rcdecision/engine.go
@@ -119,6 +119,9 @@
 // report, drained since, and the prompts sent since.
 func (e *engine) backlog(now time.Time) time.Duration {
 	load := &e.row.Load
+	if load.QueuedTokens == 0 && len(e.running) == 0 {
+		return 0 // Most engines of a large fleet, most of the time.
+	}
 	free := load.ReportedAt
 	if free.IsZero() {
 		free = now
--- a/internal/routing/rcdecision/explain.go
+++ b/internal/routing/rcdecision/explain.go
@@ -36,7 +36,7 @@
 			Placement:  p,
 			Score:      cand.score,
 			Home:       cand.home,
-			Confidence: d.views[cand.view].holder.Confidence,
+			Confidence: d.holder(cand.view).Confidence,
 			Overloaded: cand.over,
 			Chosen:     i == best,
 		})
--- a/internal/routing/rcindex/index.go
+++ b/internal/routing/rcindex/index.go
@@ -40,8 +40,8 @@
 
 // Config holds the parameters of an Index.
 type Config struct {
-	// MaxBytes bounds the entries' memory; 0 means DefaultMaxBytes. It is
-	// rounded down to a power of two of entries in each of 64 shards.
+	// MaxBytes bounds the entries' memory; 0 means DefaultMaxBytes. A megabyte
+	// (2^20 bytes) holds 26,214 entries.
 	MaxBytes int
 }
 
@@ -58,10 +58,7 @@
 	if cfg.MaxBytes <= 0 {
 		cfg.MaxBytes = DefaultMaxBytes
 	}
-	capacity := 1
-	for 2*capacity*shards*EntryBytes <= cfg.MaxBytes {
-		capacity *= 2
-	}
+	capacity := max(1, cfg.MaxBytes/shards/EntryBytes)
 	x := &Index{start: time.Now().Add(-restoreWindow), capacity: capacity}
 	x.registry.byID = make(map[radishcrank.UpstreamID]*upstream)
 	for i := range x.shards {
--- a/internal/routing/rcindex/index_test.go
+++ b/internal/routing/rcindex/index_test.go
@@ -261,7 +261,7 @@
 	}
 	require.LessOrEqual(t, x.Bytes(), maxBytes)
 	require.Equal(t, x.Capacity()*EntryBytes, x.Bytes())
-	require.Greater(t, x.Bytes(), maxBytes/2)
+	require.Greater(t, x.Bytes(), maxBytes*99/100)
 	require.InDelta(t, x.Capacity(), x.Len(), float64(x.Capacity())/100)
 }
 
--- a/internal/routing/rcindex/lookup.go
+++ b/internal/routing/rcindex/lookup.go
@@ -92,39 +92,39 @@
 			continue
 		}
 		u := l.index.registry.live(e.ref)
-		if u == nil || u.weights == nil || u.weights[l.scope.Model] != l.scope.Weights {
+		if u == nil || !l.follows(u, depth) {
 			continue
 		}
 		e.account, e.depth = l.tag, depthOf(depth)
-		if l.extend(u, depth, u.confidence(e, l.now)) {
-			holders++
-		}
+		l.extend(u, depth, u.confidence(e, l.now))
+		holders++
 	}
 	return holders
 }
 
-// extend notes that an upstream has the block at a depth. Blocks behind a
-// missing one are of no use to the engine.
-func (l *lookup) extend(u *upstream, depth int, confidence float64) bool {
+// follows reports whether a block at a depth counts for an upstream. The engine
+// must serve the scope's weights and have all blocks before, since blocks behind
+// a missing one are of no use to it.
+func (l *lookup) follows(u *upstream, depth int) bool {
 	if depth == 0 {
-		l.out = append(l.out, Holder{
-			Upstream:    u.id,
-			Incarnation: u.incarnation,
-			Blocks:      1,
-			Confidence:  confidence,
-			Expected:    confidence,
-		})
+		return u.weights != nil && u.weights[l.scope.Model] == l.scope.Weights
+	}
+	p := l.place[u.index]
+	return p > 0 && l.out[p-1].Blocks == depth
+}
+
+// extend notes that an upstream has the block at a depth.
+func (l *lookup) extend(u *upstream, depth int, confidence float64) {
+	if depth == 0 {
+		l.out = append(l.out, Holder{Upstream: u.id, Incarnation: u.incarnation})
 		l.place[u.index] = int32(len(l.out))
 		l.touched = append(l.touched, u.index)
-		return true
 	}
-	p := l.place[u.index]
-	if p == 0 || l.out[p-1].Blocks != depth {
-		return false
+	h := &l.out[l.place[u.index]-1]
+	if h.Blocks == 0 {
+		h.Confidence = 1
 	}
-	h := &l.out[p-1]
 	h.Blocks++
 	h.Confidence = min(h.Confidence, confidence)
 	h.Expected += h.Confidence
-	return true
 }
--- a/internal/routing/rcindex/shard.go
+++ b/internal/routing/rcindex/shard.go
@@ -52,7 +52,8 @@
 }
 
 func (s *shard) bucket(h *radishcrank.BlockHash) *uint32 {
-	return &s.buckets[binary.LittleEndian.Uint32(h[:])&uint32(len(s.buckets)-1)]
+	// A multiplication maps the hash to any number of buckets.
+	return &s.buckets[uint64(binary.LittleEndian.Uint32(h[:]))*uint64(len(s.buckets))>>32]
 }
 
 // first returns the first slot of the block's bucket.
--- a/internal/routing/rcplacement/selection.go
+++ b/internal/routing/rcplacement/selection.go
@@ -15,6 +15,7 @@
 	buffer  []rank
 	ranks   []rank
 	spare   []rank // Engines of the level above that were left out.
+	checked bool   // All of ranks fit.
 }
 
 var selections = sync.Pool{New: func() any { return new(selection) }}
@@ -24,13 +25,16 @@
 	for i := range engines {
 		s.buffer = append(s.buffer, rank{engine: i})
 	}
-	s.engines, s.fits, s.ranks, s.spare = engines, fits, s.buffer, nil
+	s.engines, s.fits, s.ranks, s.spare, s.checked = engines, fits, s.buffer, nil, false
 }
 
 // narrow keeps the first want engines of the order of a key that fit, in no
 // particular order. If none fits, it keeps the first ones regardless.
 func (s *selection) narrow(key uint64, want int) {
 	ranks := s.ranks
+	if s.checked && want >= len(ranks) {
+		return // All engines fit, and none is left out.
+	}
 	rescore(ranks, s.engines, key)
 	kept, seen := 0, 0
 	for kept < want && seen < len(ranks) {
@@ -43,6 +47,7 @@
 			}
 		}
 	}
+	s.checked = kept > 0
 	if kept == 0 {
 		kept = min(want, len(ranks))
 		selectTop(ranks, kept)
--- a/internal/routing/rcprefix/chain_test.go
+++ b/internal/routing/rcprefix/chain_test.go
@@ -37,3 +37,38 @@
 		}
 	})
 }
+
+// FuzzChain guards against hashes that depend on more than the scope and the
+// text up to the end of their block, and against a crash on odd sizes.
+func FuzzChain(f *testing.F) {
+	f.Add("account", "model", "adapter", "w1", "a prompt of some length", 5, 7)
+	f.Add("", "", "", "", "", 0, 0)
+	f.Add("a", "bc", "", "", "\x00\xff", -1, 1)
+	f.Fuzz(func(t *testing.T, account, model, adapter, weights, prompt string, blockBytes, cut int) {
+		scope := radishcrank.CacheScope{
+			Account: radishcrank.ClientAccountID(account),
+			Model:   radishcrank.ModelID(model),
+			Adapter: adapter,
+			Weights: radishcrank.WeightsVersion(weights),
+		}
+		chain := Chain(scope, prompt, blockBytes)
+		if blockBytes <= 0 {
+			require.Empty(t, chain)
+			return
+		}
+		require.Len(t, chain, len(prompt)/blockBytes)
+		cut = min(max(cut, 0), len(prompt))
+		require.Equal(t, chain[:cut/blockBytes], append(chain[:0:0], Chain(scope, prompt[:cut], blockBytes)...))
+		seen := make(map[radishcrank.BlockHash]bool)
+		for _, h := range chain {
+			require.False(t, seen[h], "two blocks with the same hash")
+			seen[h] = true
+		}
+		// Moving a byte between neighbouring fields changes the scope.
+		if len(account) > 0 && len(chain) > 0 {
+			last := len(account) - 1
+			scope.Account, scope.Model = radishcrank.ClientAccountID(account[:last]), radishcrank.ModelID(account[last:]+model)
+			require.NotEqual(t, chain[0], Chain(scope, prompt, blockBytes)[0])
+		}
+	})
+}
