Test what mutations of routing left undetected

Fourteen trial mutations of the index, the choice and the watcher showed six that no test caught: a block behind a missing one, a late write of an older generation, the index ahead of the board's incarnation, the load bound against a costly prefix, and the seed of ties.

--- a/internal/routing/rcdecision/chooser_test.go
+++ b/internal/routing/rcdecision/chooser_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcprefix"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
 )
@@ -166,16 +167,53 @@
 }
 
 // Guards against instances that all send to the same engine because their
-// boards say the same.
+// boards and indexes say the same.
 func TestInstancesDoNotHerd(t *testing.T) {
 	chosen := make(map[radishcrank.UpstreamID]int)
 	for i := range 100 {
-		c, _ := testChooser(20, func(cfg *Config) { cfg.Instance = radishcrank.InstanceID(fmt.Sprint(i)) })
-		req := testRequest(0, "x")
-		req.Prompt = "short" // No block, so no engine is better than another.
+		c, board := testChooser(8, func(cfg *Config) { cfg.Instance = radishcrank.InstanceID(fmt.Sprint(i)) })
+		req := testRequest(0, "rules ")
+		scope := radishcrank.CacheScope{Account: req.Account, Model: req.Model, Weights: "w1"}
+		for _, up := range board.Upstreams.Values() {
+			c.Index().SetUpstream(up)
+			c.Index().Confirm(up, scope, rcprefix.Chain(scope, req.Prompt, blockBytes))
+		}
 		chosen[serve(t, c, req).Upstream.ID]++
 	}
-	require.Greater(t, len(chosen), 15)
+	require.Greater(t, len(chosen), 6)
+	for id, n := range chosen {
+		require.Less(t, n, 30, "engine %s", id)
+	}
+}
+
+// Guards against an engine that gets requests above the load bound because
+// recomputing its hot text elsewhere would take even longer than its queue.
+func TestHotTextStaysInLoadBound(t *testing.T) {
+	c, board := testChooser(4, nil)
+	for _, up := range board.Upstreams.Values() {
+		up.Load.PrefillPerSecond = 1 // 400 s for a prompt.
+		board.Upstreams.Put(up.ID, up)
+	}
+	home := serve(t, c, testRequest(0, "rules ")).Upstream
+	home.Load.Running, home.Load.Waiting = 8, 2
+	board.Upstreams.Put(home.ID, home)
+	for i := range 20 {
+		require.NotEqual(t, home.ID, serve(t, c, testRequest(i+1, "rules ")).Upstream.ID)
+	}
+}
+
+// Guards against a placement on the board's old incarnation that counts on the
+// cache of a newer one, of which the index heard first.
+func TestHolderOfAnotherIncarnationDoesNotCount(t *testing.T) {
+	c, board := testChooser(1, nil)
+	first := serve(t, c, testRequest(0, "rules "))
+	newer := first.Upstream
+	newer.Incarnation++
+	c.Index().SetUpstream(newer)
+	c.Index().Confirm(newer, radishcrank.CacheScope{Account: "a", Model: "m", Weights: "w1"}, first.CacheKeys)
+	require.Zero(t, serve(t, c, testRequest(1, "rules ")).CachedBlocks)
+	board.Upstreams.Put(newer.ID, newer)
+	require.Equal(t, 4, serve(t, c, testRequest(2, "rules ")).CachedBlocks)
 }
 
 // Guards against a queue estimate that ignores requests sent since the report,
--- /dev/null
+++ b/internal/routing/rcdecision/move_test.go
@@ -0,0 +1,41 @@
+package rcdecision
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank/internal/routing/rcprefix"
+)
+
+// Guards against moves of cold blocks, to the leaving engine, to an engine that
+// requests do not go to, or of more blocks than asked for.
+func TestMovesFollowLoad(t *testing.T) {
+	synctest.Test(t, testMovesFollowLoad)
+}
+
+func testMovesFollowLoad(t *testing.T) {
+	c, board := testChooser(6, nil)
+	shared := strings.Repeat("s", 2*blockBytes)
+	for i := range 4 {
+		req := testRequest(i, fmt.Sprint("own ", i))
+		req.Prompt = shared + req.Prompt
+		serve(t, c, req)
+		time.Sleep(5 * time.Second) // A faster pace would call for a second replica.
+	}
+	req := testRequest(9, "x")
+	req.Prompt = shared
+	leaving := serve(t, c, req).Upstream
+	leaving.Leaving = true
+	board.Upstreams.Put(leaving.ID, leaving)
+	moves := c.Moves(leaving.ID, 100)
+	require.Len(t, moves, 1)
+	require.Equal(t, rcprefix.Chain(moves[0].Scope, shared, blockBytes), moves[0].Chain)
+	require.Equal(t, serve(t, c, req).Upstream.ID, moves[0].To.ID)
+	require.Empty(t, c.Moves(leaving.ID, 1))
+	require.Empty(t, c.Moves("unknown", 100))
+}
--- a/internal/routing/rcindex/index_test.go
+++ b/internal/routing/rcindex/index_test.go
@@ -116,7 +116,9 @@
 		radishcrank.CacheStored, radishcrank.CacheStored, radishcrank.CacheEvicted, radishcrank.CacheCleared,
 	}).Draw(t, "kind")
 	f.seq[id] += uint64(rapid.IntRange(0, 1).Draw(t, "lost"))
-	e := radishcrank.CacheEvent{Seq: f.seq[id], Kind: kind, Blocks: chainOf(salt, rapid.IntRange(1, 4).Draw(t, "blocks"))}
+	first := rapid.IntRange(0, 3).Draw(t, "first")
+	blocks := chainOf(salt, rapid.IntRange(first+1, 4).Draw(t, "end"))[first:]
+	e := radishcrank.CacheEvent{Seq: f.seq[id], Kind: kind, Blocks: blocks}
 	f.seq[id]++
 	return radishcrank.CacheEventBatch{Incarnation: up.Incarnation, First: e.Seq, Events: []radishcrank.CacheEvent{e}}
 }
@@ -237,6 +239,17 @@
 	})
 }
 
+// Guards against a late write of an older generation that replaces a valid entry.
+func TestNewerGenerationStays(t *testing.T) {
+	var s shard
+	s.init(8, 0)
+	block := randomBlock(1)
+	s.put(slot{block: block, ref: newRef(3, 2)}, nil)
+	s.put(slot{block: block, ref: newRef(3, 1)}, nil)
+	require.Equal(t, newRef(3, 2), s.slots[s.first(&block)].ref)
+	require.Equal(t, 1, s.used)
+}
+
 func setUp(x *Index, id radishcrank.UpstreamID, evictions float64) radishcrank.Upstream {
 	up := radishcrank.Upstream{ID: id, Incarnation: 1, Load: radishcrank.LoadReport{
 		Weights:            map[radishcrank.ModelID]radishcrank.WeightsVersion{model: "w"},
@@ -249,6 +262,19 @@
 
 var testScope = radishcrank.CacheScope{Account: "a", Model: model, Weights: "w"}
 
+// Guards against blocks behind a missing one that count as cached.
+func TestLookupStopsAtMissingBlock(t *testing.T) {
+	x := New(Config{})
+	chain := chainOf("c", 3)
+	x.Confirm(setUp(x, "whole", 0), testScope, chain)
+	x.Confirm(setUp(x, "holed", 0), testScope, []radishcrank.BlockHash{chain[0], {}, chain[2]})
+	blocks := make(map[radishcrank.UpstreamID]int)
+	for _, h := range x.Lookup(testScope, chain, nil) {
+		blocks[h.Upstream] = h.Blocks
+	}
+	require.Equal(t, map[radishcrank.UpstreamID]int{"whole": 3, "holed": 1}, blocks)
+}
+
 // Guards against an entry that takes more memory than EntryBytes says, and
 // against an index that grows past its bound or does not use it.
 func TestMemoryBoundIsExact(t *testing.T) {
