Make streams complete or explicitly failed

Cause: a stream could hang on a silent connection, resume on other weights, and was lost when its caller's connection broke.

Change: the relay pins the weights once a token was delivered, checks index, weights and token count itself, finds silence by a progress deadline, gives up the idle connections of that upstream and makes its other requests suspect. A bounded replay buffer serves reconnects (Replay) and peers (Fetch). The first token can be hedged. Each upstream has its own connection pool. Cancellations also go by DELETE over a new connection, for one attempt only. The stand-in engine cancels, goes silent by connection, shares kept KV, and carries out adapter and role orders.

--- a/internal/serving/rcrelay/relay.go
+++ b/internal/serving/rcrelay/relay.go
@@ -1,13 +1,12 @@
 // Package rcrelay produces the answer of one request. It dispatches the request
-// to an engine, relays its tokens in order and resumes on another engine when
-// one fails.
+// to an engine, relays its tokens in order, resumes on another engine when one
+// fails, and keeps the answer for a while so that a caller can reconnect.
 package rcrelay
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,112 +15,239 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 )
 
+// Settings are the values that an operator may change. A zero value stands for
+// its default.
+type Settings struct {
+	ProgressTimeout  time.Duration // A stream silent for longer is resumed elsewhere. Default 5 s.
+	FirstTokenFactor float64       // First token deadline in multiples of the predicted time. Default 4.
+	HedgeFactor      float64       // First token is hedged after this multiple of the predicted time. Default 2.
+	ReconnectGrace   time.Duration // A generation goes on for so long without its caller. Default 10 s; negative is off.
+	ReplayRetention  time.Duration // Answers are kept for so long after their end. Default 60 s.
+	ReplayBytes      int           // Largest replay buffer of one stream. Default 1 MiB.
+	ReplayTotalBytes int           // Largest sum of the replay buffers of ended streams. Default 32 MiB.
+}
+
+// DefaultSettings returns the built-in defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		ProgressTimeout:  5 * time.Second,
+		FirstTokenFactor: 4,
+		HedgeFactor:      2,
+		ReconnectGrace:   10 * time.Second,
+		ReplayRetention:  time.Minute,
+		ReplayBytes:      1 << 20,
+		ReplayTotalBytes: 32 << 20,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	s.ProgressTimeout = orDefault(s.ProgressTimeout, d.ProgressTimeout)
+	s.FirstTokenFactor = orDefault(s.FirstTokenFactor, d.FirstTokenFactor)
+	s.HedgeFactor = orDefault(s.HedgeFactor, d.HedgeFactor)
+	s.ReconnectGrace = orDefault(s.ReconnectGrace, d.ReconnectGrace)
+	s.ReplayRetention = orDefault(s.ReplayRetention, d.ReplayRetention)
+	s.ReplayBytes = orDefault(s.ReplayBytes, d.ReplayBytes)
+	s.ReplayTotalBytes = orDefault(s.ReplayTotalBytes, d.ReplayTotalBytes)
+	return s
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// Retrier bounds retries and hedges and learns how attempts ended.
+type Retrier interface {
+	// Dispatch counts a first attempt.
+	Dispatch(account radishcrank.ClientAccountID, upstream radishcrank.UpstreamID)
+	// Retry takes a retry out of the budgets, or reports that one is empty.
+	Retry(account radishcrank.ClientAccountID, upstream radishcrank.UpstreamID) bool
+	// Hedge takes a hedge out of its budget, or reports that it is empty.
+	Hedge() bool
+	// Backoff returns the wait before retry n, counted from 0.
+	Backoff(n int) time.Duration
+	// Report tells how an attempt ended; nil is success.
+	Report(upstream radishcrank.UpstreamID, err error)
+}
+
+// Guard finds contents that crash engines and isolates suspects.
+type Guard interface {
+	// Check returns a *Refusal if the content is known to crash engines.
+	Check(req radishcrank.Request) error
+	// Suspicion returns in how many crashes the content was in flight.
+	Suspicion(req radishcrank.Request) int
+	// Avoid returns the upstreams that must not take the request now, those
+	// that it should rather not go to, and a channel that is closed when the
+	// first list changes.
+	Avoid(req radishcrank.Request) (must, rather []radishcrank.UpstreamID, changed <-chan struct{})
+	// Enter registers a run and waits until a suspect is alone on its upstream.
+	// ErrUpstreamBusy means that the upstream is reserved. end is called once.
+	Enter(ctx context.Context, req radishcrank.Request, up radishcrank.Upstream) (end func(crashed, finished bool), err error)
+}
+
 // Config holds the parts that a Relay works with.
 type Config struct {
 	Board       *rcboard.Board
 	Chooser     radishcrank.Chooser
 	Dialer      radishcrank.EngineDialer
-	MaxAttempts int // Engines tried for one request.
+	MaxAttempts int                                                // Engines tried for one request, without hedges.
+	Settings    func(account radishcrank.ClientAccountID) Settings // Nil is the defaults.
+	Retrier     Retrier                                            // Nil retries without limit and never hedges.
+	Guard       Guard                                              // Nil suspects nothing.
 }
 
 // Relay implements radishcrank.Generator.
 type Relay struct {
-	cfg Config
+	cfg      Config
+	watchers *watchers
+
+	mu         sync.Mutex
+	streams    map[radishcrank.RequestID]*stream
+	ended      []*stream // Oldest first.
+	endedBytes int
 }
 
 // New returns a Relay.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg} }
+func New(cfg Config) *Relay {
+	if cfg.Settings == nil {
+		cfg.Settings = func(radishcrank.ClientAccountID) Settings { return Settings{} }
+	}
+	if cfg.Retrier == nil {
+		cfg.Retrier = unlimited{}
+	}
+	if cfg.Guard == nil {
+		cfg.Guard = trusting{}
+	}
+	return &Relay{cfg: cfg, watchers: newWatchers(), streams: make(map[radishcrank.RequestID]*stream)}
+}
 
-// Generate implements radishcrank.Generator.
+// Generate implements radishcrank.Generator. It returns when the generation has
+// ended, which may be after the caller's connection broke.
 func (r *Relay) Generate(ctx context.Context, req radishcrank.Request, sink radishcrank.StreamSink) (err error) {
 	defer func() {
 		if err != nil {
 			err = trace.Wrap(err, "request %s", req.ID)
 		}
 	}()
+	if err := r.cfg.Guard.Check(req); err != nil {
+		return err
+	}
+	settings := r.cfg.Settings(req.Account).withDefaults()
+	genCtx, cancel := detach(ctx)
+	defer cancel(context.Canceled)
+	s := newStream(req, settings, cancel)
+	if err := r.register(s); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if context.Cause(ctx) == context.DeadlineExceeded {
+			cancel(errStreamTimeout)
+			return
+		}
+		s.detachCaller()
+	})
+	defer stop()
 	r.cfg.Board.Streams.Put(req.ID, rcboard.Stream{Account: req.Account, Model: req.Model, StartedAt: time.Now()})
 	defer r.cfg.Board.Streams.Delete(req.ID)
-	var tried []radishcrank.UpstreamID
-	for range r.cfg.MaxAttempts {
-		p, err := r.cfg.Chooser.Choose(ctx, req, tried)
-		if err != nil {
-			return err
-		}
-		tried = append(tried, p.Upstream.ID)
-		a := attempt{relay: r, placement: p, sink: sink, req: req, start: time.Now()}
-		finish, err := a.run(ctx)
-		req.Resume = a.req.Resume
-		if err == nil {
-			return sink.Finish(finish)
-		}
-		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
-			return err
-		}
-	}
-	return &radishcrank.Refusal{
-		Status:     http.StatusBadGateway,
-		Code:       "upstream_failed",
-		Message:    "every engine that was tried failed",
-		Outcome:    radishcrank.OutcomeMayHaveRun,
-		RetryAfter: time.Second,
+	g := &generation{relay: r, ctx: genCtx, req: req, sink: sink, stream: s, settings: settings}
+	// The tokens before Resume prove that an earlier run reached an engine.
+	g.reached = req.Resume > 0
+	finish, err := g.run()
+	s.end(finish, err)
+	r.retire(s)
+	if err != nil {
+		return err
 	}
+	return g.finish(finish)
 }
 
-var errCallerGone = errors.New("caller is gone")
+// detach returns a context with the values and the deadline of ctx that does
+// not end when the caller leaves.
+func detach(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return inner, cancel
+	}
+	outer, stop := context.WithDeadlineCause(inner, deadline, errStreamTimeout)
+	return outer, func(cause error) {
+		cancel(cause)
+		stop()
+	}
+}
 
-// attempt is one run of a request on one engine.
-type attempt struct {
-	relay     *Relay
-	placement radishcrank.Placement
-	sink      radishcrank.StreamSink
-	req       radishcrank.Request
-	start     time.Time
+// register makes the stream known to reconnecting callers.
+func (r *Relay) register(s *stream) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, ok := r.streams[s.id]
+	if ok && !old.isDone() {
+		return &radishcrank.Refusal{
+			Status:  http.StatusConflict,
+			Code:    "request_in_progress",
+			Message: "a request with this identifier is in progress",
+			Outcome: radishcrank.OutcomeNotRun,
+		}
+	}
+	r.streams[s.id] = s
+	return nil
 }
 
-func (a *attempt) run(ctx context.Context) (finish radishcrank.Finish, err error) {
-	defer func() { a.observe(finish, err) }()
-	a.relay.cfg.Board.Streams.Update(a.req.ID, func(s rcboard.Stream, _ bool) (rcboard.Stream, bool) {
-		s.Upstream = a.placement.Upstream.ID
-		s.Attempts++
-		return s, true
-	})
-	engine := a.relay.cfg.Dialer.Engine(a.placement.Upstream)
-	stream, err := engine.Generate(ctx, radishcrank.GenerateRequest{
-		Request:   a.req,
-		CacheKeys: a.placement.CacheKeys,
-		Weights:   a.placement.Weights,
-	})
-	if err != nil {
-		return finish, err
+// retire keeps an ended stream for its retention, as far as the total allows.
+func (r *Relay) retire(s *stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, s)
+	r.endedBytes += s.size()
+	for len(r.ended) > 0 && r.endedBytes > s.settings.ReplayTotalBytes {
+		r.forgetOldest()
 	}
-	defer stream.Close()
-	first := true
-	for {
-		t, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return stream.Finish(), nil
-		}
-		if err != nil {
-			return finish, err
-		}
-		if first {
-			first = false
-			a.relay.cfg.Chooser.Observe(a.req, a.placement, radishcrank.Observation{
-				Kind: radishcrank.ObservedFirstToken,
-				TTFT: time.Since(a.start),
-			})
-		}
-		if err := a.sink.Token(t); err != nil {
-			return finish, errors.Join(errCallerGone, err)
-		}
-		a.req.Resume = t.Index + 1
+	time.AfterFunc(s.settings.ReplayRetention, r.expire)
+}
+
+// expire forgets the streams whose retention is over.
+func (r *Relay) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for len(r.ended) > 0 && now.Sub(r.ended[0].endTime()) >= r.ended[0].settings.ReplayRetention {
+		r.forgetOldest()
 	}
 }
 
-func (a *attempt) observe(finish radishcrank.Finish, err error) {
-	o := radishcrank.Observation{Kind: radishcrank.ObservedDone, Usage: finish.Usage}
-	if err != nil {
-		o = radishcrank.Observation{Kind: radishcrank.ObservedFailure, Err: err}
+func (r *Relay) forgetOldest() {
+	s := r.ended[0]
+	r.ended[0] = nil
+	r.ended = r.ended[1:]
+	r.endedBytes -= s.size()
+	if r.streams[s.id] == s {
+		delete(r.streams, s.id)
 	}
-	a.relay.cfg.Chooser.Observe(a.req, a.placement, o)
+}
+
+// unlimited is the Retrier of a Relay without one.
+type unlimited struct{}
+
+func (unlimited) Dispatch(radishcrank.ClientAccountID, radishcrank.UpstreamID)   {}
+func (unlimited) Retry(radishcrank.ClientAccountID, radishcrank.UpstreamID) bool { return true }
+func (unlimited) Hedge() bool                                                    { return false }
+func (unlimited) Backoff(int) time.Duration                                      { return 0 }
+func (unlimited) Report(radishcrank.UpstreamID, error)                           {}
+
+// trusting is the Guard of a Relay without one.
+type trusting struct{}
+
+func (trusting) Check(radishcrank.Request) error   { return nil }
+func (trusting) Suspicion(radishcrank.Request) int { return 0 }
+
+func (trusting) Avoid(radishcrank.Request) (must, rather []radishcrank.UpstreamID, changed <-chan struct{}) {
+	return nil, nil, nil
+}
+
+func (trusting) Enter(context.Context, radishcrank.Request, radishcrank.Upstream) (end func(crashed, finished bool), err error) {
+	return func(bool, bool) {}, nil
 }
--- /dev/null
+++ b/internal/serving/rcrelay/relay_test.go
@@ -0,0 +1,349 @@
+package rcrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+const answerTokens = 12
+
+func tokenText(w radishcrank.WeightsVersion, i int) string { return fmt.Sprintf("%s-%d ", w, i) }
+
+func answer(w radishcrank.WeightsVersion, from, n int) string {
+	var b strings.Builder
+	for i := from; i < n; i++ {
+		b.WriteString(tokenText(w, i))
+	}
+	return b.String()
+}
+
+// fault is what one run on a fake engine does.
+type fault struct {
+	open   error // Returned by Generate.
+	after  int   // The kind applies from this token of the run on.
+	kind   string
+	prefil time.Duration
+}
+
+// fleet is a chooser, a dialer and all engines. Run n of the fleet has fault n.
+type fleet struct {
+	weights    []radishcrank.WeightsVersion // By engine.
+	faults     []fault
+	ignorePins bool
+	predicted  time.Duration
+
+	mu      sync.Mutex
+	runs    int
+	reached int
+	open    int // Placements without Done or Failure.
+	live    int // Streams not closed.
+	idle    int // Calls of CloseIdle.
+	failed  []error
+}
+
+func (f *fleet) Choose(_ context.Context, req radishcrank.Request, exclude []radishcrank.UpstreamID) (radishcrank.Placement, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, w := range f.weights {
+		id := radishcrank.UpstreamID(fmt.Sprint("e", i))
+		pinned := req.PinnedWeights != "" && req.PinnedWeights != w && !f.ignorePins
+		if !pinned && !slices.Contains(exclude, id) {
+			f.open++
+			return radishcrank.Placement{Upstream: radishcrank.Upstream{ID: id}, Weights: w, PredictedTTFT: f.predicted}, nil
+		}
+	}
+	return radishcrank.Placement{}, &radishcrank.Refusal{Status: 503, Code: "no_engine", Outcome: radishcrank.OutcomeNotRun, RetryAfter: time.Second}
+}
+
+func (f *fleet) Observe(_ radishcrank.Request, _ radishcrank.Placement, o radishcrank.Observation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o.Kind != radishcrank.ObservedFirstToken {
+		f.open--
+	}
+	if o.Kind == radishcrank.ObservedFailure {
+		f.failed = append(f.failed, o.Err)
+	}
+}
+
+func (f *fleet) Engine(radishcrank.Upstream) radishcrank.Engine { return &fakeEngine{f: f} }
+
+type fakeEngine struct {
+	radishcrank.Engine
+	f *fleet
+}
+
+func (e *fakeEngine) CloseIdle() {
+	e.f.mu.Lock()
+	defer e.f.mu.Unlock()
+	e.f.idle++
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, req radishcrank.GenerateRequest) (radishcrank.TokenStream, error) {
+	e.f.mu.Lock()
+	defer e.f.mu.Unlock()
+	var fl fault
+	if e.f.runs < len(e.f.faults) {
+		fl = e.f.faults[e.f.runs]
+	}
+	e.f.runs++
+	if fl.open == nil || reached(fl.open) {
+		e.f.reached++
+	}
+	if fl.open != nil {
+		return nil, fl.open
+	}
+	e.f.live++
+	return &fakeStream{ctx: ctx, f: e.f, fault: fl, weights: req.Weights, next: req.Resume}, nil
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	f       *fleet
+	fault   fault
+	weights radishcrank.WeightsVersion
+	next    int
+	sent    int
+	closed  bool
+}
+
+func (s *fakeStream) Recv() (radishcrank.Token, error) {
+	wait := 37 * time.Millisecond
+	if s.sent == 0 {
+		wait = s.fault.prefil
+	}
+	select {
+	case <-time.After(wait):
+	case <-s.ctx.Done():
+		return radishcrank.Token{}, s.ctx.Err()
+	}
+	if s.fault.kind != "" && s.sent >= s.fault.after {
+		switch s.fault.kind {
+		case "silent":
+			<-s.ctx.Done()
+			return radishcrank.Token{}, s.ctx.Err()
+		case "truncate":
+			return radishcrank.Token{}, radishcrank.ErrTruncated
+		case "short":
+			return radishcrank.Token{}, io.EOF
+		case "skip":
+			return radishcrank.Token{Index: s.next + 1, Text: "wrong"}, nil
+		}
+	}
+	if s.next >= answerTokens {
+		return radishcrank.Token{}, io.EOF
+	}
+	t := radishcrank.Token{Index: s.next, Text: tokenText(s.weights, s.next)}
+	s.next++
+	s.sent++
+	return t, nil
+}
+
+func (s *fakeStream) Finish() radishcrank.Finish {
+	return radishcrank.Finish{Reason: "stop", Usage: radishcrank.Usage{CompletionTokens: answerTokens}}
+}
+
+func (s *fakeStream) Close() error {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		s.f.live--
+	}
+	return nil
+}
+
+// collector is a sink that checks the order of what it gets.
+type collector struct {
+	mu       sync.Mutex
+	text     strings.Builder
+	next     int
+	bad      bool
+	finished int
+	failAt   int // The caller leaves at this token; 0 is never.
+}
+
+func (c *collector) Token(t radishcrank.Token) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bad = c.bad || t.Index != c.next || c.finished > 0
+	c.next++
+	c.text.WriteString(t.Text)
+	if c.failAt > 0 && c.next >= c.failAt {
+		return errors.New("connection reset")
+	}
+	return nil
+}
+
+func (c *collector) Finish(radishcrank.Finish) error {
+	c.finished++
+	return nil
+}
+
+func newRelay(f *fleet, retrier Retrier, s Settings) *Relay {
+	return New(Config{
+		Board: rcboard.New(), Chooser: f, Dialer: f, MaxAttempts: 4, Retrier: retrier,
+		Settings: func(radishcrank.ClientAccountID) Settings { return s },
+	})
+}
+
+// alwaysHedge retries without limit and grants each hedge.
+type alwaysHedge struct{ unlimited }
+
+func (alwaysHedge) Hedge() bool { return true }
+
+var request = radishcrank.Request{ID: "r1", Account: "a1", Model: "m", Prompt: "p"}
+
+// Guards against streams with a gap, a repeat, mixed weights or a finish that is
+// not true, against a false NotRun, and against streams or placements that are
+// left open, whatever fails.
+func TestRelayCompletesOrFails(t *testing.T) {
+	drawFault := rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			open: rapid.SampledFrom([]error{nil, nil, nil, radishcrank.ErrNotSent, radishcrank.ErrUpstreamBusy, radishcrank.ErrTruncated}).Draw(t, "open"),
+			kind: rapid.SampledFrom([]string{"", "silent", "truncate", "short", "skip"}).Draw(t, "kind"), after: rapid.IntRange(0, answerTokens).Draw(t, "after"),
+			prefil: rapid.SampledFrom([]time.Duration{0, time.Second, 20 * time.Second}).Draw(t, "prefill"),
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		f := &fleet{
+			weights:    rapid.SliceOfN(rapid.SampledFrom([]radishcrank.WeightsVersion{"w1", "w2"}), 1, 6).Draw(rt, "weights"),
+			faults:     rapid.SliceOfN(drawFault, 0, 6).Draw(rt, "faults"),
+			ignorePins: rapid.Bool().Draw(rt, "ignorePins"),
+			predicted:  rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 2 * time.Second}).Draw(rt, "predicted"),
+		}
+		retrier := rapid.SampledFrom([]Retrier{unlimited{}, alwaysHedge{}}).Draw(rt, "retrier")
+		synctest.Test(t, func(*testing.T) {
+			c := &collector{}
+			err := newRelay(f, retrier, Settings{}).Generate(context.Background(), request, c)
+			synctest.Wait()
+			require.False(rt, c.bad, "order")
+			if c.next > 0 {
+				w := radishcrank.WeightsVersion(c.text.String()[:2])
+				require.Equal(rt, answer(w, 0, c.next), c.text.String())
+			}
+			require.Zero(rt, f.open, "open placements")
+			require.Zero(rt, f.live, "open streams")
+			if err == nil {
+				require.Equal(rt, 1, c.finished)
+				require.Equal(rt, answerTokens, c.next)
+				return
+			}
+			require.Zero(rt, c.finished)
+			var refusal *radishcrank.Refusal
+			require.ErrorAs(rt, err, &refusal)
+			require.Equal(rt, f.reached == 0, refusal.Outcome == radishcrank.OutcomeNotRun)
+			require.Positive(rt, refusal.RetryAfter)
+		})
+	})
+}
+
+// Guards against silent connections that hold a stream, their idle siblings and
+// the other requests on the same upstream for longer than the deadline.
+func TestSilenceIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{weights: []radishcrank.WeightsVersion{"w1", "w1"}, faults: []fault{{kind: "silent", after: 3}, {kind: "silent", after: 60}}}
+		r := newRelay(f, nil, Settings{})
+		sibling := &watchdog{}
+		var shortened time.Duration
+		start := time.Now()
+		sibling.expired = func() { shortened = time.Since(start) }
+		sibling.arm(time.Minute, 0)
+		r.watchers.add("e0", sibling)
+		c := &collector{}
+		require.NoError(t, r.Generate(t.Context(), request, c))
+		require.Less(t, time.Since(start), 7*time.Second)
+		require.Equal(t, 1, f.idle)
+		require.ErrorIs(t, f.failed[0], radishcrank.ErrNoProgress)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Less(t, shortened, 17*time.Second)
+	})
+}
+
+// Guards against a hedge that delivers two answers, and against no hedge at all.
+func TestHedgeDeliversOneAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{weights: []radishcrank.WeightsVersion{"w1", "w1"}, faults: []fault{{prefil: 3 * time.Second}}, predicted: 100 * time.Millisecond}
+		c := &collector{}
+		start := time.Now()
+		require.NoError(t, newRelay(f, alwaysHedge{}, Settings{}).Generate(t.Context(), request, c))
+		synctest.Wait()
+		require.Less(t, time.Since(start), time.Second)
+		require.Equal(t, answer("w1", 0, answerTokens), c.text.String())
+		require.Equal(t, 2, f.runs)
+		require.ErrorIs(t, f.failed[0], context.Canceled)
+	})
+}
+
+// Guards against reconnected callers that get a gap, a repeat or nothing, against
+// readers of other accounts, and against answers kept for ever.
+func TestReconnect(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		leaveAt := rapid.IntRange(1, answerTokens-1).Draw(rt, "leaveAt")
+		wait := time.Duration(rapid.IntRange(0, 900).Draw(rt, "waitMilliseconds")) * time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{weights: []radishcrank.WeightsVersion{"w1", "w1"}, faults: []fault{{kind: "truncate", after: 5}}}
+			r := newRelay(f, nil, Settings{})
+			go r.Generate(context.Background(), request, &collector{failAt: leaveAt})
+			time.Sleep(time.Duration(leaveAt)*37*time.Millisecond + wait)
+			rest := &collector{next: leaveAt}
+			require.ErrorIs(rt, r.Replay(context.Background(), "other", "r1", leaveAt-1, rest), ErrUnknownStream)
+			require.NoError(rt, r.Replay(context.Background(), "a1", "r1", leaveAt-1, rest))
+			require.Equal(rt, answer("w1", leaveAt, answerTokens), rest.text.String())
+			require.Equal(rt, 1, rest.finished)
+			p, err := r.Fetch(context.Background(), "a1", "r1", leaveAt-1)
+			require.NoError(rt, err)
+			require.Len(rt, p.Tokens, answerTokens-leaveAt)
+			require.True(rt, p.Done)
+			time.Sleep(2 * time.Minute)
+			require.ErrorIs(rt, r.Replay(context.Background(), "a1", "r1", leaveAt-1, rest), ErrUnknownStream)
+			require.Empty(rt, r.streams)
+		})
+	})
+}
+
+// Guards against upstream work that goes on for callers who are gone.
+func TestDisconnectCancels(t *testing.T) {
+	for _, tc := range []struct{ grace, want time.Duration }{{-1, 0}, {2 * time.Second, 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{weights: []radishcrank.WeightsVersion{"w1"}, faults: []fault{{kind: "silent", after: 3}}}
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(time.Second, cancel)
+			start := time.Now()
+			err := newRelay(f, nil, Settings{ReconnectGrace: tc.grace}).Generate(ctx, request, &collector{})
+			require.ErrorIs(t, err, errCallerGone)
+			require.Equal(t, time.Second+tc.want, time.Since(start))
+			require.Zero(t, f.live)
+		})
+	}
+}
+
+// Guards against replay buffers that grow without bound.
+func TestReplayBufferIsBounded(t *testing.T) {
+	s := newStream(request, Settings{ReplayBytes: 1000}, nil)
+	for i := range 1000 {
+		s.append(fmt.Sprint(i))
+	}
+	require.LessOrEqual(t, s.size(), 1000+streamOverhead)
+	_, ok := s.from(0, 10, 100)
+	require.False(t, ok)
+	p, ok := s.from(999, 10, 100)
+	require.True(t, ok)
+	require.Equal(t, []radishcrank.Token{{Index: 999, Text: "999"}}, p.tokens)
+}
--- a/internal/standin/rcfakeengine/engine.go
+++ b/internal/standin/rcfakeengine/engine.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,11 @@
 	DecodePerSecond  float64 // Tokens generated a second for one request.
 	AnswerTokens     int     // Length of an answer when the request sets none.
 	ChecksFence      bool
-	LoadWeights      time.Duration // Time to load new weights.
+	LoadWeights      time.Duration // Time to load new weights while at most two engines load.
+	LoadAdapter      time.Duration // Time to load an adapter.
+	Adapters         []string      // Loaded from the start.
+	Kept             *KeptStore    // Shared by the engines of a zone; nil gives the engine its own.
+	Loads            *Loads        // Shared by all engines; nil counts this engine alone.
 }
 
 // Engine is a running stand-in engine.
@@ -44,21 +49,43 @@
 	arrivals    uint64
 	prefillFree time.Time // When the prefill unit is free again.
 	fence       uint64
-	kept        map[radishcrank.BlockHash]bool
+	adapters    []string
+	role        string
+	runs        map[run]context.CancelFunc
+	crashed     chan struct{} // Closed by a crash of this incarnation.
 	faults      Faults
 }
 
 // Faults are switches that tests and the demo set on an engine.
 type Faults struct {
-	DropAfter   int  // Ends each stream without a finish after this many tokens; 0 is off.
-	Silent      bool // Streams stop producing anything but stay open.
-	DropEvents  bool // Cache events get sequence numbers but are lost.
-	CrashPrompt string
+	DropAfter   int    // Ends each stream without a finish after this many tokens; 0 is off.
+	Silent      bool   // Streams stop producing anything but stay open.
+	SilentAfter int    // The same after this many tokens; 0 is off.
+	DropEvents  bool   // Cache events get sequence numbers but are lost.
+	CrashPrompt string // The engine crashes when it runs this prompt.
+	WrongOrder  bool   // Each stream repeats its second token.
+	EmptyAnswer bool   // Streams finish without a token.
+}
+
+// RoleStandby makes an engine refuse new requests.
+const RoleStandby = "Standby"
+
+// run identifies one run of a request.
+type run struct {
+	id      radishcrank.RequestID
+	attempt uint64
+	seq     uint64 // Tells apart runs whose requests carry the same numbers.
 }
 
 // New returns a stand-in engine with an empty cache.
 func New(cfg Config) *Engine {
-	e := &Engine{cfg: cfg, kept: make(map[radishcrank.BlockHash]bool)}
+	if cfg.Kept == nil {
+		cfg.Kept = NewKeptStore()
+	}
+	if cfg.Loads == nil {
+		cfg.Loads = &Loads{}
+	}
+	e := &Engine{cfg: cfg, runs: make(map[run]context.CancelFunc)}
 	e.reset()
 	return e
 }
@@ -87,6 +114,12 @@
 	e.cache = newBlockCache(e.cfg.CacheBlocks)
 	e.events, e.nextSeq = nil, 1
 	e.prefillFree = time.Time{}
+	e.adapters = slices.Clone(e.cfg.Adapters)
+	e.role = ""
+	if e.crashed != nil {
+		close(e.crashed)
+	}
+	e.crashed = make(chan struct{})
 }
 
 // LoadReport returns the engine's load now.
@@ -101,6 +134,8 @@
 	return radishcrank.LoadReport{
 		Incarnation:      e.incarnation,
 		Weights:          weights,
+		Adapters:         slices.Clone(e.adapters),
+		Role:             e.role,
 		Running:          e.running,
 		Waiting:          len(e.waiters),
 		QueuedTokens:     int(backlog.Seconds() * e.cfg.PrefillPerSecond),
--- a/internal/standin/rcfakeengine/handler.go
+++ b/internal/standin/rcfakeengine/handler.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -16,6 +19,7 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+rcwire.PathCompletions, e.serveCompletion)
+	mux.HandleFunc("DELETE "+rcwire.PathRequests+"{id}", e.serveCancel)
 	mux.HandleFunc("GET "+rcwire.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, e.LoadReport())
 	})
@@ -40,26 +44,81 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
-	weights, ok := e.weights[radishcrank.ModelID(req.Model)]
-	incarnation := e.incarnation
-	faults := e.faults
-	e.mu.Unlock()
-	if !ok || weights != req.Extension.Weights {
-		http.Error(w, "model or weights not loaded", http.StatusPreconditionFailed)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	g, status, message := e.accept(req, cancel)
+	if message != "" {
+		http.Error(w, message, status)
 		return
 	}
-	if faults.CrashPrompt != "" && faults.CrashPrompt == req.Prompt {
-		e.Crash()
-		panic(http.ErrAbortHandler)
+	defer e.forget(g.run)
+	err := e.acquire(ctx, req.Extension.Priority)
+	if err == nil {
+		defer e.release()
+		g.out = rcsse.NewWriter(w)
+		w.Header().Set("Content-Type", "text/event-stream")
+		err = g.stream(ctx)
 	}
-	if err := e.acquire(r.Context(), req.Extension.Priority); err != nil {
-		return
+	if err != nil {
+		panic(http.ErrAbortHandler) // Ends the connection, so that the answer cannot look complete.
 	}
-	defer e.release()
-	g := generation{engine: e, req: req, weights: weights, incarnation: incarnation, faults: faults, out: rcsse.NewWriter(w)}
-	w.Header().Set("Content-Type", "text/event-stream")
-	g.run(r.Context())
+}
+
+// accept registers a request that the engine can run, or says why it refuses it.
+func (e *Engine) accept(req rcwire.CompletionRequest, cancel context.CancelFunc) (g *generation, status int, message string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x := req.Extension
+	weights, ok := e.weights[radishcrank.ModelID(req.Model)]
+	switch {
+	case !ok || weights != x.Weights:
+		return nil, http.StatusPreconditionFailed, "model or weights not loaded"
+	case x.Adapter != "" && !slices.Contains(e.adapters, x.Adapter):
+		return nil, http.StatusPreconditionFailed, "adapter not loaded"
+	case x.Upstream != "" && x.Upstream != e.cfg.ID:
+		return nil, http.StatusPreconditionFailed, "request is meant for another engine"
+	case x.Incarnation != 0 && x.Incarnation != e.incarnation:
+		return nil, http.StatusPreconditionFailed, "request is meant for another incarnation"
+	case e.role == RoleStandby:
+		return nil, http.StatusServiceUnavailable, "engine is on standby"
+	}
+	g = &generation{
+		engine: e, req: req, weights: weights, incarnation: e.incarnation, faults: e.faults,
+	}
+	e.arrivals++
+	g.run = run{x.RequestID, x.Attempt, e.arrivals}
+	crashed := e.crashed
+	stop := make(chan struct{})
+	e.runs[g.run] = sync.OnceFunc(func() { close(stop); cancel() })
+	go func() {
+		select {
+		case <-crashed:
+			cancel()
+		case <-stop:
+		}
+	}()
+	return g, 0, ""
+}
+
+// forget ends the bookkeeping of a run.
+func (e *Engine) forget(r run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[r]()
+	delete(e.runs, r)
+}
+
+// serveCancel cancels the runs of a request, or only the named attempt.
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	attempt, _ := strconv.ParseUint(r.FormValue("attempt"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for run, cancel := range e.runs {
+		if run.id == radishcrank.RequestID(r.PathValue("id")) && (attempt == 0 || attempt == run.attempt) {
+			cancel()
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // generation is one request in the batch.
@@ -69,40 +128,41 @@
 	weights     radishcrank.WeightsVersion
 	incarnation radishcrank.Incarnation
 	faults      Faults
+	run         run
 	out         *rcsse.Writer
 }
 
-func (g *generation) run(ctx context.Context) {
+var errAborted = errors.New("generation aborted")
+
+// stream writes the answer. An error means that the answer is incomplete.
+func (g *generation) stream(ctx context.Context) error {
 	cfg := &g.engine.cfg
 	promptTokens := radishcrank.PromptTokens(len(g.req.Prompt), cfg.BytesPerToken)
 	cached, done := g.engine.prefill(promptTokens, g.req.Extension.CacheKeys)
 	if !sleep(ctx, time.Until(done)) {
-		return
+		return errAborted
+	}
+	if g.faults.CrashPrompt != "" && g.faults.CrashPrompt == g.req.Prompt {
+		g.engine.Crash()
+		return errAborted
 	}
 	total := g.req.MaxTokens
 	if total <= 0 || total > cfg.AnswerTokens {
 		total = cfg.AnswerTokens
 	}
+	if g.faults.EmptyAnswer {
+		total = g.req.Extension.ResumeFrom
+	}
 	step := time.Duration(float64(time.Second) / cfg.DecodePerSecond)
 	for i := g.req.Extension.ResumeFrom; i < total; i++ {
-		if g.faults.Silent {
-			<-ctx.Done()
-			return
-		}
-		if g.faults.DropAfter > 0 && i >= g.faults.DropAfter {
-			panic(http.ErrAbortHandler)
-		}
-		if g.stale() {
-			panic(http.ErrAbortHandler)
-		}
-		if g.send(i, rcwire.Choice{Text: TokenText(g.req.Prompt, g.weights, i)}, nil) != nil {
-			return
+		if err := g.token(ctx, i); err != nil {
+			return err
 		}
 		if !sleep(ctx, step) {
-			return
+			return errAborted
 		}
 	}
-	g.send(total, rcwire.Choice{FinishReason: "stop"}, &rcwire.Usage{
+	return g.send(total, rcwire.Choice{FinishReason: "stop"}, &rcwire.Usage{
 		PromptTokens:        promptTokens,
 		CompletionTokens:    total,
 		TotalTokens:         promptTokens + total,
@@ -110,6 +170,22 @@
 	})
 }
 
+// token sends one token, subject to the faults.
+func (g *generation) token(ctx context.Context, i int) error {
+	if g.faults.Silent || (g.faults.SilentAfter > 0 && i >= g.faults.SilentAfter) {
+		<-ctx.Done()
+		return errAborted
+	}
+	if g.stale() || (g.faults.DropAfter > 0 && i >= g.faults.DropAfter) {
+		return errAborted
+	}
+	index := i
+	if g.faults.WrongOrder && i == 1 {
+		index = 0
+	}
+	return g.send(index, rcwire.Choice{Text: TokenText(g.req.Prompt, g.weights, i)}, nil)
+}
+
 // stale reports whether the engine crashed since the request arrived.
 func (g *generation) stale() bool {
 	g.engine.mu.Lock()
@@ -149,56 +225,3 @@
 		return false
 	}
 }
-
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var list rcwire.BlockList
-	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, b := range list.Blocks {
-		if _, ok := e.cache.entries[b]; ok {
-			e.kept[b] = true
-		}
-	}
-}
-
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var list rcwire.BlockList
-	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	stored, evicted := e.cache.store(list.Blocks)
-	e.record(radishcrank.CacheStored, stored)
-	e.record(radishcrank.CacheEvicted, evicted)
-}
-
-func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order radishcrank.Order
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	if e.cfg.ChecksFence && order.Fence < e.fence {
-		e.mu.Unlock()
-		http.Error(w, "old fencing number", http.StatusConflict)
-		return
-	}
-	e.fence = max(e.fence, order.Fence)
-	e.mu.Unlock()
-	if order.Kind != radishcrank.OrderLoadWeights {
-		return
-	}
-	if !sleep(r.Context(), e.cfg.LoadWeights) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.weights[order.Model] = order.Weights
-}
--- /dev/null
+++ b/internal/standin/rcfakeengine/order.go
@@ -0,0 +1,150 @@
+package rcfakeengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcwire"
+)
+
+// KeptStore is the kept KV cache store that several engines share.
+type KeptStore struct {
+	mu     sync.Mutex
+	blocks map[radishcrank.BlockHash]bool
+}
+
+// NewKeptStore returns an empty store.
+func NewKeptStore() *KeptStore {
+	return &KeptStore{blocks: make(map[radishcrank.BlockHash]bool)}
+}
+
+func (s *KeptStore) put(blocks []radishcrank.BlockHash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range blocks {
+		s.blocks[b] = true
+	}
+}
+
+// leading returns the leading blocks that the store holds.
+func (s *KeptStore) leading(blocks []radishcrank.BlockHash) []radishcrank.BlockHash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, b := range blocks {
+		if !s.blocks[b] {
+			return blocks[:i]
+		}
+	}
+	return blocks
+}
+
+// freeLoads is the number of engines that load at once without slowing each other.
+const freeLoads = 2
+
+// Loads counts the weight loads under way in a fleet.
+type Loads struct {
+	mu      sync.Mutex
+	running int
+}
+
+// start returns how many times longer than alone a load that starts now takes.
+func (l *Loads) start() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+	return max(1, float64(l.running)/freeLoads)
+}
+
+func (l *Loads) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var list rcwire.BlockList
+	if !decode(w, r, &list) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cached := slices.DeleteFunc(list.Blocks, func(b radishcrank.BlockHash) bool {
+		_, ok := e.cache.entries[b]
+		return !ok
+	})
+	e.cfg.Kept.put(cached)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var list rcwire.BlockList
+	if !decode(w, r, &list) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stored, evicted := e.cache.store(e.cfg.Kept.leading(list.Blocks))
+	e.record(radishcrank.CacheStored, stored)
+	e.record(radishcrank.CacheEvicted, evicted)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order radishcrank.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	if !e.passFence(order.Fence) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	switch order.Kind {
+	case radishcrank.OrderLoadWeights:
+		factor := e.cfg.Loads.start()
+		defer e.cfg.Loads.end()
+		if !sleep(r.Context(), time.Duration(factor*float64(e.cfg.LoadWeights))) {
+			return
+		}
+	case radishcrank.OrderLoadAdapter:
+		if !sleep(r.Context(), e.cfg.LoadAdapter) {
+			return
+		}
+	}
+	e.apply(order)
+}
+
+// passFence reports whether an order may run and remembers its fencing number.
+func (e *Engine) passFence(fence uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFence && fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, fence)
+	return true
+}
+
+func (e *Engine) apply(order radishcrank.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch order.Kind {
+	case radishcrank.OrderLoadWeights:
+		e.weights[order.Model] = order.Weights
+	case radishcrank.OrderLoadAdapter:
+		if !slices.Contains(e.adapters, order.Adapter) {
+			e.adapters = append(e.adapters, order.Adapter)
+		}
+	case radishcrank.OrderChangeRole:
+		e.role = order.Role
+	}
+}
--- a/internal/upstream/rcengine/client.go
+++ b/internal/upstream/rcengine/client.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,36 +21,25 @@
 )
 
 const (
-	dialTimeout      = time.Second
-	idleTimeout      = 30 * time.Second
-	maxIdlePerEngine = 64
-	maxReportBytes   = 4 << 20
+	maxReportBytes = 4 << 20
+	// cancelTimeout bounds the explicit cancellation of a request.
+	cancelTimeout = 2 * time.Second
+	// maxErrorBody is read from a refusal so that its connection can be reused.
+	maxErrorBody = 4096
 )
 
-// Dialer makes clients that share one connection pool.
-type Dialer struct {
-	client *http.Client
-}
-
-// NewDialer returns a Dialer.
-func NewDialer() *Dialer {
-	return &Dialer{client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     idleTimeout,
-	}}}
-}
-
-// Engine returns the client of an upstream.
-func (d *Dialer) Engine(up radishcrank.Upstream) radishcrank.Engine {
-	return &client{http: d.client, up: up}
-}
+// attempts numbers the runs of requests, so that a cancellation names one run.
+var attempts atomic.Uint64
 
 type client struct {
-	http *http.Client
+	pool *pool
 	up   radishcrank.Upstream
 }
 
+// CloseIdle closes the idle connections to the upstream, so that later requests
+// get new ones.
+func (c *client) CloseIdle() { c.pool.CloseIdle() }
+
 // Generate implements radishcrank.Engine.
 func (c *client) Generate(ctx context.Context, req radishcrank.GenerateRequest) (stream radishcrank.TokenStream, err error) {
 	defer func() {
@@ -56,26 +47,57 @@
 			err = trace.Wrap(err, "engine %s", c.up.ID)
 		}
 	}()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, stop := context.WithCancelCause(ctx)
+	attempt := attempts.Add(1)
+	cancel := func(finished bool) {
+		stop(context.Canceled)
+		if !finished {
+			go c.cancelRun(req.ID, attempt)
+		}
+	}
 	resp, err := c.post(ctx, rcwire.PathCompletions, rcwire.CompletionRequest{
 		Model:     string(req.Model),
 		Prompt:    req.Prompt,
 		MaxTokens: req.MaxTokens,
 		Stream:    true,
 		Extension: rcwire.RequestExtension{
-			RequestID:  req.ID,
-			Priority:   req.Priority,
-			CacheKeys:  req.CacheKeys,
-			Weights:    req.Weights,
-			Adapter:    req.Adapter,
-			ResumeFrom: req.Resume,
+			RequestID:   req.ID,
+			Priority:    req.Priority,
+			CacheKeys:   req.CacheKeys,
+			Weights:     req.Weights,
+			Adapter:     req.Adapter,
+			ResumeFrom:  req.Resume,
+			Upstream:    c.up.ID,
+			Incarnation: c.up.Incarnation,
+			Attempt:     attempt,
 		},
 	})
 	if err != nil {
-		cancel()
+		cancel(notRun(err))
 		return nil, err
 	}
-	return newTokenStream(resp.Body, cancel, req, c.up.Incarnation), nil
+	return newTokenStream(ctx, resp.Body, cancel, req, c.up.Incarnation), nil
+}
+
+// cancelRun cancels one run over another connection. It reaches the engine even
+// if the run's own connection is silent, so that its closing goes unnoticed.
+func (c *client) cancelRun(id radishcrank.RequestID, attempt uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	path := fmt.Sprintf("%s%s?attempt=%d", rcwire.PathRequests, url.PathEscape(string(id)), attempt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.url(path), nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.pool.client().Do(req)
+	if err != nil {
+		return
+	}
+	resp.Body.Close()
+}
+
+func notRun(err error) bool {
+	return errors.Is(err, radishcrank.ErrNotSent) || errors.Is(err, radishcrank.ErrUpstreamBusy)
 }
 
 // Load implements radishcrank.Engine.
@@ -129,13 +151,14 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.pool.client().Do(req)
 	if err != nil {
-		return nil, classify(err)
+		return nil, classify(ctx, err)
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
+	io.CopyN(io.Discard, resp.Body, maxErrorBody)
 	resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusConflict:
@@ -156,9 +179,9 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.pool.client().Do(req)
 	if err != nil {
-		return classify(err)
+		return classify(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -169,11 +192,17 @@
 
 func (c *client) url(path string) string { return "http://" + c.up.Addr.String() + path }
 
-// classify marks errors of the dial as ErrNotSent; after it nobody knows what the upstream read.
-func classify(err error) error {
+// classify marks errors of the dial as ErrNotSent. After the dial nobody knows
+// what the upstream read, and the answer is cut off. The cause of the context's
+// end replaces its plain error.
+func classify(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fmt.Errorf("%w: %w", radishcrank.ErrNotSent, err)
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return errors.Join(radishcrank.ErrNotSent, cause, err)
+	case cause != nil:
+		return fmt.Errorf("%w: %w", cause, err)
 	}
-	return err
+	return fmt.Errorf("%w: %w", radishcrank.ErrTruncated, err)
 }
--- a/internal/upstream/rcwire/wire.go
+++ b/internal/upstream/rcwire/wire.go
@@ -32,6 +32,14 @@
 	Weights    radishcrank.WeightsVersion
 	Adapter    string
 	ResumeFrom int // Index of the first token to send.
+
+	// Upstream and Incarnation name the engine that the request is meant for.
+	// An engine that is another one refuses the request with 412.
+	Upstream    radishcrank.UpstreamID
+	Incarnation radishcrank.Incarnation // 0 when unknown.
+	// Attempt tells apart runs of the same RequestID, so that a late
+	// DELETE /requests/ID?attempt=N cancels no newer run. 0 is unset.
+	Attempt uint64
 }
 
 // CompletionChunk is one event of an engine's stream.
--- a/request.go
+++ b/request.go
@@ -18,6 +18,10 @@
 	Priority  Priority
 	Deadline  time.Time // The caller gains nothing from a first token after it.
 	Resume    int       // Index of the first token to generate; tokens before it were delivered.
+
+	// PinnedWeights restricts the choice to engines that serve these weights. It
+	// is set once a token was delivered; empty leaves the weights open.
+	PinnedWeights WeightsVersion
 }
 
 // PromptTokens estimates the tokens of n bytes of prompt.
--- a/types.go
+++ b/types.go
@@ -100,6 +100,7 @@
 	Incarnation        Incarnation
 	Weights            map[ModelID]WeightsVersion
 	Adapters           []string
+	Role               string  // Role last ordered; empty when none was.
 	Running            int     // Requests in the current batch.
 	Waiting            int     // Requests queued inside the engine.
 	QueuedTokens       int     // Prompt tokens that wait for prefill.
