--- /dev/null
+++ b/internal/limits/rcretry/retry_test.go
@@ -0,0 +1,152 @@
+package rcretry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+// Guards against retry storms: whatever the mix of accounts, retries stay within
+// the ratio, the floor and the burst, for each account and each upstream.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 400).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			r := New(Config{Board: rcboard.New()})
+			s := DefaultSettings()
+			start := time.Now()
+			requests, retries, hedges := map[string]float64{}, map[string]float64{}, 0.0
+			for i, step := range steps {
+				account, upstream := fmt.Sprint("a", i%2), fmt.Sprint("u", i%3)
+				switch step {
+				case 0:
+					r.Dispatch(radishcrank.ClientAccountID(account), radishcrank.UpstreamID(upstream))
+					requests[account]++
+					requests[upstream]++
+					requests["all"]++
+				case 1, 2:
+					if r.Retry(radishcrank.ClientAccountID(account), radishcrank.UpstreamID(upstream)) {
+						retries[account]++
+						retries[upstream]++
+					}
+				case 3:
+					time.Sleep(20 * time.Millisecond)
+					if r.Hedge() {
+						hedges++
+					}
+				}
+				for key, n := range retries {
+					bound := s.RetryBurst/2 + s.RetryRatio*requests[key] + s.RetryFloor*time.Since(start).Seconds()
+					require.LessOrEqual(rt, n, bound+1e-9, key)
+				}
+				require.LessOrEqual(rt, hedges, 1+s.HedgeRatio*requests["all"]+1e-9)
+			}
+		})
+	})
+}
+
+// Guards against a budget that never recovers without traffic.
+func TestRetryFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Config{Board: rcboard.New()})
+		for r.Retry("a", "u") {
+		}
+		time.Sleep(time.Second)
+		require.True(t, r.Retry("a", "u"))
+		require.False(t, r.Retry("a", "u"))
+	})
+}
+
+// Guards against waits beyond the bound and against retries that return together.
+func TestBackoff(t *testing.T) {
+	r := New(Config{Board: rcboard.New()})
+	seen := map[time.Duration]bool{}
+	for n := range 100 {
+		wait := r.Backoff(n)
+		require.LessOrEqual(t, wait, min(DefaultSettings().BackoffBase<<min(n, 10), DefaultSettings().BackoffCap))
+		seen[wait] = true
+	}
+	require.Greater(t, len(seen), 50)
+}
+
+// Guards against breakers that open without a run of faults, that let more than
+// one probe through, or that never close again; and against cancellations and
+// refusals that count as faults.
+func TestBreakerStates(t *testing.T) {
+	results := []error{nil, radishcrank.ErrNotSent, radishcrank.ErrTruncated, radishcrank.ErrNoProgress, radishcrank.ErrUpstreamBusy, context.Canceled}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(results)), 1, 200).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			board := rcboard.New()
+			r := New(Config{Board: board})
+			faults, opened := 0, false // Consecutive faults, by a second count.
+			for _, step := range steps {
+				if step == len(results) {
+					time.Sleep(400 * time.Millisecond)
+					continue
+				}
+				weight, ok := r.Allow("u")
+				if !ok {
+					require.True(rt, opened, "open without enough faults")
+					continue
+				}
+				require.Positive(rt, weight)
+				r.Dispatch("a", "u")
+				if row, _ := board.Breakers.Get("u"); row.State == HalfOpen {
+					_, second := r.Allow("u")
+					require.False(rt, second, "second probe")
+				}
+				err := results[step]
+				r.Report("u", fmt.Errorf("wrapped: %w", err))
+				if err == nil {
+					r.Dispatch("a", "u")
+					r.Report("u", nil)
+					faults, opened = 0, false
+				} else if !errors.Is(err, context.Canceled) && !errors.Is(err, radishcrank.ErrUpstreamBusy) {
+					faults++
+					opened = opened || faults >= DefaultSettings().OpenAfter
+				}
+				row, _ := board.Breakers.Get("u")
+				require.Equal(rt, opened && row.State != HalfOpen, row.State == Open)
+			}
+			time.Sleep(DefaultSettings().OpenCap)
+			_, ok := r.Allow("u")
+			require.True(rt, ok)
+		})
+	})
+}
+
+// Guards against an upstream that gets its full load at once after a fault.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Config{Board: rcboard.New()})
+		for range 3 {
+			r.Dispatch("a", "u")
+			r.Report("u", radishcrank.ErrTruncated)
+		}
+		_, ok := r.Allow("u")
+		require.False(t, ok)
+		time.Sleep(time.Second)
+		weight, ok := r.Allow("u")
+		require.True(t, ok)
+		require.Less(t, weight, 0.1)
+		r.Dispatch("a", "u")
+		r.Report("u", nil)
+		time.Sleep(5 * time.Second)
+		weight, _ = r.Allow("u")
+		require.InDelta(t, 0.5, weight, 0.01)
+		time.Sleep(5 * time.Second)
+		weight, _ = r.Allow("u")
+		require.Equal(t, 1.0, weight)
+	})
+}
