Find and refuse contents that crash engines

Cause: a request that crashes each engine that runs it was retried on engine after engine and took the other requests there with it.

In the relay a reserved upstream no longer uses up an attempt. rcbubble lets rapid shrink failures inside a synctest bubble.

--- a/internal/limits/rcretry/retry_test.go
+++ b/internal/limits/rcretry/retry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/testing/rcbubble"
 	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
 )
 
@@ -21,7 +22,7 @@
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 400).Draw(rt, "steps")
-		synctest.Test(t, func(*testing.T) {
+		rcbubble.Run(t, func() {
 			r := New(Config{Board: rcboard.New()})
 			s := DefaultSettings()
 			start := time.Now()
@@ -86,7 +87,7 @@
 	results := []error{nil, radishcrank.ErrNotSent, radishcrank.ErrTruncated, radishcrank.ErrNoProgress, radishcrank.ErrUpstreamBusy, context.Canceled}
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, len(results)), 1, 200).Draw(rt, "steps")
-		synctest.Test(t, func(*testing.T) {
+		rcbubble.Run(t, func() {
 			board := rcboard.New()
 			r := New(Config{Board: board})
 			faults, opened := 0, false // Consecutive faults, by a second count.
--- a/internal/serving/rcrelay/attempt.go
+++ b/internal/serving/rcrelay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -51,7 +52,7 @@
 
 // open starts the generation and waits for its first event.
 func (a *attempt) open() (err error) {
-	a.leave, err = a.g.relay.cfg.Guard.Enter(a.ctx, a.req, a.placement.Upstream)
+	a.leave, err = a.enter()
 	if err != nil {
 		return fmt.Errorf("%w: %w", radishcrank.ErrUpstreamBusy, err)
 	}
@@ -70,6 +71,23 @@
 	return err
 }
 
+// enter registers the run with the guard. The wait for isolation ends when the
+// caller would gain nothing from a first token.
+func (a *attempt) enter() (leave func(crashed, finished bool), err error) {
+	ctx, cancel := a.ctx, func() {}
+	if !a.req.Deadline.IsZero() && a.req.Resume == 0 {
+		ctx, cancel = context.WithDeadline(a.ctx, a.req.Deadline)
+	}
+	defer cancel()
+	return a.g.relay.cfg.Guard.Enter(ctx, a.req, a.placement.Upstream)
+}
+
+// turnedAway reports whether the guard kept an opened attempt from its upstream
+// though there is still time for another one.
+func (a *attempt) turnedAway() bool {
+	return a.leave == nil && a.g.ctx.Err() == nil && !errors.Is(a.err, context.DeadlineExceeded)
+}
+
 // recv returns the next token and ends the watchdog's wait.
 func (a *attempt) recv() (radishcrank.Token, error) {
 	t, err := a.stream.Recv()
--- a/internal/serving/rcrelay/generation.go
+++ b/internal/serving/rcrelay/generation.go
@@ -98,6 +98,15 @@
 		return finish, incomplete(g.reached)
 	}
 	a := g.race(p)
+	for a.turnedAway() {
+		// The upstream was reserved for a suspect between the choice and the run.
+		// That is no attempt.
+		g.noteEnd(a, finish, a.err)
+		if p, err = g.choose(); err != nil {
+			return finish, err
+		}
+		a = g.race(p)
+	}
 	if a.err != nil && a.stream == nil {
 		err = a.err
 	} else {
--- a/internal/serving/rcrelay/relay_test.go
+++ b/internal/serving/rcrelay/relay_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/testing/rcbubble"
 	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
 )
 
@@ -228,7 +229,7 @@
 			predicted:  rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 2 * time.Second}).Draw(rt, "predicted"),
 		}
 		retrier := rapid.SampledFrom([]Retrier{unlimited{}, alwaysHedge{}}).Draw(rt, "retrier")
-		synctest.Test(t, func(*testing.T) {
+		rcbubble.Run(t, func() {
 			c := &collector{}
 			err := newRelay(f, retrier, Settings{}).Generate(context.Background(), request, c)
 			synctest.Wait()
