Limit client accounts and queue their requests fairly

Cause: admission had no limits, and one large account could fill the engines.

Change: rclimit has token, request and concurrency limits for each account, a weighted fair queue by token cost in front of the instance's capacity, bounded queues, refusals at once where the predicted wait passes the deadline, and fleet-wide shares by demand. A group of g of N instances uses at most OvershootFactor × g/N of a limit, and a lone instance 1/N, so any partition stays within the factor. Tests of rcretry draw longer runs and rcpoison gets two tests, since trial changes of the code had passed unnoticed.

--- /dev/null
+++ b/internal/limits/rclimit/limiter_test.go
@@ -0,0 +1,276 @@
+package rclimit
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/testing/rcbubble"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+const hold = 100 * time.Millisecond
+
+func newLimiter(capacity int, s rcconfig.Settings) *Limiter {
+	s.BytesPerToken = 4
+	return New(Config{
+		Board:    rcboard.New(),
+		Instance: "i0",
+		Capacity: func() int { return capacity },
+		Settings: func(radishcrank.ClientAccountID) rcconfig.Settings { return s },
+	})
+}
+
+func request(account string, cost int, deadline time.Duration) radishcrank.Request {
+	req := radishcrank.Request{Account: radishcrank.ClientAccountID(account), MaxTokens: cost}
+	if deadline > 0 {
+		req.Deadline = time.Now().Add(deadline)
+	}
+	return req
+}
+
+// run admits a request and holds it. It returns the wait for admission.
+func run(l *Limiter, req radishcrank.Request, hold time.Duration) (time.Duration, error) {
+	start := time.Now()
+	release, err := l.Admit(context.Background(), req)
+	if err != nil {
+		return time.Since(start), err
+	}
+	wait := time.Since(start)
+	time.Sleep(hold)
+	release(radishcrank.Usage{})
+	return wait, nil
+}
+
+// Guards against an account that gets more than its turn: as long as two accounts
+// wait, the costs served to them differ by no more than one request of each.
+func TestFairQueue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		costs := [2][]int{
+			rapid.SliceOfN(rapid.IntRange(1, 1000), 1, 60).Draw(rt, "costsA"),
+			rapid.SliceOfN(rapid.IntRange(1, 1000), 1, 60).Draw(rt, "costsB"),
+		}
+		rcbubble.Run(t, func() {
+			l := newLimiter(1, rcconfig.Settings{})
+			block, err := l.Admit(context.Background(), request("c", 1, 0))
+			require.NoError(rt, err)
+			order := make(chan int, 200) // Index of the account, in order of admission.
+			for i := range costs {
+				for _, cost := range costs[i] {
+					go func() {
+						release, err := l.Admit(context.Background(), request(fmt.Sprint(i), cost, 0))
+						if err == nil {
+							order <- i*10000 + cost
+							time.Sleep(hold)
+							release(radishcrank.Usage{})
+						}
+					}()
+				}
+			}
+			synctest.Wait()
+			block(radishcrank.Usage{})
+			time.Sleep(200 * hold)
+			synctest.Wait()
+			close(order)
+			var served, left [2]int
+			left[0], left[1] = len(costs[0]), len(costs[1])
+			require.Len(rt, order, left[0]+left[1])
+			for code := range order {
+				i, cost := code/10000, code%10000
+				if left[0] > 0 && left[1] > 0 {
+					served[i] += cost
+					require.LessOrEqual(rt, math.Abs(float64(served[0]-served[1])), 2000.0)
+				}
+				left[i]--
+			}
+		})
+	})
+}
+
+// Guards against one large account spoiling the wait of a small one.
+func TestLargeAccountDoesNotDelaySmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(2, rcconfig.Settings{})
+		for range 300 {
+			go run(l, request("large", 1000, 0), hold)
+		}
+		synctest.Wait()
+		for range 10 {
+			wait, err := run(l, request("small", 100, 0), hold)
+			require.NoError(t, err)
+			require.LessOrEqual(t, wait, 2*hold)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Zero(t, l.running)
+	})
+}
+
+// Guards against requests that wait in vain: whatever the load, a caller is
+// admitted before its deadline or refused at once, and refusals say NotRun.
+func TestEarlyRefusal(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		capacity, n := rapid.IntRange(1, 4).Draw(rt, "capacity"), rapid.IntRange(1, 60).Draw(rt, "requests")
+		deadline := time.Duration(rapid.IntRange(100, 3000).Draw(rt, "deadline")) * time.Millisecond
+		slow := rapid.IntRange(1, 30).Draw(rt, "slow")
+		rcbubble.Run(t, func() {
+			l := newLimiter(capacity, rcconfig.Settings{QueueLength: 40})
+			type result struct {
+				wait time.Duration
+				err  error
+			}
+			results := make(chan result, n)
+			for i := range n {
+				go func() {
+					wait, err := run(l, request(fmt.Sprint(i%3), 10, deadline), hold*time.Duration(slow))
+					results <- result{wait, err}
+				}()
+			}
+			for range n {
+				r := <-results
+				require.LessOrEqual(rt, r.wait, deadline+reviewInterval)
+				if r.err != nil {
+					refusal := radishcrank.AsRefusal(r.err)
+					require.Equal(rt, radishcrank.OutcomeNotRun, refusal.Outcome)
+					require.GreaterOrEqual(rt, refusal.RetryAfter, time.Second)
+				}
+			}
+			require.Zero(rt, l.waiting)
+			require.Zero(rt, l.running)
+			wait, err := run(l, request("x", 10, deadline), 0)
+			require.NoError(rt, err, "an idle limiter refuses")
+			require.Zero(rt, wait)
+		})
+	})
+}
+
+// Guards against entries of departed callers that hold back or take a turn.
+func TestDepartedCallerLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(1, rcconfig.Settings{})
+		release, err := l.Admit(t.Context(), request("a", 1, 0))
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := make(chan error)
+		go func() {
+			_, err := l.Admit(ctx, request("a", 1, 0))
+			gone <- err
+		}()
+		synctest.Wait()
+		row, _ := l.cfg.Board.Accounts.Get("a")
+		require.Equal(t, 1, row.Queued)
+		cancel()
+		require.ErrorIs(t, <-gone, context.Canceled)
+		row, _ = l.cfg.Board.Accounts.Get("a")
+		require.Equal(t, 0, row.Queued)
+		release(radishcrank.Usage{})
+		require.Zero(t, l.running)
+	})
+}
+
+// Guards against more work of an account than its limits allow.
+func TestAccountLimits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := rcconfig.Settings{
+			TokensPerSecond: float64(rapid.IntRange(100, 5000).Draw(rt, "tokens")),
+			Concurrency:     rapid.IntRange(1, 10).Draw(rt, "concurrency"),
+		}
+		cost := rapid.IntRange(1, 2000).Draw(rt, "cost")
+		rcbubble.Run(t, func() {
+			l := newLimiter(0, s)
+			start := time.Now()
+			used, most := 0, 0
+			for range 50 {
+				go func() {
+					for time.Since(start) < 10*time.Second {
+						release, err := l.Admit(context.Background(), request("a", cost, 0))
+						require.NoError(rt, err)
+						if time.Since(start) < 10*time.Second {
+							l.mu.Lock()
+							used += cost
+							most = max(most, l.running)
+							l.mu.Unlock()
+						}
+						time.Sleep(hold)
+						release(radishcrank.Usage{})
+					}
+				}()
+			}
+			time.Sleep(time.Hour)
+			synctest.Wait()
+			require.LessOrEqual(rt, most, s.Concurrency)
+			require.LessOrEqual(rt, float64(used), s.TokensPerSecond*11+float64(cost))
+			atLeast := min(s.TokensPerSecond*9, float64(s.Concurrency*cost)*80) - float64(cost)
+			require.GreaterOrEqual(rt, float64(used), atLeast)
+		})
+	})
+}
+
+// Guards against a leaving account's new work being taken.
+func TestLeavingAccount(t *testing.T) {
+	l := New(Config{Board: rcboard.New(), Leaving: func(radishcrank.ClientAccountID) bool { return true }})
+	_, err := l.Admit(t.Context(), request("a", 1, 0))
+	require.Equal(t, radishcrank.OutcomeNotRun, radishcrank.AsRefusal(err).Outcome)
+}
+
+// Guards the bound on the overshoot: under any partition of the last full view
+// the instances' shares add up to at most OvershootFactor times the limit, and
+// to no more than the limit if all hear each other.
+func TestOvershootBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "instances")
+		groups := rapid.SliceOfN(rapid.IntRange(0, 4), n, n).Draw(rt, "groups")
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 1e5), n, n).Draw(rt, "demands")
+		factor := rapid.SampledFrom([]float64{1, 1.5, 2, 3}).Draw(rt, "factor")
+		s := rcconfig.Settings{TokensPerSecond: 1000, Concurrency: rapid.IntRange(1, 50).Draw(rt, "concurrency")}
+		rcbubble.Run(t, func() {
+			limiters := make([]*Limiter, n)
+			for i := range limiters {
+				limiters[i] = newLimiter(0, s)
+				limiters[i].cfg.Instance = radishcrank.InstanceID(fmt.Sprint("i", i))
+				limiters[i].cfg.Instances = func() int { return n }
+				limiters[i].cfg.OvershootFactor = factor
+				limiters[i].accountLocked("a", s).offer(demands[i], time.Now())
+			}
+			whole := true
+			for i, from := range limiters {
+				sent := from.Demand()
+				for j, to := range limiters {
+					if groups[i] == groups[j] {
+						to.SetPeerDemand(from.cfg.Instance, sent)
+					} else {
+						whole = false
+					}
+				}
+			}
+			rate, running := 0.0, 0
+			for _, l := range limiters {
+				a := l.accounts["a"]
+				rate += l.shareLocked(a, s.TokensPerSecond, time.Now())
+				running += l.concurrencyShareLocked(a, time.Now())
+			}
+			bound := factor
+			if whole {
+				bound = 1
+			}
+			require.LessOrEqual(rt, rate, bound*s.TokensPerSecond*(1+1e-6))
+			require.LessOrEqual(rt, float64(running), bound*float64(s.Concurrency))
+			if whole && n > 1 {
+				require.InEpsilon(rt, s.TokensPerSecond, rate, 1e-3)
+				require.Equal(rt, s.Concurrency, running)
+			}
+			time.Sleep(2 * peerWindow)
+			lone := limiters[0].shareLocked(limiters[0].accounts["a"], s.TokensPerSecond, time.Now())
+			require.InEpsilon(rt, s.TokensPerSecond/float64(n), lone, 1e-6, "an instance that hears nobody")
+		})
+	})
+}
--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -241,6 +241,42 @@
 	})
 }
 
+// Guards against one crash that counts once for each request that it cut off.
+func TestCrashCountsOnce(t *testing.T) {
+	tr := New(Config{Board: rcboard.New(), Instance: "i0"})
+	up := radishcrank.Upstream{ID: "u"} // Of unknown incarnation.
+	var ends []func(crashed, finished bool)
+	for i := range 5 {
+		end, err := tr.Enter(t.Context(), radishcrank.Request{Prompt: fmt.Sprint(i)}, up)
+		require.NoError(t, err)
+		ends = append(ends, end)
+	}
+	for _, end := range ends {
+		end(true, false)
+	}
+	for i := range 5 {
+		require.Equal(t, 1, tr.Suspicion(radishcrank.Request{Prompt: fmt.Sprint(i)}))
+	}
+}
+
+// Guards against a verdict on a content that many callers send at once, so that
+// it is in flight at crashes of other requests but never crashed an engine alone.
+func TestSharedCrashesMakeNoVerdict(t *testing.T) {
+	tr := New(Config{Board: rcboard.New(), Instance: "i0"})
+	hot := radishcrank.Request{Prompt: "hot"}
+	var ends []func(crashed, finished bool)
+	for i := range 2 * VerdictAfter {
+		end, err := tr.Enter(t.Context(), hot, radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint(i / 2)), Incarnation: 1})
+		require.NoError(t, err)
+		ends = append(ends, end)
+	}
+	for _, end := range ends {
+		end(true, false)
+	}
+	require.Equal(t, VerdictAfter, tr.Suspicion(hot))
+	require.NoError(t, tr.Check(hot))
+}
+
 // Guards against records that depend on the order or number of merges.
 func TestMergeIsOrderFree(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
--- a/internal/limits/rcretry/retry_test.go
+++ b/internal/limits/rcretry/retry_test.go
@@ -21,7 +21,7 @@
 // the ratio, the floor and the burst, for each account and each upstream.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 400).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 200, 400).Draw(rt, "steps")
 		rcbubble.Run(t, func() {
 			r := New(Config{Board: rcboard.New()})
 			s := DefaultSettings()
@@ -86,7 +86,7 @@
 func TestBreakerStates(t *testing.T) {
 	results := []error{nil, radishcrank.ErrNotSent, radishcrank.ErrTruncated, radishcrank.ErrNoProgress, radishcrank.ErrUpstreamBusy, context.Canceled}
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, len(results)), 1, 200).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(results)), 100, 200).Draw(rt, "steps")
 		rcbubble.Run(t, func() {
 			board := rcboard.New()
 			r := New(Config{Board: board})
