--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -156,7 +156,7 @@
 		return err
 	}
 	d.operators = append(d.operators, operators.Addr())
-	daemon := rcdaemon.New(rcdaemon.Config{
+	daemon, err := rcdaemon.New(rcdaemon.Config{
 		Boot: &rcconfig.Boot{
 			ID: id, Zone: zone, Region: "demo",
 			OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
@@ -166,6 +166,9 @@
 		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.group.Add(func() error { return daemon.Run(ctx, context.Background()) }, func(error) { cancel() })
 	return nil
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -3,18 +3,21 @@
 package rcdaemon
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
+	"github.com/radishcrank/radishcrank/internal/serving/rccert"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
@@ -64,10 +67,18 @@
 	drain     chan struct{} // Closed when an operator orders a drain.
 }
 
-// New assembles an instance.
-func New(cfg Config) *Daemon {
+// New assembles an instance. It fails if the TLS files can't be read.
+func New(cfg Config) (d *Daemon, err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "instance %s", cfg.Boot.ID)
+		}
+	}()
+	if cfg, err = withTLS(cfg); err != nil {
+		return nil, err
+	}
 	now := time.Now()
-	d := &Daemon{
+	d = &Daemon{
 		cfg: cfg,
 		// A start time gives each start of an instance a higher number without storage.
 		incarnation: radishcrank.Incarnation(now.UnixNano()),
@@ -81,7 +92,21 @@
 	d.chooser = rcdecision.New(d.chooserConfig())
 	d.callers = d.newCallersServer(dialer)
 	d.operators = d.newOperatorsServer()
-	return d
+	return d, nil
+}
+
+// withTLS puts TLS on the callers' and operators' listeners if the boot settings name a certificate.
+func withTLS(cfg Config) (Config, error) {
+	if cfg.Boot.Certificate == "" {
+		return cfg, nil
+	}
+	certs, err := rccert.New(rccert.Config{Certificate: cfg.Boot.Certificate, PrivateKey: cfg.Boot.PrivateKey, Log: cfg.Log})
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Callers = tls.NewListener(cfg.Callers, certs.TLSConfig())
+	cfg.Operators = tls.NewListener(cfg.Operators, certs.TLSConfig())
+	return cfg, nil
 }
 
 // Board returns the instance's shared tables.
