Run non-repeatable calls at most once

Cause: rcidem passed every call straight to an upstream, so a retry or a lost answer could double a booking.

--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -67,7 +68,7 @@
 		Document:  document,
 		Generator: rcrelay.New(rcrelay.Config{Board: board, Chooser: chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
 		Admitter:  rclimit.New(rclimit.Config{Board: board}),
-		Calls:     rcidem.New(rcidem.Config{Board: board, Client: rcservice.New()}),
+		Calls:     newCalls(cfg, board),
 		Log:       cfg.Log,
 	})
 	return &Daemon{
@@ -78,6 +79,25 @@
 	}
 }
 
+// newCalls assembles the runner of plain services' calls.
+func newCalls(cfg Config, board *rcboard.Board) *rcidem.Runner {
+	return rcidem.New(rcidem.Config{
+		Instance: cfg.ID,
+		// Instances have no disk; the start time grows with each start.
+		Incarnation: radishcrank.Incarnation(time.Now().UnixMilli()),
+		Zone:        cfg.Zone,
+		Board:       board,
+		Table:       cfg.Table,
+		Client:      rcservice.New(),
+		RunsAtMostOnce: func(call radishcrank.ServiceCall) bool {
+			service, ok := cfg.Document.Service(call.Service)
+			path, _, _ := strings.Cut(call.Path, "?")
+			return ok && service.RunsAtMostOnce(call.Method, path)
+		},
+		Retention: func() time.Duration { return cfg.Document.Defaults.RecordRetention },
+	})
+}
+
 // Board returns the instance's shared tables.
 func (d *Daemon) Board() *rcboard.Board { return d.board }
 
--- a/internal/standin/rcfakeservice/service.go
+++ b/internal/standin/rcfakeservice/service.go
@@ -12,12 +12,23 @@
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
 )
 
+// Faults are the failure switches of a Ledger's handler. Each counts down by
+// one with each booking that it hits; the first that is not zero hits.
+type Faults struct {
+	Refuse      int // So many next bookings are refused, marked as not run.
+	CrashBefore int // So many next bookings break the connection without taking effect.
+	CrashAfter  int // So many next bookings take effect, then break the connection.
+	LoseAnswers int // So many next bookings take effect, and half of the answer arrives.
+	NoLookup    bool
+}
+
 // Ledger is the bookings of one service, shared by its upstreams.
 type Ledger struct {
 	mu      sync.Mutex
 	next    int
 	answers map[string]Booking
 	runs    map[string]int
+	faults  Faults
 }
 
 // Booking is the answer to a booking call.
@@ -31,13 +42,40 @@
 	return &Ledger{answers: make(map[string]Booking), runs: make(map[string]int)}
 }
 
-// Runs returns how often the call with an idempotency key ran.
+// SetFaults replaces the failure switches.
+func (l *Ledger) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Runs returns how often the call with an idempotency key ran. The key is
+// scoped: ACCOUNT/KEY.
 func (l *Ledger) Runs(key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.runs[key]
 }
 
+// Doubled returns the keys of bookings that ran more than once.
+func (l *Ledger) Doubled() (keys []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, n := range l.runs {
+		if n > 1 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Total returns how many bookings ran.
+func (l *Ledger) Total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.next
+}
+
 // book runs a booking. It does not deduplicate: at most once is the router's job.
 func (l *Ledger) book(key, request string) Booking {
 	l.mu.Lock()
@@ -53,36 +91,78 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, ok = l.answers[key]
-	return b, ok
+	return b, ok && !l.faults.NoLookup
+}
+
+// takeFault returns the fault that hits the next booking.
+func (l *Ledger) takeFault() (f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range []struct{ from, to *int }{
+		{&l.faults.Refuse, &f.Refuse},
+		{&l.faults.CrashBefore, &f.CrashBefore},
+		{&l.faults.CrashAfter, &f.CrashAfter},
+		{&l.faults.LoseAnswers, &f.LoseAnswers},
+	} {
+		if *s.from > 0 {
+			*s.from--
+			*s.to = 1
+			return f
+		}
+	}
+	return f
 }
 
 // Handler returns the service's HTTP API: POST on any path books, GET /stock
 // counts, and the lookup path answers whether a key ran.
 func (l *Ledger) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /", func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		writeJSON(w, l.book(r.Header.Get(radishcrank.HeaderIdempotencyKey), string(body)))
-	})
-	mux.HandleFunc("GET "+rcservice.LookupPath, func(w http.ResponseWriter, r *http.Request) {
-		b, ok := l.lookup(r.Header.Get(radishcrank.HeaderIdempotencyKey))
-		if !ok {
-			http.NotFound(w, r)
-			return
-		}
-		writeJSON(w, b)
-	})
+	mux.HandleFunc("POST /", l.serveBooking)
+	mux.HandleFunc("GET "+rcservice.LookupPath, l.serveLookup)
 	mux.HandleFunc("GET /stock", func(w http.ResponseWriter, _ *http.Request) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		writeJSON(w, struct{ Bookings int }{l.next})
+		writeJSON(w, struct{ Bookings int }{l.Total()})
 	})
 	return mux
 }
 
+func (l *Ledger) serveBooking(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	fault := l.takeFault()
+	switch {
+	case fault.Refuse > 0:
+		w.Header().Set(radishcrank.HeaderOutcome, string(radishcrank.OutcomeNotRun))
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	case fault.CrashBefore > 0:
+		panic(http.ErrAbortHandler)
+	}
+	b := l.book(r.Header.Get(radishcrank.HeaderIdempotencyKey), string(body))
+	switch {
+	case fault.CrashAfter > 0:
+		panic(http.ErrAbortHandler)
+	case fault.LoseAnswers > 0:
+		w.Header().Set("Content-Length", "1024")
+		io.WriteString(w, "{")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, b)
+}
+
+func (l *Ledger) serveLookup(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(radishcrank.HeaderIdempotencyKey)
+	b, ok := l.lookup(key)
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set(radishcrank.HeaderIdempotencyKey, key)
+	writeJSON(w, b)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(v)
