--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -147,12 +148,29 @@
 	}
 }
 
+func (d *Daemon) callsConfig() rcidem.Config {
+	return rcidem.Config{
+		Instance:    d.cfg.Boot.ID,
+		Incarnation: d.incarnation,
+		Zone:        d.cfg.Boot.Zone,
+		Board:       d.board,
+		Table:       d.cfg.Table,
+		Client:      rcservice.New(),
+		RunsAtMostOnce: func(call radishcrank.ServiceCall) bool {
+			service, ok := d.document().Service(call.Service)
+			path, _, _ := strings.Cut(call.Path, "?")
+			return ok && service.RunsAtMostOnce(call.Method, path)
+		},
+		Retention: func() time.Duration { return d.settings().RecordRetention },
+	}
+}
+
 func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
 	front := rcfront.New(rcfront.Config{
 		Document:  d.document,
 		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
 		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
-		Calls:     rcidem.New(rcidem.Config{Board: d.board, Client: rcservice.New()}),
+		Calls:     rcidem.New(d.callsConfig()),
 		Metrics:   d.metrics,
 		Ready:     d.ready.Load,
 		Log:       d.cfg.Log,
