--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -59,6 +59,7 @@
 	metrics     *rcmetric.Set
 	chooser     *rcdecision.Chooser
 	watch       *rcwatch.Watcher
+	calls       *rcidem.Runner
 	callers     *http.Server
 	operators   *http.Server
 
@@ -101,6 +102,7 @@
 		Moves:    d.chooser.Moves,
 		Log:      cfg.Log,
 	})
+	d.calls = rcidem.New(d.callsConfig())
 	d.callers = d.newCallersServer(dialer)
 	d.operators = d.newOperatorsServer()
 	return d, nil
@@ -170,7 +172,7 @@
 		Document:  d.document,
 		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
 		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
-		Calls:     rcidem.New(d.callsConfig()),
+		Calls:     d.calls,
 		Metrics:   d.metrics,
 		Ready:     d.ready.Load,
 		Log:       d.cfg.Log,
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -14,6 +14,7 @@
 const (
 	operatorsHeaderTimeout = 5 * time.Second
 	operatorsStopTimeout   = 2 * time.Second
+	settleTimeout          = 5 * time.Second
 )
 
 // Run serves until ctx ends or an operator orders a drain, then shuts down
@@ -30,6 +31,7 @@
 	var g run.Group
 	d.addStop(ctx, &g)
 	g.Add(func() error { return serve(d.callers, d.cfg.Callers) }, func(error) { d.stopCallers(abort) })
+	addLoopWithStop(&g, d.calls.RunSettlement, d.settleRecords)
 	addLoop(&g, d.watch.Run)
 	g.Add(func() error { return serve(d.operators, d.cfg.Operators) }, func(error) { d.stopOperators() })
 	d.cfg.Log.Info().Stringer("Callers", d.cfg.Callers.Addr()).Stringer("Operators", d.cfg.Operators.Addr()).Msg("instance started")
@@ -52,13 +54,21 @@
 
 // addLoop adds a member that runs until its context ends.
 func addLoop(g *run.Group, loop func(context.Context) error) {
+	addLoopWithStop(g, loop, func() {})
+}
+
+// addLoopWithStop adds a member whose loop goes on while stop does its last work.
+func addLoopWithStop(g *run.Group, loop func(context.Context) error, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
 		if err := loop(ctx); !errors.Is(err, context.Canceled) {
 			return err
 		}
 		return nil
-	}, func(error) { cancel() })
+	}, func(error) {
+		stop()
+		cancel()
+	})
 }
 
 func serve(server *http.Server, l net.Listener) error {
@@ -91,6 +101,15 @@
 	}
 }
 
+// settleRecords lets running calls end and their records reach the table service.
+func (d *Daemon) settleRecords() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if left := d.calls.Drain(ctx); len(left) > 0 {
+		d.cfg.Log.Error().Strs("Records", left).Msg("records left for other instances to settle")
+	}
+}
+
 // logCut lists the streams that a forced stop cuts.
 func (d *Daemon) logCut(err error) {
 	for id, s := range d.board.Streams.Snapshot() {
