Add HTTP clients of the platform and handlers of its stand-ins

Cause: instances in separate processes had no way to share the table service, object store and instance list, and nothing mapped lost answers.

Change: rcplatform holds the clients. A write is ErrUnavailable only if no connection took the request or the service answered 503; every other failure after that is ErrUnknownOutcome. Redirects are not followed. The weight store's rate limit comes as a typed error with its Retry-After. rcfaketable, rcfakeobject and rcfakelist serve the same API. Tests of rcservice cover crashes before and after the effect, cut answers, refusals, refused connections, redirects and lookups over loopback TCP.

Conclusion: go test -race ./internal/platform/... ./internal/upstream/rcservice passes.

--- /dev/null
+++ b/internal/platform/rcplatform/client_test.go
@@ -0,0 +1,121 @@
+package rcplatform_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/platform/rcplatform"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+)
+
+func serve(t *testing.T, h http.Handler) rcplatform.Config {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return rcplatform.Config{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
+}
+
+// Guards against a commit of unknown outcome that is taken for one that wrote
+// nothing, or the other way round.
+func TestCommitErrors(t *testing.T) {
+	ctx := t.Context()
+	fake := rcfaketable.New()
+	table := rcplatform.NewTable(serve(t, fake.Handler()))
+	insert := radishcrank.Transaction{
+		Checks: []radishcrank.Check{{Key: "a/1"}},
+		Writes: []radishcrank.Write{{Key: "a/1", Value: []byte{0, 255}}},
+	}
+	version := func() uint64 {
+		rows, err := fake.Get(ctx, "a/1")
+		require.NoError(t, err)
+		return rows[0].Version
+	}
+	fake.SetFaults(rcfaketable.Faults{DropCommits: 1})
+	require.ErrorIs(t, table.Commit(ctx, insert), radishcrank.ErrUnknownOutcome)
+	require.Zero(t, version())
+	fake.SetFaults(rcfaketable.Faults{Down: true})
+	require.ErrorIs(t, table.Commit(ctx, insert), radishcrank.ErrUnavailable)
+	fake.SetFaults(rcfaketable.Faults{LoseAnswers: 1})
+	require.ErrorIs(t, table.Commit(ctx, insert), radishcrank.ErrUnknownOutcome)
+	require.EqualValues(t, 1, version())
+	require.ErrorIs(t, table.Commit(ctx, insert), radishcrank.ErrConflict)
+
+	rows, err := table.Get(ctx, "none", "a/1")
+	require.NoError(t, err)
+	require.Equal(t, []radishcrank.Row{{Key: "none"}, {Key: "a/1", Value: []byte{0, 255}, Version: 1}}, rows)
+	rows, err = table.Scan(ctx, "a/", "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	fake.SetFaults(rcfaketable.Faults{Down: true})
+	_, err = table.Get(ctx, "a/1")
+	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
+}
+
+// Guards against a refused connection that counts as an unknown outcome, and
+// against a silent connection or an odd status that counts as nothing written.
+func TestConnectionFailures(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	silent := netip.MustParseAddrPort(l.Addr().String())
+	table := rcplatform.NewTable(rcplatform.Config{Addr: silent, Timeout: 50 * time.Millisecond})
+	require.ErrorIs(t, table.Commit(t.Context(), radishcrank.Transaction{}), radishcrank.ErrUnknownOutcome)
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, table.Commit(t.Context(), radishcrank.Transaction{}), radishcrank.ErrUnavailable)
+	for _, status := range []int{http.StatusFound, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError} {
+		odd := rcplatform.NewTable(serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/")
+			w.WriteHeader(status)
+		})))
+		require.ErrorIs(t, odd.Commit(t.Context(), radishcrank.Transaction{}), radishcrank.ErrUnknownOutcome, "status %d", status)
+	}
+}
+
+// Guards against names that lose characters on the way, and against a missing
+// object that looks like an outage.
+func TestObjectsAndList(t *testing.T) {
+	ctx := t.Context()
+	store := rcfakeobject.New()
+	objects := rcplatform.NewObjects(serve(t, store.Handler()))
+	name := "snapshot/zone a/1%2F?x"
+	require.NoError(t, objects.Put(ctx, name, []byte{1, 0, 2}))
+	data, err := objects.Get(ctx, name)
+	require.NoError(t, err)
+	require.Equal(t, []byte{1, 0, 2}, data)
+	names, err := objects.List(ctx, "snapshot/zone a/")
+	require.NoError(t, err)
+	require.Equal(t, []string{name}, names)
+	_, err = objects.Get(ctx, "none")
+	require.ErrorIs(t, err, radishcrank.ErrNotFound)
+	store.SetDown(true)
+	_, err = objects.Get(ctx, name)
+	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
+
+	listing := radishcrank.Listing{
+		Instances: []radishcrank.Instance{{ID: "i-1", Peer: netip.MustParseAddrPort("127.0.0.1:1")}},
+		Upstreams: []radishcrank.Upstream{{ID: "e-1", Role: radishcrank.RoleEngine, ChecksFence: true, Models: []radishcrank.ModelID{"m"}}},
+	}
+	got, err := rcplatform.NewInstances(serve(t, rcfakelist.New(listing).Handler())).List(ctx)
+	require.NoError(t, err)
+	require.Equal(t, listing, got)
+}
+
+// Guards against a rate limit of the weight store that is ignored.
+func TestWeightsRateLimit(t *testing.T) {
+	weights := rcplatform.NewWeights(serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(http.StatusTooManyRequests)
+	})))
+	_, err := weights.Info(t.Context(), "m", "w1")
+	var limited *rcplatform.RateLimitError
+	require.ErrorAs(t, err, &limited)
+	require.Equal(t, 7*time.Second, limited.RetryAfter)
+	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
+}
--- /dev/null
+++ b/internal/platform/rcplatform/service.go
@@ -0,0 +1,151 @@
+package rcplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// Table is the client of the table service. It implements radishcrank.TableService.
+type Table struct {
+	client client
+}
+
+// NewTable returns a Table.
+func NewTable(cfg Config) *Table { return &Table{client: newClient(cfg)} }
+
+// Commit implements radishcrank.TableService.
+func (t *Table) Commit(ctx context.Context, tx radishcrank.Transaction) (err error) {
+	defer annotate(&err, "table service, commit")
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", radishcrank.ErrUnavailable, err)
+	}
+	return t.client.write(ctx, http.MethodPost, PathCommit, body)
+}
+
+// Get implements radishcrank.TableService.
+func (t *Table) Get(ctx context.Context, keys ...string) (rows []radishcrank.Row, err error) {
+	defer annotate(&err, "table service, get")
+	var list RowList
+	if err := t.client.read(ctx, http.MethodPost, PathGet, GetRequest{Keys: keys}, &list); err != nil {
+		return nil, err
+	}
+	if len(list.Rows) != len(keys) {
+		return nil, fmt.Errorf("%w: %d rows for %d keys", radishcrank.ErrUnavailable, len(list.Rows), len(keys))
+	}
+	return list.Rows, nil
+}
+
+// Scan implements radishcrank.TableService.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) (rows []radishcrank.Row, err error) {
+	defer annotate(&err, "table service, scan")
+	var list RowList
+	err = t.client.read(ctx, http.MethodPost, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &list)
+	return list.Rows, err
+}
+
+// Objects is the client of the object store. It implements radishcrank.ObjectStore.
+type Objects struct {
+	client client
+}
+
+// NewObjects returns an Objects.
+func NewObjects(cfg Config) *Objects { return &Objects{client: newClient(cfg)} }
+
+// Put implements radishcrank.ObjectStore.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) (err error) {
+	defer annotate(&err, "object store, put")
+	return o.client.write(ctx, http.MethodPut, PathObjects+url.PathEscape(name), data)
+}
+
+// Get implements radishcrank.ObjectStore.
+func (o *Objects) Get(ctx context.Context, name string) (data []byte, err error) {
+	defer annotate(&err, "object store, get")
+	answer, _, err := o.client.do(ctx, http.MethodGet, PathObjects+url.PathEscape(name), nil)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", radishcrank.ErrUnavailable, err)
+	case answer.status == http.StatusNotFound:
+		return nil, radishcrank.ErrNotFound
+	case answer.status != http.StatusOK:
+		return nil, fmt.Errorf("%w: %w", radishcrank.ErrUnavailable, answer.err())
+	}
+	return answer.body, nil
+}
+
+// List implements radishcrank.ObjectStore.
+func (o *Objects) List(ctx context.Context, prefix string) (names []string, err error) {
+	defer annotate(&err, "object store, list")
+	var list NameList
+	query := url.Values{QueryPrefix: {prefix}}
+	err = o.client.read(ctx, http.MethodGet, PathNames+"?"+query.Encode(), nil, &list)
+	return list.Names, err
+}
+
+// Instances is the client of the instance list. It implements radishcrank.InstanceLister.
+type Instances struct {
+	client client
+}
+
+// NewInstances returns an Instances.
+func NewInstances(cfg Config) *Instances { return &Instances{client: newClient(cfg)} }
+
+// List implements radishcrank.InstanceLister.
+func (i *Instances) List(ctx context.Context) (listing radishcrank.Listing, err error) {
+	defer annotate(&err, "instance list")
+	err = i.client.read(ctx, http.MethodGet, PathInstances, nil, &listing)
+	return listing, err
+}
+
+// Weights is the client of the weight store.
+type Weights struct {
+	client client
+}
+
+// NewWeights returns a Weights.
+func NewWeights(cfg Config) *Weights { return &Weights{client: newClient(cfg)} }
+
+// Info describes a weights version. ErrNotFound means that the store does not
+// have it, *RateLimitError that the store's rate limit is used up.
+func (w *Weights) Info(ctx context.Context, model radishcrank.ModelID, version radishcrank.WeightsVersion) (info WeightsInfo, err error) {
+	defer annotate(&err, "weight store")
+	path := PathWeights + url.PathEscape(string(model)) + "/" + url.PathEscape(string(version))
+	err = w.client.read(ctx, http.MethodGet, path, nil, &info)
+	return info, err
+}
+
+// RateLimitError says that a service's rate limit is used up. It wraps ErrUnavailable.
+type RateLimitError struct {
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RateLimitError) Error() string {
+	return fmt.Sprintf("rate limit used up, retry after %v", e.RetryAfter)
+}
+
+// Unwrap returns ErrUnavailable.
+func (e *RateLimitError) Unwrap() error { return radishcrank.ErrUnavailable }
+
+func newRateLimitError(h http.Header) error {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 1 {
+		seconds = 1
+	}
+	return &RateLimitError{RetryAfter: time.Duration(seconds) * time.Second}
+}
+
+func annotate(err *error, part string) {
+	if *err != nil {
+		*err = trace.Wrap(*err, part)
+	}
+}
--- /dev/null
+++ b/internal/upstream/rcservice/client_test.go
@@ -0,0 +1,96 @@
+package rcservice_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
+)
+
+func serve(t *testing.T, h http.Handler) (radishcrank.Upstream, *httptest.Server) {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return radishcrank.Upstream{ID: "s", Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}, server
+}
+
+func booking(key string) radishcrank.ServiceCall {
+	return radishcrank.ServiceCall{Account: "a", Service: "booking", Method: http.MethodPost, Path: "/releases", Body: []byte("b"), IdempotencyKey: key}
+}
+
+// Guards against a failure that is reported as not run although the call may
+// have run, against a call that net/http sends twice, and against lookups that
+// disagree with what ran.
+func TestFailuresOfBookings(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults rcfakeservice.Faults
+		runs   int
+		proved error // Nil means that the error must leave the outcome open.
+	}{
+		{"CrashBefore", rcfakeservice.Faults{CrashBefore: 1}, 0, nil},
+		{"CrashAfter", rcfakeservice.Faults{CrashAfter: 1}, 1, nil},
+		{"LoseAnswer", rcfakeservice.Faults{LoseAnswers: 1}, 1, nil},
+		{"Refuse", rcfakeservice.Faults{Refuse: 1}, 0, radishcrank.ErrUpstreamBusy},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ledger := rcfakeservice.NewLedger()
+			up, _ := serve(t, ledger.Handler())
+			client := rcservice.New()
+			// The first call leaves a connection behind that a second one might reuse.
+			_, err := client.Call(t.Context(), up, booking("first"))
+			require.NoError(t, err)
+			ledger.SetFaults(c.faults)
+			_, err = client.Call(t.Context(), up, booking("k"))
+			require.Error(t, err)
+			if c.proved != nil {
+				require.ErrorIs(t, err, c.proved)
+			} else {
+				require.NotErrorIs(t, err, radishcrank.ErrNotSent)
+				require.NotErrorIs(t, err, radishcrank.ErrUpstreamBusy)
+			}
+			require.Equal(t, c.runs, ledger.Runs("a/k"))
+			_, found, err := client.Lookup(t.Context(), up, booking("k"))
+			require.NoError(t, err)
+			require.Equal(t, c.runs == 1, found)
+		})
+	}
+}
+
+// Guards against an upstream that is gone being reported as one that may have run the call.
+func TestRefusedConnection(t *testing.T) {
+	up, server := serve(t, http.NotFoundHandler())
+	server.Close()
+	_, err := rcservice.New().Call(t.Context(), up, booking("k"))
+	require.ErrorIs(t, err, radishcrank.ErrNotSent)
+}
+
+// Guards against a redirect that sends a booking twice, and against a lookup
+// that any 200 or an error page makes positive.
+func TestOddAnswers(t *testing.T) {
+	calls := 0
+	status := http.StatusTemporaryRedirect
+	up, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		w.Header().Set("Location", "/elsewhere")
+		w.WriteHeader(status)
+	}))
+	client := rcservice.New()
+	answer, err := client.Call(t.Context(), up, booking("k"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusTemporaryRedirect, answer.Status)
+	require.Equal(t, 1, calls)
+	status = http.StatusOK
+	_, found, err := client.Lookup(t.Context(), up, booking("k"))
+	require.NoError(t, err)
+	require.False(t, found)
+	status = http.StatusInternalServerError
+	_, found, err = client.Lookup(t.Context(), up, booking("k"))
+	require.Error(t, err)
+	require.False(t, found)
+}
