--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,7 +26,12 @@
 )
 
 type commands struct {
-	Demo demoCommand `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
+	Status  statusCommand  `cmd:"" help:"Print the short state of an instance."`
+	Dump    dumpCommand    `cmd:"" help:"Print the whole state of an instance as JSON, without secrets."`
+	Explain explainCommand `cmd:"" help:"Print where a request would go, and each term of the choice."`
+	Drain   drainCommand   `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
+	Config  configCommand  `cmd:"" help:"Check, compare and commit the fleet's configuration."`
+	Demo    demoCommand    `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
 // streams are what a command reads and writes.
@@ -56,12 +62,23 @@
 		return ExitUsage
 	}
 	if err := parsed.Run(); err != nil {
-		fmt.Fprintln(stderr, "radishcrank:", err)
+		fmt.Fprintln(stderr, "radishcrank:", oneLine(err))
 		return ExitError
 	}
 	return ExitOK
 }
 
+// oneLine joins the annotations of an error, which trace puts on lines of their own.
+func oneLine(err error) string {
+	var parts []string
+	for line := range strings.Lines(err.Error()) {
+		if part := strings.TrimSpace(line); part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return strings.Join(parts, ": ")
+}
+
 type demoCommand struct {
 	Listen string        `default:"127.0.0.1:8080" help:"Address of the callers' listener, IP:PORT."`
 	For    time.Duration `help:"Stop after this long, for instance 30s. Runs until interrupted by default."`
