--- /dev/null
+++ b/internal/eval/rceval/deployment.go
@@ -0,0 +1,145 @@
+// Package rceval evaluates choosers in virtual time. Small models of engines
+// and instances run a generated trace through the real decision code and
+// through baselines, and the same measures are taken of each.
+//
+// It is not a cluster simulator: instances share nothing but the engines, the
+// network is a fixed delay, and admission limits are left out.
+package rceval
+
+import (
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+const (
+	model         radishcrank.ModelID        = "advice"
+	weights       radishcrank.WeightsVersion = "w1"
+	blockTokens                              = 2000
+	bytesPerToken                            = 1 // Fewer bytes than in production only save hashing time.
+	maxAttempts                              = 4 // As in rcdaemon.
+)
+
+// EngineParams describe each engine of a deployment.
+type EngineParams struct {
+	CacheBlocks      int
+	MaxBatch         int
+	PrefillPerSecond float64       // Prompt tokens a second, shared by all requests.
+	DecodePerSecond  float64       // Tokens a second for one request.
+	ReportEvery      time.Duration // Between two load reports.
+	ReportLag        time.Duration // From a report to its being readable.
+	EventDelay       time.Duration // From a cache event to its being readable.
+	EventLoss        float64       // Part of the cache events that are lost.
+	Restart          time.Duration // From a crash to the next incarnation.
+}
+
+// Deployment describes the fleet and traffic of one user.
+type Deployment struct {
+	Name         string
+	Zones        int
+	Engines      int
+	Instances    int
+	Engine       EngineParams
+	Shares       []float64 // Part of the traffic of each client account.
+	SharedTokens int       // Text that an account's callers all share.
+	AccountText  int       // Text below it, also of the whole account.
+	ContextMin   int       // Caller's own text; uniform between the two.
+	ContextMax   int
+	TurnTokens   int // Growth of the prompt with each turn.
+	TurnsMin     int
+	TurnsMax     int
+	TurnGap      time.Duration // Mean time between turns; exponential.
+	AnswerMin    int
+	AnswerMax    int
+	Crowd        bool // Arrivals rise from half the rate to the full rate in the middle half.
+}
+
+func engineParams(cacheBlocks int) EngineParams {
+	return EngineParams{
+		CacheBlocks:      cacheBlocks,
+		MaxBatch:         16,
+		PrefillPerSecond: 20000,
+		DecodePerSecond:  100,
+		ReportEvery:      100 * time.Millisecond,
+		ReportLag:        150 * time.Millisecond,
+		EventDelay:       200 * time.Millisecond,
+		EventLoss:        0.01,
+		Restart:          time.Second,
+	}
+}
+
+// Riga is the deployment of Daugava Boxflow: nested prompts with several turns
+// of each caller. An engine's cache is too small for all accounts' texts.
+func Riga() Deployment {
+	return Deployment{
+		Name:         "Riga",
+		Zones:        3,
+		Engines:      12,
+		Instances:    6,
+		Engine:       engineParams(110),
+		Shares:       []float64{0.30, 0.22, 0.16, 0.10, 0.08, 0.06, 0.05, 0.03},
+		SharedTokens: 20000,
+		AccountText:  5000,
+		ContextMin:   2500,
+		ContextMax:   4500,
+		TurnTokens:   700,
+		TurnsMin:     2,
+		TurnsMax:     8,
+		TurnGap:      3 * time.Second,
+		AnswerMin:    40,
+		AnswerMax:    120,
+	}
+}
+
+// Sofia is the deployment of the Municipal Markets Agency: one long text, and a
+// crowd of callers with one short question each.
+func Sofia() Deployment {
+	return Deployment{
+		Name:         "Sofia",
+		Zones:        4,
+		Engines:      12,
+		Instances:    8,
+		Engine:       engineParams(60),
+		Shares:       []float64{0.35, 0.20, 0.14, 0.10, 0.08, 0.06, 0.04, 0.03},
+		SharedTokens: 24000,
+		AccountText:  1500,
+		ContextMin:   200,
+		ContextMax:   800,
+		TurnsMin:     1,
+		TurnsMax:     1,
+		AnswerMin:    60,
+		AnswerMax:    160,
+		Crowd:        true,
+	}
+}
+
+// reachable is the part of the unlimited cache's hit rate that capacity assumes.
+// The reference with true state reaches 0.99 in calm load, and the rest allows for replicas.
+const reachable = 0.98
+
+// Capacity is what the fleet can serve at a stated hit rate.
+type Capacity struct {
+	HitRate           float64 // Assumed of every policy.
+	MeanPrompt        float64 // Tokens.
+	RequestsPerSecond float64 // At the peak of the trace.
+}
+
+// CapacityOf works the capacity out from the engine parameters: an engine is
+// full when its prefill or its batch slots are in use all the time.
+func CapacityOf(d Deployment, seed uint64) Capacity {
+	probe := NewTrace(d, TraceConfig{Rate: 100, Duration: time.Minute, Seed: seed})
+	limit := unlimited(d, probe, 0, probe.Config.Duration)
+	c := Capacity{HitRate: reachable * limit.HitRate}
+	var answer float64
+	for _, r := range probe.Requests {
+		c.MeanPrompt += float64(r.PromptTokens)
+		answer += float64(r.AnswerTokens)
+	}
+	n := float64(len(probe.Requests))
+	c.MeanPrompt /= n
+	answer /= n
+	prefill := c.MeanPrompt * (1 - c.HitRate) / d.Engine.PrefillPerSecond
+	slot := (prefill + answer/d.Engine.DecodePerSecond) / float64(d.Engine.MaxBatch)
+	c.RequestsPerSecond = float64(d.Engines) / max(prefill, slot)
+	return c
+}
--- /dev/null
+++ b/internal/eval/rceval/policy.go
@@ -0,0 +1,157 @@
+package rceval
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+)
+
+// Env is what an instance of a policy gets.
+type Env struct {
+	Instance radishcrank.InstanceID
+	Zone     radishcrank.AvailabilityZone
+	Board    *rcboard.Board
+	Seed     uint64
+
+	fleet *fleet
+}
+
+// Policy makes the chooser of each instance.
+type Policy struct {
+	Name string
+	New  func(env Env) radishcrank.Chooser
+}
+
+// Baselines are the policies that the real chooser is compared with.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "random", New: func(env Env) radishcrank.Chooser {
+			rng := rand.New(rand.NewPCG(env.Seed, 7))
+			return newBaseline(env, func(_ radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
+				return rng.IntN(len(ups))
+			})
+		}},
+		{Name: "round robin", New: func(env Env) radishcrank.Chooser {
+			next := int(env.Seed % 1000)
+			return newBaseline(env, func(_ radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
+				next++
+				return next % len(ups)
+			})
+		}},
+		{Name: "least outstanding", New: func(env Env) radishcrank.Chooser {
+			rng := rand.New(rand.NewPCG(env.Seed, 8))
+			return newBaseline(env, func(_ radishcrank.Request, ups []radishcrank.Upstream, running counts) int {
+				return leastOutstanding(rng, ups, running)
+			})
+		}},
+		{Name: "prefix hashing", New: func(env Env) radishcrank.Chooser {
+			return newBaseline(env, func(req radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
+				return prefixHash(req, ups)
+			})
+		}},
+	}
+}
+
+type counts map[radishcrank.UpstreamID]int
+
+// baseline runs a simple rule over the live engines.
+type baseline struct {
+	env     Env
+	running counts // Requests of this instance on each engine.
+	pick    func(req radishcrank.Request, ups []radishcrank.Upstream, running counts) int
+}
+
+func newBaseline(env Env, pick func(radishcrank.Request, []radishcrank.Upstream, counts) int) *baseline {
+	return &baseline{env: env, running: make(counts), pick: pick}
+}
+
+// Choose implements radishcrank.Chooser.
+func (b *baseline) Choose(_ context.Context, req radishcrank.Request, exclude []radishcrank.UpstreamID) (radishcrank.Placement, error) {
+	var ups []radishcrank.Upstream
+	for _, up := range b.env.Board.Upstreams.Values() {
+		if _, serves := up.Load.Weights[req.Model]; serves && !slices.Contains(exclude, up.ID) {
+			ups = append(ups, up)
+		}
+	}
+	if len(ups) == 0 {
+		return radishcrank.Placement{}, &radishcrank.Refusal{
+			Status: http.StatusServiceUnavailable, Code: "no_engine", Outcome: radishcrank.OutcomeNotRun,
+		}
+	}
+	up := ups[b.pick(req, ups, b.running)]
+	b.running[up.ID]++
+	return radishcrank.Placement{Upstream: up, Weights: weights}, nil
+}
+
+// Observe implements radishcrank.Chooser.
+func (b *baseline) Observe(_ radishcrank.Request, p radishcrank.Placement, o radishcrank.Observation) {
+	if o.Kind != radishcrank.ObservedFirstToken {
+		b.running[p.Upstream.ID]--
+	}
+}
+
+// leastOutstanding breaks ties at random; always taking the first would make
+// all instances herd.
+func leastOutstanding(rng *rand.Rand, ups []radishcrank.Upstream, running counts) int {
+	best, ties := 0, 0
+	for i, up := range ups {
+		switch n := running[up.ID] - running[ups[best].ID]; {
+		case n < 0:
+			best, ties = i, 1
+		case n == 0:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// prefixHash maps the account's first block to an engine by rendezvous hashing.
+func prefixHash(req radishcrank.Request, ups []radishcrank.Upstream) int {
+	first := req.Prompt[:min(len(req.Prompt), blockTokens*bytesPerToken)]
+	key := xxhash.Sum64String(string(req.Account) + first)
+	best, top := 0, uint64(0)
+	for i, up := range ups {
+		if score := mix(key ^ xxhash.Sum64String(string(up.ID))); score > top {
+			best, top = i, score
+		}
+	}
+	return best
+}
+
+// Informed chooses with the engines' true state. It shows what a chooser could
+// reach that has no lag and no lost events; no instance can run it.
+func Informed(recomputeWeight float64) Policy {
+	return Policy{Name: "reference: true state", New: func(env Env) radishcrank.Chooser {
+		return newBaseline(env, func(req radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
+			keys := env.fleet.requests[req.ID].Keys
+			best, low := 0, 0.0
+			for i, up := range ups {
+				cost := env.fleet.byID[up.ID].trueCost(keys, req.Prompt, recomputeWeight)
+				if i == 0 || cost < low {
+					best, low = i, cost
+				}
+			}
+			return best
+		})
+	}}
+}
+
+// trueCost is the wait and prefill of a prompt in tokens.
+func (e *engine) trueCost(keys []radishcrank.BlockHash, prompt string, recomputeWeight float64) float64 {
+	hits := 0
+	for hits < len(keys) && (e.cache.entries[keys[hits]] != nil || e.pending[keys[hits]] > 0) {
+		hits++
+	}
+	missing := float64(len(prompt)/bytesPerToken - hits*blockTokens)
+	slots := float64(max(0, len(e.running)+len(e.waiting)-e.params.MaxBatch))
+	return float64(e.queuedTokens()) + missing*(1+recomputeWeight) + slots*blockTokens
+}
--- /dev/null
+++ b/internal/eval/rceval/trace.go
@@ -0,0 +1,206 @@
+package rceval
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcprefix"
+)
+
+// TraceConfig selects a trace of a deployment.
+type TraceConfig struct {
+	Rate     float64 // Requests a second at the peak.
+	Duration time.Duration
+	ShiftAt  time.Duration // When the large and the small accounts change places and get new texts; 0 is never.
+	Seed     uint64
+}
+
+// TraceRequest is one request of a trace.
+type TraceRequest struct {
+	ID           radishcrank.RequestID
+	At           time.Duration
+	Account      radishcrank.ClientAccountID
+	Instance     int
+	PromptTokens int
+	AnswerTokens int
+	Keys         []radishcrank.BlockHash
+
+	segments []segment
+}
+
+// segment is a run of prompt text that depends only on its name and length.
+type segment struct {
+	name   uint64
+	tokens int
+}
+
+// Trace is a list of requests in order of arrival.
+type Trace struct {
+	Config   TraceConfig
+	Requests []TraceRequest
+
+	texts map[segment]string // Texts that many prompts share.
+}
+
+type generator struct {
+	d     Deployment
+	cfg   TraceConfig
+	rng   *rand.Rand
+	trace *Trace
+}
+
+// NewTrace generates a trace. Arrivals are an open loop: a caller's next turn
+// does not wait for the answer, so every policy gets the same requests.
+func NewTrace(d Deployment, cfg TraceConfig) *Trace {
+	g := generator{
+		d:     d,
+		cfg:   cfg,
+		rng:   rand.New(rand.NewPCG(cfg.Seed, 1)),
+		trace: &Trace{Config: cfg, texts: make(map[segment]string)},
+	}
+	turns := float64(d.TurnsMin+d.TurnsMax) / 2
+	// Sessions that began before the trace are cut off, so that callers in all
+	// turns are there from the start.
+	lead := time.Duration(turns * float64(d.TurnGap))
+	for at := -lead; ; {
+		at += g.exponential(turns / cfg.Rate)
+		if at >= cfg.Duration {
+			break
+		}
+		if g.rng.Float64() < g.intensity(at) {
+			g.session(at)
+		}
+	}
+	slices.SortStableFunc(g.trace.Requests, func(a, b TraceRequest) int { return cmp.Compare(a.At, b.At) })
+	for i := range g.trace.Requests {
+		g.finish(i)
+	}
+	return g.trace
+}
+
+func (g *generator) exponential(seconds float64) time.Duration {
+	return time.Duration(g.rng.ExpFloat64() * seconds * float64(time.Second))
+}
+
+// intensity is the arrival rate at a time as a part of the peak.
+func (g *generator) intensity(at time.Duration) float64 {
+	quarter := g.cfg.Duration / 4
+	if !g.d.Crowd || (at >= quarter && at < 3*quarter) {
+		return 1
+	}
+	return 0.5
+}
+
+func (g *generator) session(at time.Duration) {
+	account := g.account(at)
+	caller := g.rng.Uint64()
+	contextTokens := g.between(g.d.ContextMin, g.d.ContextMax)
+	for turn := range g.between(g.d.TurnsMin, g.d.TurnsMax) {
+		if turn > 0 {
+			at += g.exponential(g.d.TurnGap.Seconds())
+		}
+		r := TraceRequest{
+			At:           at,
+			Account:      radishcrank.ClientAccountID(fmt.Sprintf("account-%d", account+1)),
+			Instance:     g.rng.IntN(g.d.Instances),
+			AnswerTokens: g.between(g.d.AnswerMin, g.d.AnswerMax),
+			segments:     g.sharedSegments(account, at),
+		}
+		r.segments = append(r.segments, segment{name: caller, tokens: contextTokens + turn*g.d.TurnTokens})
+		for _, s := range r.segments {
+			r.PromptTokens += s.tokens
+		}
+		if at >= 0 && at < g.cfg.Duration {
+			g.trace.Requests = append(g.trace.Requests, r)
+		}
+	}
+}
+
+func (g *generator) between(low, high int) int { return low + g.rng.IntN(high-low+1) }
+
+// account draws an account. After the shift the smallest has the largest's traffic.
+func (g *generator) account(at time.Duration) int {
+	x := g.rng.Float64()
+	n := len(g.d.Shares) - 1
+	for i, share := range g.d.Shares {
+		if x -= share; x < 0 || i == n {
+			if g.shifted(at) {
+				return n - i
+			}
+			return i
+		}
+	}
+	return n
+}
+
+func (g *generator) shifted(at time.Duration) bool { return g.cfg.ShiftAt > 0 && at >= g.cfg.ShiftAt }
+
+// sharedSegments are the account's texts; the one below the rulebook changes at the shift.
+func (g *generator) sharedSegments(account int, at time.Duration) []segment {
+	edition := uint64(0)
+	if g.shifted(at) {
+		edition = 1
+	}
+	base := uint64(account+1) << 8
+	return []segment{{name: base, tokens: g.d.SharedTokens}, {name: base | 16 | edition, tokens: g.d.AccountText}}
+}
+
+func (g *generator) finish(i int) {
+	r := &g.trace.Requests[i]
+	r.ID = radishcrank.RequestID(fmt.Sprintf("r%06d", i))
+	for _, s := range r.segments[:2] {
+		if _, ok := g.trace.texts[s]; !ok {
+			g.trace.texts[s] = text(s)
+		}
+	}
+	scope := radishcrank.CacheScope{Account: r.Account, Model: model, Weights: weights}
+	r.Keys = rcprefix.Chain(scope, g.trace.Prompt(r), blockTokens*bytesPerToken)
+}
+
+// Prompt returns the text of a request.
+func (t *Trace) Prompt(r *TraceRequest) string {
+	var b strings.Builder
+	b.Grow(r.PromptTokens * bytesPerToken)
+	for _, s := range r.segments {
+		shared, ok := t.texts[s]
+		if !ok {
+			shared = text(s)
+		}
+		b.WriteString(shared)
+	}
+	return b.String()
+}
+
+// text returns the text of a segment. A longer segment of the same name begins
+// with the shorter one, as a conversation that goes on does.
+func text(s segment) string {
+	n := s.tokens * bytesPerToken
+	out := make([]byte, 0, n+textStep)
+	var raw [8]byte
+	for x := uint64(0); len(out) < n; x++ {
+		binary.LittleEndian.PutUint64(raw[:], mix(s.name+x*0x9e3779b97f4a7c15))
+		word := hex.EncodeToString(raw[:])
+		for range textStep / len(word) {
+			out = append(out, word...)
+		}
+	}
+	return string(out[:n])
+}
+
+// textStep is a multiple of the length of a word in bytes. Each word is repeated
+// to this length, because making words takes more time than copying them.
+const textStep = 256
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/eval/rceval/trace_test.go
@@ -0,0 +1,70 @@
+package rceval
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+// Guards against traces out of order, prompts that lost their nesting and keys
+// that do not belong to the prompt's blocks.
+func TestTraceIsOrderedAndNested(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := rapid.SampledFrom([]Deployment{Riga(), Sofia()}).Draw(t, "deployment")
+		cfg := TraceConfig{
+			Rate:     rapid.Float64Range(5, 20).Draw(t, "rate"),
+			Duration: 2 * time.Second,
+			Seed:     rapid.Uint64().Draw(t, "seed"),
+		}
+		if rapid.Bool().Draw(t, "shift") {
+			cfg.ShiftAt = cfg.Duration / 2
+		}
+		trace := NewTrace(d, cfg)
+		prompts := make(map[string]string)
+		for i := range trace.Requests {
+			r := &trace.Requests[i]
+			require.True(t, i == 0 || trace.Requests[i-1].At <= r.At)
+			require.True(t, r.At >= 0 && r.At < cfg.Duration)
+			prompt := trace.Prompt(r)
+			require.Len(t, prompt, r.PromptTokens*bytesPerToken)
+			require.Len(t, r.Keys, r.PromptTokens/blockTokens)
+			shared := prompt[:d.SharedTokens*bytesPerToken]
+			if first, ok := prompts[string(r.Account)]; ok {
+				require.Equal(t, first, shared, "texts of one account differ")
+			}
+			prompts[string(r.Account)] = shared
+		}
+		require.Equal(t, trace.Requests, NewTrace(d, cfg).Requests)
+	})
+}
+
+// Guards against a longer turn that does not continue the shorter one, which
+// would make every turn a miss.
+func TestTextGrowsAtItsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.Uint64().Draw(t, "name")
+		n := rapid.IntRange(1, 500).Draw(t, "tokens")
+		long := text(segment{name: name, tokens: n + rapid.IntRange(0, 500).Draw(t, "more")})
+		require.True(t, strings.HasPrefix(long, text(segment{name: name, tokens: n})))
+	})
+}
+
+// Guards against a trace whose rate is not the one that load levels assume.
+func TestTraceHasItsRate(t *testing.T) {
+	for _, d := range []Deployment{Riga(), Sofia()} {
+		trace := NewTrace(d, TraceConfig{Rate: 50, Duration: 2 * time.Minute, Seed: testSeed})
+		from, _ := slices.BinarySearchFunc(trace.Requests, 30*time.Second, func(r TraceRequest, at time.Duration) int {
+			return int(r.At - at)
+		})
+		to, _ := slices.BinarySearchFunc(trace.Requests, 90*time.Second, func(r TraceRequest, at time.Duration) int {
+			return int(r.At - at)
+		})
+		require.InDelta(t, 50, float64(to-from)/60, 5, d.Name)
+	}
+}
