--- a/internal/eval/rceval/fleet.go
+++ b/internal/eval/rceval/fleet.go
@@ -99,7 +99,7 @@
 	for n := range f.scenario.Deployment.Instances {
 		i := &instance{zone: zoneName(n % f.scenario.Deployment.Zones), board: rcboard.New()}
 		i.chooser = f.policy.New(Env{
-			Instance: radishcrank.InstanceID(fmt.Sprintf("instance-%d", n+1)),
+			Instance: instanceID(n),
 			Zone:     i.zone,
 			Board:    i.board,
 			Seed:     f.scenario.Seed + 1000*generation + uint64(n),
@@ -107,7 +107,8 @@
 		})
 		i.watch = rcwatch.New(rcwatch.Config{Board: i.board, Lister: f, Dialer: f, Interval: watchInterval})
 		f.instances = append(f.instances, i)
-		i.watch.Refresh(context.Background())
+		f.listInstances(i.board)
+		f.poll(i)
 		// Instances poll at different times.
 		f.loop.after(time.Duration(n)*watchInterval/time.Duration(f.scenario.Deployment.Instances), func() {
 			f.loop.every(watchInterval, end, func() { f.poll(i) })
@@ -116,11 +117,30 @@
 }
 
 func (f *fleet) poll(i *instance) {
-	if !i.gone {
-		i.watch.Refresh(context.Background())
+	if i.gone {
+		return
+	}
+	i.watch.Refresh(context.Background())
+	if p, ok := i.chooser.(poller); ok {
+		p.poll(context.Background())
 	}
 }
 
+// poller is a chooser that reads cache events.
+type poller interface{ poll(ctx context.Context) }
+
+// listInstances fills in the table that rcmember keeps.
+func (f *fleet) listInstances(board *rcboard.Board) {
+	for n := range f.scenario.Deployment.Instances {
+		id := instanceID(n)
+		board.Instances.Put(id, radishcrank.Instance{ID: id, Zone: zoneName(n % f.scenario.Deployment.Zones)})
+	}
+}
+
+func instanceID(n int) radishcrank.InstanceID {
+	return radishcrank.InstanceID(fmt.Sprintf("instance-%d", n+1))
+}
+
 func (f *fleet) arrive(r *TraceRequest) {
 	c := &call{
 		fleet:    f,
