--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -3,18 +3,22 @@
 package rcdaemon
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
+	"github.com/radishcrank/radishcrank/internal/serving/rccert"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
@@ -55,6 +59,7 @@
 	metrics     *rcmetric.Set
 	chooser     *rcdecision.Chooser
 	watch       *rcwatch.Watcher
+	calls       *rcidem.Runner
 	callers     *http.Server
 	operators   *http.Server
 
@@ -64,10 +69,18 @@
 	drain     chan struct{} // Closed when an operator orders a drain.
 }
 
-// New assembles an instance.
-func New(cfg Config) *Daemon {
+// New assembles an instance. It fails if the TLS files can't be read.
+func New(cfg Config) (d *Daemon, err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "instance %s", cfg.Boot.ID)
+		}
+	}()
+	if cfg, err = withTLS(cfg); err != nil {
+		return nil, err
+	}
 	now := time.Now()
-	d := &Daemon{
+	d = &Daemon{
 		cfg: cfg,
 		// A start time gives each start of an instance a higher number without storage.
 		incarnation: radishcrank.Incarnation(now.UnixNano()),
@@ -89,9 +102,24 @@
 		Moves:    d.chooser.Moves,
 		Log:      cfg.Log,
 	})
+	d.calls = rcidem.New(d.callsConfig())
 	d.callers = d.newCallersServer(dialer)
 	d.operators = d.newOperatorsServer()
-	return d
+	return d, nil
+}
+
+// withTLS puts TLS on the callers' and operators' listeners if the boot settings name a certificate.
+func withTLS(cfg Config) (Config, error) {
+	if cfg.Boot.Certificate == "" {
+		return cfg, nil
+	}
+	certs, err := rccert.New(rccert.Config{Certificate: cfg.Boot.Certificate, PrivateKey: cfg.Boot.PrivateKey, Log: cfg.Log})
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Callers = tls.NewListener(cfg.Callers, certs.TLSConfig())
+	cfg.Operators = tls.NewListener(cfg.Operators, certs.TLSConfig())
+	return cfg, nil
 }
 
 // Board returns the instance's shared tables.
@@ -122,12 +150,29 @@
 	}
 }
 
+func (d *Daemon) callsConfig() rcidem.Config {
+	return rcidem.Config{
+		Instance:    d.cfg.Boot.ID,
+		Incarnation: d.incarnation,
+		Zone:        d.cfg.Boot.Zone,
+		Board:       d.board,
+		Table:       d.cfg.Table,
+		Client:      rcservice.New(),
+		RunsAtMostOnce: func(call radishcrank.ServiceCall) bool {
+			service, ok := d.document().Service(call.Service)
+			path, _, _ := strings.Cut(call.Path, "?")
+			return ok && service.RunsAtMostOnce(call.Method, path)
+		},
+		Retention: func() time.Duration { return d.settings().RecordRetention },
+	}
+}
+
 func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
 	front := rcfront.New(rcfront.Config{
 		Document:  d.document,
 		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
 		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
-		Calls:     rcidem.New(rcidem.Config{Board: d.board, Client: rcservice.New()}),
+		Calls:     d.calls,
 		Metrics:   d.metrics,
 		Ready:     d.ready.Load,
 		Log:       d.cfg.Log,
