--- a/internal/eval/rceval/fleet.go
+++ b/internal/eval/rceval/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwatch"
@@ -105,7 +106,18 @@
 			Seed:     f.scenario.Seed + 1000*generation + uint64(n),
 			fleet:    f,
 		})
-		i.watch = rcwatch.New(rcwatch.Config{Board: i.board, Lister: f, Dialer: f, Interval: watchInterval})
+		watch := rcwatch.Config{
+			Board:    i.board,
+			Lister:   f,
+			Dialer:   f,
+			Interval: watchInterval,
+			Instance: instanceID(n),
+			Zone:     i.zone,
+		}
+		if real, ok := i.chooser.(indexed); ok {
+			watch.Index = real.Index()
+		}
+		i.watch = rcwatch.New(watch)
 		f.instances = append(f.instances, i)
 		f.listInstances(i.board)
 		f.poll(i)
@@ -117,17 +129,13 @@
 }
 
 func (f *fleet) poll(i *instance) {
-	if i.gone {
-		return
-	}
-	i.watch.Refresh(context.Background())
-	if p, ok := i.chooser.(poller); ok {
-		p.poll(context.Background())
+	if !i.gone {
+		i.watch.Refresh(context.Background())
 	}
 }
 
-// poller is a chooser that reads cache events.
-type poller interface{ poll(ctx context.Context) }
+// indexed is a chooser whose index is fed with cache events.
+type indexed interface{ Index() *rcindex.Index }
 
 // listInstances fills in the table that rcmember keeps.
 func (f *fleet) listInstances(board *rcboard.Board) {
--- a/internal/eval/rceval/real.go
+++ b/internal/eval/rceval/real.go
@@ -1,9 +1,6 @@
 package rceval
 
 import (
-	"context"
-	"time"
-
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
@@ -27,34 +24,10 @@
 		if change != nil {
 			change(&cfg)
 		}
-		return &realChooser{Chooser: rcdecision.New(cfg), env: env}
+		return rcdecision.New(cfg)
 	}}
 }
 
 // indexBytes holds ten times the blocks of all engines. The default size would
 // only slow the evaluation down.
 const indexBytes = 1 << 20
-
-// realChooser is the router's chooser with its index fed from cache events.
-type realChooser struct {
-	*rcdecision.Chooser
-	env Env
-}
-
-// poll implements poller. It reads the events that are new to the index.
-func (r *realChooser) poll(ctx context.Context) {
-	for _, up := range r.env.Board.Upstreams.Values() {
-		client := r.env.fleet.Engine(up)
-		at := time.Now()
-		batch, err := client.Events(ctx, r.Index().Next(up.ID))
-		if err != nil {
-			continue
-		}
-		if sync := r.Index().Apply(up.ID, batch, at); !sync.Gap {
-			continue
-		}
-		if batch, err := client.Events(ctx, 0); err == nil {
-			r.Index().Resync(up.ID, batch, at)
-		}
-	}
-}
