--- a/internal/eval/rceval/deployment.go
+++ b/internal/eval/rceval/deployment.go
@@ -16,7 +16,7 @@
 	model         radishcrank.ModelID        = "advice"
 	weights       radishcrank.WeightsVersion = "w1"
 	blockTokens                              = 2000
-	bytesPerToken                            = 1 // Fewer bytes than in production only save hashing time.
+	bytesPerToken                            = 1 // Of the traces that Run gets; see TraceConfig.
 	maxAttempts                              = 4 // As in rcdaemon.
 )
 
--- a/internal/eval/rceval/trace.go
+++ b/internal/eval/rceval/trace.go
@@ -20,8 +20,14 @@
 	Duration time.Duration
 	ShiftAt  time.Duration // When the large and the small accounts change places and get new texts; 0 is never.
 	Seed     uint64
+
+	// BytesPerToken is the prompt bytes counted as one token. 0 means 1: fewer
+	// bytes than in production only save hashing time.
+	BytesPerToken int
 }
 
+func (c TraceConfig) bytesPerToken() int { return max(1, c.BytesPerToken) }
+
 // TraceRequest is one request of a trace.
 type TraceRequest struct {
 	ID           radishcrank.RequestID
@@ -157,21 +163,21 @@
 	r.ID = radishcrank.RequestID(fmt.Sprintf("r%06d", i))
 	for _, s := range r.segments[:2] {
 		if _, ok := g.trace.texts[s]; !ok {
-			g.trace.texts[s] = text(s)
+			g.trace.texts[s] = text(s, g.cfg.bytesPerToken())
 		}
 	}
 	scope := radishcrank.CacheScope{Account: r.Account, Model: model, Weights: weights}
-	r.Keys = rcprefix.Chain(scope, g.trace.Prompt(r), blockTokens*bytesPerToken)
+	r.Keys = rcprefix.Chain(scope, g.trace.Prompt(r), blockTokens*g.cfg.bytesPerToken())
 }
 
 // Prompt returns the text of a request.
 func (t *Trace) Prompt(r *TraceRequest) string {
 	var b strings.Builder
-	b.Grow(r.PromptTokens * bytesPerToken)
+	b.Grow(r.PromptTokens * t.Config.bytesPerToken())
 	for _, s := range r.segments {
 		shared, ok := t.texts[s]
 		if !ok {
-			shared = text(s)
+			shared = text(s, t.Config.bytesPerToken())
 		}
 		b.WriteString(shared)
 	}
@@ -180,7 +186,7 @@
 
 // text returns the text of a segment. A longer segment of the same name begins
 // with the shorter one, as a conversation that goes on does.
-func text(s segment) string {
+func text(s segment, bytesPerToken int) string {
 	n := s.tokens * bytesPerToken
 	out := make([]byte, 0, n+textStep)
 	var raw [8]byte
--- a/internal/eval/rceval/trace_test.go
+++ b/internal/eval/rceval/trace_test.go
@@ -50,8 +50,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.Uint64().Draw(t, "name")
 		n := rapid.IntRange(1, 500).Draw(t, "tokens")
-		long := text(segment{name: name, tokens: n + rapid.IntRange(0, 500).Draw(t, "more")})
-		require.True(t, strings.HasPrefix(long, text(segment{name: name, tokens: n})))
+		long := text(segment{name: name, tokens: n + rapid.IntRange(0, 500).Draw(t, "more")}, 4)
+		require.True(t, strings.HasPrefix(long, text(segment{name: name, tokens: n}, 4)))
 	})
 }
 
