Add HTML reports of load results

Cause: results of load runs were hard to read and compare. Change: rcreport writes one result or a comparison of two, with embedded plots.

--- /dev/null
+++ b/internal/cli/rcreport/report.go
@@ -0,0 +1,198 @@
+// Package rcreport writes HTML reports of load results: one result, or a
+// comparison of two. A report is one file with its plots inside.
+package rcreport
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+
+	"github.com/gravitational/trace"
+
+	"github.com/radishcrank/radishcrank/internal/cli/rcload"
+)
+
+//go:embed report.html
+var page string
+
+var reportTemplate = template.Must(template.New("report").Parse(page))
+
+// Source is a result with the name that the report gives it.
+type Source struct {
+	Name   string
+	Result rcload.Result
+}
+
+// view is what the template shows.
+type view struct {
+	Title   string
+	Columns []string
+	Rows    []row
+	Ends    []row
+	Plots   []figure
+}
+
+type row struct {
+	Name   string
+	Values []string
+	Change string // Of the second value against the first; empty if there is only one.
+}
+
+type figure struct {
+	Title string
+	SVG   template.HTML
+}
+
+// Write writes the report of one result.
+func Write(w io.Writer, s Source) error {
+	return write(w, "Load report: "+s.Name, []Source{s})
+}
+
+// WriteComparison writes the report of two results side by side.
+func WriteComparison(w io.Writer, before, after Source) error {
+	return write(w, fmt.Sprintf("Load comparison: %s and %s", before.Name, after.Name), []Source{before, after})
+}
+
+func write(w io.Writer, title string, sources []Source) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "report")
+		}
+	}()
+	v := view{Title: title, Rows: measures(sources), Ends: ends(sources)}
+	for _, s := range sources {
+		v.Columns = append(v.Columns, s.Name)
+	}
+	if v.Plots, err = plots(sources); err != nil {
+		return err
+	}
+	return reportTemplate.Execute(w, v)
+}
+
+// measure is one line of the table.
+type measure struct {
+	name   string
+	format string
+	value  func(rcload.Result) float64
+}
+
+var measureList = []measure{
+	{"Generations a second at the peak", "%.1f", func(r rcload.Result) float64 { return r.Rate }},
+	{"Duration, s", "%.1f", func(r rcload.Result) float64 { return r.DurationSeconds }},
+	{"Requests sent", "%.0f", func(r rcload.Result) float64 { return float64(r.Sent) }},
+	{"Requests completed", "%.0f", func(r rcload.Result) float64 { return float64(r.Completed) }},
+	{"Hit rate", "%.4f", rcload.Result.HitRate},
+	{"Generated tokens", "%.0f", func(r rcload.Result) float64 { return float64(r.GeneratedTokens) }},
+	{"TTFT mean, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.MeanMs }},
+	{"TTFT p50, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.P50Ms }},
+	{"TTFT p95, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.P95Ms }},
+	{"TTFT p99, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.P99Ms }},
+	{"TTFT p99.9, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.P999Ms }},
+	{"TTFT maximum, ms", "%.2f", func(r rcload.Result) float64 { return r.TTFT.MaxMs }},
+	{"Between tokens p50, ms", "%.2f", func(r rcload.Result) float64 { return r.BetweenTokens.P50Ms }},
+	{"Between tokens p95, ms", "%.2f", func(r rcload.Result) float64 { return r.BetweenTokens.P95Ms }},
+	{"Between tokens p99, ms", "%.2f", func(r rcload.Result) float64 { return r.BetweenTokens.P99Ms }},
+	{"Service calls p50, ms", "%.2f", func(r rcload.Result) float64 { return r.Calls.P50Ms }},
+	{"Service calls p99, ms", "%.2f", func(r rcload.Result) float64 { return r.Calls.P99Ms }},
+}
+
+func measures(sources []Source) []row {
+	rows := []row{shapes(sources)}
+	for _, m := range measureList {
+		values := make([]float64, len(sources))
+		for i, s := range sources {
+			values[i] = m.value(s.Result)
+		}
+		rows = append(rows, newRow(m.name, m.format, values))
+	}
+	return rows
+}
+
+// shapes shows what was run, because only equal runs can be compared.
+func shapes(sources []Source) row {
+	r := row{Name: "Shape and seed"}
+	for _, s := range sources {
+		text := fmt.Sprintf("%s, %d", s.Result.Shape, s.Result.Seed)
+		if s.Result.Interrupted {
+			text += ", interrupted"
+		}
+		r.Values = append(r.Values, text)
+	}
+	if len(r.Values) == 2 && r.Values[0] != r.Values[1] {
+		r.Change = "different runs"
+	}
+	return r
+}
+
+func newRow(name, format string, values []float64) row {
+	r := row{Name: name}
+	for _, v := range values {
+		r.Values = append(r.Values, fmt.Sprintf(format, v))
+	}
+	if len(values) == 2 {
+		r.Change = change(values[0], values[1])
+	}
+	return r
+}
+
+func change(before, after float64) string {
+	switch {
+	case before == after:
+		return "0%"
+	case before == 0:
+		return "new"
+	}
+	return fmt.Sprintf("%+.1f%%", 100*(after-before)/before)
+}
+
+// ends lists the ends of requests and the statuses of all sources.
+func ends(sources []Source) []row {
+	type line struct {
+		name   string
+		values []float64
+	}
+	var lines []line
+	add := func(source int, name string, count int) {
+		for i := range lines {
+			if lines[i].name == name {
+				lines[i].values[source] = float64(count)
+				return
+			}
+		}
+		values := make([]float64, len(sources))
+		values[source] = float64(count)
+		lines = append(lines, line{name: name, values: values})
+	}
+	for i, s := range sources {
+		for _, e := range s.Result.Ends {
+			add(i, endName(e), e.Count)
+		}
+		for _, st := range s.Result.Statuses {
+			add(i, statusName(st.Status), st.Count)
+		}
+	}
+	var rows []row
+	for _, l := range lines {
+		rows = append(rows, newRow(l.name, "%.0f", l.values))
+	}
+	return rows
+}
+
+func endName(e rcload.EndCount) string {
+	name := "Generation: " + e.End
+	if e.Call {
+		name = "Service call: " + e.End
+	}
+	if e.Outcome != "" {
+		name += ", " + string(e.Outcome)
+	}
+	return name
+}
+
+func statusName(status int) string {
+	if status == 0 {
+		return "No status"
+	}
+	return fmt.Sprintf("Status %d", status)
+}
