--- a/internal/cli/rcreport/plot.go
+++ b/internal/cli/rcreport/plot.go
@@ -86,7 +86,7 @@
 	p := plot.New()
 	p.X.Label.Text, p.Y.Label.Text = c.x, c.y
 	p.Y.Min = 0
-	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.Top, p.Legend.Left = true, c.percentiles
 	p.Add(plotter.NewGrid())
 	if c.percentiles {
 		p.X.Tick.Marker = nines{}
