rcrevision: keep the newest configuration in force everywhere

Cause: instances ran on the document they were started with.

Change: commits are compare-and-set on the operator's base; the loser gets the changes since then. A lost answer is settled by reading the row back. Two readers a zone poll the head each second; the others learn the revision from heartbeats and fetch it from the advertiser. An instance that adopts a revision advertises it at once, relays also to other zones. Instances move to higher revisions only and write the one in force back to a table that lost it. Peers and readers get deltas: at 3,000 accounts a document has 400 KB and changes every 23 s, which whole would take 17 KB/s and more for each instance. Heartbeats carry how long ago the revision was known to be the newest one, so a cut-off zone shows its age.

--- a/internal/peer/rcmember/fleet_test.go
+++ b/internal/peer/rcmember/fleet_test.go
@@ -80,7 +80,7 @@
 	p.host = f.net.NewHost(rcrpc.Identity{Instance: self.ID, Zone: self.Zone}, self.Peer, handlers)
 	p.Tracker = New(Config{
 		Self: self, Board: rcboard.New(), Caller: p.host, Handlers: handlers, Lister: f,
-		Config: func() (uint64, string) { return 123456, "0123456789abcdef" },
+		Config: func() (uint64, string, time.Duration) { return 123456, "0123456789abcdef", time.Second },
 	})
 	p.beforeTick = p.waitThawed
 	p.host.Listen()
--- a/internal/peer/rcmember/message.go
+++ b/internal/peer/rcmember/message.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,11 @@
 	Counter        uint64 // Rises by one with each round of heartbeats.
 	ConfigRevision uint64 `json:",omitempty"` // Of the configuration in force; 0 in an answer means the same as asked.
 	ConfigHash     string `json:",omitempty"`
-	Leaving        bool   `json:",omitempty"`
+	// ConfigAge is how long ago the revision was known to be the newest one.
+	// Seconds are rounded up, or instances that are cut off together would keep
+	// confirming each other; ageUnknown says that it never was.
+	ConfigAge uint32 `json:",omitempty"`
+	Leaving   bool   `json:",omitempty"`
 }
 
 // Heartbeat is sent to two random peers each second.
@@ -46,6 +51,22 @@
 	Unknown bool `json:",omitempty"` // The sender shall introduce itself.
 }
 
+const ageUnknown = math.MaxUint32
+
+func encodeAge(age time.Duration) uint32 {
+	if age < 0 {
+		return ageUnknown
+	}
+	return uint32(min((age+time.Second-1)/time.Second, ageUnknown-1))
+}
+
+func decodeAge(seconds uint32) time.Duration {
+	if seconds == ageUnknown {
+		return -1
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // RumorKind says what a rumor is about.
 type RumorKind int
 
--- a/internal/peer/rcmember/spread.go
+++ b/internal/peer/rcmember/spread.go
@@ -27,13 +27,13 @@
 // targets returns whom to send this round's heartbeats to: random peers, some
 // suspects, now and then an instance held dead, and other zones from a relay.
 func (t *Tracker) targets(now time.Time) []target {
-	targets := t.pick(now, heartbeatPeers)
+	targets := t.pick(heartbeatPeers)
 	targets = append(targets, t.suspects(now)...)
 	if now.Sub(t.lastVisit) >= revisitInterval {
 		t.lastVisit = now
 		targets = append(targets, t.revisit()...)
 	}
-	if now.Sub(t.lastRelay) >= relayInterval && t.first(relayCount(t.zoneSize()))[t.cfg.Self.ID] {
+	if now.Sub(t.lastRelay) >= relayInterval && t.isRelay() {
 		t.lastRelay = now
 		targets = append(targets, t.relays()...)
 	}
@@ -41,7 +41,7 @@
 }
 
 // pick returns n random peers of the zone that are not held dead.
-func (t *Tracker) pick(now time.Time, n int) []target {
+func (t *Tracker) pick(n int) []target {
 	var all []target
 	for _, m := range t.members {
 		if m.instance.Zone == t.cfg.Self.Zone && !m.dead {
@@ -111,6 +111,9 @@
 	return relaysPerZone
 }
 
+// isRelay reports whether this instance exchanges heartbeats with other zones.
+func (t *Tracker) isRelay() bool { return t.first(relayCount(t.zoneSize()))[t.cfg.Self.ID] }
+
 // zoneSize counts the instances of the own zone that are not held dead.
 func (t *Tracker) zoneSize() int {
 	size := 1
--- a/internal/peer/rcmember/tracker.go
+++ b/internal/peer/rcmember/tracker.go
@@ -58,10 +58,12 @@
 	Lister    radishcrank.InstanceLister // Nil if another part calls Merge.
 	Bootstrap []netip.AddrPort           // Asked for members while none is known.
 
-	// Config returns the revision and hash of the configuration in force.
-	Config func() (revision uint64, hash string)
+	// Config returns the revision and hash of the configuration in force, and
+	// how long ago that was known to be the newest one; a negative age says that
+	// it never was. It must take no lock.
+	Config func() (revision uint64, hash string, age time.Duration)
 	// OnConfig is told what a peer says of its configuration. It must not block.
-	OnConfig func(from netip.AddrPort, revision uint64, hash string)
+	OnConfig func(from netip.AddrPort, revision uint64, hash string, age time.Duration)
 }
 
 // Tracker knows the members of the fleet as one instance sees them.
@@ -113,10 +115,10 @@
 // New returns a tracker that knows only its own instance.
 func New(cfg Config) *Tracker {
 	if cfg.Config == nil {
-		cfg.Config = func() (uint64, string) { return 0, "" }
+		cfg.Config = func() (uint64, string, time.Duration) { return 0, "", -1 }
 	}
 	if cfg.OnConfig == nil {
-		cfg.OnConfig = func(netip.AddrPort, uint64, string) {}
+		cfg.OnConfig = func(netip.AddrPort, uint64, string, time.Duration) {}
 	}
 	t := &Tracker{
 		cfg:        cfg,
@@ -162,9 +164,13 @@
 }
 
 // Advertise sends heartbeats at once, to spread a new configuration revision.
+// Relays also send them to the other zones, which may be cut off from the table service.
 func (t *Tracker) Advertise(ctx context.Context) {
 	t.mu.Lock()
-	targets := t.pick(time.Now(), advertisePeers)
+	targets := t.pick(advertisePeers)
+	if t.isRelay() {
+		targets = append(targets, t.relays()...)
+	}
 	t.mu.Unlock()
 	var running sync.WaitGroup
 	for _, target := range targets {
@@ -185,10 +191,10 @@
 
 // digest describes this instance. The caller holds the lock.
 func (t *Tracker) digest() Digest {
-	revision, hash := t.cfg.Config()
+	revision, hash, age := t.cfg.Config()
 	return Digest{
 		Instance: t.cfg.Self.ID, Incarnation: t.cfg.Self.Incarnation, Counter: t.counter,
-		ConfigRevision: revision, ConfigHash: hash, Leaving: t.leaving,
+		ConfigRevision: revision, ConfigHash: hash, ConfigAge: encodeAge(age), Leaving: t.leaving,
 	}
 }
 
@@ -208,9 +214,10 @@
 	}
 	t.observe(answer.Digest, nil, time.Now())
 	t.mu.Unlock()
-	if answer.ConfigRevision != 0 {
-		t.cfg.OnConfig(to.addr, answer.ConfigRevision, answer.ConfigHash)
+	if answer.ConfigRevision == 0 {
+		answer.ConfigRevision, answer.ConfigHash = beat.ConfigRevision, beat.ConfigHash
 	}
+	t.cfg.OnConfig(to.addr, answer.ConfigRevision, answer.ConfigHash, decodeAge(answer.ConfigAge))
 }
 
 // answerHeartbeat handles a heartbeat of a peer.
@@ -233,7 +240,7 @@
 	}
 	t.mu.Unlock()
 	if addr.IsValid() {
-		t.cfg.OnConfig(addr, beat.ConfigRevision, beat.ConfigHash)
+		t.cfg.OnConfig(addr, beat.ConfigRevision, beat.ConfigHash, decodeAge(beat.ConfigAge))
 	}
 	return answer, nil
 }
--- /dev/null
+++ b/internal/state/rcrevision/keeper_test.go
@@ -0,0 +1,400 @@
+package rcrevision
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+const (
+	settle        = 8 * time.Second // From the start until all instances know each other.
+	inForceWithin = 5 * time.Second
+)
+
+// step is one event of a property test.
+type step struct {
+	kind  int
+	index int
+	pause time.Duration
+}
+
+const (
+	stepPush = iota
+	stepRace
+	stepCutZone
+	stepHealZone
+	stepTableDown
+	stepTableUp
+	stepRestart
+	stepLoseAnswer
+	stepDropCommit
+	stepKinds
+)
+
+// sizes are fleets whose instances all poll the table, and fleets where most learn from peers.
+var sizes = []struct{ zones, perZone int }{{4, 2}, {2, 4}, {1, 8}}
+
+func drawSteps(t *rapid.T) []step {
+	n := rapid.IntRange(1, 12).Draw(t, "steps")
+	steps := make([]step, 0, n)
+	for range n {
+		steps = append(steps, step{
+			kind:  rapid.IntRange(0, stepKinds-1).Draw(t, "kind"),
+			index: rapid.IntRange(0, 7).Draw(t, "index"),
+			pause: time.Duration(rapid.IntRange(0, 6000).Draw(t, "pause")) * time.Millisecond,
+		})
+	}
+	return steps
+}
+
+// Guards against configurations that revert, are lost after they were
+// accepted, or are not in force 5 s after all faults have ended.
+func TestProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.SampledFrom(sizes).Draw(rt, "size")
+		steps := drawSteps(rt)
+		fault := ""
+		synctest.Test(t, func(*testing.T) { fault = runSteps(newFleet(size.zones, size.perZone, 1), steps) })
+		if fault != "" {
+			rt.Fatalf("%+v %+v: %s", size, steps, fault)
+		}
+	})
+}
+
+func runSteps(f *fleet, steps []step) string {
+	defer f.close()
+	time.Sleep(settle)
+	if _, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(2, 1)}); err != nil {
+		return "first push: " + err.Error()
+	}
+	accepted := map[uint64]string{}
+	faults := rcfaketable.Faults{}
+	for i, s := range steps {
+		zone := f.processes[s.index].self.Zone
+		switch s.kind {
+		case stepPush:
+			f.push(s.index, 10+i, accepted)
+		case stepRace:
+			done := make(chan bool)
+			other := map[uint64]string{}
+			go func() { f.push((s.index+3)%8, 100+i, other); close(done) }()
+			f.push(s.index, 200+i, accepted)
+			<-done
+			for revision, text := range other {
+				if accepted[revision] != "" {
+					return fmt.Sprintf("revision %d was accepted twice", revision)
+				}
+				accepted[revision] = text
+			}
+		case stepCutZone, stepHealZone:
+			f.cut(zone, s.kind == stepCutZone)
+		case stepTableDown, stepTableUp:
+			faults.Down = s.kind == stepTableDown
+			f.table.SetFaults(faults)
+		case stepRestart:
+			f.restart(s.index)
+		case stepLoseAnswer:
+			f.table.SetFaults(rcfaketable.Faults{Down: faults.Down, LoseAnswers: 1})
+		case stepDropCommit:
+			f.table.SetFaults(rcfaketable.Faults{Down: faults.Down, DropCommits: 1})
+		}
+		time.Sleep(s.pause)
+	}
+	f.table.SetFaults(rcfaketable.Faults{})
+	for _, p := range f.processes {
+		f.cut(p.self.Zone, false)
+	}
+	return f.check(accepted)
+}
+
+// push pushes on the newest revision of the instance and notes what was accepted.
+func (f *fleet) push(index, maxTokens int, accepted map[uint64]string) {
+	p := f.processes[index]
+	doc := p.Current()
+	if doc == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
+	defer cancel()
+	info, err := p.Push(ctx, PushRequest{Base: doc.Revision, Text: text(2, maxTokens)})
+	if err == nil {
+		accepted[info.Revision] = info.Text
+	}
+}
+
+func (f *fleet) check(accepted map[uint64]string) string {
+	newest := uint64(1)
+	for revision := range accepted {
+		newest = max(newest, revision)
+	}
+	if _, ok := f.wait(newest, inForceWithin); !ok {
+		return fmt.Sprintf("revision %d is in force on %d of %d instances", newest, f.inForce(newest), len(f.processes))
+	}
+	// A push whose outcome stayed unknown may have added revisions. All must agree in the end.
+	time.Sleep(inForceWithin)
+	for _, p := range f.processes {
+		if a, b := p.Status(), f.processes[0].Status(); a.Revision != b.Revision || a.Hash != b.Hash || a.Age > 3*time.Second || a.Age < 0 {
+			return fmt.Sprintf("%s has %+v and another one %+v", p.self.ID, a, b)
+		}
+		if p.Status().Conflicts > 0 {
+			return "two documents under one number: " + p.Status().Problem
+		}
+	}
+	for revision, want := range accepted {
+		if info, err := f.processes[0].Show(f.ctx, revision); err != nil || info.Text != want {
+			return fmt.Sprintf("accepted revision %d is lost: %v", revision, err)
+		}
+	}
+	if f.reverts > 0 {
+		return "an instance moved to a lower revision"
+	}
+	return ""
+}
+
+// Guards against racing operators who both believe to have won, and a loser who is not told what changed.
+func TestRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 4, 1)
+		defer f.close()
+		time.Sleep(settle)
+		_, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(2, 1)})
+		require.NoError(t, err)
+		_, ok := f.wait(1, inForceWithin)
+		require.True(t, ok)
+		_, err = f.processes[5].Push(f.ctx, PushRequest{Base: 1, Author: "a", Text: text(2, 2)})
+		require.NoError(t, err)
+		_, err = f.processes[1].Push(f.ctx, PushRequest{Base: 1, Author: "b", Text: text(2, 3)})
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.Equal(t, []rcconfig.Change{{Section: "Defaults", Key: "MaxTokens", Old: "1", New: "2"}}, conflict.Changes)
+		_, err = f.processes[1].Push(f.ctx, PushRequest{Base: 2, Text: "[Defaults]\nMaxTokens = 0\n"})
+		var faults rcconfig.Errors
+		require.ErrorAs(t, err, &faults)
+		list, err := f.processes[1].History(f.ctx, 10)
+		require.NoError(t, err)
+		require.Len(t, list, 2)
+		require.Equal(t, "a", list[0].Author)
+		require.Empty(t, list[0].Text)
+	})
+}
+
+// Guards against a lost answer that commits twice or is reported as a failure.
+func TestLostAnswers(t *testing.T) {
+	for _, faults := range []rcfaketable.Faults{{LoseAnswers: 1}, {DropCommits: 1}, {LoseAnswers: 1, DropCommits: 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 2, 1)
+			defer f.close()
+			f.table.SetFaults(faults)
+			info, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(1, 1)})
+			require.NoError(t, err)
+			require.EqualValues(t, 1, info.Revision)
+			list, err := f.processes[0].History(f.ctx, 10)
+			require.NoError(t, err)
+			require.Len(t, list, 1)
+			// Where the row cannot be read back, the outcome stays open.
+			f.table.SetFaults(rcfaketable.Faults{DropCommits: 100})
+			_, err = f.processes[0].Push(f.ctx, PushRequest{Base: 1, Text: text(1, 2)})
+			require.ErrorIs(t, err, radishcrank.ErrUnknownOutcome)
+		})
+	}
+}
+
+// Guards against a table restored from a backup that reverts the fleet, now or at its next restart.
+func TestRestoredTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 4, 1)
+		defer f.close()
+		time.Sleep(settle)
+		for i := range 3 {
+			_, err := f.processes[0].Push(f.ctx, PushRequest{Base: uint64(i), Text: text(2, i+1)})
+			require.NoError(t, err)
+		}
+		_, ok := f.wait(3, inForceWithin)
+		require.True(t, ok)
+		backup, err := f.processes[0].readInfo(f.ctx, 1)
+		require.NoError(t, err)
+		old, err := encode(head{Revision: 1, Hash: backup.Hash})
+		require.NoError(t, err)
+		require.NoError(t, f.table.Commit(f.ctx, radishcrank.Transaction{Writes: []radishcrank.Write{
+			{Key: keyHead, Value: old}, {Key: keyRev(2), Delete: true}, {Key: keyRev(3), Delete: true}, {Key: keyDelta(3), Delete: true},
+		}}))
+		time.Sleep(inForceWithin)
+		for i := range f.processes {
+			f.restart(i)
+		}
+		_, ok = f.wait(3, 2*inForceWithin)
+		require.True(t, ok)
+		require.Equal(t, 3, f.processes[0].Current().Defaults.MaxTokens)
+		require.Zero(t, f.reverts)
+	})
+}
+
+// Guards against late answers that arrive after, or together with, newer ones.
+func TestMovesUpOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 1)
+		defer f.close()
+		var running sync.WaitGroup
+		for i := range 200 {
+			running.Go(func() { f.processes[0].adopt(f.ctx, uint64(1+i*7%200), text(100, 1+i)) })
+		}
+		running.Wait()
+		require.EqualValues(t, 200, f.processes[0].Current().Revision)
+		require.Zero(t, f.reverts)
+	})
+}
+
+// Guards against another document under the same number that takes effect or goes unnoticed.
+func TestSameRevisionOtherHash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 2, 1)
+		defer f.close()
+		p := f.processes[0]
+		info, err := p.Push(f.ctx, PushRequest{Text: text(1, 1)})
+		require.NoError(t, err)
+		p.Heard(f.list[1].Peer, 1, "0000000000000000", 0)
+		require.Equal(t, 1, p.Status().Conflicts)
+		require.Contains(t, p.Status().Problem, "0000000000000000")
+		require.Equal(t, info.Hash, p.Status().Hash)
+	})
+}
+
+// Guards against an instance that cannot apply a document and keeps silent
+// about it, stops serving, or never recovers.
+func TestCannotApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 4, 1)
+		defer f.close()
+		time.Sleep(settle)
+		_, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(1, 1)})
+		require.NoError(t, err)
+		time.Sleep(inForceWithin)
+		// Committed by a newer version, which knows more settings.
+		newer := text(1, 1) + "[Future]\nSetting = 1\n"
+		tx, err := transaction(Info{Revision: 2, Hash: hashOf(newer), Text: newer}, delta{}, 1, 0)
+		require.NoError(t, err)
+		require.NoError(t, f.table.Commit(f.ctx, tx))
+		time.Sleep(inForceWithin)
+		problems, err := f.processes[0].Problems(f.ctx)
+		require.NoError(t, err)
+		require.NotEmpty(t, problems)
+		reads := f.table.Counts().Reads
+		time.Sleep(10 * time.Second)
+		require.Less(t, f.table.Counts().Reads-reads, 30, "the document is read again and again")
+		require.EqualValues(t, 1, f.processes[0].Current().Revision)
+		_, err = f.processes[0].Push(f.ctx, PushRequest{Base: 2, Text: text(1, 3)})
+		require.NoError(t, err)
+		_, ok := f.wait(3, inForceWithin)
+		require.True(t, ok)
+		problems, err = f.processes[0].Problems(f.ctx)
+		require.NoError(t, err)
+		require.Empty(t, problems)
+	})
+}
+
+// Guards against a cut-off zone that stops serving or shows its old configuration as confirmed.
+func TestCutOffZoneShowsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 4, 1)
+		defer f.close()
+		time.Sleep(settle)
+		_, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(1, 1)})
+		require.NoError(t, err)
+		time.Sleep(inForceWithin)
+		f.cut(f.processes[4].self.Zone, true)
+		time.Sleep(time.Minute)
+		for _, p := range f.processes[4:] {
+			require.NotNil(t, p.Current())
+			require.Greater(t, p.Status().Age, 55*time.Second)
+		}
+		require.Less(t, f.processes[1].Status().Age, 3*time.Second)
+	})
+}
+
+// Guards against deltas that build another text, and hostile ones that panic or grow without bound.
+func TestDelta(t *testing.T) {
+	line := rapid.SampledFrom([]string{"a\n", "b\n", "\n", "Leaving = false\n", "c", ""})
+	rapid.Check(t, func(t *rapid.T) {
+		from := strings.Join(rapid.SliceOfN(line, 0, 20).Draw(t, "from"), "")
+		to := strings.Join(rapid.SliceOfN(line, 0, 20).Draw(t, "to"), "")
+		got, err := patchLines(from, diffLines(from, to), maxTextBytes)
+		require.NoError(t, err)
+		require.Equal(t, to, got)
+		hostile := []op{{From: rapid.Int().Draw(t, "at"), Count: rapid.Int().Draw(t, "count"), Insert: to}}
+		if got, err := patchLines(from, hostile, 10); err == nil {
+			require.LessOrEqual(t, len(got), 10)
+		}
+	})
+	data, err := encode(diffLines(text(3000, 1), text(3000, 2)))
+	require.NoError(t, err)
+	require.Less(t, len(data), 200)
+}
+
+// Guards against a revision that takes longer than 5 s, too many table reads,
+// or more control traffic than there is room for, at both sizes of fleet.
+func TestBoundInForce(t *testing.T) {
+	if os.Getenv("RADISHCRANK_BOUNDS") != "1" {
+		t.Skip("set RADISHCRANK_BOUNDS=1 to check bounds")
+	}
+	// 3,700 changes a day are one in 23 s.
+	const span, accounts = 23 * time.Second, 3000
+	for _, size := range []struct{ zones, perZone, reads int }{{4, 2, 10}, {11, 34, 30}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(size.zones, size.perZone, 1)
+			defer f.close()
+			time.Sleep(settle)
+			_, err := f.processes[0].Push(f.ctx, PushRequest{Text: text(accounts, 1)})
+			require.NoError(t, err)
+			_, ok := f.wait(1, 2*inForceWithin)
+			require.True(t, ok)
+			var slowest time.Duration
+			begin, reads, sent := time.Now(), f.table.Counts().Reads, f.sent()
+			for i := range 3 {
+				next := time.Now().Add(span)
+				info, err := f.processes[i].Push(f.ctx, PushRequest{Base: uint64(i + 1), Text: text(accounts, i+2)})
+				require.NoError(t, err)
+				took, ok := f.wait(info.Revision, inForceWithin)
+				require.True(t, ok)
+				slowest = max(slowest, took)
+				time.Sleep(time.Until(next))
+			}
+			seconds := int(time.Since(begin).Seconds())
+			reads = (f.table.Counts().Reads - reads) / seconds
+			sent = (f.sent() - sent) / len(f.processes) / seconds
+			t.Logf("%d instances, %d accounts, a change each %v: in force everywhere after %v; %d table reads/s; %d bytes/s sent by each, heartbeats included",
+				len(f.processes), accounts, span, slowest, reads, sent)
+			require.LessOrEqual(t, reads, size.reads)
+			require.Less(t, sent, 2000)
+		})
+	}
+}
+
+func (f *fleet) sent() int {
+	n := 0
+	for _, p := range f.processes {
+		n += p.host.Traffic().SentBytes
+	}
+	return n
+}
+
+// Guards against errors that lose their type on the way to the operator.
+func TestErrorsSurviveWrapping(t *testing.T) {
+	err := unsettled(radishcrank.ErrUnavailable, true)
+	require.ErrorIs(t, err, radishcrank.ErrUnknownOutcome)
+	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
+	require.NotErrorIs(t, unsettled(&ConflictError{}, true), radishcrank.ErrUnknownOutcome)
+	require.False(t, errors.Is(unsettled(ErrBehind, false), radishcrank.ErrUnknownOutcome))
+}
--- /dev/null
+++ b/internal/state/rcrevision/poll.go
@@ -0,0 +1,156 @@
+package rcrevision
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// poll reads the newest revision from the table service while this instance is
+// a reader, or while it has no document at all.
+func (k *Keeper) poll(ctx context.Context) {
+	timer := time.NewTimer(jitter(firstPoll))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		begin := time.Now()
+		if k.current.Load() == nil || k.cfg.Reader() {
+			if err := k.readHead(ctx); err != nil {
+				k.cfg.Log.Debug().Err(err).Msg("configuration poll failed")
+			}
+		}
+		timer.Reset(max(0, pollInterval-time.Since(begin)))
+	}
+}
+
+// readHead compares the table's newest revision with the one in force.
+func (k *Keeper) readHead(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "read of %s", keyHead)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	asked := time.Now()
+	h, headVersion, err := k.getHead(ctx)
+	if err != nil {
+		return err
+	}
+	v := k.current.Load()
+	switch {
+	case h.Revision > v.revision():
+		return k.readRevision(ctx, h, v)
+	case v == nil:
+		return nil // Nothing was committed yet.
+	case h.Revision < v.doc.Revision:
+		return k.restore(ctx, v, headVersion)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.compare(v, h.Hash, "the table service")
+	if h.Hash == v.hash {
+		k.confirm(asked)
+	}
+	return nil
+}
+
+func (k *Keeper) getHead(ctx context.Context) (h head, version uint64, err error) {
+	rows, err := k.cfg.Table.Get(ctx, keyHead)
+	if err != nil {
+		return head{}, 0, err
+	}
+	if rows[0].Version == 0 {
+		return head{}, 0, nil
+	}
+	return h, rows[0].Version, decode(rows[0].Value, &h)
+}
+
+// readRevision reads the document that the head names: as a delta if this
+// instance holds the base, else whole.
+func (k *Keeper) readRevision(ctx context.Context, h head, v *version) error {
+	k.mu.Lock()
+	until := k.rejected[h.Hash]
+	k.mu.Unlock()
+	if time.Now().Before(until) {
+		return nil
+	}
+	asked := time.Now()
+	text, err := k.readDelta(ctx, h, v)
+	if err != nil {
+		info, err := k.readInfo(ctx, h.Revision)
+		if err != nil {
+			return err
+		}
+		text = info.Text
+		if hashOf(text) != h.Hash {
+			return errDelta
+		}
+	}
+	k.adopt(ctx, h.Revision, text)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.current.Load().revision() == h.Revision {
+		k.confirm(asked)
+	}
+	return nil
+}
+
+func (k *Keeper) readDelta(ctx context.Context, h head, v *version) (string, error) {
+	if v == nil || v.doc.Revision+1 != h.Revision {
+		return "", errDelta
+	}
+	rows, err := k.cfg.Table.Get(ctx, keyDelta(h.Revision))
+	if err != nil {
+		return "", err
+	}
+	var d delta
+	if rows[0].Version == 0 {
+		return "", errDelta
+	}
+	if err := decode(rows[0].Value, &d); err != nil {
+		return "", err
+	}
+	if d.Hash != h.Hash {
+		return "", errDelta
+	}
+	return d.apply(v.hash, v.text)
+}
+
+func (k *Keeper) readInfo(ctx context.Context, revision uint64) (info Info, err error) {
+	rows, err := k.cfg.Table.Get(ctx, keyRev(revision))
+	if err != nil {
+		return Info{}, err
+	}
+	if rows[0].Version == 0 {
+		return Info{}, radishcrank.ErrNotFound
+	}
+	return info, decode(rows[0].Value, &info)
+}
+
+// restore writes the revision in force back to a table that lost it, as a table
+// restored from a backup does. Otherwise the next restart of all instances
+// would revert an accepted configuration.
+func (k *Keeper) restore(ctx context.Context, v *version, headVersion uint64) error {
+	info := Info{
+		Revision: v.doc.Revision, Hash: v.hash, Author: string(k.cfg.Self),
+		Note: "restored from the instances", CommittedAt: time.Now().UTC(), Text: v.text,
+	}
+	rows, err := k.cfg.Table.Get(ctx, keyRev(info.Revision))
+	if err != nil {
+		return err
+	}
+	tx, err := transaction(info, delta{}, headVersion, rows[0].Version)
+	if err != nil {
+		return err
+	}
+	k.cfg.Log.Warn().Uint64("Revision", info.Revision).Msg("table service lost the configuration in force; writing it back")
+	return k.cfg.Table.Commit(ctx, tx)
+}
