--- a/internal/state/rcrevision/row.go
+++ b/internal/state/rcrevision/row.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/blake3"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcpack"
 )
 
 // Keys of the table service.
@@ -92,6 +92,9 @@
 	return hex.EncodeToString(sum[:hashBytes])
 }
 
-func encode(row any) ([]byte, error) { return msgpack.Marshal(row) }
+// maxOps bounds the steps of a delta: a document of 3,000 accounts has 15,000 lines.
+const maxOps = 50000
 
-func decode(data []byte, row any) error { return msgpack.Unmarshal(data, row) }
+func encode(row any) ([]byte, error) { return rcpack.Marshal(row) }
+
+func decode(data []byte, row any) error { return rcpack.Unmarshal(data, maxOps, row) }
--- /dev/null
+++ b/internal/state/rcrevision/tcp_test.go
@@ -0,0 +1,81 @@
+package rcrevision
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+// Guards against parts that work on the stand-in network but not over TCP: three
+// instances that know one bootstrap address find each other and the
+// configuration, although two of them cannot reach the table service.
+func TestOverTCP(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	table, cut := rcfaketable.New(), rcfaketable.New()
+	cut.SetFaults(rcfaketable.Faults{Down: true})
+	keys := rcrpc.Keys{Current: []byte("0123456789abcdef0123456789abcdef")}
+	inForce := make(chan radishcrank.InstanceID, 3)
+	var bootstrap []netip.AddrPort
+	var first *Keeper
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		self := radishcrank.Instance{
+			ID: radishcrank.InstanceID(fmt.Sprintf("router-%d", i)), Zone: "zone-1",
+			Peer: listener.Addr().(*net.TCPAddr).AddrPort(), Incarnation: radishcrank.Incarnation(time.Now().UnixMilli()),
+		}
+		handlers := rcrpc.NewHandlers()
+		rpc := rcrpc.Config{Identity: rcrpc.Identity{Instance: self.ID, Zone: self.Zone}, Keys: keys, Handlers: handlers}
+		client, server := rcrpc.NewClient(rpc), rcrpc.NewServer(listener, rpc)
+		defer client.Close()
+		var tracker *rcmember.Tracker
+		cfg := Config{
+			Self: self.ID, Table: cut, Caller: client, Handlers: handlers, Log: zerolog.Nop(),
+			Reader:    func() bool { return tracker.First(2) },
+			Advertise: func(ctx context.Context) { tracker.Advertise(ctx) },
+			OnChange:  func(*rcconfig.Document) { inForce <- self.ID },
+		}
+		if i == 0 {
+			cfg.Table = table
+		}
+		keeper := New(cfg)
+		tracker = rcmember.New(rcmember.Config{
+			Self: self, Board: rcboard.New(), Caller: client, Handlers: handlers, Bootstrap: bootstrap,
+			Config: keeper.Advert, OnConfig: keeper.Heard,
+		})
+		if i == 0 {
+			first, bootstrap = keeper, []netip.AddrPort{self.Peer}
+		}
+		running.Go(func() { server.Run(ctx) })
+		running.Go(func() { tracker.Run(ctx) })
+		running.Go(func() { keeper.Run(ctx) })
+	}
+	_, err := first.Push(ctx, PushRequest{Text: text(500, 1)})
+	require.NoError(t, err)
+	seen := make(map[radishcrank.InstanceID]bool)
+	for len(seen) < 3 {
+		select {
+		case id := <-inForce:
+			seen[id] = true
+		case <-time.After(20 * time.Second):
+			t.Fatalf("in force only on %v", seen)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/rcsnapshot/codec_test.go
@@ -0,0 +1,130 @@
+package rcsnapshot
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+var taken = time.UnixMilli(1764793000000)
+
+const maxAge = 10 * time.Minute
+
+// sample returns a snapshot of a zone with 500 engines and some traffic.
+func sample(entries, accounts int) Snapshot {
+	s := Snapshot{Instance: "router-1", Zone: "zone-1", TakenAt: taken}
+	for i := range entries {
+		e := rcindex.Entry{
+			Upstream: radishcrank.UpstreamID(fmt.Sprintf("eu-north-1-engine-%d", i%500)), Incarnation: 1764790000000,
+			AccountTag: uint32(i * 7919), Depth: i % 20, Confidence: 0.5, LastSeen: taken.Add(-time.Duration(i%60) * time.Second),
+		}
+		copy(e.Block[:], fmt.Sprintf("%016d", i))
+		s.Prefixes = append(s.Prefixes, e)
+	}
+	for i := range accounts {
+		s.Usage = append(s.Usage, Usage{Account: radishcrank.ClientAccountID(fmt.Sprintf("account-%d", i)), TokensPerSecond: float64(i)})
+	}
+	s.Suspects = []Suspect{{Key: "content", Crashes: 3, Verdict: true, LastCrash: taken}}
+	s.Breakers = []Breaker{{Upstream: "eu-north-1-engine-0", State: "Open", Failures: 5, ChangedAt: taken}}
+	return s
+}
+
+func encoded(t require.TestingT, s Snapshot) []byte {
+	data, err := Encode(s)
+	require.NoError(t, err)
+	return data
+}
+
+// Guards against a codec that loses or changes what it carries.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := sample(rapid.IntRange(0, 50).Draw(t, "entries"), rapid.IntRange(0, 50).Draw(t, "accounts"))
+		got, err := Decode(encoded(t, want), "zone-1", taken.Add(maxAge), maxAge)
+		require.NoError(t, err)
+		require.Equal(t, want.Prefixes, got.Prefixes)
+		require.Equal(t, want.Usage, got.Usage)
+		require.Equal(t, want.Suspects[0].Key, got.Suspects[0].Key)
+		require.True(t, want.Suspects[0].LastCrash.Equal(got.Suspects[0].LastCrash))
+		require.True(t, want.Breakers[0].ChangedAt.Equal(got.Breakers[0].ChangedAt))
+		require.Equal(t, want.Instance, got.Instance)
+	})
+	data := encoded(t, sample(MaxEntries+10, 3000))
+	got, err := Decode(data, "zone-1", taken, maxAge)
+	require.NoError(t, err)
+	require.Len(t, got.Prefixes, MaxEntries)
+	t.Logf("%d entries and 3000 accounts take %d bytes", MaxEntries, len(data))
+	require.Less(t, len(data), 500_000)
+}
+
+// Guards against a damaged, old or foreign snapshot that is taken for truth.
+func TestDecodeRefuses(t *testing.T) {
+	data := encoded(t, sample(5, 5))
+	rapid.Check(t, func(t *rapid.T) {
+		broken := bytes.Clone(data)
+		at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+		broken[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		_, err := Decode(broken, "zone-1", taken, maxAge)
+		require.Error(t, err)
+		_, err = Decode(data[:at], "zone-1", taken, maxAge)
+		require.ErrorIs(t, err, ErrCorrupt)
+	})
+	_, err := Decode(data, "zone-1", taken.Add(maxAge+time.Second), maxAge)
+	require.ErrorIs(t, err, ErrStale)
+	_, err = Decode(data, "zone-1", taken.Add(-2*maxSkew), maxAge)
+	require.ErrorIs(t, err, ErrStale)
+	_, err = Decode(data, "zone-2", taken, maxAge)
+	require.ErrorIs(t, err, ErrZone)
+	_, err = Decode(make([]byte, MaxBytes+1), "zone-1", taken, maxAge)
+	require.ErrorIs(t, err, ErrCorrupt)
+	next := bytes.Clone(data)
+	next[len(magic)] = codecNumber + 1
+	var version *VersionError
+	_, err = Decode(next, "zone-1", taken, maxAge)
+	require.ErrorAs(t, err, &version)
+}
+
+// Guards against a restored row that overwrites what the instance has seen itself.
+func TestBoard(t *testing.T) {
+	from, to := rcboard.New(), rcboard.New()
+	from.Suspects.Put("a", rcboard.Suspect{Crashes: 2})
+	from.Breakers.Put("e", rcboard.Breaker{State: "Open"})
+	from.Accounts.Put("c", rcboard.AccountUsage{Running: 3, TokensPerSecond: 5})
+	from.Accounts.Put("idle", rcboard.AccountUsage{Running: 1})
+	to.Breakers.Put("e", rcboard.Breaker{State: "Closed"})
+	ToBoard(to, FromBoard(from))
+	suspect, _ := to.Suspects.Get("a")
+	require.Equal(t, 2, suspect.Crashes)
+	breaker, _ := to.Breakers.Get("e")
+	require.Equal(t, "Closed", breaker.State)
+	usage, _ := to.Accounts.Get("c")
+	require.Equal(t, rcboard.AccountUsage{TokensPerSecond: 5}, usage)
+	require.Equal(t, 1, to.Accounts.Len())
+}
+
+// Guards against input that makes the decoder panic or accept entries out of
+// bounds. The payload is sealed first, or nothing would pass the checksum.
+func FuzzDecode(f *testing.F) {
+	data := encoded(f, sample(3, 3))
+	f.Add(data[headerBytes:])
+	f.Add([]byte("\x81\xa5Usage\xdd\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		Decode(payload, "zone-1", taken, maxAge)
+		s, err := Decode(seal(payload), "zone-1", taken, maxAge)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, len(s.Prefixes), MaxEntries)
+		again, err := Decode(encoded(t, s), "zone-1", taken, maxAge)
+		require.NoError(t, err)
+		require.Len(t, again.Prefixes, len(s.Prefixes))
+	})
+}
