--- a/internal/eval/rceval/eval_test.go
+++ b/internal/eval/rceval/eval_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,12 +12,26 @@
 )
 
 const (
-	testSeed = 20261203
+	defaultSeed = 20261203
+	// seedVariable sets another seed of the traces.
+	seedVariable = "RADISHCRANK_EVAL_SEED"
 	// longVariable makes traces of the length it gives, for instance 5m.
 	longVariable    = "RADISHCRANK_EVAL_DURATION"
 	defaultDuration = 30 * time.Second
 )
 
+var testSeed = uint64(defaultSeed)
+
+func init() {
+	if v := os.Getenv(seedVariable); v != "" {
+		seed, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		testSeed = seed
+	}
+}
+
 func testDuration(t *testing.T) time.Duration {
 	t.Helper()
 	if v := os.Getenv(longVariable); v != "" {
--- a/internal/eval/rceval/fleet.go
+++ b/internal/eval/rceval/fleet.go
@@ -159,12 +159,14 @@
 			ID:        r.ID,
 			Account:   r.Account,
 			Model:     model,
-			Prompt:    f.trace.Prompt(r),
 			Stream:    true,
 			MaxTokens: r.AnswerTokens,
 			Deadline:  time.Now().Add(rcconfig.DefaultSettings().FirstTokenDeadline),
 		},
 	}
+	if f.policy.prompts {
+		c.req.Prompt = f.trace.Prompt(r)
+	}
 	f.loop.after(zoneDelay, c.dispatch)
 }
 
--- a/internal/eval/rceval/policy.go
+++ b/internal/eval/rceval/policy.go
@@ -26,6 +26,8 @@
 type Policy struct {
 	Name string
 	New  func(env Env) radishcrank.Chooser
+
+	prompts bool // Requests carry their prompts, which takes time to build.
 }
 
 // Baselines are the policies that the real chooser is compared with.
@@ -52,7 +54,7 @@
 		}},
 		{Name: "prefix hashing", New: func(env Env) radishcrank.Chooser {
 			return newBaseline(env, func(req radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
-				return prefixHash(req, ups)
+				return prefixHash(env.fleet.requests[req.ID].Keys[0], ups)
 			})
 		}},
 	}
@@ -115,9 +117,8 @@
 }
 
 // prefixHash maps the account's first block to an engine by rendezvous hashing.
-func prefixHash(req radishcrank.Request, ups []radishcrank.Upstream) int {
-	first := req.Prompt[:min(len(req.Prompt), blockTokens*bytesPerToken)]
-	key := xxhash.Sum64String(string(req.Account) + first)
+func prefixHash(first radishcrank.BlockHash, ups []radishcrank.Upstream) int {
+	key := xxhash.Sum64(first[:])
 	best, top := 0, uint64(0)
 	for i, up := range ups {
 		if score := mix(key ^ xxhash.Sum64String(string(up.ID))); score > top {
@@ -132,10 +133,10 @@
 func Informed(recomputeWeight float64) Policy {
 	return Policy{Name: "reference: true state", New: func(env Env) radishcrank.Chooser {
 		return newBaseline(env, func(req radishcrank.Request, ups []radishcrank.Upstream, _ counts) int {
-			keys := env.fleet.requests[req.ID].Keys
+			r := env.fleet.requests[req.ID]
 			best, low := 0, 0.0
 			for i, up := range ups {
-				cost := env.fleet.byID[up.ID].trueCost(keys, req.Prompt, recomputeWeight)
+				cost := env.fleet.byID[up.ID].trueCost(r, recomputeWeight)
 				if i == 0 || cost < low {
 					best, low = i, cost
 				}
@@ -146,12 +147,12 @@
 }
 
 // trueCost is the wait and prefill of a prompt in tokens.
-func (e *engine) trueCost(keys []radishcrank.BlockHash, prompt string, recomputeWeight float64) float64 {
-	hits := 0
+func (e *engine) trueCost(r *TraceRequest, recomputeWeight float64) float64 {
+	keys, hits := r.Keys, 0
 	for hits < len(keys) && (e.cache.entries[keys[hits]] != nil || e.pending[keys[hits]] > 0) {
 		hits++
 	}
-	missing := float64(len(prompt)/bytesPerToken - hits*blockTokens)
+	missing := float64(r.PromptTokens - hits*blockTokens)
 	slots := float64(max(0, len(e.running)+len(e.waiting)-e.params.MaxBatch))
 	return float64(e.queuedTokens()) + missing*(1+recomputeWeight) + slots*blockTokens
 }
