Assemble peers, membership and configuration revisions in the daemon

radishcrankd reads boot settings, opens its three listeners and runs all members in one group. The configuration comes from the table service and from peers; without one, every caller gets 401. The load and report commands are part of the operators' command line.

--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -31,6 +31,8 @@
 	Explain explainCommand `cmd:"" help:"Print where a request would go, and each term of the choice."`
 	Drain   drainCommand   `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
 	Config  configCommand  `cmd:"" help:"Check, compare and commit the fleet's configuration."`
+	Load    loadCommand    `cmd:"" help:"Send a traffic shape to a running fleet and measure it."`
+	Report  reportCommand  `cmd:"" help:"Write an HTML report of a load result, or compare two."`
 	Demo    demoCommand    `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
@@ -34,6 +36,7 @@
 const (
 	zones          = 2
 	enginesPerZone = 3
+	peerKeyBytes   = 32
 	model          = "advice"
 	weights        = "w1"
 )
@@ -56,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New()}
+	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New(), list: rcfakelist.New(radishcrank.Listing{})}
+	d.peerKey = make([]byte, peerKeyBytes)
+	rand.Read(d.peerKey)
 	defer d.stopUpstreams()
 	if err := d.startUpstreams(); err != nil {
 		return err
@@ -71,7 +76,10 @@
 	if err := d.addInstance("i-2", "zone-2", second); err != nil {
 		return err
 	}
-	d.greet(first.Addr(), second.Addr())
+	if err := d.commit(ctx); err != nil {
+		return err
+	}
+	d.greet()
 	stop, cancel := context.WithCancel(ctx)
 	d.group.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
 	return d.group.Run()
@@ -84,7 +92,9 @@
 	table   *rcfaketable.Table
 	objects *rcfakeobject.Store
 
-	operators []net.Addr
+	list      *rcfakelist.List
+	peerKey   rcconfig.Secret
+	daemons   []*rcdaemon.Daemon
 	upstreams []*http.Server
 }
 
@@ -149,49 +159,73 @@
 	}
 }
 
-// addInstance adds a router instance whose operators' and peers' listeners get free ports.
+// addInstance adds a router instance on loopback.
 func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) error {
-	operators, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	l := rcdaemon.Listeners{Callers: callers}
+	var err error
+	if l.Operators, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
-	d.operators = append(d.operators, operators.Addr())
+	if l.Peers, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	boot := &rcconfig.Boot{
+		ID: id, Zone: zone, Region: "demo",
+		Callers:           address(l.Callers),
+		Operators:         address(l.Operators),
+		Peers:             address(l.Peers),
+		PeerKey:           d.peerKey,
+		OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
+	}
+	d.listing.Instances = append(d.listing.Instances, radishcrank.Instance{
+		ID: id, Zone: zone, Peer: boot.Peers, Operators: boot.Operators,
+	})
+	d.list.Set(d.listing)
 	daemon, err := rcdaemon.New(rcdaemon.Config{
-		Boot: &rcconfig.Boot{
-			ID: id, Zone: zone, Region: "demo",
-			OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
-		},
-		Callers: callers, Operators: operators,
-		Document: document(),
-		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
+		Boot: boot, Listeners: l,
+		Table: d.table, Objects: d.objects, Lister: d.list,
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
 	if err != nil {
 		return err
 	}
+	d.daemons = append(d.daemons, daemon)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.group.Add(func() error { return daemon.Run(ctx, context.Background()) }, func(error) { cancel() })
 	return nil
 }
 
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// commit puts the demo's configuration into the table service.
+func (d *demo) commit(ctx context.Context) error {
+	_, err := d.daemons[0].Configs().Push(ctx, rcops.PushRequest{Author: "demo", Note: "first document", Text: string(document().Render())})
+	return err
+}
+
 func document() *rcconfig.Document {
 	return &rcconfig.Document{
 		Revision: 1,
 		Defaults: rcconfig.DefaultSettings(),
-		Accounts: []rcconfig.Account{{ID: "demo", KeyHashes: []string{rcconfig.HashKey(Key)}}},
+		Accounts: []rcconfig.Account{{ID: "demo", Weight: 1, KeyHashes: []string{rcconfig.HashKey(Key)}}},
 		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
 		Models:   []rcconfig.Model{{ID: model, Weights: weights}},
 	}
 }
 
-func (d *demo) greet(callers ...net.Addr) {
+func (d *demo) greet() {
 	w := d.cfg.Out
-	fmt.Fprintf(w, "Callers:   %v (instances i-1 and i-2)\n", callers)
-	fmt.Fprintf(w, "Operators: %v\n\n", d.operators)
-	fmt.Fprintf(w, "A streamed chat:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", callers[0], Key, model)
+	first, second := d.daemons[0].Boot(), d.daemons[1].Boot()
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "%s in %s: callers %s, operators %s\n", boot.ID, boot.Zone, boot.Callers, boot.Operators)
+	}
+	fmt.Fprintf(w, "\nA streamed chat:\n")
+	fmt.Fprintf(w, "  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", first.Callers, Key, model)
 	fmt.Fprintf(w, "A booking that runs once, however often it is sent, on either instance:\n")
-	for _, addr := range callers {
-		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", addr, Key)
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", boot.Callers, Key)
 	}
-	fmt.Fprintf(w, "The state of the first instance:\n  RADISHCRANK_OPERATOR_KEY=%s go run ./cmd/radishcrank dump --url http://%s\n", OperatorKey, d.operators[0])
+	fmt.Fprintf(w, "The instance as its operators see it:\n")
+	fmt.Fprintf(w, "  export RADISHCRANK_URL=http://%s RADISHCRANK_OPERATOR_KEY=%s\n", first.Operators, OperatorKey)
+	fmt.Fprintf(w, "  go run ./cmd/radishcrank status\n")
 }
--- a/internal/node/rcdaemon/configs.go
+++ b/internal/node/rcdaemon/configs.go
@@ -2,30 +2,74 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 
-	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
 )
 
-// fixedConfigs serves the document that the instance was started with.
-type fixedConfigs struct {
-	d *Daemon
+// configs implements rcops.Configs on the keeper of revisions.
+type configs struct {
+	keeper *rcrevision.Keeper
 }
 
-func (d *Daemon) configs() rcops.Configs { return fixedConfigs{d: d} }
+// Configs returns the configuration as operators see it.
+func (d *Daemon) Configs() rcops.Configs { return configs{keeper: d.keeper} }
 
 // Show implements rcops.Configs.
-func (f fixedConfigs) Show(context.Context, uint64) (rcops.ConfigRevision, error) {
-	doc := f.d.document()
-	return rcops.ConfigRevision{Revision: doc.Revision, Text: string(doc.Render())}, nil
+func (c configs) Show(ctx context.Context, revision uint64) (rcops.ConfigRevision, error) {
+	if revision == 0 {
+		if c.keeper.Current() == nil {
+			return rcops.ConfigRevision{Text: string(noDocument.Render())}, nil
+		}
+		revision = c.keeper.Current().Revision
+	}
+	info, err := c.keeper.Show(ctx, revision)
+	return shown(info), err
 }
 
 // Push implements rcops.Configs.
-func (f fixedConfigs) Push(context.Context, rcops.PushRequest) (rcops.ConfigRevision, error) {
-	return rcops.ConfigRevision{}, radishcrank.ErrUnavailable
+func (c configs) Push(ctx context.Context, req rcops.PushRequest) (rcops.ConfigRevision, error) {
+	info, err := c.keeper.Push(ctx, rcrevision.PushRequest{Base: req.Base, Author: req.Author, Note: req.Note, Text: req.Text})
+	var conflict *rcrevision.ConflictError
+	if errors.As(err, &conflict) {
+		err = &rcops.ConflictError{Newest: conflict.Newest, Diff: diffText(conflict.Changes)}
+	}
+	return shown(info), err
 }
 
 // History implements rcops.Configs.
-func (f fixedConfigs) History(context.Context, int) ([]rcops.ConfigRevision, error) {
-	return nil, radishcrank.ErrUnavailable
+func (c configs) History(ctx context.Context, limit int) ([]rcops.ConfigRevision, error) {
+	infos, err := c.keeper.History(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]rcops.ConfigRevision, 0, len(infos))
+	for _, info := range infos {
+		r := shown(info)
+		r.Text = ""
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+func shown(info rcrevision.Info) rcops.ConfigRevision {
+	return rcops.ConfigRevision{
+		Revision:    info.Revision,
+		Hash:        info.Hash,
+		Author:      info.Author,
+		Note:        info.Note,
+		CommittedAt: info.CommittedAt,
+		Text:        info.Text,
+	}
+}
+
+func diffText(changes []rcconfig.Change) string {
+	lines := make([]string, 0, len(changes))
+	for _, change := range changes {
+		lines = append(lines, change.String())
+	}
+	return strings.Join(lines, "\n")
 }
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -3,8 +3,6 @@
 package rcdaemon
 
 import (
-	"crypto/tls"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,15 +14,17 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
-	"github.com/radishcrank/radishcrank/internal/serving/rccert"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwatch"
@@ -38,9 +38,7 @@
 // Config holds the settings, listeners and platform clients of one instance.
 type Config struct {
 	Boot      *rcconfig.Boot
-	Callers   net.Listener // Accepts callers' connections.
-	Operators net.Listener // Accepts operators' connections.
-	Document  *rcconfig.Document
+	Listeners Listeners // Run closes them.
 	Table     radishcrank.TableService
 	Objects   radishcrank.ObjectStore
 	Lister    radishcrank.InstanceLister
@@ -60,6 +58,11 @@
 	chooser     *rcdecision.Chooser
 	watch       *rcwatch.Watcher
 	calls       *rcidem.Runner
+	handlers    *rcrpc.Handlers
+	client      *rcrpc.Client
+	peers       *rcrpc.Server
+	members     *rcmember.Tracker
+	keeper      *rcrevision.Keeper
 	callers     *http.Server
 	operators   *http.Server
 
@@ -76,7 +79,7 @@
 			err = trace.Wrap(err, "instance %s", cfg.Boot.ID)
 		}
 	}()
-	if cfg, err = withTLS(cfg); err != nil {
+	if cfg.Listeners, err = cfg.Listeners.withTLS(cfg.Boot, cfg.Log); err != nil {
 		return nil, err
 	}
 	now := time.Now()
@@ -89,6 +92,7 @@
 		metrics:     &rcmetric.Set{},
 		drain:       make(chan struct{}),
 	}
+	d.newPeers()
 	dialer := rcengine.NewDialer()
 	d.chooser = rcdecision.New(d.chooserConfig())
 	d.watch = rcwatch.New(rcwatch.Config{
@@ -108,26 +112,12 @@
 	return d, nil
 }
 
-// withTLS puts TLS on the callers' and operators' listeners if the boot settings name a certificate.
-func withTLS(cfg Config) (Config, error) {
-	if cfg.Boot.Certificate == "" {
-		return cfg, nil
-	}
-	certs, err := rccert.New(rccert.Config{Certificate: cfg.Boot.Certificate, PrivateKey: cfg.Boot.PrivateKey, Log: cfg.Log})
-	if err != nil {
-		return cfg, err
-	}
-	cfg.Callers = tls.NewListener(cfg.Callers, certs.TLSConfig())
-	cfg.Operators = tls.NewListener(cfg.Operators, certs.TLSConfig())
-	return cfg, nil
-}
+// Boot returns the instance's boot settings.
+func (d *Daemon) Boot() *rcconfig.Boot { return d.cfg.Boot }
 
 // Board returns the instance's shared tables.
 func (d *Daemon) Board() *rcboard.Board { return d.board }
 
-// document returns the configuration in force.
-func (d *Daemon) document() *rcconfig.Document { return d.cfg.Document }
-
 // settings returns the fleet-wide settings as they apply in the instance's zone.
 func (d *Daemon) settings() rcconfig.Settings {
 	return d.document().SettingsIn(rcconfig.Scope{Zone: d.cfg.Boot.Zone})
@@ -163,6 +153,7 @@
 			path, _, _ := strings.Cut(call.Path, "?")
 			return ok && service.RunsAtMostOnce(call.Method, path)
 		},
+		Dead:      d.members.IsDead,
 		Retention: func() time.Duration { return d.settings().RecordRetention },
 	}
 }
@@ -192,7 +183,7 @@
 		Dump:      d.dump,
 		Explain:   d.explain,
 		Drain:     d.Drain,
-		Configs:   d.configs(),
+		Configs:   d.Configs(),
 		Metrics:   d.metrics,
 		Log:       d.cfg.Log,
 	})
--- a/internal/node/rcdaemon/operate.go
+++ b/internal/node/rcdaemon/operate.go
@@ -5,9 +5,11 @@
 	"crypto/subtle"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
 )
 
 // authorizeOperator compares with every key hash, so that timing does not tell which one matched.
@@ -22,15 +24,20 @@
 
 // Status returns the short state of the instance.
 func (d *Daemon) Status() rcops.Status {
+	config := d.keeper.Status()
 	s := rcops.Status{
-		Instance:    d.cfg.Boot.ID,
-		Zone:        d.cfg.Boot.Zone,
-		Incarnation: d.incarnation,
-		StartedAt:   d.startedAt,
-		Ready:       d.ready.Load(),
-		Draining:    d.draining.Load(),
-		Instances:   d.board.Instances.Len(),
-		Streams:     d.board.Streams.Len(),
+		Instance:       d.cfg.Boot.ID,
+		Zone:           d.cfg.Boot.Zone,
+		Incarnation:    d.incarnation,
+		StartedAt:      d.startedAt,
+		Ready:          d.ready.Load(),
+		Draining:       d.draining.Load(),
+		ConfigRevision: config.Revision,
+		ConfigHash:     config.Hash,
+		ConfigAge:      config.Age,
+		ConfigProblem:  config.Problem,
+		Instances:      d.board.Instances.Len(),
+		Streams:        d.board.Streams.Len(),
 	}
 	for _, up := range d.board.Upstreams.Snapshot() {
 		if up.Role == radishcrank.RoleEngine {
@@ -45,6 +52,8 @@
 // state is what a dump shows. Keys and key hashes are left out.
 type state struct {
 	Status   rcops.Status
+	Config   rcrevision.Status
+	Members  []rcmember.View
 	Settings rcconfig.Settings
 	Accounts []radishcrank.ClientAccountID
 	Services []rcconfig.Service
@@ -56,6 +65,8 @@
 	doc := d.document()
 	s := state{
 		Status:   d.Status(),
+		Config:   d.keeper.Status(),
+		Members:  d.members.Views(),
 		Settings: d.settings(),
 		Services: doc.Services,
 		Models:   doc.Models,
--- /dev/null
+++ b/internal/node/rcdaemon/peers.go
@@ -0,0 +1,81 @@
+package rcdaemon
+
+import (
+	"context"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
+)
+
+// readersPerZone instances of each availability zone poll the table service for
+// the newest configuration revision.
+const readersPerZone = 2
+
+// newPeers assembles what talks to other instances. All handlers are registered
+// before the server runs.
+func (d *Daemon) newPeers() {
+	boot := d.cfg.Boot
+	d.handlers = rcrpc.NewHandlers()
+	rpc := rcrpc.Config{
+		Identity: rcrpc.Identity{Instance: boot.ID, Zone: boot.Zone},
+		Keys:     rcrpc.Keys{Current: boot.PeerKey, Old: boot.OldPeerKey},
+		Handlers: d.handlers,
+	}
+	d.client = rcrpc.NewClient(rpc)
+	d.peers = rcrpc.NewServer(d.cfg.Listeners.Peers, rpc)
+	d.keeper = rcrevision.New(rcrevision.Config{
+		Self:      boot.ID,
+		Table:     d.cfg.Table,
+		Caller:    d.client,
+		Handlers:  d.handlers,
+		Log:       d.cfg.Log,
+		Reader:    func() bool { return d.members.First(readersPerZone) },
+		Advertise: func(ctx context.Context) { d.members.Advertise(ctx) },
+		OnChange:  d.applyDocument,
+	})
+	d.members = rcmember.New(rcmember.Config{
+		Self: radishcrank.Instance{
+			ID:          boot.ID,
+			Zone:        boot.Zone,
+			Peer:        boot.Peers,
+			Operators:   boot.Operators,
+			Incarnation: d.incarnation,
+		},
+		Board:     d.board,
+		Caller:    d.client,
+		Handlers:  d.handlers,
+		Lister:    d.cfg.Lister,
+		Bootstrap: boot.Bootstrap,
+		Config:    d.keeper.Advert,
+		OnConfig:  d.keeper.Heard,
+	})
+}
+
+// document returns the configuration in force, or the built-in defaults without
+// any client account before the first one.
+func (d *Daemon) document() *rcconfig.Document {
+	if doc := d.keeper.Current(); doc != nil {
+		return doc
+	}
+	return noDocument
+}
+
+var noDocument = &rcconfig.Document{Defaults: rcconfig.DefaultSettings()}
+
+// applyDocument is called with each document that comes into force.
+func (d *Daemon) applyDocument(doc *rcconfig.Document) {
+	d.forgetLeaving(doc)
+}
+
+// forgetLeaving drops what the prefix index knows of client accounts that are
+// leaving or gone, so that nothing relies on their cached blocks any more.
+func (d *Daemon) forgetLeaving(doc *rcconfig.Document) {
+	for _, account := range doc.Accounts {
+		if account.Leaving {
+			d.chooser.Index().Forget(account.ID)
+		}
+	}
+}
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -30,11 +30,14 @@
 	d.ready.Store(true)
 	var g run.Group
 	d.addStop(ctx, &g)
-	g.Add(func() error { return serve(d.callers, d.cfg.Callers) }, func(error) { d.stopCallers(abort) })
+	g.Add(func() error { return serve(d.callers, d.cfg.Listeners.Callers) }, func(error) { d.stopCallers(abort) })
 	addLoopWithStop(&g, d.calls.RunSettlement, d.settleRecords)
 	addLoop(&g, d.watch.Run)
-	g.Add(func() error { return serve(d.operators, d.cfg.Operators) }, func(error) { d.stopOperators() })
-	d.cfg.Log.Info().Stringer("Callers", d.cfg.Callers.Addr()).Stringer("Operators", d.cfg.Operators.Addr()).Msg("instance started")
+	addLoop(&g, d.keeper.Run)
+	addLoop(&g, d.members.Run)
+	addLoopWithStop(&g, d.peers.Run, d.client.Close)
+	g.Add(func() error { return serve(d.operators, d.cfg.Listeners.Operators) }, func(error) { d.stopOperators() })
+	d.cfg.Log.Info().Stringer("Callers", d.cfg.Listeners.Callers.Addr()).Stringer("Operators", d.cfg.Listeners.Operators.Addr()).Msg("instance started")
 	err = g.Run()
 	d.cfg.Log.Info().Err(err).Msg("instance stopped")
 	return err
@@ -94,6 +97,7 @@
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
 	defer cancel()
+	d.members.Leave(ctx)
 	d.wait(ctx, d.cfg.NoticeDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.logCut(err)
--- a/internal/serving/rcfront/server_test.go
+++ b/internal/serving/rcfront/server_test.go
@@ -51,6 +51,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	engine := rcfakeengine.New(rcfakeengine.Config{
+		ID:          "e1",
 		Models:      map[radishcrank.ModelID]radishcrank.WeightsVersion{"advice": "w1"},
 		CacheBlocks: 100, BlockTokens: 4, BytesPerToken: 4, MaxBatch: 8,
 		PrefillPerSecond: 1e6, DecodePerSecond: 1e4, AnswerTokens: answerTokens,
--- a/internal/upstream/rcwatch/observe_test.go
+++ b/internal/upstream/rcwatch/observe_test.go
@@ -74,7 +74,7 @@
 				e.reports = 0
 			})
 		}
-		const minutes = 4
+		const minutes = 8
 		time.Sleep(minutes*time.Minute - time.Since(start))
 		w.stop()
 		// The first report of each engine is outside the budget.
