Let callers reconnect to a stream on any instance

Cause: a caller that lost its router instance had to ask again and pay for the whole answer.

An event's identifier now names the stream, the weights and the token. A caller that reconnects with Last-Event-ID gets exactly the rest: from the local replay buffer, from the instance that the identifier names, or generated again from that token on an engine with the same weights. If no engine serves these weights any more the answer is 410, not a mixture of two versions.

Seen: go test ./internal/serving/rcfront, at every event of a stream, with and without the buffer.

--- a/internal/cli/rcload/load_test.go
+++ b/internal/cli/rcload/load_test.go
@@ -42,7 +42,7 @@
 	}
 	return append(events,
 		"id: r/3\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n",
-		"id: r/4\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"prompt_tokens_details\":{\"cached_tokens\":60}}}\n\n",
+		"data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"prompt_tokens_details\":{\"cached_tokens\":60}}}\n\n",
 		"data: [DONE]\n\n")
 }
 
--- a/internal/cli/rcload/request.go
+++ b/internal/cli/rcload/request.go
@@ -139,6 +139,7 @@
 	next      int // Index of the next event.
 	last      time.Time
 	finished  bool // The finish chunk was seen.
+	counted   bool // The chunk with the usage was seen.
 }
 
 // chunk holds the fields of a stream's events that are checked.
@@ -200,15 +201,15 @@
 		s.out.end, s.out.outcome = EndFailed, c.Error.Outcome
 		return
 	}
+	if len(c.Choices) == 0 {
+		s.takeUsage(c, e.ID)
+		return
+	}
 	if !s.inOrder(e.ID) {
 		s.out.end = EndOutOfOrder
 		return
 	}
-	if c.Usage != nil {
-		s.out.prompt, s.out.cached = c.Usage.PromptTokens, c.Usage.PromptDetails.CachedTokens
-	}
 	switch {
-	case len(c.Choices) == 0:
 	case c.Choices[0].FinishReason != nil:
 		s.finished = true
 	case s.finished:
@@ -218,6 +219,17 @@
 	}
 }
 
+// takeUsage reads the chunk with the token counts. It comes once, after the
+// finish, and has no identifier, since a caller never reconnects at it.
+func (s *streamCheck) takeUsage(c chunk, id string) {
+	if c.Usage == nil || !s.finished || s.counted || id != "" {
+		s.out.end = EndMalformed
+		return
+	}
+	s.counted = true
+	s.out.prompt, s.out.cached = c.Usage.PromptTokens, c.Usage.PromptDetails.CachedTokens
+}
+
 // inOrder checks an identifier, which is the request's and the event's index.
 func (s *streamCheck) inOrder(id string) bool {
 	request, index, ok := strings.Cut(id, "/")
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -159,9 +160,15 @@
 }
 
 func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
+	relay := rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts})
+	replay := replayer{d: d, relay: relay}
+	rcrpc.Handle(d.handlers, methodStreamFetch, replay.answerFetch)
 	front := rcfront.New(rcfront.Config{
 		Document:  d.document,
-		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
+		Origin:    rcfront.Origin(d.cfg.Boot.ID),
+		Generator: relay,
+		Replayer:  replay,
+		Weights:   d.servedWeights,
 		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
 		Calls:     d.calls,
 		Metrics:   d.metrics,
@@ -176,6 +183,16 @@
 	}
 }
 
+// servedWeights returns the weights versions of a model that engines serve now.
+func (d *Daemon) servedWeights(model radishcrank.ModelID) (versions []radishcrank.WeightsVersion) {
+	for _, up := range d.board.Upstreams.Snapshot() {
+		if w, ok := up.Load.Weights[model]; ok && !slices.Contains(versions, w) {
+			versions = append(versions, w)
+		}
+	}
+	return versions
+}
+
 func (d *Daemon) newOperatorsServer() *http.Server {
 	ops := rcops.New(rcops.Config{
 		Authorize: d.authorizeOperator,
--- a/internal/serving/rcfront/generate.go
+++ b/internal/serving/rcfront/generate.go
@@ -99,30 +99,36 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), k.settings.StreamTimeout)
 	defer cancel()
 	s.cfg.Metrics.Add(rcmetric.Requests, 1)
-	release, err := s.cfg.Admitter.Admit(ctx, req)
-	if err != nil {
-		s.cfg.Metrics.Add(rcmetric.RequestsRefused, 1)
-		return err
+	if req.Stream && c.Request().Header.Get(radishcrank.HeaderLastEventID) != "" {
+		return s.reconnect(ctx, c, req, body.StreamOptions.IncludeUsage)
 	}
-	var used radishcrank.Usage
-	defer func() { release(used) }()
 	if req.Stream {
-		sink := newStreamSink(c, req, body.StreamOptions.IncludeUsage)
-		err = s.cfg.Generator.Generate(ctx, req, sink)
-		used = sink.finish.Usage
-		s.count(used, err)
-		return sink.end(err)
+		return s.stream(ctx, req, newStreamSink(c, req, body.StreamOptions.IncludeUsage))
 	}
 	sink := &wholeSink{}
-	err = s.cfg.Generator.Generate(ctx, req, sink)
-	used = sink.finish.Usage
-	s.count(used, err)
-	if err != nil {
+	if err := s.run(ctx, req, sink, func() radishcrank.Usage { return sink.finish.Usage }); err != nil {
 		return err
 	}
 	return c.JSON(http.StatusOK, wholeAnswer(req, sink))
 }
 
+func (s *Server) stream(ctx context.Context, req radishcrank.Request, sink *streamSink) error {
+	return sink.end(s.run(ctx, req, sink, func() radishcrank.Usage { return sink.finish.Usage }))
+}
+
+// run admits the request and generates its answer.
+func (s *Server) run(ctx context.Context, req radishcrank.Request, sink radishcrank.StreamSink, used func() radishcrank.Usage) error {
+	release, err := s.cfg.Admitter.Admit(ctx, req)
+	if err != nil {
+		s.cfg.Metrics.Add(rcmetric.RequestsRefused, 1)
+		return err
+	}
+	err = s.cfg.Generator.Generate(ctx, req, sink)
+	release(used())
+	s.count(used(), err)
+	return err
+}
+
 // count adds a finished request to the metrics.
 func (s *Server) count(u radishcrank.Usage, err error) {
 	if err != nil {
--- a/internal/serving/rcfront/server.go
+++ b/internal/serving/rcfront/server.go
@@ -20,7 +20,10 @@
 // Config holds the parts that a Server works with.
 type Config struct {
 	Document  func() *rcconfig.Document // The configuration in force.
+	Origin    string                    // Part of request identifiers, see Origin.
 	Generator radishcrank.Generator
+	Replayer  Replayer
+	Weights   func(model radishcrank.ModelID) []radishcrank.WeightsVersion // Versions that engines serve.
 	Admitter  radishcrank.Admitter
 	Calls     radishcrank.CallRunner
 	Metrics   *rcmetric.Set
@@ -78,7 +81,7 @@
 		if c.Request().URL.Path == pathReady {
 			return next(c)
 		}
-		k := &call{id: newRequestID(), doc: s.cfg.Document()}
+		k := &call{id: newRequestID(s.cfg.Origin), doc: s.cfg.Document()}
 		c.Set(callKey, k)
 		c.Response().Header().Set(radishcrank.HeaderRequestID, string(k.id))
 		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
@@ -113,10 +116,12 @@
 		Msg("request")
 }
 
-func newRequestID() radishcrank.RequestID {
-	var b [12]byte
+// newRequestID returns an identifier that names the instance, followed by 96
+// random bits, which make identifiers of other accounts impossible to guess.
+func newRequestID(origin string) radishcrank.RequestID {
+	var b [randomBytes]byte
 	rand.Read(b[:])
-	return radishcrank.RequestID(hex.EncodeToString(b[:]))
+	return radishcrank.RequestID(origin + hex.EncodeToString(b[:]))
 }
 
 func invalid(status int, code, message string) error {
--- a/internal/serving/rcfront/server_test.go
+++ b/internal/serving/rcfront/server_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +24,7 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
@@ -47,6 +50,9 @@
 	url    string
 	engine *rcfakeengine.Engine
 	calls  *recordingCalls
+
+	replayer rcfront.Replayer
+	lost     bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -73,12 +79,19 @@
 	}
 	doc.Defaults.MaxBodyBytes = 4096
 	calls := &recordingCalls{}
+	relay := rcrelay.New(rcrelay.Config{
+		Board: board, Dialer: rcengine.NewDialer(), MaxAttempts: 2,
+		Chooser: rcdecision.New(rcdecision.Config{Board: board, BlockBytes: func() int { return 16 }}),
+	})
+	f := &fixture{engine: engine, calls: calls, replayer: relay}
 	server := httptest.NewServer(rcfront.New(rcfront.Config{
-		Document: func() *rcconfig.Document { return doc },
-		Generator: rcrelay.New(rcrelay.Config{
-			Board: board, Dialer: rcengine.NewDialer(), MaxAttempts: 2,
-			Chooser: rcdecision.New(rcdecision.Config{Board: board, BlockBytes: func() int { return 16 }}),
-		}),
+		Document:  func() *rcconfig.Document { return doc },
+		Origin:    rcfront.Origin("i-1"),
+		Generator: relay,
+		Replayer:  f,
+		Weights: func(radishcrank.ModelID) []radishcrank.WeightsVersion {
+			return []radishcrank.WeightsVersion{"w0", "w1"}
+		},
 		Admitter: rclimit.New(rclimit.Config{Board: board}),
 		Calls:    calls,
 		Metrics:  &rcmetric.Set{},
@@ -86,7 +99,16 @@
 		Log:      zerolog.Nop(),
 	}))
 	t.Cleanup(server.Close)
-	return &fixture{url: server.URL, engine: engine, calls: calls}
+	f.url = server.URL
+	return f
+}
+
+// Replay implements rcfront.Replayer. With lost set, no instance knows the stream.
+func (f *fixture) Replay(ctx context.Context, account radishcrank.ClientAccountID, id radishcrank.RequestID, after int, sink radishcrank.StreamSink) error {
+	if f.lost {
+		return rcrelay.ErrUnknownStream
+	}
+	return f.replayer.Replay(ctx, account, id, after, sink)
 }
 
 func (f *fixture) client() openai.Client {
@@ -232,3 +254,80 @@
 	require.NoError(t, err)
 	require.Contains(t, line, "text_completion")
 }
+
+// events returns the events of a streamed chat, without those of a reconnect
+// that the caller already has.
+func (f *fixture) events(t *testing.T, lastEventID string) []rcsse.Event {
+	req, err := http.NewRequest(http.MethodPost, f.url+"/v1/chat/completions",
+		strings.NewReader(`{"model":"advice","stream":true,"messages":[{"role":"user","content":"q"}]}`))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	if lastEventID != "" {
+		req.Header.Set(radishcrank.HeaderLastEventID, lastEventID)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	var events []rcsse.Event
+	for r := rcsse.NewReader(resp.Body); ; {
+		e, err := r.Next()
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF)
+			return events
+		}
+		e.Data = bytes.Clone(e.Data)
+		events = append(events, e)
+	}
+}
+
+// Guards against a reconnect that repeats or skips an event, at every place of a
+// stream, whether an instance still holds the rest or it is generated again.
+func TestReconnectGetsExactlyTheRest(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		f := newFixture(t)
+		whole := f.events(t, "")
+		require.Len(t, whole, answerTokens+2, "tokens, finish and terminator")
+		f.lost = lost
+		for i, last := range whole[:answerTokens+1] {
+			rest := f.events(t, last.ID)
+			require.Len(t, rest, len(whole)-i-1)
+			for j, e := range rest {
+				require.Equal(t, whole[i+1+j].ID, e.ID)
+				require.Equal(t, withoutTime(whole[i+1+j].Data), withoutTime(e.Data))
+			}
+		}
+	}
+}
+
+// withoutTime removes the time of creation, which a reconnect may change.
+func withoutTime(data []byte) string {
+	return regexp.MustCompile(`"created":[0-9]+,`).ReplaceAllString(string(data), "")
+}
+
+// Guards against a reconnect on weights that no engine serves, and against
+// identifiers that are not a position.
+func TestReconnectRefused(t *testing.T) {
+	f := newFixture(t)
+	f.lost = true
+	id := strings.Repeat("0", 32)
+	for last, status := range map[string]int{
+		id + ".00000000/3":     http.StatusGone,
+		id + "/3":              http.StatusBadRequest,
+		id + ".00000000/-1":    http.StatusBadRequest,
+		"../x.00000000/3":      http.StatusBadRequest,
+		id + ".00000000/3/4":   http.StatusBadRequest,
+		id + "00.00000000/3":   http.StatusBadRequest,
+		id + ".0000000000/3":   http.StatusBadRequest,
+		id + ".00000000/first": http.StatusBadRequest,
+	} {
+		req, err := http.NewRequest(http.MethodPost, f.url+"/v1/completions", strings.NewReader(`{"model":"advice","stream":true,"prompt":"q"}`))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(radishcrank.HeaderLastEventID, last)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, status, resp.StatusCode, last)
+	}
+}
--- a/internal/serving/rcfront/sink.go
+++ b/internal/serving/rcfront/sink.go
@@ -55,50 +55,65 @@
 	}
 }
 
-// streamSink writes an answer as server-sent events.
+// streamSink writes an answer as server-sent events. The identifier of an event
+// is the stream's identifier, a tag of the weights and the token's index, which
+// is all that another instance needs to continue the stream.
 type streamSink struct {
 	c       echo.Context
+	id      radishcrank.RequestID // As the caller knows the stream.
 	req     radishcrank.Request
+	tag     string // Of the weights; empty until they are known.
 	out     *rcsse.Writer
+	enc     *rcsse.TokenEncoder
 	created int64
 	usage   bool // Send the token counts in a last chunk of their own.
+	after   int  // Index of the last event that the caller has; -1 for none.
 	next    int
 	finish  radishcrank.Finish
 	done    bool
 }
 
 func newStreamSink(c echo.Context, req radishcrank.Request, usage bool) *streamSink {
-	return &streamSink{c: c, req: req, out: rcsse.NewWriter(c.Response()), created: time.Now().Unix(), usage: usage}
+	return &streamSink{
+		c: c, id: req.ID, req: req, out: rcsse.NewWriter(c.Response()),
+		created: time.Now().Unix(), usage: usage, after: -1,
+	}
 }
 
+// SetWeights implements radishcrank.WeightsSink.
+func (s *streamSink) SetWeights(w radishcrank.WeightsVersion) { s.tag = weightsTag(w) }
+
+// publicID returns the identifier in chunks and events.
+func (s *streamSink) publicID() string { return string(s.id) + "." + s.tag }
+
 // Token implements radishcrank.StreamSink.
 func (s *streamSink) Token(t radishcrank.Token) error {
-	ch := choice{Text: &t.Text}
-	if s.req.Chat {
-		d := delta{Content: t.Text}
-		if t.Index == 0 {
-			d.Role = "assistant"
-		}
-		ch = choice{Delta: &d}
+	if t.Index <= s.after {
+		return nil
+	}
+	if s.enc == nil {
+		s.enc = rcsse.NewTokenEncoder(s.publicID(), string(s.req.Model), s.created, s.req.Chat)
 	}
 	s.next = t.Index + 1
-	return s.send(t.Index, []choice{ch}, nil)
+	s.commit()
+	return s.out.Token(s.enc, t.Index, t.Text)
 }
 
 // Finish implements radishcrank.StreamSink.
 func (s *streamSink) Finish(f radishcrank.Finish) error {
-	ch := choice{FinishReason: &f.Reason}
-	if s.req.Chat {
-		ch.Delta = &delta{}
-	} else {
-		ch.Text = new(string)
-	}
 	s.finish = f
-	if err := s.send(s.next, []choice{ch}, nil); err != nil {
-		return err
+	s.commit()
+	index := s.next
+	if f.Usage.CompletionTokens > 0 {
+		index = f.Usage.CompletionTokens
+	}
+	if index > s.after {
+		if err := s.sendFinish(index, f.Reason); err != nil {
+			return err
+		}
 	}
 	if s.usage {
-		if err := s.send(s.next+1, []choice{}, newUsage(f.Usage)); err != nil {
+		if err := s.send("", 0, []choice{}, newUsage(f.Usage)); err != nil {
 			return err
 		}
 	}
@@ -106,20 +121,31 @@
 	return s.out.Event("", 0, []byte("[DONE]"))
 }
 
-func (s *streamSink) send(index int, choices []choice, u *usage) error {
-	s.commit()
+func (s *streamSink) sendFinish(index int, reason string) error {
+	ch := choice{FinishReason: &reason}
+	if s.req.Chat {
+		ch.Delta = &delta{}
+	} else {
+		ch.Text = new(string)
+	}
+	return s.send(s.publicID(), index, []choice{ch}, nil)
+}
+
+// send writes a chunk that is not a token. An empty eventID leaves the
+// identifier that the caller reconnects with as it is.
+func (s *streamSink) send(eventID string, index int, choices []choice, u *usage) error {
 	object := "text_completion"
 	if s.req.Chat {
 		object = "chat.completion.chunk"
 	}
 	data, err := json.Marshal(completion{
-		ID: string(s.req.ID), Object: object, Created: s.created, Model: string(s.req.Model),
+		ID: s.publicID(), Object: object, Created: s.created, Model: string(s.req.Model),
 		Choices: choices, Usage: u,
 	})
 	if err != nil {
 		return err
 	}
-	return s.out.Event(string(s.req.ID), index, data)
+	return s.out.Event(eventID, index, data)
 }
 
 // commit sends the headers with the first event, so that a request that fails
--- a/internal/serving/rcrelay/generation.go
+++ b/internal/serving/rcrelay/generation.go
@@ -182,6 +182,9 @@
 
 // deliver hands the next token to the replay buffer and to the caller.
 func (g *generation) deliver(t radishcrank.Token, weights radishcrank.WeightsVersion) {
+	if ws, ok := g.sink.(radishcrank.WeightsSink); ok && g.req.PinnedWeights != weights {
+		ws.SetWeights(weights)
+	}
 	g.stream.append(t.Text)
 	g.req.Resume = t.Index + 1
 	g.req.PinnedWeights = weights
--- a/router.go
+++ b/router.go
@@ -66,6 +66,12 @@
 	Finish(f Finish) error
 }
 
+// WeightsSink is a StreamSink that wants to know which weights an answer comes
+// from, before its first token.
+type WeightsSink interface {
+	SetWeights(w WeightsVersion)
+}
+
 // Generator produces the answer of one request, over as many engines as it takes.
 type Generator interface {
 	// Generate writes the whole answer to sink. A *Refusal in the error's chain
