--- /dev/null
+++ b/internal/limits/rcverdict/store_test.go
@@ -0,0 +1,47 @@
+package rcverdict
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+)
+
+// Guards against a verdict that a restarted instance does not find, one that is
+// lost with the answer of its write, and reads of the whole list each round.
+func TestVerdictOutlivesInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := rcfaketable.New()
+		cfg := Config{Table: table, Interval: time.Minute}
+		record := rcpoison.Record{Key: "k", Verdict: true, Updated: time.Now().UTC()}
+
+		table.SetFaults(rcfaketable.Faults{LoseAnswers: 1})
+		s := New(cfg)
+		require.ErrorIs(t, s.Store(t.Context(), record), radishcrank.ErrUnknownOutcome)
+		require.NoError(t, s.Store(t.Context(), record), "the row that is there counts as stored")
+
+		restarted := New(cfg)
+		table.SetFaults(rcfaketable.Faults{Down: true})
+		_, err := restarted.Load(t.Context())
+		require.ErrorIs(t, err, radishcrank.ErrUnavailable)
+		table.SetFaults(rcfaketable.Faults{})
+		records, err := restarted.Load(t.Context())
+		require.NoError(t, err)
+		require.Len(t, records, 1)
+		require.True(t, records[0].Verdict)
+
+		reads := table.Counts().Reads
+		_, err = restarted.Load(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, reads, table.Counts().Reads)
+		time.Sleep(time.Minute)
+		_, err = restarted.Load(t.Context())
+		require.NoError(t, err)
+		require.Greater(t, table.Counts().Reads, reads)
+	})
+}
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -15,6 +15,8 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
@@ -26,6 +28,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
+	"github.com/radishcrank/radishcrank/internal/state/rcsnapshot"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwatch"
@@ -64,10 +67,14 @@
 	peers       *rcrpc.Server
 	members     *rcmember.Tracker
 	keeper      *rcrevision.Keeper
+	snapshots   *rcsnapshot.Keeper
+	retrier     *rcretry.Retrier
+	poison      *rcpoison.Tracker
+	warmedFrom  atomic.Value // Source of the warm-up, once it has ended.
 	callers     *http.Server
 	operators   *http.Server
 
-	ready     atomic.Bool
+	ready     atomic.Bool // Set once the warm-up has ended.
 	draining  atomic.Bool
 	drainOnce sync.Once
 	drain     chan struct{} // Closed when an operator orders a drain.
@@ -94,6 +101,8 @@
 		drain:       make(chan struct{}),
 	}
 	d.newPeers()
+	d.newGuard()
+	d.newSnapshots()
 	dialer := rcengine.NewDialer()
 	d.chooser = rcdecision.New(d.chooserConfig())
 	d.watch = rcwatch.New(rcwatch.Config{
@@ -135,6 +144,7 @@
 		},
 		BytesPerToken:   func() int { return d.document().Defaults.BytesPerToken },
 		RecomputeWeight: func() float64 { return d.settings().RecomputeWeight },
+		Breaker:         d.retrier,
 		CrossZone: func(zone radishcrank.AvailabilityZone) time.Duration {
 			return d.document().SettingsIn(rcconfig.Scope{Zone: zone}).CrossZoneCost
 		},
@@ -160,7 +170,15 @@
 }
 
 func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
-	relay := rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts})
+	relay := rcrelay.New(rcrelay.Config{
+		Board:       d.board,
+		Chooser:     d.chooser,
+		Dialer:      dialer,
+		MaxAttempts: maxAttempts,
+		Settings:    d.relaySettings,
+		Retrier:     d.retrier,
+		Guard:       d.poison,
+	})
 	replay := replayer{d: d, relay: relay}
 	rcrpc.Handle(d.handlers, methodStreamFetch, replay.answerFetch)
 	front := rcfront.New(rcfront.Config{
@@ -172,7 +190,7 @@
 		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
 		Calls:     d.calls,
 		Metrics:   d.metrics,
-		Ready:     d.ready.Load,
+		Ready:     d.isReady,
 		Log:       d.cfg.Log,
 	})
 	s := d.settings()
--- /dev/null
+++ b/internal/node/rcdaemon/guard.go
@@ -0,0 +1,133 @@
+package rcdaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
+	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+)
+
+const (
+	verdictInterval = 5 * time.Minute // Between two reads of all verdicts.
+
+	// Records of crashes are passed on for spreadFor, each second to
+	// spreadInZone random peers of the zone and one of the other zones. That is
+	// 15 sends by each instance that holds a record, well above ln(370) = 5.9.
+	spreadInterval = time.Second
+	spreadFor      = 5 * time.Second
+	spreadInZone   = 2
+	maxSpread      = 64 // Records in one message, about 200 bytes each.
+	spreadTimeout  = 2 * time.Second
+)
+
+// newGuard assembles retries, circuit breakers and the search for contents that
+// crash engines.
+func (d *Daemon) newGuard() {
+	d.retrier = rcretry.New(rcretry.Config{
+		Board: d.board,
+		Settings: func() rcretry.Settings {
+			s := d.settings()
+			return rcretry.Settings{RetryRatio: s.RetryRatio, HedgeRatio: s.HedgeRatio}
+		},
+	})
+	d.poison = rcpoison.New(rcpoison.Config{
+		Board:    d.board,
+		Instance: d.cfg.Boot.ID,
+		Verdicts: rcverdict.New(rcverdict.Config{Table: d.cfg.Table, Interval: verdictInterval}),
+	})
+	rcrpc.Handle(d.handlers, methodPoison, d.answerPoison)
+}
+
+func (d *Daemon) relaySettings(account radishcrank.ClientAccountID) rcrelay.Settings {
+	return rcrelay.Settings{ProgressTimeout: d.document().SettingsFor(account).ProgressTimeout}
+}
+
+// poisonRecords carries what instances know of contents that were in flight in crashes.
+type poisonRecords struct {
+	Records []rcpoison.Record
+	All     bool // Asks for all records, as a starting instance does.
+}
+
+var methodPoison = rcrpc.Method[poisonRecords, poisonRecords]{Name: "Poison", Timeout: spreadTimeout}
+
+func (d *Daemon) answerPoison(_ context.Context, _ rcrpc.Identity, q poisonRecords) (poisonRecords, error) {
+	d.poison.Merge(q.Records)
+	if !q.All {
+		return poisonRecords{}, nil
+	}
+	records := d.poison.Export()
+	return poisonRecords{Records: records[:min(len(records), maxSpread)]}, nil
+}
+
+// spreadPoison passes new records of crashes on until ctx ends. A starting
+// instance first asks a peer for all of them.
+func (d *Daemon) spreadPoison(ctx context.Context) error {
+	ticker := time.NewTicker(spreadInterval)
+	defer ticker.Stop()
+	asked := false
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !asked {
+			asked = d.askPoison(ctx)
+		}
+		recent := d.recentPoison()
+		if len(recent) == 0 {
+			continue
+		}
+		for _, addr := range d.spreadTargets() {
+			// A lost message is made up for by the next rounds and by other peers.
+			_, _ = rcrpc.Call(ctx, d.client, addr, methodPoison, poisonRecords{Records: recent})
+		}
+	}
+}
+
+func (d *Daemon) askPoison(ctx context.Context) bool {
+	for _, addr := range d.spreadTargets() {
+		answer, err := rcrpc.Call(ctx, d.client, addr, methodPoison, poisonRecords{All: true})
+		if err == nil {
+			d.poison.Merge(answer.Records)
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) recentPoison() (recent []rcpoison.Record) {
+	for _, r := range d.poison.Export() {
+		if time.Since(r.Updated) < spreadFor && len(recent) < maxSpread {
+			recent = append(recent, r)
+		}
+	}
+	return recent
+}
+
+// spreadTargets returns random peers: some of the own zone and one of the others.
+func (d *Daemon) spreadTargets() []netip.AddrPort {
+	var own, others []netip.AddrPort
+	for _, i := range d.board.Instances.Snapshot() {
+		switch {
+		case i.ID == d.cfg.Boot.ID || i.Leaving:
+		case i.Zone == d.cfg.Boot.Zone:
+			own = append(own, i.Peer)
+		default:
+			others = append(others, i.Peer)
+		}
+	}
+	return append(pick(own, spreadInZone), pick(others, 1)...)
+}
+
+func pick(addrs []netip.AddrPort, n int) []netip.AddrPort {
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:min(n, len(addrs))]
+}
--- a/internal/node/rcdaemon/operate.go
+++ b/internal/node/rcdaemon/operate.go
@@ -10,6 +10,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
+	"github.com/radishcrank/radishcrank/internal/state/rcsnapshot"
 )
 
 // authorizeOperator compares with every key hash, so that timing does not tell which one matched.
@@ -30,7 +31,7 @@
 		Zone:           d.cfg.Boot.Zone,
 		Incarnation:    d.incarnation,
 		StartedAt:      d.startedAt,
-		Ready:          d.ready.Load(),
+		Ready:          d.isReady(),
 		Draining:       d.draining.Load(),
 		ConfigRevision: config.Revision,
 		ConfigHash:     config.Hash,
@@ -39,6 +40,9 @@
 		Instances:      d.board.Instances.Len(),
 		Streams:        d.board.Streams.Len(),
 	}
+	if source, ok := d.warmedFrom.Load().(rcsnapshot.Source); ok {
+		s.Warm = string(source)
+	}
 	for _, up := range d.board.Upstreams.Snapshot() {
 		if up.Role == radishcrank.RoleEngine {
 			s.Engines++
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -15,6 +15,7 @@
 	operatorsHeaderTimeout = 5 * time.Second
 	operatorsStopTimeout   = 2 * time.Second
 	settleTimeout          = 5 * time.Second
+	pushTimeout            = 2 * time.Second
 )
 
 // Run serves until ctx ends or an operator orders a drain, then shuts down
@@ -27,11 +28,13 @@
 		}
 	}()
 	d.watch.Refresh(ctx)
-	d.ready.Store(true)
 	var g run.Group
 	d.addStop(ctx, &g)
 	g.Add(func() error { return serve(d.callers, d.cfg.Listeners.Callers) }, func(error) { d.stopCallers(abort) })
 	addLoopWithStop(&g, d.calls.RunSettlement, d.settleRecords)
+	addLoopWithStop(&g, d.warmAndPush, d.pushSnapshot)
+	addLoop(&g, d.poison.Run)
+	addLoop(&g, d.spreadPoison)
 	addLoop(&g, d.watch.Run)
 	addLoop(&g, d.keeper.Run)
 	addLoop(&g, d.members.Run)
@@ -81,10 +84,12 @@
 	return nil
 }
 
+// isReady reports whether the balancer should send new work.
+func (d *Daemon) isReady() bool { return d.ready.Load() && !d.draining.Load() }
+
 // Drain makes the instance refuse new work, finish what it has and stop.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
-		d.ready.Store(false)
 		d.draining.Store(true)
 		close(d.drain)
 	})
@@ -93,7 +98,6 @@
 // stopCallers ends the callers' listener: the balancer is told first, then
 // running requests finish, up to the shutdown timeout.
 func (d *Daemon) stopCallers(abort context.Context) {
-	d.ready.Store(false)
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
 	defer cancel()
@@ -114,6 +118,22 @@
 	}
 }
 
+// warmAndPush warms up, reports ready and then pushes snapshots for the zone.
+func (d *Daemon) warmAndPush(ctx context.Context) error {
+	d.warmedFrom.Store(d.snapshots.WarmUp(ctx))
+	d.ready.Store(true)
+	return d.snapshots.Run(ctx)
+}
+
+// pushSnapshot leaves what the instance knows to its successors.
+func (d *Daemon) pushSnapshot() {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	if err := d.snapshots.Finish(ctx); err != nil {
+		d.cfg.Log.Warn().Err(err).Msg("last snapshot was not pushed")
+	}
+}
+
 // logCut lists the streams that a forced stop cuts.
 func (d *Daemon) logCut(err error) {
 	for id, s := range d.board.Streams.Snapshot() {
--- /dev/null
+++ b/internal/node/rcdaemon/snapshot.go
@@ -0,0 +1,79 @@
+package rcdaemon
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcsnapshot"
+)
+
+// snapshotPrefixes bounds the index entries of a snapshot. At about 30 bytes an
+// entry it keeps a snapshot near 600 KB.
+const snapshotPrefixes = 20000
+
+// earlyReaders instances of a zone read the zone's snapshot object at once; the
+// others get it from them.
+const earlyReaders = 2
+
+func (d *Daemon) newSnapshots() {
+	d.snapshots = rcsnapshot.New(rcsnapshot.Config{
+		Self:     d.cfg.Boot.ID,
+		Zone:     d.cfg.Boot.Zone,
+		Objects:  d.cfg.Objects,
+		Caller:   d.client,
+		Handlers: d.handlers,
+		Log:      d.cfg.Log,
+		Peers:    d.zonePeers,
+		Early:    func() bool { return d.members.First(earlyReaders) },
+		Pusher:   func() bool { return d.members.First(1) },
+		MaxAge:   func() time.Duration { return d.settings().SnapshotMaxAge },
+		Collect:  d.collect,
+		Restore:  d.restore,
+	})
+}
+
+// zonePeers returns the addresses of the other instances of the zone, or those
+// of the boot settings while none is known.
+func (d *Daemon) zonePeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, i := range d.board.Instances.Values() {
+		if i.ID != d.cfg.Boot.ID && i.Zone == d.cfg.Boot.Zone && !i.Leaving {
+			peers = append(peers, i.Peer)
+		}
+	}
+	if len(peers) == 0 {
+		return slices.Clone(d.cfg.Boot.Bootstrap)
+	}
+	return peers
+}
+
+func (d *Daemon) collect() rcsnapshot.Content {
+	c := rcsnapshot.FromBoard(d.board)
+	c.Prefixes = d.chooser.Index().Hot(snapshotPrefixes)
+	return c
+}
+
+// restore takes in what another instance knew. Of the contents that crash
+// engines only verdicts come from snapshots; suspicions need the crashes
+// themselves, which peers send.
+func (d *Daemon) restore(c rcsnapshot.Content) {
+	d.chooser.Index().Restore(c.Prefixes)
+	var verdicts []rcpoison.Record
+	for _, s := range c.Suspects {
+		if s.Verdict {
+			verdicts = append(verdicts, rcpoison.Record{Key: rcpoison.Key(s.Key), Verdict: true, Updated: s.LastCrash})
+		}
+	}
+	slices.SortFunc(verdicts, func(a, b rcpoison.Record) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	d.poison.Merge(verdicts)
+	breakers := make(map[radishcrank.UpstreamID]rcboard.Breaker, len(c.Breakers))
+	for _, b := range c.Breakers {
+		breakers[b.Upstream] = rcboard.Breaker{State: b.State, Failures: b.Failures, ChangedAt: b.ChangedAt}
+	}
+	d.retrier.Restore(breakers)
+}
