--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
@@ -25,12 +27,16 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
-// Key is the bearer key of the demo's client account.
-const Key = "demo-key"
+// Keys of the demo.
+const (
+	Key         = "demo-key"          // Bearer key of the client account.
+	OperatorKey = "demo-operator-key" // Key of the operators' listeners.
+)
 
 const (
 	zones          = 2
 	enginesPerZone = 3
+	peerKeyBytes   = 32
 	model          = "advice"
 	weights        = "w1"
 )
@@ -53,7 +59,10 @@
 	if err != nil {
 		return err
 	}
-	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New()}
+	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New(), list: rcfakelist.New(radishcrank.Listing{})}
+	d.peerKey = make([]byte, peerKeyBytes)
+	rand.Read(d.peerKey)
+	defer d.stopUpstreams()
 	if err := d.startUpstreams(); err != nil {
 		return err
 	}
@@ -61,9 +70,16 @@
 	if err != nil {
 		return err
 	}
-	d.addInstance("i-1", "zone-1", first)
-	d.addInstance("i-2", "zone-2", second)
-	d.greet(first.Addr(), second.Addr())
+	if err := d.addInstance("i-1", "zone-1", first); err != nil {
+		return err
+	}
+	if err := d.addInstance("i-2", "zone-2", second); err != nil {
+		return err
+	}
+	if err := d.commit(ctx); err != nil {
+		return err
+	}
+	d.greet()
 	stop, cancel := context.WithCancel(ctx)
 	d.group.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
 	return d.group.Run()
@@ -75,6 +91,11 @@
 	listing radishcrank.Listing
 	table   *rcfaketable.Table
 	objects *rcfakeobject.Store
+
+	list      *rcfakelist.List
+	peerKey   rcconfig.Secret
+	daemons   []*rcdaemon.Daemon
+	upstreams []*http.Server
 }
 
 func (d *demo) startUpstreams() error {
@@ -121,38 +142,90 @@
 	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
 	d.listing.Upstreams = append(d.listing.Upstreams, up)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	d.group.Add(func() error {
+	d.upstreams = append(d.upstreams, server)
+	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
-			return err
+			d.cfg.Log.Error().Err(err).Str("Upstream", string(up.ID)).Msg("stand-in stopped")
 		}
-		return nil
-	}, func(error) { server.Close() })
+	}()
 	return nil
 }
 
-func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) {
-	daemon := rcdaemon.New(rcdaemon.Config{
-		ID: id, Zone: zone, Callers: callers,
-		Document: document(),
-		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
+// stopUpstreams ends the stand-ins. They outlive the instances, whose running
+// work needs them.
+func (d *demo) stopUpstreams() {
+	for _, server := range d.upstreams {
+		server.Close()
+	}
+}
+
+// addInstance adds a router instance on loopback.
+func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) error {
+	l := rcdaemon.Listeners{Callers: callers}
+	var err error
+	if l.Operators, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	if l.Peers, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	boot := &rcconfig.Boot{
+		ID: id, Zone: zone, Region: "demo",
+		Callers:           address(l.Callers),
+		Operators:         address(l.Operators),
+		Peers:             address(l.Peers),
+		PeerKey:           d.peerKey,
+		OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
+	}
+	d.listing.Instances = append(d.listing.Instances, radishcrank.Instance{
+		ID: id, Zone: zone, Peer: boot.Peers, Operators: boot.Operators,
+	})
+	d.list.Set(d.listing)
+	daemon, err := rcdaemon.New(rcdaemon.Config{
+		Boot: boot, Listeners: l,
+		Table: d.table, Objects: d.objects, Lister: d.list,
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
+	if err != nil {
+		return err
+	}
+	d.daemons = append(d.daemons, daemon)
 	ctx, cancel := context.WithCancel(context.Background())
-	d.group.Add(func() error { return daemon.Run(ctx) }, func(error) { cancel() })
+	d.group.Add(func() error { return daemon.Run(ctx, context.Background()) }, func(error) { cancel() })
+	return nil
+}
+
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// commit puts the demo's configuration into the table service.
+func (d *demo) commit(ctx context.Context) error {
+	_, err := d.daemons[0].Configs().Push(ctx, rcops.PushRequest{Author: "demo", Note: "first document", Text: string(document().Render())})
+	return err
 }
 
 func document() *rcconfig.Document {
 	return &rcconfig.Document{
 		Revision: 1,
 		Defaults: rcconfig.DefaultSettings(),
-		Accounts: []rcconfig.Account{{ID: "demo", KeyHashes: []string{rcconfig.HashKey(Key)}}},
+		Accounts: []rcconfig.Account{{ID: "demo", Weight: 1, KeyHashes: []string{rcconfig.HashKey(Key)}}},
 		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
 		Models:   []rcconfig.Model{{ID: model, Weights: weights}},
 	}
 }
 
-func (d *demo) greet(addrs ...net.Addr) {
-	fmt.Fprintf(d.cfg.Out, "Instances serve callers at %v.\n\n", addrs)
-	fmt.Fprintf(d.cfg.Out, "curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", addrs[0], Key, model)
-	fmt.Fprintf(d.cfg.Out, "curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: r-1' -d '{\"Depot\":\"Riga\"}'\n", addrs[0], Key)
+func (d *demo) greet() {
+	w := d.cfg.Out
+	first, second := d.daemons[0].Boot(), d.daemons[1].Boot()
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "%s in %s: callers %s, operators %s\n", boot.ID, boot.Zone, boot.Callers, boot.Operators)
+	}
+	fmt.Fprintf(w, "\nA streamed chat:\n")
+	fmt.Fprintf(w, "  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", first.Callers, Key, model)
+	fmt.Fprintf(w, "A booking that runs once, however often it is sent, on either instance:\n")
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", boot.Callers, Key)
+	}
+	fmt.Fprintf(w, "The instance as its operators see it:\n")
+	fmt.Fprintf(w, "  export RADISHCRANK_URL=http://%s RADISHCRANK_OPERATOR_KEY=%s\n", first.Operators, OperatorKey)
+	fmt.Fprintf(w, "  go run ./cmd/radishcrank status\n")
 }
--- /dev/null
+++ b/internal/eval/rceval/real.go
@@ -0,0 +1,33 @@
+package rceval
+
+import (
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
+	"github.com/radishcrank/radishcrank/internal/routing/rcindex"
+)
+
+// Real is the chooser of the router with its default parameters.
+func Real() Policy { return RealWith("radishcrank", nil) }
+
+// RealWith is the chooser of the router with changed parameters.
+func RealWith(name string, change func(*rcdecision.Config)) Policy {
+	return Policy{Name: name, prompts: true, New: func(env Env) radishcrank.Chooser {
+		index := rcindex.New(rcindex.Config{MaxBytes: indexBytes})
+		cfg := rcdecision.Config{
+			Board:         env.Board,
+			Instance:      env.Instance,
+			Zone:          env.Zone,
+			BlockBytes:    func() int { return blockTokens * bytesPerToken },
+			BytesPerToken: func() int { return bytesPerToken },
+			Index:         index,
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		return rcdecision.New(cfg)
+	}}
+}
+
+// indexBytes holds ten times the blocks of all engines. The default size would
+// only slow the evaluation down.
+const indexBytes = 1 << 20
--- a/internal/serving/rcfront/sink.go
+++ b/internal/serving/rcfront/sink.go
@@ -55,65 +55,97 @@
 	}
 }
 
-// streamSink writes an answer as server-sent events.
+// streamSink writes an answer as server-sent events. The identifier of an event
+// is the stream's identifier, a tag of the weights and the token's index, which
+// is all that another instance needs to continue the stream.
 type streamSink struct {
 	c       echo.Context
+	id      radishcrank.RequestID // As the caller knows the stream.
 	req     radishcrank.Request
+	tag     string // Of the weights; empty until they are known.
 	out     *rcsse.Writer
+	enc     *rcsse.TokenEncoder
 	created int64
+	usage   bool // Send the token counts in a last chunk of their own.
+	after   int  // Index of the last event that the caller has; -1 for none.
 	next    int
-	usage   radishcrank.Usage
+	finish  radishcrank.Finish
 	done    bool
 }
 
-func newStreamSink(c echo.Context, req radishcrank.Request) *streamSink {
-	return &streamSink{c: c, req: req, out: rcsse.NewWriter(c.Response()), created: time.Now().Unix()}
+func newStreamSink(c echo.Context, req radishcrank.Request, usage bool) *streamSink {
+	return &streamSink{
+		c: c, id: req.ID, req: req, out: rcsse.NewWriter(c.Response()),
+		created: time.Now().Unix(), usage: usage, after: -1,
+	}
 }
 
+// SetWeights implements radishcrank.WeightsSink.
+func (s *streamSink) SetWeights(w radishcrank.WeightsVersion) { s.tag = weightsTag(w) }
+
+// publicID returns the identifier in chunks and events.
+func (s *streamSink) publicID() string { return string(s.id) + "." + s.tag }
+
 // Token implements radishcrank.StreamSink.
 func (s *streamSink) Token(t radishcrank.Token) error {
-	ch := choice{Text: &t.Text}
-	if s.req.Chat {
-		d := delta{Content: t.Text}
-		if t.Index == 0 {
-			d.Role = "assistant"
-		}
-		ch = choice{Delta: &d}
+	if t.Index <= s.after {
+		return nil
+	}
+	if s.enc == nil {
+		s.enc = rcsse.NewTokenEncoder(s.publicID(), string(s.req.Model), s.created, s.req.Chat)
 	}
 	s.next = t.Index + 1
-	return s.send(t.Index, ch, nil)
+	s.commit()
+	return s.out.Token(s.enc, t.Index, t.Text)
 }
 
 // Finish implements radishcrank.StreamSink.
 func (s *streamSink) Finish(f radishcrank.Finish) error {
-	ch := choice{FinishReason: &f.Reason}
+	s.finish = f
+	s.commit()
+	index := s.next
+	if f.Usage.CompletionTokens > 0 {
+		index = f.Usage.CompletionTokens
+	}
+	if index > s.after {
+		if err := s.sendFinish(index, f.Reason); err != nil {
+			return err
+		}
+	}
+	if s.usage {
+		if err := s.send("", 0, []choice{}, newUsage(f.Usage)); err != nil {
+			return err
+		}
+	}
+	s.done = true
+	return s.out.Event("", 0, []byte("[DONE]"))
+}
+
+func (s *streamSink) sendFinish(index int, reason string) error {
+	ch := choice{FinishReason: &reason}
 	if s.req.Chat {
 		ch.Delta = &delta{}
 	} else {
 		ch.Text = new(string)
 	}
-	s.usage = f.Usage
-	if err := s.send(s.next, ch, newUsage(f.Usage)); err != nil {
-		return err
-	}
-	s.done = true
-	return s.out.Event("", 0, []byte("[DONE]"))
+	return s.send(s.publicID(), index, []choice{ch}, nil)
 }
 
-func (s *streamSink) send(index int, ch choice, u *usage) error {
-	s.commit()
+// send writes a chunk that is not a token. An empty eventID leaves the
+// identifier that the caller reconnects with as it is.
+func (s *streamSink) send(eventID string, index int, choices []choice, u *usage) error {
 	object := "text_completion"
 	if s.req.Chat {
 		object = "chat.completion.chunk"
 	}
 	data, err := json.Marshal(completion{
-		ID: string(s.req.ID), Object: object, Created: s.created, Model: string(s.req.Model),
-		Choices: []choice{ch}, Usage: u,
+		ID: s.publicID(), Object: object, Created: s.created, Model: string(s.req.Model),
+		Choices: choices, Usage: u,
 	})
 	if err != nil {
 		return err
 	}
-	return s.out.Event(string(s.req.ID), index, data)
+	return s.out.Event(eventID, index, data)
 }
 
 // commit sends the headers with the first event, so that a request that fails
@@ -132,7 +164,12 @@
 	if err == nil || !s.c.Response().Committed || s.done {
 		return err
 	}
-	data, jsonErr := json.Marshal(newErrorBody(radishcrank.AsRefusal(err)))
+	refusal := *radishcrank.AsRefusal(err)
+	if refusal.Outcome == radishcrank.OutcomeNotRun {
+		// The refusal of a later attempt does not undo the tokens already delivered.
+		refusal.Outcome = radishcrank.OutcomeMayHaveRun
+	}
+	data, jsonErr := json.Marshal(newErrorBody(&refusal))
 	if jsonErr == nil {
 		s.out.Event("", 0, data)
 	}
@@ -163,7 +200,7 @@
 	object := "text_completion"
 	if req.Chat {
 		object = "chat.completion"
-		ch = choice{Message: &message{Role: "assistant", Content: text}, FinishReason: &s.finish.Reason}
+		ch = choice{Message: &message{Role: "assistant", Content: promptText(text)}, FinishReason: &s.finish.Reason}
 	}
 	return completion{
 		ID: string(req.ID), Object: object, Created: time.Now().Unix(), Model: string(req.Model),
