Tell continued requests from new ones and give up on stalled callers

Cause: a reconnect that is generated again could be refused as NotRun though its first tokens were delivered, and could continue on unknown weights. A caller that stopped reading held its request and engine without bound.

Change: Request.Continues marks requests with delivered output. The relay and the limiter never say NotRun of them, the relay refuses one without pinned weights, and a leaving account's accepted streams may continue. rcsse.Writer fails after 10 s in which the caller accepts nothing.

--- a/internal/limits/rclimit/limiter_test.go
+++ b/internal/limits/rclimit/limiter_test.go
@@ -215,11 +215,15 @@
 	})
 }
 
-// Guards against a leaving account's new work being taken.
+// Guards against a leaving account's new work being taken, or its accepted work refused.
 func TestLeavingAccount(t *testing.T) {
 	l := New(Config{Board: rcboard.New(), Leaving: func(radishcrank.ClientAccountID) bool { return true }})
 	_, err := l.Admit(t.Context(), request("a", 1, 0))
 	require.Equal(t, radishcrank.OutcomeNotRun, radishcrank.AsRefusal(err).Outcome)
+	accepted := request("a", 1, 0)
+	accepted.Resume = 3
+	_, err = l.Admit(t.Context(), accepted)
+	require.NoError(t, err)
 }
 
 // Guards the bound on the overshoot: under any partition of the last full view
--- a/internal/serving/rcrelay/failure.go
+++ b/internal/serving/rcrelay/failure.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// unpinned is the refusal of a request that continues an answer without saying
+// which weights the delivered tokens came from.
+func unpinned() *radishcrank.Refusal {
+	return &radishcrank.Refusal{
+		Status:  http.StatusGone,
+		Code:    "stream_lost",
+		Message: "the weights of the delivered part of the answer are not known",
+		Outcome: radishcrank.OutcomeMayHaveRun,
+	}
+}
+
 // timedOut is the refusal of an answer that took longer than the setting allows.
 func timedOut(reached bool) *radishcrank.Refusal {
 	r := incomplete(reached)
--- a/internal/serving/rcrelay/relay.go
+++ b/internal/serving/rcrelay/relay.go
@@ -134,7 +134,10 @@
 		}
 	}()
 	if err := r.cfg.Guard.Check(req); err != nil {
-		return err
+		return withReach(err, req.Continues())
+	}
+	if req.Resume > 0 && req.PinnedWeights == "" {
+		return unpinned()
 	}
 	settings := r.cfg.Settings(req.Account).withDefaults()
 	genCtx, cancel := detach(ctx)
@@ -154,8 +157,7 @@
 	r.cfg.Board.Streams.Put(req.ID, rcboard.Stream{Account: req.Account, Model: req.Model, StartedAt: time.Now()})
 	defer r.cfg.Board.Streams.Delete(req.ID)
 	g := &generation{relay: r, ctx: genCtx, req: req, sink: sink, stream: s, settings: settings}
-	// The tokens before Resume prove that an earlier run reached an engine.
-	g.reached = req.Resume > 0
+	g.reached = req.Continues()
 	finish, err := g.run()
 	s.end(finish, err)
 	r.retire(s)
@@ -190,7 +192,7 @@
 			Status:  http.StatusConflict,
 			Code:    "request_in_progress",
 			Message: "a request with this identifier is in progress",
-			Outcome: radishcrank.OutcomeNotRun,
+			Outcome: radishcrank.OutcomeMayHaveRun,
 		}
 	}
 	r.streams[s.id] = s
--- a/internal/serving/rcrelay/relay_test.go
+++ b/internal/serving/rcrelay/relay_test.go
@@ -254,6 +254,30 @@
 	})
 }
 
+// Guards against a NotRun of a request whose first tokens were delivered by an
+// earlier run, and against its continuation on unknown weights.
+func TestContinuedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		req := request
+		req.Resume, req.PinnedWeights = 5, "w1"
+		f := &fleet{weights: []radishcrank.WeightsVersion{"w2", "w1"}}
+		c := &collector{next: 5}
+		require.NoError(t, newRelay(f, nil, Settings{}).Generate(t.Context(), req, c))
+		require.Equal(t, answer("w1", 5, answerTokens), c.text.String())
+		for _, change := range []func(*radishcrank.Request){
+			func(r *radishcrank.Request) { r.PinnedWeights = "" },
+			func(r *radishcrank.Request) { r.PinnedWeights = "w3" },
+			func(r *radishcrank.Request) { r.Resume, r.PinnedWeights = 0, "w3" },
+		} {
+			again := req
+			change(&again)
+			err := newRelay(f, nil, Settings{}).Generate(t.Context(), again, c)
+			require.Equal(t, radishcrank.OutcomeMayHaveRun, radishcrank.AsRefusal(err).Outcome)
+		}
+		require.Equal(t, 1, f.runs)
+	})
+}
+
 // Guards against silent connections that hold a stream, their idle siblings and
 // the other requests on the same upstream for longer than the deadline.
 func TestSilenceIsFound(t *testing.T) {
--- a/internal/serving/rcsse/writer.go
+++ b/internal/serving/rcsse/writer.go
@@ -3,13 +3,20 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
+// writeTimeout is the time after which a caller that accepts no data counts as
+// gone. Without it such a caller would hold its engine for ever.
+const writeTimeout = 10 * time.Second
+
 // Writer writes events to an HTTP response and flushes each of them.
 type Writer struct {
 	w   http.ResponseWriter
 	rc  *http.ResponseController
 	buf []byte
+
+	noDeadlines bool // The response writer does not support deadlines.
 }
 
 // NewWriter returns a Writer of w.
@@ -36,12 +43,25 @@
 	return w.Raw(w.buf)
 }
 
-// Raw writes a complete encoded event.
+// Raw writes a complete encoded event. It fails if the caller accepts no data
+// for 10 s.
 func (w *Writer) Raw(event []byte) error {
+	w.setDeadline(time.Now().Add(writeTimeout))
 	if _, err := w.w.Write(event); err != nil {
 		return err
 	}
-	return w.rc.Flush()
+	if err := w.rc.Flush(); err != nil {
+		return err
+	}
+	// The deadline would otherwise outlast the response on a kept-alive connection.
+	w.setDeadline(time.Time{})
+	return nil
+}
+
+func (w *Writer) setDeadline(t time.Time) {
+	if !w.noDeadlines {
+		w.noDeadlines = w.rc.SetWriteDeadline(t) != nil
+	}
 }
 
 // appendID appends the line that identifies an event.
--- a/request.go
+++ b/request.go
@@ -24,6 +24,10 @@
 	PinnedWeights WeightsVersion
 }
 
+// Continues reports whether an earlier run of the request delivered output, so
+// that no refusal may say NotRun of it.
+func (r Request) Continues() bool { return r.Resume > 0 || r.PinnedWeights != "" }
+
 // PromptTokens estimates the tokens of n bytes of prompt.
 func PromptTokens(n, bytesPerToken int) int {
 	if bytesPerToken <= 0 {
