Make admission cheap with thousands of accounts and hundreds of peers

Change: only accounts with waiting requests are visited, and the split of an account's limits is computed again only after news from a peer or 100 ms. Demand sends only accounts that have a limit. A test over loopback covers the resumption after a connection went silent.

--- a/internal/limits/rclimit/account.go
+++ b/internal/limits/rclimit/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -36,6 +35,7 @@
 	finish    float64 // Virtual time up to which the account has used its turn.
 	demand    average
 	published float64 // Demand as last sent to the peers.
+	split     split
 	tokens    bucket
 	requests  bucket
 	usedAt    time.Time
@@ -75,16 +75,6 @@
 	a.finish += difference
 }
 
-// remove takes a waiter out of the queue.
-func (a *account) remove(w *waiter) bool {
-	i := slices.Index(a.queue, w)
-	if i < 0 {
-		return false
-	}
-	a.queue = slices.Delete(a.queue, i, i+1)
-	return true
-}
-
 // bucket is a token bucket whose rate may change at any time. The balance may
 // fall below zero, since the first request of a full bucket is admitted whatever
 // its cost; later ones then wait until the debt is paid.
--- a/internal/limits/rclimit/limiter.go
+++ b/internal/limits/rclimit/limiter.go
@@ -55,6 +55,7 @@
 
 	mu          sync.Mutex
 	accounts    map[radishcrank.ClientAccountID]*account
+	queued      map[radishcrank.ClientAccountID]*account // Those with waiting requests.
 	peers       map[radishcrank.InstanceID]peerDemand
 	running     int
 	waiting     int
@@ -63,6 +64,7 @@
 	timer       *time.Timer   // Next review; nil while nothing waits.
 	sweptAt     time.Time
 	publishedAt time.Time
+	splits      uint64 // Counts changes of what shares are computed from.
 }
 
 // New returns a Limiter.
@@ -85,6 +87,7 @@
 	return &Limiter{
 		cfg:      cfg,
 		accounts: make(map[radishcrank.ClientAccountID]*account),
+		queued:   make(map[radishcrank.ClientAccountID]*account),
 		peers:    make(map[radishcrank.InstanceID]peerDemand),
 		hold:     firstHold,
 		sweptAt:  time.Now(),
@@ -124,8 +127,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	a.queue = append(a.queue, w)
-	l.waiting++
+	l.addLocked(a, w)
 	l.dispatchLocked()
 	l.mu.Unlock()
 	select {
@@ -154,10 +156,9 @@
 func (l *Limiter) withdraw(a *account, w *waiter) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !a.remove(w) {
+	if !l.removeLocked(a, w) {
 		return false
 	}
-	l.waiting--
 	l.showLocked(a)
 	return true
 }
--- a/internal/limits/rclimit/limiter_test.go
+++ b/internal/limits/rclimit/limiter_test.go
@@ -278,3 +278,23 @@
 		})
 	})
 }
+
+// BenchmarkAdmit measures an admission among the target's 3,000 accounts with
+// the demands of 369 peers known.
+func BenchmarkAdmit(b *testing.B) {
+	l := newLimiter(100, rcconfig.Settings{TokensPerSecond: 1e9})
+	for i := range 3000 {
+		l.accountLocked(radishcrank.ClientAccountID(fmt.Sprint(i)), rcconfig.Settings{TokensPerSecond: 1e9})
+	}
+	for i := range 369 {
+		l.SetPeerDemand(radishcrank.InstanceID(fmt.Sprint("peer", i)), Demands{"7": 1})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		release, err := l.Admit(context.Background(), request("7", 10, time.Second))
+		if err != nil {
+			b.Fatal(err)
+		}
+		release(radishcrank.Usage{})
+	}
+}
--- a/internal/limits/rclimit/queue.go
+++ b/internal/limits/rclimit/queue.go
@@ -22,14 +22,34 @@
 		}
 		l.admitLocked(a, now)
 	}
-	for _, a := range l.accounts {
-		if len(a.queue) > 0 {
-			l.showLocked(a)
-		}
+	for _, a := range l.queued {
+		l.showLocked(a)
 	}
 	l.planLocked(soonest)
 }
 
+// addLocked puts a request at the end of its account's queue.
+func (l *Limiter) addLocked(a *account, w *waiter) {
+	a.queue = append(a.queue, w)
+	l.queued[a.id] = a
+	l.waiting++
+}
+
+// removeLocked takes a request out of its account's queue. It reports false if
+// it is not there any more.
+func (l *Limiter) removeLocked(a *account, w *waiter) bool {
+	i := slices.Index(a.queue, w)
+	if i < 0 {
+		return false
+	}
+	a.queue = slices.Delete(a.queue, i, i+1)
+	l.waiting--
+	if len(a.queue) == 0 {
+		delete(l.queued, a.id)
+	}
+	return true
+}
+
 func (l *Limiter) free() bool {
 	capacity := l.cfg.Capacity()
 	return capacity <= 0 || l.running < capacity
@@ -40,10 +60,7 @@
 // returns the time until a rate limit allows the first of them.
 func (l *Limiter) nextLocked(now time.Time) (next *account, wait time.Duration) {
 	wait = math.MaxInt64
-	for _, a := range l.accounts {
-		if len(a.queue) == 0 {
-			continue
-		}
+	for _, a := range l.queued {
 		if due := l.limitedForLocked(a, a.queue[0].cost, now); due > 0 {
 			wait = min(wait, due)
 			continue
@@ -85,9 +102,7 @@
 
 func (l *Limiter) admitLocked(a *account, now time.Time) {
 	w := a.queue[0]
-	a.queue[0] = nil
-	a.queue = a.queue[1:]
-	l.waiting--
+	l.removeLocked(a, w)
 	start := max(l.virtual, a.finish)
 	l.virtual = start
 	a.finish = start + w.cost
@@ -122,15 +137,14 @@
 func (l *Limiter) review() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.accounts {
+	for _, a := range l.queued {
 		// From the back, since a refusal moves only those behind it.
 		for i, w := range slices.Backward(slices.Clone(a.queue)) {
 			err := l.lateLocked(a, i, w)
 			if err == nil {
 				continue
 			}
-			a.remove(w)
-			l.waiting--
+			l.removeLocked(a, w)
 			w.err = err
 			close(w.settled)
 			l.showLocked(a)
@@ -215,7 +229,7 @@
 func (l *Limiter) beforeLocked(a *account, position int, w *waiter) int {
 	tag := max(l.virtual, a.finish) + ahead(a, position)
 	n := position
-	for _, other := range l.accounts {
+	for _, other := range l.queued {
 		if other == a {
 			continue
 		}
--- a/internal/limits/rclimit/share.go
+++ b/internal/limits/rclimit/share.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
 // Demands of accounts in tokens a second.
@@ -26,23 +26,72 @@
 	at      time.Time
 }
 
-// Demand returns this instance's own demands, to be sent to all peers.
+// Demand returns this instance's own demands of the accounts that have a limit,
+// to be sent to all peers. It is called once a second.
 func (l *Limiter) Demand() Demands {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(Demands, len(l.accounts))
+	for id, p := range l.peers {
+		if now.Sub(p.at) > peerWindow {
+			delete(l.peers, id)
+		}
+	}
+	out := make(Demands)
 	for id, a := range l.accounts {
 		a.published = 0
-		if rate := a.demand.rate(now); rate > minDemand {
+		if rate := a.demand.rate(now); rate > minDemand && limited(a.settings) {
 			a.published = rate
 			out[id] = rate
 		}
 	}
 	l.publishedAt = now
+	l.splits++
 	return out
 }
 
+func limited(s rcconfig.Settings) bool {
+	return s.TokensPerSecond > 0 || s.RequestsPerSecond > 0 || s.Concurrency > 0
+}
+
+// SetPeerDemand takes in the demands that a peer sent, and keeps the map.
+// Waiting requests gain from a larger share at their next review.
+func (l *Limiter) SetPeerDemand(from radishcrank.InstanceID, demands Demands) {
+	if from == l.cfg.Instance {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers[from] = peerDemand{demands: demands, at: time.Now()}
+	l.splits++
+}
+
+// splitLife is the time for which a split is used again. It bounds the cost of
+// the many predictions while requests wait; a demand changes within seconds.
+const splitLife = 100 * time.Millisecond
+
+// split is how the instances that hear each other divide an account's limits.
+type split struct {
+	number   uint64 // Of the inputs that it was computed from.
+	at       time.Time
+	members  []member
+	fraction float64 // Own part of the group's limit.
+}
+
+func (l *Limiter) splitLocked(a *account, now time.Time) *split {
+	s := &a.split
+	if s.number == l.splits && !s.at.IsZero() && now.Sub(s.at) < splitLife {
+		return s
+	}
+	members := l.membersLocked(a, now)
+	total := 0.0
+	for _, m := range members {
+		total += m.demand
+	}
+	*s = split{number: l.splits, at: now, members: members, fraction: members[0].demand / total}
+	return s
+}
+
 // ownDemandLocked returns the demand that peers know of this instance, so that
 // all compute the shares from the same numbers. A demand that is newer than the
 // last message counts as it is.
@@ -56,23 +105,6 @@
 	return 0
 }
 
-// SetPeerDemand takes in the demands that a peer sent.
-func (l *Limiter) SetPeerDemand(from radishcrank.InstanceID, demands Demands) {
-	if from == l.cfg.Instance {
-		return
-	}
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, p := range l.peers {
-		if now.Sub(p.at) > peerWindow {
-			delete(l.peers, id)
-		}
-	}
-	l.peers[from] = peerDemand{demands: maps.Clone(demands), at: now}
-	l.dispatchLocked()
-}
-
 // member is one instance's part in the split of a limit.
 type member struct {
 	id     radishcrank.InstanceID
@@ -111,12 +143,8 @@
 
 // shareLocked returns this instance's share of a fleet-wide rate limit.
 func (l *Limiter) shareLocked(a *account, limit float64, now time.Time) float64 {
-	members := l.membersLocked(a, now)
-	total := 0.0
-	for _, m := range members {
-		total += m.demand
-	}
-	return l.groupLimit(limit, len(members)) * members[0].demand / total
+	s := l.splitLocked(a, now)
+	return l.groupLimit(limit, len(s.members)) * s.fraction
 }
 
 // concurrencyShareLocked returns how many requests of the account may run here,
@@ -126,12 +154,12 @@
 	if a.settings.Concurrency <= 0 {
 		return -1
 	}
-	members := l.membersLocked(a, now)
-	limit := l.groupLimit(float64(a.settings.Concurrency), len(members))
-	if len(members) == 1 && l.cfg.Instances() > 1 {
+	s := l.splitLocked(a, now)
+	if len(s.members) == 1 && l.cfg.Instances() > 1 {
 		return l.loneShare(a.settings.Concurrency)
 	}
-	return largestRemainder(members, int(limit), l.cfg.Instance)
+	limit := l.groupLimit(float64(a.settings.Concurrency), len(s.members))
+	return largestRemainder(slices.Clone(s.members), int(limit), l.cfg.Instance)
 }
 
 // loneShare is the part of a concurrency limit for an instance that hears
--- a/internal/upstream/rcengine/engine_test.go
+++ b/internal/upstream/rcengine/engine_test.go
@@ -21,8 +21,12 @@
 
 // startEngine serves a stand-in engine on loopback.
 func startEngine(t *testing.T, faults rcfakeengine.Faults) (*rcfakeengine.Engine, *rcfakeengine.Listener, radishcrank.Upstream) {
+	return startNamed(t, "e1", faults)
+}
+
+func startNamed(t *testing.T, id radishcrank.UpstreamID, faults rcfakeengine.Faults) (*rcfakeengine.Engine, *rcfakeengine.Listener, radishcrank.Upstream) {
 	e := rcfakeengine.New(rcfakeengine.Config{
-		ID: "e1", Models: map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "w1"}, Adapters: []string{"ad"},
+		ID: id, Models: map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "w1"}, Adapters: []string{"ad"},
 		CacheBlocks: 10, BlockTokens: 10, BytesPerToken: 4, MaxBatch: 8,
 		PrefillPerSecond: 1e6, DecodePerSecond: 500, AnswerTokens: 8,
 	})
@@ -33,7 +37,7 @@
 	server := &http.Server{Handler: e.Handler()}
 	go server.Serve(l)
 	t.Cleanup(func() { server.Close() })
-	return e, l, radishcrank.Upstream{ID: "e1", Addr: inner.Addr().(*net.TCPAddr).AddrPort()}
+	return e, l, radishcrank.Upstream{ID: id, Addr: inner.Addr().(*net.TCPAddr).AddrPort()}
 }
 
 func generateRequest() radishcrank.GenerateRequest {
--- /dev/null
+++ b/internal/upstream/rcengine/resume_test.go
@@ -0,0 +1,73 @@
+package rcengine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+)
+
+// inOrder chooses the first upstream that is not excluded.
+type inOrder []radishcrank.Upstream
+
+func (c inOrder) Choose(_ context.Context, _ radishcrank.Request, exclude []radishcrank.UpstreamID) (radishcrank.Placement, error) {
+	for _, up := range c {
+		if !slices.Contains(exclude, up.ID) {
+			return radishcrank.Placement{Upstream: up, Weights: "w1"}, nil
+		}
+	}
+	return radishcrank.Placement{}, &radishcrank.Refusal{Code: "no_engine", Outcome: radishcrank.OutcomeNotRun}
+}
+
+func (c inOrder) Observe(radishcrank.Request, radishcrank.Placement, radishcrank.Observation) {}
+
+type answerSink struct {
+	text     strings.Builder
+	at       int // Silences the connection after this token.
+	silence  func()
+	finished bool
+}
+
+func (s *answerSink) Token(t radishcrank.Token) error {
+	s.text.WriteString(t.Text)
+	if t.Index == s.at {
+		s.silence()
+	}
+	return nil
+}
+
+func (s *answerSink) Finish(radishcrank.Finish) error {
+	s.finished = true
+	return nil
+}
+
+// Guards against gaps and repeats over real connections when the one in use goes
+// silent, and against work left running on the silent engine.
+func TestResumeAfterSilence(t *testing.T) {
+	first, l, up1 := startEngine(t, rcfakeengine.Faults{SilentAfter: 4})
+	_, _, up2 := startNamed(t, "e2", rcfakeengine.Faults{})
+	d := NewDialer()
+	r := rcrelay.New(rcrelay.Config{
+		Board: rcboard.New(), Chooser: inOrder{up1, up2}, Dialer: d, MaxAttempts: 2,
+		Settings: func(radishcrank.ClientAccountID) rcrelay.Settings {
+			return rcrelay.Settings{ProgressTimeout: 300 * time.Millisecond}
+		},
+	})
+	sink := &answerSink{at: 3, silence: func() { l.Silence() }}
+	require.NoError(t, r.Generate(t.Context(), generateRequest().Request, sink))
+	want := ""
+	for i := range 8 {
+		want += rcfakeengine.TokenText("hello", "w1", i)
+	}
+	require.Equal(t, want, sink.text.String())
+	require.True(t, sink.finished)
+	require.Eventually(t, func() bool { return first.LoadReport().Running == 0 }, 5*time.Second, time.Millisecond)
+}
