Prove with real processes that a killed instance harms nothing

Cause: no test ran the daemon as processes.

The test starts radishcrankd processes against stand-ins on loopback, kills one by its process ID in the middle of a stream and of a booking, and checks that the stream continues exactly on the other instance, that the booking ran once and its answer is found, and that a restarted instance comes back with the configuration. A second test stops an instance with SIGTERM during a stream.

It found that a repeat of the booking got no answer for 30 s: of two instances the one left cannot tell a dead peer from being cut off, so the record stayed Started. A repeat that waits now asks the upstream's lookup every 2 s; a positive answer is proof whether or not the holder lives.

--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -20,10 +19,7 @@
 	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakefleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
@@ -39,6 +35,7 @@
 	peerKeyBytes   = 32
 	model          = "advice"
 	weights        = "w1"
+	service        = "booking"
 )
 
 // Config holds the demo's options.
@@ -59,21 +56,23 @@
 	if err != nil {
 		return err
 	}
-	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New(), list: rcfakelist.New(radishcrank.Listing{})}
-	d.peerKey = make([]byte, peerKeyBytes)
-	rand.Read(d.peerKey)
-	defer d.stopUpstreams()
-	if err := d.startUpstreams(); err != nil {
+	fleet, err := rcfakefleet.Start(fleetConfig())
+	if err != nil {
 		return err
 	}
+	// The stand-ins outlive the instances, whose running work needs them.
+	defer fleet.Close()
+	d := &demo{cfg: cfg, fleet: fleet}
+	d.peerKey = make([]byte, peerKeyBytes)
+	rand.Read(d.peerKey)
 	second, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	if err := d.addInstance("i-1", "zone-1", first); err != nil {
+	if err := d.addInstance("i-1", rcfakefleet.Zone(1), first); err != nil {
 		return err
 	}
-	if err := d.addInstance("i-2", "zone-2", second); err != nil {
+	if err := d.addInstance("i-2", rcfakefleet.Zone(2), second); err != nil {
 		return err
 	}
 	if err := d.commit(ctx); err != nil {
@@ -88,74 +87,27 @@
 type demo struct {
 	cfg     Config
 	group   run.Group
-	listing radishcrank.Listing
-	table   *rcfaketable.Table
-	objects *rcfakeobject.Store
-
-	list      *rcfakelist.List
-	peerKey   rcconfig.Secret
-	daemons   []*rcdaemon.Daemon
-	upstreams []*http.Server
-}
-
-func (d *demo) startUpstreams() error {
-	ledger := rcfakeservice.NewLedger()
-	for z := 1; z <= zones; z++ {
-		zone := radishcrank.AvailabilityZone(fmt.Sprintf("zone-%d", z))
-		for n := 1; n <= enginesPerZone; n++ {
-			id := radishcrank.UpstreamID(fmt.Sprintf("engine-%d-%d", z, n))
-			engine := rcfakeengine.New(rcfakeengine.Config{
-				ID:               id,
-				Models:           map[radishcrank.ModelID]radishcrank.WeightsVersion{model: weights},
-				CacheBlocks:      2000,
-				BlockTokens:      rcconfig.DefaultSettings().BlockTokens,
-				BytesPerToken:    rcconfig.DefaultSettings().BytesPerToken,
-				MaxBatch:         16,
-				PrefillPerSecond: 20000,
-				DecodePerSecond:  100,
-				AnswerTokens:     32,
-				LoadWeights:      500 * time.Millisecond,
-			})
-			err := d.serve(engine.Handler(), radishcrank.Upstream{
-				ID: id, Role: radishcrank.RoleEngine, Zone: zone, Models: []radishcrank.ModelID{model},
-			})
-			if err != nil {
-				return err
-			}
-		}
-		err := d.serve(ledger.Handler(), radishcrank.Upstream{
-			ID: radishcrank.UpstreamID(fmt.Sprintf("booking-%d", z)), Role: radishcrank.RoleService, Zone: zone, Service: "booking",
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	fleet   *rcfakefleet.Fleet
+	peerKey rcconfig.Secret
+	daemons []*rcdaemon.Daemon
 }
 
-// serve starts an upstream on a free port and lists it.
-func (d *demo) serve(h http.Handler, up radishcrank.Upstream) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
-	d.listing.Upstreams = append(d.listing.Upstreams, up)
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	d.upstreams = append(d.upstreams, server)
-	go func() {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			d.cfg.Log.Error().Err(err).Str("Upstream", string(up.ID)).Msg("stand-in stopped")
-		}
-	}()
-	return nil
-}
-
-// stopUpstreams ends the stand-ins. They outlive the instances, whose running
-// work needs them.
-func (d *demo) stopUpstreams() {
-	for _, server := range d.upstreams {
-		server.Close()
+func fleetConfig() rcfakefleet.Config {
+	return rcfakefleet.Config{
+		Zones:          zones,
+		EnginesPerZone: enginesPerZone,
+		Service:        service,
+		Engine: rcfakeengine.Config{
+			Models:           map[radishcrank.ModelID]radishcrank.WeightsVersion{model: weights},
+			CacheBlocks:      2000,
+			BlockTokens:      rcconfig.DefaultSettings().BlockTokens,
+			BytesPerToken:    rcconfig.DefaultSettings().BytesPerToken,
+			MaxBatch:         16,
+			PrefillPerSecond: 20000,
+			DecodePerSecond:  100,
+			AnswerTokens:     32,
+			LoadWeights:      500 * time.Millisecond,
+		},
 	}
 }
 
@@ -177,13 +129,10 @@
 		PeerKey:           d.peerKey,
 		OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
 	}
-	d.listing.Instances = append(d.listing.Instances, radishcrank.Instance{
-		ID: id, Zone: zone, Peer: boot.Peers, Operators: boot.Operators,
-	})
-	d.list.Set(d.listing)
+	d.fleet.AddInstance(radishcrank.Instance{ID: id, Zone: zone, Peer: boot.Peers, Operators: boot.Operators})
 	daemon, err := rcdaemon.New(rcdaemon.Config{
 		Boot: boot, Listeners: l,
-		Table: d.table, Objects: d.objects, Lister: d.list,
+		Table: d.fleet.Table, Objects: d.fleet.Objects, Lister: d.fleet.List,
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
 	if err != nil {
@@ -208,7 +157,7 @@
 		Revision: 1,
 		Defaults: rcconfig.DefaultSettings(),
 		Accounts: []rcconfig.Account{{ID: "demo", Weight: 1, KeyHashes: []string{rcconfig.HashKey(Key)}}},
-		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
+		Services: []rcconfig.Service{{Name: service, NonRepeatable: []string{"POST /"}}},
 		Models:   []rcconfig.Model{{ID: model, Weights: weights}},
 	}
 }
--- a/internal/cli/rcserve/serve.go
+++ b/internal/cli/rcserve/serve.go
@@ -119,9 +119,16 @@
 	l.Callers = open("callers", boot.Callers)
 	l.Operators = open("operators", boot.Operators)
 	l.Peers = open("peers", boot.Peers)
-	return l, err
+	if err != nil {
+		return l, err
+	}
+	// Settings may leave a port to the system.
+	boot.Callers, boot.Operators, boot.Peers = address(l.Callers), address(l.Operators), address(l.Peers)
+	return l, nil
 }
 
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
 var errSecondSignal = errors.New("second signal")
 
 // signals returns a context that the first signal ends and one that the second ends.
--- /dev/null
+++ b/internal/cli/rcserve/system_test.go
@@ -0,0 +1,316 @@
+package rcserve
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakefleet"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+const (
+	runVariable = "RADISHCRANKD_TEST_RUN" // Makes the test binary run an instance.
+	callerKey   = "riga-key"
+	operatorKey = "operator-key"
+	peerKey     = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+	answerTokens = 60
+	waitLimit    = 30 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is one radishcrankd process.
+type process struct {
+	cmd      *exec.Cmd
+	id       radishcrank.InstanceID
+	settings string // File.
+	exited   chan struct{}
+
+	mu    sync.Mutex
+	lines []string
+
+	callers, operators, peers netip.AddrPort
+}
+
+// started is the log line that names the listeners.
+type started struct {
+	Message                   string `json:"message"`
+	Callers, Operators, Peers netip.AddrPort
+}
+
+type system struct {
+	t     *testing.T
+	fleet *rcfakefleet.Fleet
+	dir   string
+}
+
+func newSystem(t *testing.T) *system {
+	fleet, err := rcfakefleet.Start(rcfakefleet.Config{
+		Zones: 2, EnginesPerZone: 2, Service: "booking",
+		Engine: rcfakeengine.Config{
+			Models:      map[radishcrank.ModelID]radishcrank.WeightsVersion{"advice": "w1"},
+			CacheBlocks: 1000, BlockTokens: 2000, BytesPerToken: 4, MaxBatch: 8,
+			PrefillPerSecond: 1e6, DecodePerSecond: 50, AnswerTokens: answerTokens,
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(fleet.Close)
+	return &system{t: t, fleet: fleet, dir: t.TempDir()}
+}
+
+// start starts an instance and waits until its log names its listeners.
+func (s *system) start(id string, zone int) *process {
+	p := &process{id: radishcrank.InstanceID(id), settings: filepath.Join(s.dir, id+".ini"), exited: make(chan struct{})}
+	text := fmt.Sprintf(`[Instance]
+ID = %s
+Region = test
+Zone = %s
+[Listeners]
+Callers = 127.0.0.1:0
+Peers = 127.0.0.1:0
+Operators = 127.0.0.1:0
+[Platform]
+Table = %s
+Objects = %s
+Instances = %s
+Weights = %s
+[Peers]
+Key = %s
+[Operators]
+KeyHashes = %s
+`, id, rcfakefleet.Zone(zone), s.fleet.TableAddr, s.fleet.ObjectsAddr, s.fleet.ListAddr, s.fleet.ListAddr, peerKey, rcconfig.HashKey(operatorKey))
+	require.NoError(s.t, os.WriteFile(p.settings, []byte(text), 0o600))
+	p.cmd = exec.Command(os.Args[0], "--settings", p.settings, "--notice-delay", "0s")
+	p.cmd.Env = append(os.Environ(), runVariable+"=1")
+	log, err := p.cmd.StderrPipe()
+	require.NoError(s.t, err)
+	require.NoError(s.t, p.cmd.Start())
+	found := make(chan started, 1)
+	go p.read(log, found)
+	select {
+	case line := <-found:
+		p.callers, p.operators, p.peers = line.Callers, line.Operators, line.Peers
+	case <-p.exited:
+		s.t.Fatalf("instance %s ended: %s", id, p.log())
+	case <-time.After(waitLimit):
+		s.t.Fatalf("instance %s did not start: %s", id, p.log())
+	}
+	s.fleet.AddInstance(radishcrank.Instance{ID: p.id, Zone: rcfakefleet.Zone(zone), Peer: p.peers, Operators: p.operators})
+	s.t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		<-p.exited
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", p.id, p.log())
+		}
+	})
+	return p
+}
+
+func (p *process) read(log io.Reader, found chan<- started) {
+	scanner := bufio.NewScanner(log)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		p.mu.Unlock()
+		var line started
+		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Message == "instance started" {
+			found <- line
+		}
+	}
+	p.cmd.Wait()
+	close(p.exited)
+}
+
+func (p *process) log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.lines, "\n")
+}
+
+func (p *process) ops() *rcops.Client {
+	return rcops.NewClient(rcops.ClientConfig{URL: "http://" + p.operators.String(), Key: operatorKey})
+}
+
+// waitFor waits until the status of an instance satisfies a condition.
+func (s *system) waitFor(p *process, condition func(rcops.Status) bool) {
+	require.Eventually(s.t, func() bool {
+		status, err := p.ops().Status(s.t.Context())
+		return err == nil && condition(status)
+	}, waitLimit, 50*time.Millisecond, "status of %s", p.id)
+}
+
+func (s *system) push(p *process) {
+	doc := &rcconfig.Document{
+		Defaults: rcconfig.DefaultSettings(),
+		Accounts: []rcconfig.Account{{ID: "riga", Weight: 1, KeyHashes: []string{rcconfig.HashKey(callerKey)}}},
+		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
+		Models:   []rcconfig.Model{{ID: "advice", Weights: "w1"}},
+	}
+	_, err := p.ops().Push(s.t.Context(), rcops.PushRequest{Author: "test", Note: "first", Text: string(doc.Render())})
+	require.NoError(s.t, err)
+}
+
+// post sends a caller's request; the error is that of the connection.
+func (s *system) post(p *process, path, body string, header map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+p.callers.String()+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	return (&http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+}
+
+const chat = `{"model":"advice","stream":true,"messages":[{"role":"user","content":"Where do empties go?"}]}`
+
+// readTokens reads up to limit tokens, or to the end; complete says that the terminator came.
+func readTokens(t *testing.T, resp *http.Response, limit int) (text, lastID string, complete bool) {
+	r := rcsse.NewReader(resp.Body)
+	for limit > 0 {
+		e, err := r.Next()
+		if err != nil {
+			return text, lastID, false
+		}
+		if bytes.Equal(e.Data, []byte("[DONE]")) {
+			return text, lastID, true
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		require.NoError(t, json.Unmarshal(e.Data, &chunk))
+		require.Len(t, chunk.Choices, 1, string(e.Data))
+		text += chunk.Choices[0].Delta.Content
+		lastID = e.ID
+		limit--
+	}
+	return text, lastID, false
+}
+
+func expectedAnswer() string {
+	var b strings.Builder
+	for i := range answerTokens {
+		b.WriteString(rcfakeengine.TokenText("<|user|>Where do empties go?\n", "w1", i))
+	}
+	return b.String()
+}
+
+// Guards against what a killed instance could harm: a stream that its caller
+// cannot finish elsewhere, a booking that is lost or made twice, a configuration
+// that is forgotten, and a restarted instance that does not come back.
+func TestKilledInstanceHarmsNothing(t *testing.T) {
+	s := newSystem(t)
+	a, b := s.start("a", 1), s.start("b", 2)
+	s.push(a)
+	for _, p := range []*process{a, b} {
+		s.waitFor(p, func(st rcops.Status) bool {
+			return st.Ready && st.ConfigRevision == 1 && st.Engines == 4 && st.Instances == 2
+		})
+	}
+
+	stream, err := s.post(a, "/v1/chat/completions", chat, nil)
+	require.NoError(t, err)
+	defer stream.Body.Close()
+	head, lastID, _ := readTokens(t, stream, 10)
+
+	s.fleet.Ledger.SetFaults(rcfakeservice.Faults{HoldAnswers: 1})
+	key := map[string]string{radishcrank.HeaderIdempotencyKey: "release-1"}
+	booked := make(chan error, 1)
+	go func() {
+		resp, err := s.post(a, "/services/booking/releases", `{"Depot":"Riga"}`, key)
+		if err == nil {
+			resp.Body.Close()
+		}
+		booked <- err
+	}()
+	require.Eventually(t, func() bool { return s.fleet.Ledger.Total() == 1 }, waitLimit, 10*time.Millisecond)
+
+	require.NoError(t, a.cmd.Process.Kill())
+	<-a.exited
+	require.Error(t, <-booked, "the booking's first answer is lost with its instance")
+	rest, restID, complete := readTokens(t, stream, answerTokens)
+	require.False(t, complete)
+	if restID != "" {
+		head, lastID = head+rest, restID
+	}
+
+	resumed, err := s.post(b, "/v1/chat/completions", chat, map[string]string{radishcrank.HeaderLastEventID: lastID})
+	require.NoError(t, err)
+	defer resumed.Body.Close()
+	tail, _, complete := readTokens(t, resumed, 2*answerTokens)
+	require.True(t, complete)
+	require.Equal(t, expectedAnswer(), head+tail)
+
+	// The repeat gets the answer through the service's lookup, although the one
+	// instance left cannot tell a dead peer from being cut off itself.
+	var answers []string
+	for range 2 {
+		resp, err := s.post(b, "/services/booking/releases", `{"Depot":"Riga"}`, key)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusOK, resp.StatusCode, string(body))
+		answers = append(answers, string(body))
+	}
+	require.Equal(t, answers[0], answers[1])
+	require.Equal(t, 1, s.fleet.Ledger.Runs("riga/release-1"))
+
+	again := s.start("a", 1)
+	s.waitFor(again, func(st rcops.Status) bool { return st.Ready && st.ConfigRevision == 1 })
+	resp, err := s.post(again, "/services/booking/releases", `{"Depot":"Riga"}`, key)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, 1, s.fleet.Ledger.Total())
+}
+
+// Guards against a planned stop that cuts a running stream, takes new work, or
+// ends with an error.
+func TestGracefulStopFinishesStreams(t *testing.T) {
+	s := newSystem(t)
+	a := s.start("a", 1)
+	s.push(a)
+	s.waitFor(a, func(st rcops.Status) bool { return st.Ready && st.ConfigRevision == 1 && st.Engines == 4 })
+	stream, err := s.post(a, "/v1/chat/completions", chat, nil)
+	require.NoError(t, err)
+	defer stream.Body.Close()
+	head, _, _ := readTokens(t, stream, 1)
+	require.NoError(t, a.cmd.Process.Signal(syscall.SIGTERM))
+	tail, _, complete := readTokens(t, stream, 2*answerTokens)
+	require.True(t, complete)
+	require.Equal(t, expectedAnswer(), head+tail)
+	select {
+	case <-a.exited:
+	case <-time.After(waitLimit):
+		t.Fatal("the instance did not stop")
+	}
+	require.Equal(t, 0, a.cmd.ProcessState.ExitCode())
+	_, err = s.post(a, "/v1/chat/completions", chat, nil)
+	require.Error(t, err, "a stopped instance accepts nothing")
+}
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -40,7 +40,11 @@
 	addLoop(&g, d.members.Run)
 	addLoopWithStop(&g, d.peers.Run, d.client.Close)
 	g.Add(func() error { return serve(d.operators, d.cfg.Listeners.Operators) }, func(error) { d.stopOperators() })
-	d.cfg.Log.Info().Stringer("Callers", d.cfg.Listeners.Callers.Addr()).Stringer("Operators", d.cfg.Listeners.Operators.Addr()).Msg("instance started")
+	d.cfg.Log.Info().
+		Stringer("Callers", d.cfg.Listeners.Callers.Addr()).
+		Stringer("Operators", d.cfg.Listeners.Operators.Addr()).
+		Stringer("Peers", d.cfg.Listeners.Peers.Addr()).
+		Msg("instance started")
 	err = g.Run()
 	d.cfg.Log.Info().Err(err).Msg("instance stopped")
 	return err
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// followLookup is the time between questions to the upstream while another
+	// instance runs the call.
+	followLookup = 2 * time.Second
+
 	// maxClaimTries bounds the tries of one insert with read-back, so that a table
 	// service that loses every write leads to a refusal at once.
 	maxClaimTries = 6
@@ -43,6 +47,7 @@
 	c := &claim{attempt: r.newAttempt()}
 	needRead := len(e.voids) > 0
 	giveUp := time.Now().Add(r.cfg.CallTimeout + followSlack)
+	lookAt := time.Now().Add(followLookup)
 	for wait := pollMin; time.Now().Before(giveUp); wait = min(2*wait, pollMax) {
 		version, other, err := r.claim(e, f, c, needRead)
 		if errors.Is(err, errFollowed) {
@@ -70,6 +75,12 @@
 			continue
 		}
 		r.setFollowing(f)
+		if time.Now().After(lookAt) {
+			lookAt = time.Now().Add(followLookup)
+			if r.settleFound(*other) {
+				continue
+			}
+		}
 		if !r.pause(f, wait) {
 			break
 		}
--- a/internal/record/rcidem/settle.go
+++ b/internal/record/rcidem/settle.go
@@ -149,6 +149,20 @@
 		radishcrank.Write{Key: openKey(v.rec.Attempt), Delete: true})
 }
 
+// settleFound settles a Started row whose call the upstream knows to have run.
+// That is proof whether or not the holder lives, so a repeat does not have to
+// wait until a silent holder is known dead, which a lone instance of a zone can
+// never tell from being cut off.
+func (r *Runner) settleFound(v versioned) bool {
+	answer, found, _ := r.lookup(v.rec)
+	if !found {
+		return false
+	}
+	return r.batch.commit(radishcrank.Check{Key: v.key, Version: v.version},
+		radishcrank.Write{Key: v.key, Value: v.rec.withAnswer(answer).encode()},
+		radishcrank.Write{Key: openKey(v.rec.Attempt), Delete: true}) == nil
+}
+
 // RunSettlement settles rows of dead instances and deletes expired ones until
 // ctx ends. All instances share the work, so each waits longer the more there are.
 func (r *Runner) RunSettlement(ctx context.Context) error {
