--- a/internal/record/rcidem/record.go
+++ b/internal/record/rcidem/record.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -122,12 +123,19 @@
 	return rowPrefix + url.PathEscape(string(call.Account)) + "/" + url.PathEscape(call.Service) + "/" + hex.EncodeToString(sum[:keyHashSize])
 }
 
+// hashers saves the 10 KB that a new hasher takes.
+var hashers = sync.Pool{New: func() any { return blake3.New() }}
+
 // bodyHash covers everything that makes two calls the same. Lengths separate
 // the fields, so that bytes cannot move from one to the next unnoticed.
 func bodyHash(call radishcrank.ServiceCall) []byte {
-	h := blake3.New()
+	h := hashers.Get().(*blake3.Hasher)
+	defer hashers.Put(h)
+	h.Reset()
 	for _, field := range []string{call.Method, call.Path, call.ContentType} {
-		fmt.Fprintf(h, "%d:%s", len(field), field)
+		h.WriteString(strconv.Itoa(len(field)))
+		h.WriteString(":")
+		h.WriteString(field)
 	}
 	h.Write(call.Body)
 	return h.Sum(nil)[:keyHashSize]
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -37,7 +37,7 @@
 	if e.stored != nil {
 		return r.replay(e, f, *e.stored, e.version)
 	}
-	if len(r.candidates(f.call.Service)) == 0 {
+	if len(r.services.list(r.cfg.Board, f.call.Service)) == 0 {
 		return answer, refuseUpstream()
 	}
 	c := &claim{attempt: r.newAttempt()}
--- a/internal/record/rcidem/runner.go
+++ b/internal/record/rcidem/runner.go
@@ -77,6 +77,8 @@
 	number atomic.Uint64
 	robin  atomic.Uint64
 
+	services services
+
 	mu       sync.Mutex
 	entries  map[string]*entry // By row key.
 	idle     chan struct{}     // Closed when draining and entries is empty.
--- a/internal/record/rcidem/upstream.go
+++ b/internal/record/rcidem/upstream.go
@@ -4,43 +4,95 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 )
 
 // refusedPenalty is how long an upstream that refused a connection is tried last.
 const refusedPenalty = 2 * time.Second
 
+// servicesAge is how long the list of services is used without a look at the
+// board. An engine's report changes the same table, and reading it for every
+// call would cost a pass over all engines.
+const servicesAge = 100 * time.Millisecond
+
+// services keeps the plain services apart from the many engines of the board.
+type services struct {
+	mu      sync.Mutex
+	readAt  time.Time
+	version uint64
+	rows    map[radishcrank.UpstreamID]radishcrank.Upstream
+	byName  map[string][]radishcrank.Upstream // In order of ID; lists are never changed.
+}
+
+// list returns the upstreams of a service that are not leaving.
+func (s *services) list(board *rcboard.Board, name string) []radishcrank.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byName == nil || time.Since(s.readAt) >= servicesAge {
+		s.refresh(board)
+	}
+	return s.byName[name]
+}
+
+func (s *services) refresh(board *rcboard.Board) {
+	changed := s.byName == nil
+	if s.rows == nil {
+		s.rows = make(map[radishcrank.UpstreamID]radishcrank.Upstream)
+	}
+	reset := func() {
+		clear(s.rows)
+		changed = true
+	}
+	s.readAt = time.Now()
+	s.version = board.Upstreams.Changes(s.version, reset, func(id radishcrank.UpstreamID, up radishcrank.Upstream, ok bool) {
+		_, known := s.rows[id]
+		delete(s.rows, id)
+		serves := ok && up.Role == radishcrank.RoleService && !up.Leaving
+		if serves {
+			s.rows[id] = up
+		}
+		changed = changed || known || serves
+	})
+	if !changed {
+		return
+	}
+	s.byName = make(map[string][]radishcrank.Upstream)
+	for _, id := range slices.Sorted(maps.Keys(s.rows)) {
+		up := s.rows[id]
+		s.byName[up.Service] = append(s.byName[up.Service], up)
+	}
+}
+
 // candidates returns the upstreams of a service in the order to try them: those
 // that lately refused connections last, the own zone first, else round robin.
 func (r *Runner) candidates(service string) []radishcrank.Upstream {
-	var ups []radishcrank.Upstream
-	for _, up := range r.cfg.Board.Upstreams.Values() {
-		if up.Role == radishcrank.RoleService && up.Service == service && !up.Leaving {
-			ups = append(ups, up)
+	ups := slices.Clone(r.services.list(r.cfg.Board, service))
+	near := 0
+	for i, up := range ups {
+		if up.Zone == r.cfg.Zone {
+			ups[near], ups[i] = ups[i], ups[near]
+			near++
 		}
 	}
-	if len(ups) == 0 {
-		return nil
-	}
 	// Rotating within the own zone and the others apart gives each upstream of a
 	// zone the same share.
-	slices.SortStableFunc(ups, func(a, b radishcrank.Upstream) int {
-		return cmp.Compare(r.distance(a), r.distance(b))
-	})
-	near := 0
-	for near < len(ups) && r.distance(ups[near]) == 0 {
-		near++
-	}
 	turn := r.robin.Add(1)
 	rotate(ups[:near], turn)
 	rotate(ups[near:], turn)
-	slices.SortStableFunc(ups, func(a, b radishcrank.Upstream) int {
-		return cmp.Compare(r.penalty(a.ID), r.penalty(b.ID))
-	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.refused) > 0 {
+		slices.SortStableFunc(ups, func(a, b radishcrank.Upstream) int {
+			return cmp.Compare(r.penaltyLocked(a.ID), r.penaltyLocked(b.ID))
+		})
+	}
 	return ups
 }
 
@@ -54,16 +106,7 @@
 	slices.Reverse(ups)
 }
 
-func (r *Runner) distance(up radishcrank.Upstream) int {
-	if up.Zone == r.cfg.Zone {
-		return 0
-	}
-	return 1
-}
-
-func (r *Runner) penalty(id radishcrank.UpstreamID) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *Runner) penaltyLocked(id radishcrank.UpstreamID) int {
 	at, ok := r.refused[id]
 	if !ok {
 		return 0
