--- a/internal/serving/rcrelay/generation.go
+++ b/internal/serving/rcrelay/generation.go
@@ -98,6 +98,15 @@
 		return finish, incomplete(g.reached)
 	}
 	a := g.race(p)
+	for a.turnedAway() {
+		// The upstream was reserved for a suspect between the choice and the run.
+		// That is no attempt.
+		g.noteEnd(a, finish, a.err)
+		if p, err = g.choose(); err != nil {
+			return finish, err
+		}
+		a = g.race(p)
+	}
 	if a.err != nil && a.stream == nil {
 		err = a.err
 	} else {
@@ -182,6 +191,9 @@
 
 // deliver hands the next token to the replay buffer and to the caller.
 func (g *generation) deliver(t radishcrank.Token, weights radishcrank.WeightsVersion) {
+	if ws, ok := g.sink.(radishcrank.WeightsSink); ok && g.req.PinnedWeights != weights {
+		ws.SetWeights(weights)
+	}
 	g.stream.append(t.Text)
 	g.req.Resume = t.Index + 1
 	g.req.PinnedWeights = weights
