Wire limits, lease and orders into the daemon

Limits are shared by demand among up to 16 instances, which send each other the demands of limited accounts every 2 s; larger fleets split them evenly, since all-to-all messages would exceed 3 KB/s per instance.

--- a/engine.go
+++ b/engine.go
@@ -73,6 +73,14 @@
 	OrderChangeRole  OrderKind = "ChangeRole"
 )
 
+// Roles that OrderChangeRole sets.
+const (
+	// RoleStandby makes an engine refuse new requests and finish those it has.
+	RoleStandby = "Standby"
+	// RoleServing makes it take requests again.
+	RoleServing = "Serving"
+)
+
 // Order tells an engine to change what it serves. Orders are idempotent.
 type Order struct {
 	Fence   uint64
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
+	"github.com/radishcrank/radishcrank/internal/record/rcorder"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
@@ -46,6 +46,7 @@
 	Table     radishcrank.TableService
 	Objects   radishcrank.ObjectStore
 	Lister    radishcrank.InstanceLister
+	Weights   rcorder.WeightStore // Nil: weights are not checked before a load.
 	// NoticeDelay is how long a stopping instance stays up after it reports not
 	// ready, so that the balancer notices.
 	NoticeDelay time.Duration
@@ -59,6 +60,7 @@
 	startedAt   time.Time
 	board       *rcboard.Board
 	metrics     *rcmetric.Set
+	dialer      *rcengine.Dialer
 	chooser     *rcdecision.Chooser
 	watch       *rcwatch.Watcher
 	calls       *rcidem.Runner
@@ -68,6 +70,7 @@
 	members     *rcmember.Tracker
 	keeper      *rcrevision.Keeper
 	snapshots   *rcsnapshot.Keeper
+	limiter     *rclimit.Limiter
 	retrier     *rcretry.Retrier
 	poison      *rcpoison.Tracker
 	warmedFrom  atomic.Value // Source of the warm-up, once it has ended.
@@ -103,12 +106,13 @@
 	d.newPeers()
 	d.newGuard()
 	d.newSnapshots()
-	dialer := rcengine.NewDialer()
+	d.newLimiter()
+	d.dialer = rcengine.NewDialer()
 	d.chooser = rcdecision.New(d.chooserConfig())
 	d.watch = rcwatch.New(rcwatch.Config{
 		Board:    d.board,
 		Lister:   cfg.Lister,
-		Dialer:   dialer,
+		Dialer:   d.dialer,
 		Interval: reportInterval,
 		Instance: cfg.Boot.ID,
 		Zone:     cfg.Boot.Zone,
@@ -117,7 +121,7 @@
 		Log:      cfg.Log,
 	})
 	d.calls = rcidem.New(d.callsConfig())
-	d.callers = d.newCallersServer(dialer)
+	d.callers = d.newCallersServer()
 	d.operators = d.newOperatorsServer()
 	return d, nil
 }
@@ -169,11 +173,11 @@
 	}
 }
 
-func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
+func (d *Daemon) newCallersServer() *http.Server {
 	relay := rcrelay.New(rcrelay.Config{
 		Board:       d.board,
 		Chooser:     d.chooser,
-		Dialer:      dialer,
+		Dialer:      d.dialer,
 		MaxAttempts: maxAttempts,
 		Settings:    d.relaySettings,
 		Retrier:     d.retrier,
@@ -187,7 +191,7 @@
 		Generator: relay,
 		Replayer:  replay,
 		Weights:   d.servedWeights,
-		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
+		Admitter:  d.limiter,
 		Calls:     d.calls,
 		Metrics:   d.metrics,
 		Ready:     d.isReady,
@@ -201,16 +205,6 @@
 	}
 }
 
-// servedWeights returns the weights versions of a model that engines serve now.
-func (d *Daemon) servedWeights(model radishcrank.ModelID) (versions []radishcrank.WeightsVersion) {
-	for _, up := range d.board.Upstreams.Snapshot() {
-		if w, ok := up.Load.Weights[model]; ok && !slices.Contains(versions, w) {
-			versions = append(versions, w)
-		}
-	}
-	return versions
-}
-
 func (d *Daemon) newOperatorsServer() *http.Server {
 	ops := rcops.New(rcops.Config{
 		Authorize: d.authorizeOperator,
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -35,6 +35,8 @@
 	addLoopWithStop(&g, d.warmAndPush, d.pushSnapshot)
 	addLoop(&g, d.poison.Run)
 	addLoop(&g, d.spreadPoison)
+	addLoop(&g, d.spreadUsage)
+	addLoop(&g, d.runOrders)
 	addLoop(&g, d.watch.Run)
 	addLoop(&g, d.keeper.Run)
 	addLoop(&g, d.members.Run)
--- /dev/null
+++ b/internal/node/rcdaemon/usage.go
@@ -0,0 +1,110 @@
+package rcdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+const (
+	usageInterval = 2 * time.Second
+	usageTimeout  = time.Second
+
+	// maxUsagePeers bounds the exchange of demands: every instance sends to every
+	// other, about 60 bytes for each limited account that is in use. Larger
+	// fleets split limits evenly, which costs nothing and is close as long as the
+	// balancer spreads callers evenly.
+	maxUsagePeers = 15
+
+	// capacityFactor is how far the requests that an instance lets run exceed its
+	// even part of the engines' batches, since callers are not spread evenly.
+	capacityFactor = 1.5
+)
+
+func (d *Daemon) newLimiter() {
+	d.limiter = rclimit.New(rclimit.Config{
+		Board:           d.board,
+		Instance:        d.cfg.Boot.ID,
+		Settings:        func(id radishcrank.ClientAccountID) rcconfig.Settings { return d.document().SettingsFor(id) },
+		Leaving:         d.isLeaving,
+		Capacity:        d.capacity,
+		Instances:       d.board.Instances.Len,
+		OvershootFactor: rcconfig.DefaultSettings().OvershootFactor,
+	})
+	rcrpc.Handle(d.handlers, methodUsage, d.answerUsage)
+}
+
+func (d *Daemon) isLeaving(id radishcrank.ClientAccountID) bool {
+	for _, account := range d.document().Accounts {
+		if account.ID == id {
+			return account.Leaving
+		}
+	}
+	return true
+}
+
+// capacity returns how many requests may run at once on this instance.
+func (d *Daemon) capacity() int {
+	batches := 0
+	for _, up := range d.board.Upstreams.Snapshot() {
+		if up.Role == radishcrank.RoleEngine && !up.Leaving {
+			batches += up.Load.MaxBatch
+		}
+	}
+	return int(capacityFactor * float64(batches) / float64(max(1, d.board.Instances.Len())))
+}
+
+// usage carries one instance's demands.
+type usage struct {
+	Instance radishcrank.InstanceID
+	Demands  rclimit.Demands
+}
+
+type usageAnswer struct{}
+
+var methodUsage = rcrpc.Method[usage, usageAnswer]{Name: "Usage", Timeout: usageTimeout}
+
+func (d *Daemon) answerUsage(_ context.Context, from rcrpc.Identity, q usage) (usageAnswer, error) {
+	d.limiter.SetPeerDemand(from.Instance, q.Demands)
+	return usageAnswer{}, nil
+}
+
+// spreadUsage sends the demands of limited accounts to all peers of a small fleet.
+func (d *Daemon) spreadUsage(ctx context.Context) error {
+	ticker := time.NewTicker(usageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		peers := d.board.Instances.Values()
+		if len(peers) > maxUsagePeers+1 {
+			continue
+		}
+		message := usage{Instance: d.cfg.Boot.ID, Demands: d.limitedDemands()}
+		for _, peer := range peers {
+			if peer.ID == d.cfg.Boot.ID {
+				continue
+			}
+			// A peer that misses messages counts as not heard, which is safe.
+			go rcrpc.Call(ctx, d.client, peer.Peer, methodUsage, message)
+		}
+	}
+}
+
+func (d *Daemon) limitedDemands() rclimit.Demands {
+	demands := d.limiter.Demand()
+	for id := range demands {
+		s := d.document().SettingsFor(id)
+		if s.TokensPerSecond <= 0 && s.RequestsPerSecond <= 0 && s.Concurrency <= 0 {
+			delete(demands, id)
+		}
+	}
+	return demands
+}
--- a/internal/routing/rcdecision/engine.go
+++ b/internal/routing/rcdecision/engine.go
@@ -31,6 +31,7 @@
 	// Rates for engines that don't report any.
 	const defaultPrefill, defaultDecode = 5000, 50
 	changed = e.present != ok || e.row.Role != row.Role || e.row.Leaving != row.Leaving ||
+		e.row.Load.Role != row.Load.Role ||
 		!maps.Equal(e.row.Load.Weights, row.Load.Weights)
 	e.row, e.present = row, ok
 	e.prefillRate, e.decodeRate = row.Load.PrefillPerSecond, row.Load.DecodePerSecond
--- a/internal/routing/rcdecision/member.go
+++ b/internal/routing/rcdecision/member.go
@@ -56,7 +56,7 @@
 	for _, id := range slices.SortedFunc(maps.Keys(c.engines), cmp.Compare) {
 		e := c.engines[id]
 		weights, serves := e.row.Load.Weights[model]
-		if e.present && serves && !e.row.Leaving && e.row.Role == radishcrank.RoleEngine {
+		if e.present && serves && e.accepts() {
 			members = append(members, member{engine: e, weights: weights})
 		}
 	}
@@ -68,6 +68,11 @@
 	return members
 }
 
+// accepts reports whether the engine takes new requests.
+func (e *engine) accepts() bool {
+	return e.row.Role == radishcrank.RoleEngine && !e.row.Leaving && e.row.Load.Role != radishcrank.RoleStandby
+}
+
 // prune forgets engines that left the board long ago.
 func (c *Chooser) prune() {
 	const rounds = 1 << 14 // An engine that comes back soon finds its entries again.
--- a/internal/standin/rcfakeengine/engine.go
+++ b/internal/standin/rcfakeengine/engine.go
@@ -67,9 +67,6 @@
 	EmptyAnswer bool   // Streams finish without a token.
 }
 
-// RoleStandby makes an engine refuse new requests.
-const RoleStandby = "Standby"
-
 // run identifies one run of a request.
 type run struct {
 	id      radishcrank.RequestID
--- a/internal/standin/rcfakeengine/handler.go
+++ b/internal/standin/rcfakeengine/handler.go
@@ -79,7 +79,7 @@
 		return nil, http.StatusPreconditionFailed, "request is meant for another engine"
 	case x.Incarnation != 0 && x.Incarnation != e.incarnation:
 		return nil, http.StatusPreconditionFailed, "request is meant for another incarnation"
-	case e.role == RoleStandby:
+	case e.role == radishcrank.RoleStandby:
 		return nil, http.StatusServiceUnavailable, "engine is on standby"
 	}
 	g = &generation{
--- a/internal/standin/rcfakeengine/order_test.go
+++ b/internal/standin/rcfakeengine/order_test.go
@@ -54,11 +54,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine("e", nil, nil)
 		require.Equal(t, http.StatusOK, post(e, rcwire.PathOrders, radishcrank.Order{Fence: 2, Kind: radishcrank.OrderLoadAdapter, Adapter: "ad"}))
-		require.Equal(t, http.StatusConflict, post(e, rcwire.PathOrders, radishcrank.Order{Fence: 1, Kind: radishcrank.OrderChangeRole, Role: RoleStandby}))
+		require.Equal(t, http.StatusConflict, post(e, rcwire.PathOrders, radishcrank.Order{Fence: 1, Kind: radishcrank.OrderChangeRole, Role: radishcrank.RoleStandby}))
 		require.Empty(t, e.LoadReport().Role)
 		req := rcwire.CompletionRequest{Model: "m", Prompt: "p", Extension: rcwire.RequestExtension{RequestID: "r", Weights: "w1", Adapter: "ad"}}
 		require.Equal(t, http.StatusOK, post(e, rcwire.PathCompletions, req))
-		require.Equal(t, http.StatusOK, post(e, rcwire.PathOrders, radishcrank.Order{Fence: 2, Kind: radishcrank.OrderChangeRole, Role: RoleStandby}))
+		require.Equal(t, http.StatusOK, post(e, rcwire.PathOrders, radishcrank.Order{Fence: 2, Kind: radishcrank.OrderChangeRole, Role: radishcrank.RoleStandby}))
 		require.Equal(t, http.StatusServiceUnavailable, post(e, rcwire.PathCompletions, req))
 		require.Equal(t, []string{"ad"}, e.LoadReport().Adapters)
 		e.Crash()
