Withdraw verdicts that two instances' isolated suspects explain

Cause: an instance isolates against its own work only. If two instances ran their suspects on one upstream at once, its crash made a verdict on both, and the innocent content stayed refused for ever.

Change: a crash that two contents are blamed for alone is taken back from both, which withdraws the verdicts when the records meet. Verdicts are stored 15 s after they were made, so that a withdrawn one is not. A record keeps crashes in isolation before others when it is full.

Conclusion: the innocent content is cleared by its next run, and the culprit is refused after one more crash.

--- a/internal/limits/rcpoison/exchange.go
+++ b/internal/limits/rcpoison/exchange.go
@@ -31,6 +31,7 @@
 		}
 		r := t.recordLocked(in.Key)
 		r.merge(in)
+		t.separateLocked(r)
 		t.showLocked(r)
 	}
 }
@@ -51,7 +52,6 @@
 		t.storePending(ctx)
 		select {
 		case <-ticker.C:
-		case <-t.notify:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -71,8 +71,10 @@
 func (t *Tracker) storePending(ctx context.Context) {
 	t.mu.Lock()
 	var records []Record
-	for key := range t.pending {
-		records = append(records, t.records[key].clone())
+	for key, since := range t.pending {
+		if time.Since(since) >= storeDelay {
+			records = append(records, t.records[key].clone())
+		}
 	}
 	t.mu.Unlock()
 	for _, r := range records {
--- a/internal/limits/rcpoison/record.go
+++ b/internal/limits/rcpoison/record.go
@@ -68,30 +68,51 @@
 			continue
 		}
 		i, ok := slices.BinarySearchFunc(r.Crashes, c, func(a, b Crash) int { return strings.Compare(a.ID, b.ID) })
-		switch {
-		case ok:
+		if ok {
 			r.Crashes[i].Alone = r.Crashes[i].Alone || c.Alone
-		case len(r.Crashes) < maxCrashes:
-			r.Crashes = slices.Insert(r.Crashes, i, c)
+			continue
+		}
+		r.Crashes = slices.Insert(r.Crashes, i, c)
+		if len(r.Crashes) > maxCrashes {
+			r.dropOne()
 		}
 	}
 	r.judge()
 }
 
-// judge makes a verdict. One of the crashes must have happened in isolation:
-// a content that many callers send at once may be in flight in any number of
-// crashes that other requests cause.
+// dropOne drops a crash that did not happen in isolation, or else the first one.
+func (r *Record) dropOne() {
+	i := slices.IndexFunc(r.Crashes, func(c Crash) bool { return !c.Alone })
+	r.Crashes = slices.Delete(r.Crashes, max(i, 0), max(i, 0)+1)
+}
+
+// judge makes a verdict or withdraws one. One of the crashes must have happened
+// in isolation: a content that many callers send at once may be in flight in any
+// number of crashes that other requests cause. A record without crashes, as a
+// snapshot holds it, keeps its verdict.
 func (r *Record) judge() {
-	alone := slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Alone })
-	r.Verdict = r.Verdict || (len(r.Crashes) >= VerdictAfter && alone)
+	if len(r.Crashes)+len(r.Voided) == 0 {
+		return
+	}
+	r.Verdict = len(r.Crashes) >= VerdictAfter && slices.ContainsFunc(r.Crashes, isAlone)
 }
 
+func isAlone(c Crash) bool { return c.Alone }
+
 // clear voids the crashes so far.
 func (r *Record) clear() {
 	for _, c := range r.Crashes {
 		r.voidOne(c.ID)
 	}
 	r.Crashes = nil
+	r.judge()
+}
+
+// void takes back one crash.
+func (r *Record) void(id string) {
+	r.voidOne(id)
+	r.dropVoided()
+	r.judge()
 }
 
 func (r *Record) voidOne(id string) {
@@ -101,15 +122,19 @@
 	}
 }
 
+func (r *Record) dropVoided() {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool {
+		_, void := slices.BinarySearch(r.Voided, c.ID)
+		return void
+	})
+}
+
 // merge takes in another instance's record of the same content.
 func (r *Record) merge(o Record) {
 	for _, id := range o.Voided {
 		r.voidOne(id)
 	}
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool {
-		_, void := slices.BinarySearch(r.Voided, c.ID)
-		return void
-	})
+	r.dropVoided()
 	r.Verdict = r.Verdict || o.Verdict
 	r.add(o.Crashes...)
 	if o.Updated.After(r.Updated) {
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -41,6 +41,9 @@
 	maxRecords = 4096
 	// storeInterval is the time between rounds of writing and reading verdicts.
 	storeInterval = 5 * time.Second
+	// storeDelay is the age at which a verdict is stored. A record of another
+	// instance may withdraw it within the seconds that it takes to arrive.
+	storeDelay = 15 * time.Second
 )
 
 // Tracker finds contents that crash engines. It implements rcrelay.Guard and is
@@ -51,10 +54,9 @@
 	mu        sync.Mutex
 	records   map[Key]*Record
 	upstreams map[radishcrank.UpstreamID]*occupancy
-	pending   map[Key]bool  // Verdicts to be stored.
-	changed   chan struct{} // Closed when a reservation ends.
-	unnamed   uint64        // Crashes of upstreams whose incarnation is unknown.
-	notify    chan struct{}
+	pending   map[Key]time.Time // Verdicts to be stored, with the time they were made.
+	changed   chan struct{}     // Closed when a reservation ends.
+	unnamed   uint64            // Crashes of upstreams whose incarnation is unknown.
 }
 
 // occupancy is what runs on one upstream.
@@ -77,9 +79,8 @@
 		cfg:       cfg,
 		records:   make(map[Key]*Record),
 		upstreams: make(map[radishcrank.UpstreamID]*occupancy),
-		pending:   make(map[Key]bool),
+		pending:   make(map[Key]time.Time),
 		changed:   make(chan struct{}),
-		notify:    make(chan struct{}, 1),
 	}
 }
 
@@ -270,9 +271,30 @@
 	r := t.recordLocked(key)
 	r.add(crash)
 	r.Updated = crash.At
+	t.separateLocked(r)
 	t.showLocked(r)
 }
 
+// separateLocked takes back crashes that two contents are blamed for alone. Two
+// instances then isolated their suspects on one upstream at the same time, and
+// nobody knows which of them crashed it. Both run alone once more; the innocent
+// one reaches its end.
+func (t *Tracker) separateLocked(r *Record) {
+	for _, c := range slices.Clone(r.Crashes) {
+		if !c.Alone {
+			continue
+		}
+		for _, other := range t.records {
+			if other != r && slices.ContainsFunc(other.Crashes, func(o Crash) bool { return o.Alone && o.ID == c.ID }) {
+				r.void(c.ID)
+				other.void(c.ID)
+				r.Updated, other.Updated = time.Now(), time.Now()
+				t.showLocked(other)
+			}
+		}
+	}
+}
+
 // clearLocked frees a content from suspicion after a run that reached its end.
 func (t *Tracker) clearLocked(key Key) {
 	r, ok := t.records[key]
@@ -331,15 +353,15 @@
 		}
 	}
 	if row.Crashes == 0 && !row.Verdict {
+		delete(t.pending, r.Key)
 		t.cfg.Board.Suspects.Delete(string(r.Key))
 		return
 	}
 	t.cfg.Board.Suspects.Put(string(r.Key), row)
-	if r.Verdict && !old.Verdict {
-		t.pending[r.Key] = true
-		select {
-		case t.notify <- struct{}{}:
-		default:
-		}
+	switch {
+	case !r.Verdict:
+		delete(t.pending, r.Key)
+	case !old.Verdict:
+		t.pending[r.Key] = time.Now()
 	}
 }
--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -277,6 +277,46 @@
 	require.NoError(t, tr.Check(hot))
 }
 
+// Guards against a verdict on an innocent content that another instance's suspect
+// took down while each was alone on its own instance, and against a culprit that
+// goes free because of it.
+func TestSharedIsolationIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memory{rows: make(map[Key]Record)}
+		a := New(Config{Board: rcboard.New(), Instance: "i0", Verdicts: m})
+		b := New(Config{Board: rcboard.New(), Instance: "i1"})
+		go a.Run(t.Context())
+		innocent, culprit := radishcrank.Request{Prompt: "innocent"}, radishcrank.Request{Prompt: "culprit"}
+		exchange := func() {
+			a.Merge(b.Export())
+			b.Merge(a.Export())
+		}
+		run := func(tr *Tracker, req radishcrank.Request, incarnation int, crashed bool) {
+			end, err := tr.Enter(t.Context(), req, radishcrank.Upstream{ID: "u", Incarnation: radishcrank.Incarnation(incarnation)})
+			require.NoError(t, err)
+			end(crashed, !crashed)
+		}
+		for incarnation := range VerdictAfter {
+			run(a, innocent, incarnation+1, true)
+			run(b, culprit, incarnation+1, true)
+		}
+		require.Error(t, a.Check(innocent))
+		exchange()
+		require.NoError(t, a.Check(innocent))
+		require.NoError(t, b.Check(culprit))
+		run(a, innocent, 9, false)
+		run(b, culprit, 10, true)
+		exchange()
+		require.NoError(t, b.Check(innocent))
+		require.Zero(t, b.Suspicion(innocent))
+		require.Error(t, a.Check(culprit))
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Len(t, m.rows, 1, "the withdrawn verdict must not be stored")
+		require.Contains(t, m.rows, KeyOf(culprit))
+	})
+}
+
 // Guards against records that depend on the order or number of merges.
 func TestMergeIsOrderFree(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
@@ -297,9 +337,8 @@
 		b.Merge(shuffled)
 		want, got := a.records["k"], b.records["k"]
 		require.Equal(t, want.Voided, got.Voided)
-		if want.Verdict == got.Verdict {
-			require.Equal(t, len(want.Crashes), len(got.Crashes))
-		}
+		require.Equal(t, want.Verdict, got.Verdict)
+		require.Equal(t, len(want.Crashes), len(got.Crashes))
 	})
 }
 
