Find what loses hit rate at high load and check that load is sustained

Cause: Riga at 90% met its target only because the trace of 30 s is short: over 120 s the hit rate is 0.878 and p50 TTFT 13.5 s and growing.

--- a/internal/eval/rceval/deployment.go
+++ b/internal/eval/rceval/deployment.go
@@ -143,3 +143,7 @@
 	c.RequestsPerSecond = float64(d.Engines) / max(prefill, slot)
 	return c
 }
+
+// NeededHitRate returns the hit rate below which a load is more than the fleet's
+// prefill can do, so that queues grow without end.
+func (c Capacity) NeededHitRate(level float64) float64 { return 1 - (1-c.HitRate)/level }
--- a/internal/eval/rceval/eval_test.go
+++ b/internal/eval/rceval/eval_test.go
@@ -141,6 +141,19 @@
 	require.Zero(t, r.real.Refused+r.real.Expired+r.real.Failed)
 }
 
+// Guards against a chooser that recomputes a fleet into overload which could
+// serve its load: below this hit rate queues grow as long as the load lasts,
+// which the deadline hides from short traces.
+func TestHighLoadIsSustained(t *testing.T) {
+	all := rows(t)
+	for _, d := range []Deployment{Riga(), Sofia()} {
+		r := all[d.Name+" 90%"]
+		needed := CapacityOf(d, testSeed).NeededHitRate(r.scenario.Level)
+		require.GreaterOrEqual(t, r.others["reference: true state"].HitRate, needed, "%s: no policy can sustain this load", d.Name)
+		require.GreaterOrEqual(t, r.real.HitRate, needed, d.Name)
+	}
+}
+
 // Guards against recomputing what another live engine holds.
 func TestTargetRecomputedTokensForSofia(t *testing.T) {
 	for name, r := range rows(t) {
