--- a/internal/cli/rcdemo/demo.go
+++ b/internal/cli/rcdemo/demo.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -17,11 +17,9 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakelist"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakefleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
@@ -34,8 +32,10 @@
 const (
 	zones          = 2
 	enginesPerZone = 3
+	peerKeyBytes   = 32
 	model          = "advice"
 	weights        = "w1"
+	service        = "booking"
 )
 
 // Config holds the demo's options.
@@ -56,22 +56,29 @@
 	if err != nil {
 		return err
 	}
-	d := &demo{cfg: cfg, table: rcfaketable.New(), objects: rcfakeobject.New()}
-	defer d.stopUpstreams()
-	if err := d.startUpstreams(); err != nil {
+	fleet, err := rcfakefleet.Start(fleetConfig())
+	if err != nil {
 		return err
 	}
+	// The stand-ins outlive the instances, whose running work needs them.
+	defer fleet.Close()
+	d := &demo{cfg: cfg, fleet: fleet}
+	d.peerKey = make([]byte, peerKeyBytes)
+	rand.Read(d.peerKey)
 	second, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	if err := d.addInstance("i-1", "zone-1", first); err != nil {
+	if err := d.addInstance("i-1", rcfakefleet.Zone(1), first); err != nil {
+		return err
+	}
+	if err := d.addInstance("i-2", rcfakefleet.Zone(2), second); err != nil {
 		return err
 	}
-	if err := d.addInstance("i-2", "zone-2", second); err != nil {
+	if err := d.commit(ctx); err != nil {
 		return err
 	}
-	d.greet(first.Addr(), second.Addr())
+	d.greet()
 	stop, cancel := context.WithCancel(ctx)
 	d.group.Add(func() error { <-stop.Done(); return nil }, func(error) { cancel() })
 	return d.group.Run()
@@ -80,115 +87,94 @@
 type demo struct {
 	cfg     Config
 	group   run.Group
-	listing radishcrank.Listing
-	table   *rcfaketable.Table
-	objects *rcfakeobject.Store
-
-	operators []net.Addr
-	upstreams []*http.Server
+	fleet   *rcfakefleet.Fleet
+	peerKey rcconfig.Secret
+	daemons []*rcdaemon.Daemon
 }
 
-func (d *demo) startUpstreams() error {
-	ledger := rcfakeservice.NewLedger()
-	for z := 1; z <= zones; z++ {
-		zone := radishcrank.AvailabilityZone(fmt.Sprintf("zone-%d", z))
-		for n := 1; n <= enginesPerZone; n++ {
-			id := radishcrank.UpstreamID(fmt.Sprintf("engine-%d-%d", z, n))
-			engine := rcfakeengine.New(rcfakeengine.Config{
-				ID:               id,
-				Models:           map[radishcrank.ModelID]radishcrank.WeightsVersion{model: weights},
-				CacheBlocks:      2000,
-				BlockTokens:      rcconfig.DefaultSettings().BlockTokens,
-				BytesPerToken:    rcconfig.DefaultSettings().BytesPerToken,
-				MaxBatch:         16,
-				PrefillPerSecond: 20000,
-				DecodePerSecond:  100,
-				AnswerTokens:     32,
-				LoadWeights:      500 * time.Millisecond,
-			})
-			err := d.serve(engine.Handler(), radishcrank.Upstream{
-				ID: id, Role: radishcrank.RoleEngine, Zone: zone, Models: []radishcrank.ModelID{model},
-			})
-			if err != nil {
-				return err
-			}
-		}
-		err := d.serve(ledger.Handler(), radishcrank.Upstream{
-			ID: radishcrank.UpstreamID(fmt.Sprintf("booking-%d", z)), Role: radishcrank.RoleService, Zone: zone, Service: "booking",
-		})
-		if err != nil {
-			return err
-		}
+func fleetConfig() rcfakefleet.Config {
+	return rcfakefleet.Config{
+		Zones:          zones,
+		EnginesPerZone: enginesPerZone,
+		Service:        service,
+		Engine: rcfakeengine.Config{
+			Models:           map[radishcrank.ModelID]radishcrank.WeightsVersion{model: weights},
+			CacheBlocks:      2000,
+			BlockTokens:      rcconfig.DefaultSettings().BlockTokens,
+			BytesPerToken:    rcconfig.DefaultSettings().BytesPerToken,
+			MaxBatch:         16,
+			PrefillPerSecond: 20000,
+			DecodePerSecond:  100,
+			AnswerTokens:     32,
+			LoadWeights:      500 * time.Millisecond,
+		},
 	}
-	return nil
 }
 
-// serve starts an upstream on a free port and lists it.
-func (d *demo) serve(h http.Handler, up radishcrank.Upstream) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+// addInstance adds a router instance on loopback.
+func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) error {
+	l := rcdaemon.Listeners{Callers: callers}
+	var err error
+	if l.Operators, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
-	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
-	d.listing.Upstreams = append(d.listing.Upstreams, up)
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	d.upstreams = append(d.upstreams, server)
-	go func() {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			d.cfg.Log.Error().Err(err).Str("Upstream", string(up.ID)).Msg("stand-in stopped")
-		}
-	}()
-	return nil
-}
-
-// stopUpstreams ends the stand-ins. They outlive the instances, whose running
-// work needs them.
-func (d *demo) stopUpstreams() {
-	for _, server := range d.upstreams {
-		server.Close()
-	}
-}
-
-// addInstance adds a router instance whose operators' and peers' listeners get free ports.
-func (d *demo) addInstance(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, callers net.Listener) error {
-	operators, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if l.Peers, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
-	d.operators = append(d.operators, operators.Addr())
-	daemon := rcdaemon.New(rcdaemon.Config{
-		Boot: &rcconfig.Boot{
-			ID: id, Zone: zone, Region: "demo",
-			OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
-		},
-		Callers: callers, Operators: operators,
-		Document: document(),
-		Table:    d.table, Objects: d.objects, Lister: rcfakelist.New(d.listing),
+	boot := &rcconfig.Boot{
+		ID: id, Zone: zone, Region: "demo",
+		Callers:           address(l.Callers),
+		Operators:         address(l.Operators),
+		Peers:             address(l.Peers),
+		PeerKey:           d.peerKey,
+		OperatorKeyHashes: []string{rcconfig.HashKey(OperatorKey)},
+	}
+	d.fleet.AddInstance(radishcrank.Instance{ID: id, Zone: zone, Peer: boot.Peers, Operators: boot.Operators})
+	daemon, err := rcdaemon.New(rcdaemon.Config{
+		Boot: boot, Listeners: l,
+		Table: d.fleet.Table, Objects: d.fleet.Objects, Lister: d.fleet.List,
 		Log: d.cfg.Log.With().Str("Instance", string(id)).Logger(),
 	})
+	if err != nil {
+		return err
+	}
+	d.daemons = append(d.daemons, daemon)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.group.Add(func() error { return daemon.Run(ctx, context.Background()) }, func(error) { cancel() })
 	return nil
 }
 
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// commit puts the demo's configuration into the table service.
+func (d *demo) commit(ctx context.Context) error {
+	_, err := d.daemons[0].Configs().Push(ctx, rcops.PushRequest{Author: "demo", Note: "first document", Text: string(document().Render())})
+	return err
+}
+
 func document() *rcconfig.Document {
 	return &rcconfig.Document{
 		Revision: 1,
 		Defaults: rcconfig.DefaultSettings(),
-		Accounts: []rcconfig.Account{{ID: "demo", KeyHashes: []string{rcconfig.HashKey(Key)}}},
-		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
+		Accounts: []rcconfig.Account{{ID: "demo", Weight: 1, KeyHashes: []string{rcconfig.HashKey(Key)}}},
+		Services: []rcconfig.Service{{Name: service, NonRepeatable: []string{"POST /"}}},
 		Models:   []rcconfig.Model{{ID: model, Weights: weights}},
 	}
 }
 
-func (d *demo) greet(callers ...net.Addr) {
+func (d *demo) greet() {
 	w := d.cfg.Out
-	fmt.Fprintf(w, "Callers:   %v (instances i-1 and i-2)\n", callers)
-	fmt.Fprintf(w, "Operators: %v\n\n", d.operators)
-	fmt.Fprintf(w, "A streamed chat:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", callers[0], Key, model)
+	first, second := d.daemons[0].Boot(), d.daemons[1].Boot()
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "%s in %s: callers %s, operators %s\n", boot.ID, boot.Zone, boot.Callers, boot.Operators)
+	}
+	fmt.Fprintf(w, "\nA streamed chat:\n")
+	fmt.Fprintf(w, "  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Where do empties go?\"}]}'\n", first.Callers, Key, model)
 	fmt.Fprintf(w, "A booking that runs once, however often it is sent, on either instance:\n")
-	for _, addr := range callers {
-		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", addr, Key)
+	for _, boot := range []*rcconfig.Boot{first, second} {
+		fmt.Fprintf(w, "  curl http://%s/services/booking/releases -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -d '{\"Depot\":\"Riga\"}'\n", boot.Callers, Key)
 	}
-	fmt.Fprintf(w, "The state of the first instance:\n  RADISHCRANK_OPERATOR_KEY=%s go run ./cmd/radishcrank dump --url http://%s\n", OperatorKey, d.operators[0])
+	fmt.Fprintf(w, "The instance as its operators see it:\n")
+	fmt.Fprintf(w, "  export RADISHCRANK_URL=http://%s RADISHCRANK_OPERATOR_KEY=%s\n", first.Operators, OperatorKey)
+	fmt.Fprintf(w, "  go run ./cmd/radishcrank status\n")
 }
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -3,17 +3,23 @@
 package rcdaemon
 
 import (
-	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
+	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcidem"
+	"github.com/radishcrank/radishcrank/internal/record/rcorder"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
@@ -21,6 +27,8 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
+	"github.com/radishcrank/radishcrank/internal/state/rcsnapshot"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwatch"
@@ -34,12 +42,11 @@
 // Config holds the settings, listeners and platform clients of one instance.
 type Config struct {
 	Boot      *rcconfig.Boot
-	Callers   net.Listener // Accepts callers' connections.
-	Operators net.Listener // Accepts operators' connections.
-	Document  *rcconfig.Document
+	Listeners Listeners // Run closes them.
 	Table     radishcrank.TableService
 	Objects   radishcrank.ObjectStore
 	Lister    radishcrank.InstanceLister
+	Weights   rcorder.WeightStore // Nil: weights are not checked before a load.
 	// NoticeDelay is how long a stopping instance stays up after it reports not
 	// ready, so that the balancer notices.
 	NoticeDelay time.Duration
@@ -53,21 +60,41 @@
 	startedAt   time.Time
 	board       *rcboard.Board
 	metrics     *rcmetric.Set
+	dialer      *rcengine.Dialer
 	chooser     *rcdecision.Chooser
 	watch       *rcwatch.Watcher
+	calls       *rcidem.Runner
+	handlers    *rcrpc.Handlers
+	client      *rcrpc.Client
+	peers       *rcrpc.Server
+	members     *rcmember.Tracker
+	keeper      *rcrevision.Keeper
+	snapshots   *rcsnapshot.Keeper
+	limiter     *rclimit.Limiter
+	retrier     *rcretry.Retrier
+	poison      *rcpoison.Tracker
+	warmedFrom  atomic.Value // Source of the warm-up, once it has ended.
 	callers     *http.Server
 	operators   *http.Server
 
-	ready     atomic.Bool
+	ready     atomic.Bool // Set once the warm-up has ended.
 	draining  atomic.Bool
 	drainOnce sync.Once
 	drain     chan struct{} // Closed when an operator orders a drain.
 }
 
-// New assembles an instance.
-func New(cfg Config) *Daemon {
+// New assembles an instance. It fails if the TLS files can't be read.
+func New(cfg Config) (d *Daemon, err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "instance %s", cfg.Boot.ID)
+		}
+	}()
+	if cfg.Listeners, err = cfg.Listeners.withTLS(cfg.Boot, cfg.Log); err != nil {
+		return nil, err
+	}
 	now := time.Now()
-	d := &Daemon{
+	d = &Daemon{
 		cfg: cfg,
 		// A start time gives each start of an instance a higher number without storage.
 		incarnation: radishcrank.Incarnation(now.UnixNano()),
@@ -76,12 +103,16 @@
 		metrics:     &rcmetric.Set{},
 		drain:       make(chan struct{}),
 	}
-	dialer := rcengine.NewDialer()
+	d.newPeers()
+	d.newGuard()
+	d.newSnapshots()
+	d.newLimiter()
+	d.dialer = rcengine.NewDialer()
 	d.chooser = rcdecision.New(d.chooserConfig())
 	d.watch = rcwatch.New(rcwatch.Config{
 		Board:    d.board,
 		Lister:   cfg.Lister,
-		Dialer:   dialer,
+		Dialer:   d.dialer,
 		Interval: reportInterval,
 		Instance: cfg.Boot.ID,
 		Zone:     cfg.Boot.Zone,
@@ -89,17 +120,18 @@
 		Moves:    d.chooser.Moves,
 		Log:      cfg.Log,
 	})
-	d.callers = d.newCallersServer(dialer)
+	d.calls = rcidem.New(d.callsConfig())
+	d.callers = d.newCallersServer()
 	d.operators = d.newOperatorsServer()
-	return d
+	return d, nil
 }
 
+// Boot returns the instance's boot settings.
+func (d *Daemon) Boot() *rcconfig.Boot { return d.cfg.Boot }
+
 // Board returns the instance's shared tables.
 func (d *Daemon) Board() *rcboard.Board { return d.board }
 
-// document returns the configuration in force.
-func (d *Daemon) document() *rcconfig.Document { return d.cfg.Document }
-
 // settings returns the fleet-wide settings as they apply in the instance's zone.
 func (d *Daemon) settings() rcconfig.Settings {
 	return d.document().SettingsIn(rcconfig.Scope{Zone: d.cfg.Boot.Zone})
@@ -116,20 +148,53 @@
 		},
 		BytesPerToken:   func() int { return d.document().Defaults.BytesPerToken },
 		RecomputeWeight: func() float64 { return d.settings().RecomputeWeight },
+		Breaker:         d.retrier,
 		CrossZone: func(zone radishcrank.AvailabilityZone) time.Duration {
 			return d.document().SettingsIn(rcconfig.Scope{Zone: zone}).CrossZoneCost
 		},
 	}
 }
 
-func (d *Daemon) newCallersServer(dialer *rcengine.Dialer) *http.Server {
+func (d *Daemon) callsConfig() rcidem.Config {
+	return rcidem.Config{
+		Instance:    d.cfg.Boot.ID,
+		Incarnation: d.incarnation,
+		Zone:        d.cfg.Boot.Zone,
+		Board:       d.board,
+		Table:       d.cfg.Table,
+		Client:      rcservice.New(),
+		RunsAtMostOnce: func(call radishcrank.ServiceCall) bool {
+			service, ok := d.document().Service(call.Service)
+			path, _, _ := strings.Cut(call.Path, "?")
+			return ok && service.RunsAtMostOnce(call.Method, path)
+		},
+		Dead:      d.members.IsDead,
+		Retention: func() time.Duration { return d.settings().RecordRetention },
+	}
+}
+
+func (d *Daemon) newCallersServer() *http.Server {
+	relay := rcrelay.New(rcrelay.Config{
+		Board:       d.board,
+		Chooser:     d.chooser,
+		Dialer:      d.dialer,
+		MaxAttempts: maxAttempts,
+		Settings:    d.relaySettings,
+		Retrier:     d.retrier,
+		Guard:       d.poison,
+	})
+	replay := replayer{d: d, relay: relay}
+	rcrpc.Handle(d.handlers, methodStreamFetch, replay.answerFetch)
 	front := rcfront.New(rcfront.Config{
 		Document:  d.document,
-		Generator: rcrelay.New(rcrelay.Config{Board: d.board, Chooser: d.chooser, Dialer: dialer, MaxAttempts: maxAttempts}),
-		Admitter:  rclimit.New(rclimit.Config{Board: d.board}),
-		Calls:     rcidem.New(rcidem.Config{Board: d.board, Client: rcservice.New()}),
+		Origin:    rcfront.Origin(d.cfg.Boot.ID),
+		Generator: relay,
+		Replayer:  replay,
+		Weights:   d.servedWeights,
+		Admitter:  d.limiter,
+		Calls:     d.calls,
 		Metrics:   d.metrics,
-		Ready:     d.ready.Load,
+		Ready:     d.isReady,
 		Log:       d.cfg.Log,
 	})
 	s := d.settings()
@@ -147,7 +212,7 @@
 		Dump:      d.dump,
 		Explain:   d.explain,
 		Drain:     d.Drain,
-		Configs:   d.configs(),
+		Configs:   d.Configs(),
 		Metrics:   d.metrics,
 		Log:       d.cfg.Log,
 	})
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -14,6 +14,8 @@
 const (
 	operatorsHeaderTimeout = 5 * time.Second
 	operatorsStopTimeout   = 2 * time.Second
+	settleTimeout          = 5 * time.Second
+	pushTimeout            = 2 * time.Second
 )
 
 // Run serves until ctx ends or an operator orders a drain, then shuts down
@@ -26,13 +28,25 @@
 		}
 	}()
 	d.watch.Refresh(ctx)
-	d.ready.Store(true)
 	var g run.Group
 	d.addStop(ctx, &g)
-	g.Add(func() error { return serve(d.callers, d.cfg.Callers) }, func(error) { d.stopCallers(abort) })
+	g.Add(func() error { return serve(d.callers, d.cfg.Listeners.Callers) }, func(error) { d.stopCallers(abort) })
+	addLoopWithStop(&g, d.calls.RunSettlement, d.settleRecords)
+	addLoopWithStop(&g, d.warmAndPush, d.pushSnapshot)
+	addLoop(&g, d.poison.Run)
+	addLoop(&g, d.spreadPoison)
+	addLoop(&g, d.spreadUsage)
+	addLoop(&g, d.runOrders)
 	addLoop(&g, d.watch.Run)
-	g.Add(func() error { return serve(d.operators, d.cfg.Operators) }, func(error) { d.stopOperators() })
-	d.cfg.Log.Info().Stringer("Callers", d.cfg.Callers.Addr()).Stringer("Operators", d.cfg.Operators.Addr()).Msg("instance started")
+	addLoop(&g, d.keeper.Run)
+	addLoop(&g, d.members.Run)
+	addLoopWithStop(&g, d.peers.Run, d.client.Close)
+	g.Add(func() error { return serve(d.operators, d.cfg.Listeners.Operators) }, func(error) { d.stopOperators() })
+	d.cfg.Log.Info().
+		Stringer("Callers", d.cfg.Listeners.Callers.Addr()).
+		Stringer("Operators", d.cfg.Listeners.Operators.Addr()).
+		Stringer("Peers", d.cfg.Listeners.Peers.Addr()).
+		Msg("instance started")
 	err = g.Run()
 	d.cfg.Log.Info().Err(err).Msg("instance stopped")
 	return err
@@ -52,13 +66,21 @@
 
 // addLoop adds a member that runs until its context ends.
 func addLoop(g *run.Group, loop func(context.Context) error) {
+	addLoopWithStop(g, loop, func() {})
+}
+
+// addLoopWithStop adds a member whose loop goes on while stop does its last work.
+func addLoopWithStop(g *run.Group, loop func(context.Context) error, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
 		if err := loop(ctx); !errors.Is(err, context.Canceled) {
 			return err
 		}
 		return nil
-	}, func(error) { cancel() })
+	}, func(error) {
+		stop()
+		cancel()
+	})
 }
 
 func serve(server *http.Server, l net.Listener) error {
@@ -68,10 +90,12 @@
 	return nil
 }
 
+// isReady reports whether the balancer should send new work.
+func (d *Daemon) isReady() bool { return d.ready.Load() && !d.draining.Load() }
+
 // Drain makes the instance refuse new work, finish what it has and stop.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
-		d.ready.Store(false)
 		d.draining.Store(true)
 		close(d.drain)
 	})
@@ -80,10 +104,10 @@
 // stopCallers ends the callers' listener: the balancer is told first, then
 // running requests finish, up to the shutdown timeout.
 func (d *Daemon) stopCallers(abort context.Context) {
-	d.ready.Store(false)
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
 	defer cancel()
+	d.members.Leave(ctx)
 	d.wait(ctx, d.cfg.NoticeDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.logCut(err)
@@ -91,6 +115,31 @@
 	}
 }
 
+// settleRecords lets running calls end and their records reach the table service.
+func (d *Daemon) settleRecords() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if left := d.calls.Drain(ctx); len(left) > 0 {
+		d.cfg.Log.Error().Strs("Records", left).Msg("records left for other instances to settle")
+	}
+}
+
+// warmAndPush warms up, reports ready and then pushes snapshots for the zone.
+func (d *Daemon) warmAndPush(ctx context.Context) error {
+	d.warmedFrom.Store(d.snapshots.WarmUp(ctx))
+	d.ready.Store(true)
+	return d.snapshots.Run(ctx)
+}
+
+// pushSnapshot leaves what the instance knows to its successors.
+func (d *Daemon) pushSnapshot() {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	if err := d.snapshots.Finish(ctx); err != nil {
+		d.cfg.Log.Warn().Err(err).Msg("last snapshot was not pushed")
+	}
+}
+
 // logCut lists the streams that a forced stop cuts.
 func (d *Daemon) logCut(err error) {
 	for id, s := range d.board.Streams.Snapshot() {
--- a/request.go
+++ b/request.go
@@ -18,8 +18,16 @@
 	Priority  Priority
 	Deadline  time.Time // The caller gains nothing from a first token after it.
 	Resume    int       // Index of the first token to generate; tokens before it were delivered.
+
+	// PinnedWeights restricts the choice to engines that serve these weights. It
+	// is set once a token was delivered; empty leaves the weights open.
+	PinnedWeights WeightsVersion
 }
 
+// Continues reports whether an earlier run of the request delivered output, so
+// that no refusal may say NotRun of it.
+func (r Request) Continues() bool { return r.Resume > 0 || r.PinnedWeights != "" }
+
 // PromptTokens estimates the tokens of n bytes of prompt.
 func PromptTokens(n, bytesPerToken int) int {
 	if bytesPerToken <= 0 {
