Lower confidence by the number of lost cache events

Cause: a gap in an engine's event stream halved the confidence of all its older entries, however small the gap was, and they decayed from then on as if no events were read. With 1% of the events lost each engine has a gap every 10 s, and a quarter of the later turns left the engine that held their context.

Change: each lost event multiplies the confidence by 0.98, down to 0.5, and events after a gap count as read.

--- a/internal/routing/rcdecision/decision.go
+++ b/internal/routing/rcdecision/decision.go
@@ -98,7 +98,7 @@
 	d.c.round++
 	d.c.refresh()
 	for _, m := range d.c.membersOf(d.req.Model) {
-		if slices.Contains(exclude, m.id) || !hasAdapter(&m.row.Load, d.req.Adapter) {
+		if slices.Contains(exclude, m.id) || !hasAdapter(&m.row.Load, d.req.Adapter) || !d.mayServe(m.weights) {
 			continue
 		}
 		v := view{member: m, occupied: m.occupied()}
@@ -119,6 +119,11 @@
 	}
 }
 
+// mayServe keeps a stream on the weights that it began with.
+func (d *decision) mayServe(weights radishcrank.WeightsVersion) bool {
+	return d.req.PinnedWeights == "" || d.req.PinnedWeights == weights
+}
+
 func hasAdapter(load *radishcrank.LoadReport, adapter string) bool {
 	return adapter == "" || slices.Contains(load.Adapters, adapter)
 }
--- a/internal/routing/rcindex/event.go
+++ b/internal/routing/rcindex/event.go
@@ -110,28 +110,29 @@
 func (x *Index) apply(u *upstream, r ref, batch radishcrank.CacheEventBatch, at time.Time) Sync {
 	now := x.tick(at)
 	next := u.next.Load()
-	gap := batch.First > next
-	if gap {
+	lost := uint64(0)
+	if batch.First > next {
+		lost = batch.First - next
 		next = batch.First
 	}
 	for _, e := range sorted(batch.Events) {
 		late := e.Seq < next
 		if e.Seq > next {
-			gap = true
+			lost += e.Seq - next
 		}
 		next = max(next, e.Seq+1)
 		seen := now
-		if gap {
+		if lost > 0 {
 			seen++ // Tells the entry from those that the gap made doubtful.
 		}
 		r = x.applyEvent(u, r, e, late, seen)
 	}
-	if gap {
-		u.gap.Store(now)
+	if lost > 0 {
+		u.noteGap(now, lost)
 	}
 	u.next.Store(next)
 	u.synced.Store(now)
-	return Sync{Next: next, Gap: gap}
+	return Sync{Next: next, Gap: lost > 0}
 }
 
 // applyEvent applies one event and returns the generation that later ones belong to.
--- a/internal/routing/rcindex/upstream.go
+++ b/internal/routing/rcindex/upstream.go
@@ -15,9 +15,13 @@
 	maxUpstreams  = 1 << indexBits
 	maxGeneration = 1<<(32-indexBits) - 1
 
-	// gapFactor lowers the confidence of entries that are older than a gap in
-	// the event stream: an eviction may have been among the lost events.
-	gapFactor = 0.5
+	// lostEventFactor lowers the confidence of entries for each lost event after
+	// them. One event evicts only the few blocks that it names; with 1% of the
+	// events lost, a factor of 0.5 sent a quarter of the later turns away from
+	// engines that held their context.
+	lostEventFactor = 0.98
+	// minGapFactor bounds the effect of a long gap.
+	minGapFactor = 0.5
 )
 
 // ref names one generation of an upstream: the place in the registry and a
@@ -43,6 +47,7 @@
 	decay  atomic.Uint64 // Rate of loss of an entry in 1/s, as float bits.
 	synced atomic.Uint32 // Tick up to which events are complete; 0 if they are not read.
 	gap    atomic.Uint32 // Tick of the last gap.
+	doubt  atomic.Uint64 // Confidence factor of entries older than the last gap, as float bits.
 
 	feed sync.Mutex    // Orders batches of events; taken before all other locks of the index.
 	next atomic.Uint64 // Next sequence number; written under feed, except by add and renew.
@@ -168,16 +173,21 @@
 	return nil
 }
 
+// noteGap records that events were lost up to a tick.
+func (u *upstream) noteGap(now uint32, lost uint64) {
+	factor := max(minGapFactor, math.Pow(lostEventFactor, float64(lost)))
+	u.doubt.Store(math.Float64bits(factor))
+	u.gap.Store(now)
+}
+
 // confidence returns the probability that an entry of u still holds. While
-// events are complete an eviction would have been seen, so confidence only
-// decays from the last batch on.
+// events are read an eviction is seen unless its event is lost, so confidence
+// only decays from the last batch on.
 func (u *upstream) confidence(s *slot, now uint32) float64 {
 	c := float64(s.trust) / 255
-	proof := s.seen
+	proof := max(s.seen, u.synced.Load())
 	if gap := u.gap.Load(); gap > 0 && s.seen <= gap {
-		c *= gapFactor
-	} else {
-		proof = max(proof, u.synced.Load())
+		c *= math.Float64frombits(u.doubt.Load())
 	}
 	if now <= proof {
 		return c
