--- a/internal/limits/rclimit/account.go
+++ b/internal/limits/rclimit/account.go
@@ -30,6 +30,7 @@
 type account struct {
 	id        radishcrank.ClientAccountID
 	settings  rcconfig.Settings
+	weight    float64 // Share of the fair queue relative to other accounts.
 	queue     []*waiter
 	running   int
 	finish    float64 // Virtual time up to which the account has used its turn.
@@ -49,9 +50,15 @@
 		l.accounts[id] = a
 	}
 	a.settings, a.usedAt = s, now
+	if a.weight = l.cfg.Weight(id); a.weight <= 0 {
+		a.weight = 1
+	}
 	return a
 }
 
+// virtual returns the virtual time that a cost takes of the account's turn.
+func (a *account) virtual(cost float64) float64 { return cost / a.weight }
+
 // sweepLocked forgets accounts without work. Their demand has decayed by then.
 func (l *Limiter) sweepLocked(now time.Time) {
 	if now.Sub(l.sweptAt) < forgetAfter {
@@ -72,7 +79,7 @@
 // correct charges the difference between real and assumed usage.
 func (a *account) correct(difference float64) {
 	a.tokens.balance -= difference
-	a.finish += difference
+	a.finish += a.virtual(difference)
 }
 
 // bucket is a token bucket whose rate may change at any time. The balance may
--- a/internal/limits/rclimit/limiter.go
+++ b/internal/limits/rclimit/limiter.go
@@ -22,6 +22,9 @@
 	Settings func(account radishcrank.ClientAccountID) rcconfig.Settings
 	// Leaving reports whether an account's new work is refused. Nil is never.
 	Leaving func(account radishcrank.ClientAccountID) bool
+	// Weight returns an account's share of the fair queue relative to others. Nil
+	// or a result of 0 is 1.
+	Weight func(account radishcrank.ClientAccountID) float64
 	// Capacity returns how many requests may run at once on this instance. Nil
 	// or a result of 0 is no bound.
 	Capacity func() int
@@ -72,6 +75,9 @@
 	if cfg.Settings == nil {
 		cfg.Settings = func(radishcrank.ClientAccountID) rcconfig.Settings { return rcconfig.DefaultSettings() }
 	}
+	if cfg.Weight == nil {
+		cfg.Weight = func(radishcrank.ClientAccountID) float64 { return 1 }
+	}
 	if cfg.Leaving == nil {
 		cfg.Leaving = func(radishcrank.ClientAccountID) bool { return false }
 	}
--- a/internal/limits/rclimit/queue.go
+++ b/internal/limits/rclimit/queue.go
@@ -105,7 +105,7 @@
 	l.removeLocked(a, w)
 	start := max(l.virtual, a.finish)
 	l.virtual = start
-	a.finish = start + w.cost
+	a.finish = start + a.virtual(w.cost)
 	if a.settings.TokensPerSecond > 0 {
 		a.tokens.balance -= w.cost
 	}
@@ -227,7 +227,7 @@
 // beforeLocked counts the waiting requests whose turn comes before that of the
 // request at position of the account's queue.
 func (l *Limiter) beforeLocked(a *account, position int, w *waiter) int {
-	tag := max(l.virtual, a.finish) + ahead(a, position)
+	tag := max(l.virtual, a.finish) + a.virtual(ahead(a, position))
 	n := position
 	for _, other := range l.queued {
 		if other == a {
@@ -239,7 +239,7 @@
 				break
 			}
 			n++
-			start += o.cost
+			start += other.virtual(o.cost)
 		}
 	}
 	return n
--- a/internal/node/rcdaemon/usage.go
+++ b/internal/node/rcdaemon/usage.go
@@ -31,6 +31,7 @@
 		Instance:        d.cfg.Boot.ID,
 		Settings:        func(id radishcrank.ClientAccountID) rcconfig.Settings { return d.document().SettingsFor(id) },
 		Leaving:         d.isLeaving,
+		Weight:          d.weight,
 		Capacity:        d.capacity,
 		Instances:       d.board.Instances.Len,
 		OvershootFactor: rcconfig.DefaultSettings().OvershootFactor,
@@ -38,13 +39,15 @@
 	rcrpc.Handle(d.handlers, methodUsage, d.answerUsage)
 }
 
+// isLeaving also holds for accounts that are no longer in the configuration.
 func (d *Daemon) isLeaving(id radishcrank.ClientAccountID) bool {
-	for _, account := range d.document().Accounts {
-		if account.ID == id {
-			return account.Leaving
-		}
-	}
-	return true
+	account, ok := d.document().Account(id)
+	return !ok || account.Leaving
+}
+
+func (d *Daemon) weight(id radishcrank.ClientAccountID) float64 {
+	account, _ := d.document().Account(id)
+	return account.Weight
 }
 
 // capacity returns how many requests may run at once on this instance.
--- a/internal/state/rcconfig/document.go
+++ b/internal/state/rcconfig/document.go
@@ -49,10 +49,11 @@
 
 // index holds what requests look up.
 type index struct {
-	keys   map[[sha256.Size]byte]int // Key hash to position in Accounts.
-	byName map[ScopeKind]map[string][]int
-	memo   sync.Map // Settings by Scope, as pointers.
-	known  atomic.Int64
+	keys     map[[sha256.Size]byte]int           // Key hash to position in Accounts.
+	accounts map[radishcrank.ClientAccountID]int // Position in Accounts.
+	byName   map[ScopeKind]map[string][]int
+	memo     sync.Map // Settings by Scope, as pointers.
+	known    atomic.Int64
 }
 
 // HashKey returns the stored form of a bearer key.
@@ -92,6 +93,23 @@
 	return account, ok
 }
 
+// Account returns the account of an ID.
+func (d *Document) Account(id radishcrank.ClientAccountID) (a Account, ok bool) {
+	if d.index != nil {
+		i, ok := d.index.accounts[id]
+		if !ok {
+			return Account{}, false
+		}
+		return d.Accounts[i], true
+	}
+	for _, a := range d.Accounts {
+		if a.ID == id {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
+
 // Service returns the service of a name.
 func (d *Document) Service(name string) (s Service, ok bool) {
 	for _, s := range d.Services {
@@ -104,10 +122,12 @@
 
 func (d *Document) buildIndex() {
 	d.index = &index{
-		keys:   make(map[[sha256.Size]byte]int),
-		byName: make(map[ScopeKind]map[string][]int),
+		keys:     make(map[[sha256.Size]byte]int),
+		accounts: make(map[radishcrank.ClientAccountID]int, len(d.Accounts)),
+		byName:   make(map[ScopeKind]map[string][]int),
 	}
 	for i, a := range d.Accounts {
+		d.index.accounts[a.ID] = i
 		for _, h := range a.KeyHashes {
 			var sum [sha256.Size]byte
 			if n, err := hex.Decode(sum[:], []byte(h)); err == nil && n == len(sum) {
