--- a/internal/record/rcidem/entry.go
+++ b/internal/record/rcidem/entry.go
@@ -177,6 +177,11 @@
 		"the call is still running; repeat it with the same key for its answer", radishcrank.OutcomeMayHaveRun, retryAfterBusy)
 }
 
+func refuseLeaving() *radishcrank.Refusal {
+	return refuse(http.StatusForbidden, "account_leaving",
+		"the client account is leaving and gets no new work done", radishcrank.OutcomeNotRun, 0)
+}
+
 func refusePlatform() *radishcrank.Refusal {
 	return refuse(http.StatusServiceUnavailable, "platform_unavailable",
 		"the record that keeps the call from running twice cannot be written now", radishcrank.OutcomeNotRun, retryAfterBusy)
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -57,6 +57,9 @@
 			needRead = true
 			continue
 		}
+		if errors.Is(err, errLeaving) {
+			return answer, refuseLeaving()
+		}
 		if err != nil {
 			return answer, refusePlatform()
 		}
@@ -114,6 +117,9 @@
 // known to run, so the wait for that attempt goes on.
 var errFollowed = errors.New("table service failed while another attempt runs")
 
+// errLeaving says that a new attempt of a leaving account was not begun.
+var errLeaving = errors.New("client account is leaving")
+
 // claim makes the row Started with the own attempt and returns its version, or
 // returns the record that stands in the way. After an error the attempt is void.
 func (r *Runner) claim(e *entry, f *flight, c *claim, needRead bool) (version uint64, other *versioned, err error) {
@@ -126,6 +132,9 @@
 		Service:  f.call.Service,
 		Key:      f.call.IdempotencyKey,
 	}
+	// A leaving account gets the answers of calls that were accepted before.
+	leaving := r.cfg.Leaving(f.call.Account)
+	needRead = needRead || leaving
 	for range maxClaimTries {
 		if needRead {
 			version, other, err = r.look(e, f, c)
@@ -133,6 +142,9 @@
 				break
 			}
 		}
+		if leaving && !c.pending {
+			return 0, nil, errLeaving
+		}
 		writes := []radishcrank.Write{
 			{Key: e.key, Value: started.encode()},
 			{Key: openKey(c.attempt), Value: []byte(e.key)},
--- a/internal/standin/rcfakefleet/fleet.go
+++ b/internal/standin/rcfakefleet/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -140,3 +141,13 @@
 		server.Close()
 	}
 }
+
+// SetLeaving makes the instance list say that an upstream is about to leave.
+func (f *Fleet) SetLeaving(id radishcrank.UpstreamID) {
+	upstreams := slices.Clone(f.listing.Upstreams)
+	for i := range upstreams {
+		upstreams[i].Leaving = upstreams[i].Leaving || upstreams[i].ID == id
+	}
+	f.listing.Upstreams = upstreams
+	f.List.Set(f.listing)
+}
