Let the load tool follow stream identifiers with a weights tag

Cause: a run against the demo reported every stream as out of order, because event identifiers now carry a tag of the weights after the request's identifier. The tool checks that the name begins with the request's identifier and stays the same.

--- a/internal/cli/rcload/request.go
+++ b/internal/cli/rcload/request.go
@@ -135,8 +135,9 @@
 // streamCheck reads a stream and checks that it is complete and in order.
 type streamCheck struct {
 	out       *outcome
-	requestID string
-	next      int // Index of the next event.
+	requestID string // As the answer's header says; empty if it has none.
+	name      string // Of the stream, as its first event says.
+	next      int    // Index of the next event.
 	last      time.Time
 	finished  bool // The finish chunk was seen.
 	counted   bool // The chunk with the usage was seen.
@@ -230,14 +231,19 @@
 	s.out.prompt, s.out.cached = c.Usage.PromptTokens, c.Usage.PromptDetails.CachedTokens
 }
 
-// inOrder checks an identifier, which is the request's and the event's index.
+// inOrder checks an identifier: the stream's name, which begins with the
+// request's identifier and stays the same, and the event's index.
 func (s *streamCheck) inOrder(id string) bool {
-	request, index, ok := strings.Cut(id, "/")
+	name, index, ok := strings.Cut(id, "/")
 	n, err := strconv.Atoi(index)
-	if !ok || err != nil || n != s.next || (s.requestID != "" && request != s.requestID) {
+	request, _, _ := strings.Cut(name, ".")
+	if !ok || err != nil || n != s.next {
 		return false
 	}
-	s.requestID = request
+	if (s.requestID != "" && request != s.requestID) || (s.name != "" && name != s.name) {
+		return false
+	}
+	s.name = name
 	s.next++
 	return true
 }
--- a/internal/node/rcdaemon/snapshot.go
+++ b/internal/node/rcdaemon/snapshot.go
@@ -12,10 +12,6 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcsnapshot"
 )
 
-// snapshotPrefixes bounds the index entries of a snapshot. At about 30 bytes an
-// entry it keeps a snapshot near 600 KB.
-const snapshotPrefixes = 20000
-
 // earlyReaders instances of a zone read the zone's snapshot object at once; the
 // others get it from them.
 const earlyReaders = 2
@@ -54,7 +50,7 @@
 
 func (d *Daemon) collect() rcsnapshot.Content {
 	c := rcsnapshot.FromBoard(d.board)
-	c.Prefixes = d.chooser.Index().Hot(snapshotPrefixes)
+	c.Prefixes = d.chooser.Index().Hot(rcsnapshot.MaxEntries)
 	return c
 }
 
--- a/internal/serving/rcfront/server.go
+++ b/internal/serving/rcfront/server.go
@@ -105,7 +105,11 @@
 
 func (s *Server) log(c echo.Context, k *call, start time.Time, err error) {
 	event := s.cfg.Log.Info()
-	if err != nil {
+	switch {
+	case err == nil:
+	case c.Request().Context().Err() != nil:
+		event.Str("Code", "caller_gone")
+	default:
 		refusal := asRefusal(err)
 		event = s.cfg.Log.Warn().Err(err).Str("Code", refusal.Code).Str("Outcome", string(refusal.Outcome))
 	}
