Lower confidence at a gap by what lost events can have evicted

A gap halved the confidence of all entries of the engine and let them decay as if no events were read.

A lost event can have evicted only as many blocks as events usually name. A gap now costs lost events x mean blocks / cache capacity, at most half, and half when the capacity is not known.

--- a/internal/routing/rcindex/event.go
+++ b/internal/routing/rcindex/event.go
@@ -40,7 +40,7 @@
 
 // Resync replays all events that the engine still holds. A replay that reaches
 // the point up to which events were applied ends in the right state for every
-// block it names; entries from before a gap keep their lower confidence.
+// block it names; entries from before a gap that it does not name keep their lower confidence.
 func (x *Index) Resync(id radishcrank.UpstreamID, batch radishcrank.CacheEventBatch, at time.Time) Sync {
 	u, r := x.feed(id, batch.Incarnation)
 	if u == nil {
@@ -109,29 +109,30 @@
 
 func (x *Index) apply(u *upstream, r ref, batch radishcrank.CacheEventBatch, at time.Time) Sync {
 	now := x.tick(at)
-	next := u.next.Load()
-	gap := batch.First > next
-	if gap {
+	next, lost := u.next.Load(), uint64(0)
+	if batch.First > next {
+		lost = batch.First - next
 		next = batch.First
 	}
 	for _, e := range sorted(batch.Events) {
 		late := e.Seq < next
 		if e.Seq > next {
-			gap = true
+			lost += e.Seq - next
 		}
 		next = max(next, e.Seq+1)
 		seen := now
-		if gap {
+		if lost > 0 {
 			seen++ // Tells the entry from those that the gap made doubtful.
 		}
+		u.learnMean(len(e.Blocks))
 		r = x.applyEvent(u, r, e, late, seen)
 	}
-	if gap {
-		u.gap.Store(now)
+	if lost > 0 {
+		u.addGap(now, lost)
 	}
 	u.next.Store(next)
 	u.synced.Store(now)
-	return Sync{Next: next, Gap: gap}
+	return Sync{Next: next, Gap: lost > 0}
 }
 
 // applyEvent applies one event and returns the generation that later ones belong to.
--- a/internal/routing/rcindex/lookup.go
+++ b/internal/routing/rcindex/lookup.go
@@ -33,7 +33,7 @@
 	}
 	now := x.tick(time.Now())
 	seen := now
-	if u.gap.Load() == now {
+	if u.lastGap(now) {
 		seen++ // The proof is newer than the gap of the same tick.
 	}
 	tag := AccountTag(scope.Account)
--- a/internal/routing/rcindex/upstream.go
+++ b/internal/routing/rcindex/upstream.go
@@ -14,10 +14,6 @@
 	indexBits     = 14
 	maxUpstreams  = 1 << indexBits
 	maxGeneration = 1<<(32-indexBits) - 1
-
-	// gapFactor lowers the confidence of entries that are older than a gap in
-	// the event stream: an eviction may have been among the lost events.
-	gapFactor = 0.5
 )
 
 // ref names one generation of an upstream: the place in the registry and a
@@ -42,10 +38,12 @@
 
 	decay  atomic.Uint64 // Rate of loss of an entry in 1/s, as float bits.
 	synced atomic.Uint32 // Tick up to which events are complete; 0 if they are not read.
-	gap    atomic.Uint32 // Tick of the last gap.
+	gaps   atomic.Pointer[[]gap]
+	blocks atomic.Int64 // Capacity of the cache; 0 if not known.
 
 	feed sync.Mutex    // Orders batches of events; taken before all other locks of the index.
 	next atomic.Uint64 // Next sequence number; written under feed, except by add and renew.
+	mean float64       // Mean blocks of an event; guarded by feed.
 }
 
 // registry maps upstreams to places and back.
@@ -73,6 +71,7 @@
 		x.registry.mu.Unlock()
 	}
 	if u != nil && up.Load.CacheBlocks > 0 {
+		u.blocks.Store(int64(up.Load.CacheBlocks))
 		u.decay.Store(math.Float64bits(up.Load.EvictionsPerSecond / float64(up.Load.CacheBlocks)))
 	}
 }
@@ -169,16 +168,14 @@
 }
 
 // confidence returns the probability that an entry of u still holds. While
-// events are complete an eviction would have been seen, so confidence only
-// decays from the last batch on.
+// events are read an eviction would have been seen, unless it was among lost
+// events, so confidence only decays from the last batch on.
 func (u *upstream) confidence(s *slot, now uint32) float64 {
 	c := float64(s.trust) / 255
-	proof := s.seen
-	if gap := u.gap.Load(); gap > 0 && s.seen <= gap {
-		c *= gapFactor
-	} else {
-		proof = max(proof, u.synced.Load())
+	if gaps := u.gaps.Load(); gaps != nil {
+		c *= kept(*gaps, s.seen)
 	}
+	proof := max(s.seen, u.synced.Load())
 	if now <= proof {
 		return c
 	}
