--- a/internal/routing/rcindex/event.go
+++ b/internal/routing/rcindex/event.go
@@ -40,7 +40,7 @@
 
 // Resync replays all events that the engine still holds. A replay that reaches
 // the point up to which events were applied ends in the right state for every
-// block it names; entries from before a gap keep their lower confidence.
+// block it names; entries from before a gap that it does not name keep their lower confidence.
 func (x *Index) Resync(id radishcrank.UpstreamID, batch radishcrank.CacheEventBatch, at time.Time) Sync {
 	u, r := x.feed(id, batch.Incarnation)
 	if u == nil {
@@ -109,8 +109,7 @@
 
 func (x *Index) apply(u *upstream, r ref, batch radishcrank.CacheEventBatch, at time.Time) Sync {
 	now := x.tick(at)
-	next := u.next.Load()
-	lost := uint64(0)
+	next, lost := u.next.Load(), uint64(0)
 	if batch.First > next {
 		lost = batch.First - next
 		next = batch.First
@@ -125,10 +124,11 @@
 		if lost > 0 {
 			seen++ // Tells the entry from those that the gap made doubtful.
 		}
+		u.learnMean(len(e.Blocks))
 		r = x.applyEvent(u, r, e, late, seen)
 	}
 	if lost > 0 {
-		u.noteGap(now, lost)
+		u.addGap(now, lost)
 	}
 	u.next.Store(next)
 	u.synced.Store(now)
