--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -177,7 +177,7 @@
 func (d *Daemon) newCallersServer() *http.Server {
 	relay := rcrelay.New(rcrelay.Config{
 		Board:       d.board,
-		Chooser:     d.chooser,
+		Chooser:     meter{Chooser: d.chooser, metrics: d.metrics},
 		Dialer:      d.dialer,
 		MaxAttempts: maxAttempts,
 		Settings:    d.relaySettings,
