Forget a leaving account's dispatches with its entries

The chooser remembers recent dispatches to tell what is hot on a leaving engine, and kept those of accounts that had left. Chooser.Forget drops them together with the index's entries. go test -race ./internal/routing/rcdecision passes.

--- a/internal/routing/rcdecision/move.go
+++ b/internal/routing/rcdecision/move.go
@@ -43,6 +43,14 @@
 	c.dispatches++
 }
 
+// Forget drops what the chooser and its index know of a client account that has left.
+func (c *Chooser) Forget(account radishcrank.ClientAccountID) {
+	c.cfg.Index.Forget(account)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent = slices.DeleteFunc(c.recent, func(r recent) bool { return r.scope.Account == account })
+}
+
 // Moves returns the hot prefixes of an engine and where their load goes without
 // it, the most used first, with at most maxBlocks blocks in all.
 func (c *Chooser) Moves(leaving radishcrank.UpstreamID, maxBlocks int) []Move {
--- a/internal/routing/rcdecision/move_test.go
+++ b/internal/routing/rcdecision/move_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against moves of cold blocks, to the leaving engine, to an engine that
-// requests do not go to, or of more blocks than asked for.
+// requests do not go to, of more blocks than asked for, or of an account that left.
 func TestMovesFollowLoad(t *testing.T) {
 	synctest.Test(t, testMovesFollowLoad)
 }
@@ -38,4 +38,10 @@
 	require.Equal(t, serve(t, c, req).Upstream.ID, moves[0].To.ID)
 	require.Empty(t, c.Moves(leaving.ID, 1))
 	require.Empty(t, c.Moves("unknown", 100))
+
+	c.Forget("other")
+	require.Len(t, c.Moves(leaving.ID, 100), 1)
+	c.Forget("a")
+	require.Empty(t, c.Moves(leaving.ID, 100))
+	require.Zero(t, c.Index().Len())
 }
