--- a/internal/routing/rcindex/snapshot.go
+++ b/internal/routing/rcindex/snapshot.go
@@ -25,29 +25,12 @@
 
 // Hot returns up to n entries that are worth most, the best first.
 func (x *Index) Hot(n int) []Entry {
-	return x.hot(n, func(*upstream, *slot) bool { return true })
-}
-
-// HotOf returns up to n blocks of an upstream that are worth most, the best first.
-func (x *Index) HotOf(id radishcrank.UpstreamID, n int) []radishcrank.BlockHash {
-	entries := x.hot(n, func(u *upstream, _ *slot) bool { return u.id == id })
-	blocks := make([]radishcrank.BlockHash, 0, len(entries))
-	for _, e := range entries {
-		blocks = append(blocks, e.Block)
-	}
-	return blocks
-}
-
-func (x *Index) hot(n int, match func(*upstream, *slot) bool) []Entry {
 	x.registry.mu.RLock()
 	defer x.registry.mu.RUnlock()
 	best := ranking{}
 	worth := x.worth()
 	for i := range x.shards {
-		x.shards[i].rank(&best, n, worth, func(s *slot) bool {
-			u := x.registry.live(s.ref)
-			return u != nil && match(u, s)
-		})
+		x.shards[i].rank(&best, n, worth, func(s *slot) bool { return x.registry.live(s.ref) != nil })
 	}
 	slices.SortFunc(best, func(a, b ranked) int { return compareRanked(b, a) })
 	now := x.tick(time.Now())
