Poll less for baselines in the evaluation

Cause: the package's tests took 50 s with -race on the shared machine. Change: baselines, which use no load figures, get reports once a second.

--- a/internal/eval/rceval/fleet.go
+++ b/internal/eval/rceval/fleet.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	zoneDelay      = time.Millisecond       // Between zones, and between a client and its instance.
-	watchInterval  = 250 * time.Millisecond // As in rcdaemon.
-	restartSeconds = 5                      // Span before and after a restart that its target compares.
+	baselineWatchInterval = time.Second
+	zoneDelay             = time.Millisecond       // Between zones, and between a client and its instance.
+	watchInterval         = 250 * time.Millisecond // As in rcdaemon.
+	restartSeconds        = 5                      // Span before and after a restart that its target compares.
 )
 
 // fleet is one run of a policy over a trace.
@@ -110,7 +111,7 @@
 			Board:    i.board,
 			Lister:   f,
 			Dialer:   f,
-			Interval: watchInterval,
+			Interval: f.policy.watchInterval(),
 			Instance: instanceID(n),
 			Zone:     i.zone,
 		}
@@ -122,8 +123,9 @@
 		f.listInstances(i.board)
 		f.poll(i)
 		// Instances poll at different times.
-		f.loop.after(time.Duration(n)*watchInterval/time.Duration(f.scenario.Deployment.Instances), func() {
-			f.loop.every(watchInterval, end, func() { f.poll(i) })
+		interval := f.policy.watchInterval()
+		f.loop.after(time.Duration(n)*interval/time.Duration(f.scenario.Deployment.Instances), func() {
+			f.loop.every(interval, end, func() { f.poll(i) })
 		})
 	}
 }
@@ -164,7 +166,7 @@
 			Deadline:  time.Now().Add(rcconfig.DefaultSettings().FirstTokenDeadline),
 		},
 	}
-	if f.policy.prompts {
+	if f.policy.router {
 		c.req.Prompt = f.trace.Prompt(r)
 	}
 	f.loop.after(zoneDelay, c.dispatch)
--- a/internal/eval/rceval/policy.go
+++ b/internal/eval/rceval/policy.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,7 +28,16 @@
 	Name string
 	New  func(env Env) radishcrank.Chooser
 
-	prompts bool // Requests carry their prompts, which takes time to build.
+	router bool // The router's chooser: needs prompts, and reports as often as in rcdaemon.
+}
+
+// watchInterval is the time between two load reports. The baselines use nothing
+// of a report but which engines exist, so they need few.
+func (p Policy) watchInterval() time.Duration {
+	if p.router {
+		return watchInterval
+	}
+	return baselineWatchInterval
 }
 
 // Baselines are the policies that the real chooser is compared with.
