--- /dev/null
+++ b/internal/node/rcdaemon/sweep_test.go
@@ -0,0 +1,314 @@
+package rcdaemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
+	"github.com/radishcrank/radishcrank/internal/serving/rcops"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakefleet"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeservice"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+)
+
+const (
+	sweepSeed    = 20261203
+	callerKey    = "key"
+	answerTokens = 12
+	instances    = 3
+)
+
+// sweep runs instances on stand-ins in one process, in real time.
+type sweep struct {
+	t       *testing.T
+	fleet   *rcfakefleet.Fleet
+	daemons []*rcdaemon.Daemon
+	rng     *rand.Rand
+	client  *http.Client
+	serial  int
+}
+
+func newSweep(t *testing.T) *sweep {
+	fleet, err := rcfakefleet.Start(rcfakefleet.Config{
+		Zones: 2, EnginesPerZone: 2, Service: "booking",
+		Engine: rcfakeengine.Config{
+			Models:      map[radishcrank.ModelID]radishcrank.WeightsVersion{"advice": "w1"},
+			CacheBlocks: 100, BlockTokens: 8, BytesPerToken: 4, MaxBatch: 16,
+			PrefillPerSecond: 1e6, DecodePerSecond: 60, AnswerTokens: answerTokens,
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(fleet.Close)
+	s := &sweep{
+		t: t, fleet: fleet, rng: rand.New(rand.NewPCG(sweepSeed, 0)),
+		client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	for i := range instances {
+		s.start(fmt.Sprintf("i-%d", i+1), rcfakefleet.Zone(1+i%2))
+	}
+	s.push()
+	require.Eventually(t, func() bool {
+		for _, d := range s.daemons {
+			if st := d.Status(); !st.Ready || st.ConfigRevision != 1 || st.Engines != 4 || st.Instances != instances {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 20*time.Millisecond)
+	return s
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *sweep) start(id string, zone radishcrank.AvailabilityZone) {
+	boot := &rcconfig.Boot{ID: radishcrank.InstanceID(id), Zone: zone, Region: "r", PeerKey: []byte(strings.Repeat("k", 32))}
+	var l rcdaemon.Listeners
+	l.Callers, boot.Callers = listen(s.t)
+	l.Operators, boot.Operators = listen(s.t)
+	l.Peers, boot.Peers = listen(s.t)
+	s.fleet.AddInstance(radishcrank.Instance{ID: boot.ID, Zone: zone, Peer: boot.Peers, Operators: boot.Operators})
+	d, err := rcdaemon.New(rcdaemon.Config{
+		Boot: boot, Listeners: l, Table: s.fleet.Table, Objects: s.fleet.Objects, Lister: s.fleet.List, Log: zerolog.Nop(),
+	})
+	require.NoError(s.t, err)
+	s.daemons = append(s.daemons, d)
+	ctx, cancel := context.WithCancel(context.Background())
+	abort, cut := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(ctx, abort) }()
+	s.t.Cleanup(func() {
+		cut()
+		cancel()
+		require.NoError(s.t, <-stopped)
+	})
+}
+
+func (s *sweep) push() {
+	defaults := rcconfig.DefaultSettings()
+	defaults.ProgressTimeout = 300 * time.Millisecond
+	defaults.BlockTokens = 8
+	doc := &rcconfig.Document{
+		Defaults: defaults,
+		Accounts: []rcconfig.Account{{ID: "riga", Weight: 1, KeyHashes: []string{rcconfig.HashKey(callerKey)}}},
+		Services: []rcconfig.Service{{Name: "booking", NonRepeatable: []string{"POST /"}}},
+		Models:   []rcconfig.Model{{ID: "advice", Weights: "w1"}},
+	}
+	_, err := s.daemons[0].Configs().Push(s.t.Context(), rcops.PushRequest{Author: "test", Note: "first", Text: string(doc.Render())})
+	require.NoError(s.t, err)
+}
+
+// fault is a failure that is switched on and off again.
+type fault struct {
+	name    string
+	on, off func()
+}
+
+func (s *sweep) faults() []fault {
+	f := s.fleet
+	engines := func(faults rcfakeengine.Faults) func() {
+		return func() {
+			for _, id := range []radishcrank.UpstreamID{"zone-1-engine-1", "zone-2-engine-2"} {
+				f.Engines[id].SetFaults(faults)
+			}
+		}
+	}
+	table := func(faults rcfaketable.Faults) func() { return func() { f.Table.SetFaults(faults) } }
+	service := func(faults rcfakeservice.Faults) func() { return func() { f.Ledger.SetFaults(faults) } }
+	nothing := func() {}
+	return []fault{
+		{"engine crash", func() { f.Engines["zone-1-engine-1"].Crash(); f.Engines["zone-2-engine-1"].Crash() }, nothing},
+		{"truncated streams", engines(rcfakeengine.Faults{DropAfter: 3}), engines(rcfakeengine.Faults{})},
+		{"empty answers", engines(rcfakeengine.Faults{EmptyAnswer: true}), engines(rcfakeengine.Faults{})},
+		{"repeated tokens", engines(rcfakeengine.Faults{WrongOrder: true}), engines(rcfakeengine.Faults{})},
+		{"lost cache events", engines(rcfakeengine.Faults{DropEvents: true}), engines(rcfakeengine.Faults{})},
+		{"silent connections", func() {
+			for _, l := range f.Listeners {
+				l.Silence()
+			}
+		}, nothing},
+		{"table down", table(rcfaketable.Faults{Down: true}), table(rcfaketable.Faults{})},
+		{"table slow", table(rcfaketable.Faults{Delay: 200 * time.Millisecond}), table(rcfaketable.Faults{})},
+		{"table answers lost", table(rcfaketable.Faults{LoseAnswers: 6}), table(rcfaketable.Faults{})},
+		{"table writes lost", table(rcfaketable.Faults{DropCommits: 6}), table(rcfaketable.Faults{})},
+		{"list and objects down", func() { f.List.SetDown(true); f.Objects.SetDown(true) }, func() { f.List.SetDown(false); f.Objects.SetDown(false) }},
+		{"service crashes before effect", service(rcfakeservice.Faults{CrashBefore: 2}), service(rcfakeservice.Faults{})},
+		{"service crashes after effect", service(rcfakeservice.Faults{CrashAfter: 2}), service(rcfakeservice.Faults{})},
+		{"service refuses", service(rcfakeservice.Faults{Refuse: 3}), service(rcfakeservice.Faults{})},
+		{"service answers lost", service(rcfakeservice.Faults{LoseAnswers: 2}), service(rcfakeservice.Faults{})},
+	}
+}
+
+// send posts a request to an instance; an error of the connection is a violation,
+// because no instance dies here.
+func (s *sweep) send(ctx context.Context, instance int, path, body, key string) (status int, outcome radishcrank.Outcome, answer string, err error) {
+	addr := s.daemons[instance%instances].Boot().Callers
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		req.Header.Set(radishcrank.HeaderIdempotencyKey, key)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, radishcrank.Outcome(resp.Header.Get(radishcrank.HeaderOutcome)), string(data), err
+}
+
+// checkAnswer demands a complete and exact answer, or an explicit failure.
+func (s *sweep) checkAnswer(ctx context.Context, n int) error {
+	prompt := fmt.Sprintf("%s question %d", strings.Repeat("rule ", 40), n)
+	status, outcome, answer, err := s.send(ctx, n, "/v1/completions", fmt.Sprintf(`{"model":"advice","prompt":%q}`, prompt), "")
+	if err != nil {
+		return fmt.Errorf("request %d: %w", n, err)
+	}
+	if status != http.StatusOK {
+		if outcome == "" {
+			return fmt.Errorf("request %d failed with %d and no outcome: %s", n, status, answer)
+		}
+		return nil
+	}
+	var want strings.Builder
+	for i := range answerTokens {
+		want.WriteString(rcfakeengine.TokenText(prompt, "w1", i))
+	}
+	if !strings.Contains(answer, `"text":"`+want.String()+`"`) {
+		return fmt.Errorf("request %d got another answer: %s", n, answer)
+	}
+	return nil
+}
+
+// checkBooking repeats a booking on all instances until its outcome is final.
+func (s *sweep) checkBooking(ctx context.Context, n int) error {
+	key := fmt.Sprintf("booking-%d", n)
+	first := ""
+	for attempt := range 40 {
+		status, outcome, answer, err := s.send(ctx, n+attempt, "/services/booking/releases", `{"Box":1}`, key)
+		if err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		runs := s.fleet.Ledger.Runs("riga/" + key)
+		switch {
+		case runs > 1:
+			return fmt.Errorf("%s ran %d times", key, runs)
+		case status == http.StatusOK && runs != 1:
+			return fmt.Errorf("%s was confirmed and ran %d times", key, runs)
+		case status == http.StatusOK && first == "":
+			first = answer
+		case status == http.StatusOK && answer != first:
+			return fmt.Errorf("%s was answered with %s and %s", key, first, answer)
+		case status == http.StatusOK:
+			return nil
+		case first != "" && outcome != radishcrank.OutcomeRan:
+			return fmt.Errorf("%s was confirmed, then refused with %d: %s", key, status, answer)
+		case outcome == radishcrank.OutcomeNotRun && runs != 0:
+			return fmt.Errorf("%s was refused as NotRun and ran", key)
+		case outcome == radishcrank.OutcomeMayHaveRun && runs == 0 && attempt > 20:
+			return nil // It crashed before its effect and is never run again.
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("%s has no final outcome", key)
+}
+
+// run plays one schedule and returns the violations.
+func (s *sweep) run(a, b fault) (violations []error) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), 30*time.Second)
+	defer cancel()
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	check := func(f func(context.Context, int) error) {
+		s.serial++
+		n := s.serial
+		running.Go(func() {
+			if err := f(ctx, n); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				violations = append(violations, err)
+			}
+		})
+	}
+	load := func() {
+		for range 6 {
+			check(s.checkAnswer)
+		}
+		for range 4 {
+			check(s.checkBooking)
+		}
+	}
+	pause := func() { <-time.After(time.Duration(20+s.rng.IntN(80)) * time.Millisecond) }
+	load()
+	pause()
+	a.on()
+	load()
+	pause()
+	b.on()
+	load()
+	pause()
+	a.off()
+	pause()
+	b.off()
+	load()
+	running.Wait()
+	for _, d := range s.daemons {
+		if st := d.Status(); st.ConfigRevision != 1 || st.Instances != instances {
+			violations = append(violations, fmt.Errorf("%s has revision %d and sees %d instances", st.Instance, st.ConfigRevision, st.Instances))
+		}
+	}
+	return violations
+}
+
+// Guards against pairs of failures that break what must hold at all times: an
+// answer is whole and its own or explicitly failed, a booking runs at most once,
+// a NotRun is true, a confirmed booking keeps its answer, the configuration never
+// reverts and no live instance is given up.
+func TestPairsOfFailures(t *testing.T) {
+	s := newSweep(t)
+	faults := s.faults()
+	schedules := 0
+	for i := range faults {
+		for j := i; j < len(faults); j++ {
+			for _, violation := range s.run(faults[i], faults[j]) {
+				t.Errorf("%s with %s: %v", faults[i].name, faults[j].name, violation)
+			}
+			schedules++
+		}
+	}
+	require.Empty(t, s.fleet.Ledger.Doubled())
+	require.Eventually(t, func() bool {
+		for _, d := range s.daemons {
+			if st := d.Status(); st.Streams != 0 || st.OpenRecords != 0 {
+				return false
+			}
+		}
+		return true
+	}, 30*time.Second, 50*time.Millisecond, "streams or records are left")
+	t.Logf("seed %d: %d schedules, %d requests and bookings, %d bookings ran", sweepSeed, schedules, s.serial, s.fleet.Ledger.Total())
+}
--- a/internal/record/rcidem/entry.go
+++ b/internal/record/rcidem/entry.go
@@ -182,6 +182,11 @@
 		"the client account is leaving and gets no new work done", radishcrank.OutcomeNotRun, 0)
 }
 
+func refuseUnavailableAnswer() *radishcrank.Refusal {
+	return refuse(http.StatusServiceUnavailable, "answer_unavailable",
+		"the call with this key has run; its record cannot be read now", radishcrank.OutcomeRan, retryAfterBusy)
+}
+
 func refusePlatform() *radishcrank.Refusal {
 	return refuse(http.StatusServiceUnavailable, "platform_unavailable",
 		"the record that keeps the call from running twice cannot be written now", radishcrank.OutcomeNotRun, retryAfterBusy)
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -61,7 +61,7 @@
 			return answer, refuseLeaving()
 		}
 		if err != nil {
-			return answer, refusePlatform()
+			return answer, r.refuseUnread(f)
 		}
 		if other == nil {
 			return r.dispatch(e, f, c, version)
@@ -91,6 +91,20 @@
 	return answer, refuseRunning()
 }
 
+// refuseUnread refuses a call whose row can be neither read nor written. The
+// call may be the repeat of one that ran, and a caller that is told NotRun may
+// book again under another key, so the upstream is asked first. A positive
+// answer is not passed on: without the row nobody knows whether the content is
+// the same.
+func (r *Runner) refuseUnread(f *flight) *radishcrank.Refusal {
+	call := f.call
+	_, found, _ := r.lookup(record{Account: call.Account, Service: call.Service, Key: call.IdempotencyKey})
+	if found {
+		return refuseUnavailableAnswer()
+	}
+	return refusePlatform()
+}
+
 // pause waits before the next look at another attempt's row. It returns false
 // when nobody waits for the answer any more.
 func (r *Runner) pause(f *flight, d time.Duration) bool {
--- a/internal/record/rcidem/runner.go
+++ b/internal/record/rcidem/runner.go
@@ -168,6 +168,13 @@
 	return left
 }
 
+// Open returns how many keys have calls under way or records to settle.
+func (r *Runner) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
 // closeIdle wakes Drain once nothing is left. The caller holds mu.
 func (r *Runner) closeIdle() {
 	if !r.draining || len(r.entries) > 0 {
--- a/internal/standin/rcfakefleet/fleet.go
+++ b/internal/standin/rcfakefleet/fleet.go
@@ -32,10 +32,12 @@
 // Fleet is a running set of stand-ins.
 type Fleet struct {
 	Engines map[radishcrank.UpstreamID]*rcfakeengine.Engine
-	Ledger  *rcfakeservice.Ledger // Bookings of the plain service.
-	Table   *rcfaketable.Table
-	Objects *rcfakeobject.Store
-	List    *rcfakelist.List
+	// Listeners can silence the open connections of an engine.
+	Listeners map[radishcrank.UpstreamID]*rcfakeengine.Listener
+	Ledger    *rcfakeservice.Ledger // Bookings of the plain service.
+	Table     *rcfaketable.Table
+	Objects   *rcfakeobject.Store
+	List      *rcfakelist.List
 
 	// Addresses of the platform's services.
 	TableAddr, ObjectsAddr, ListAddr netip.AddrPort
@@ -53,11 +55,12 @@
 		}
 	}()
 	f = &Fleet{
-		Engines: make(map[radishcrank.UpstreamID]*rcfakeengine.Engine),
-		Ledger:  rcfakeservice.NewLedger(),
-		Table:   rcfaketable.New(),
-		Objects: rcfakeobject.New(),
-		List:    rcfakelist.New(radishcrank.Listing{}),
+		Engines:   make(map[radishcrank.UpstreamID]*rcfakeengine.Engine),
+		Listeners: make(map[radishcrank.UpstreamID]*rcfakeengine.Listener),
+		Ledger:    rcfakeservice.NewLedger(),
+		Table:     rcfaketable.New(),
+		Objects:   rcfakeobject.New(),
+		List:      rcfakelist.New(radishcrank.Listing{}),
 	}
 	for z := 1; z <= cfg.Zones; z++ {
 		if err := f.startZone(cfg, Zone(z)); err != nil {
@@ -91,10 +94,19 @@
 	return f.startUpstream(f.Ledger.Handler(), radishcrank.Upstream{ID: id, Role: radishcrank.RoleService, Zone: zone, Service: cfg.Service})
 }
 
-func (f *Fleet) startUpstream(h http.Handler, up radishcrank.Upstream) (err error) {
-	up.Addr, err = f.serve(h)
+func (f *Fleet) startUpstream(h http.Handler, up radishcrank.Upstream) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	up.Addr = l.Addr().(*net.TCPAddr).AddrPort()
 	f.listing.Upstreams = append(f.listing.Upstreams, up)
-	return err
+	if up.Role == radishcrank.RoleEngine {
+		f.Listeners[up.ID] = rcfakeengine.NewListener(l)
+		l = f.Listeners[up.ID]
+	}
+	f.serveOn(l, h)
+	return nil
 }
 
 func (f *Fleet) startPlatform() (err error) {
@@ -113,6 +125,11 @@
 	if err != nil {
 		return addr, err
 	}
+	f.serveOn(l, h)
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (f *Fleet) serveOn(l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	f.servers = append(f.servers, server)
 	go func() {
@@ -120,7 +137,6 @@
 			panic(fmt.Sprintf("stand-in stopped serving: %v", err))
 		}
 	}()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // AddInstance adds a router instance to the instance list, or replaces the one of its ID.
