rcidem: let the model check cover two keys that share transactions

Cause: the model check had one key, so no transaction of unknown outcome held the rows of two calls.

Change: the random schedules have up to four callers of two keys at two instances, and the invariants are checked per key. The exhaustive part stays at one key, because which rows share a transaction does not replay alike; it now fails if a prefix of a schedule does not replay alike. Before, such a prefix made it run without end, which is how this was found.

--- a/internal/record/rcidem/model_test.go
+++ b/internal/record/rcidem/model_test.go
@@ -26,7 +26,7 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(left, choose)
 		for i := range callers {
-			w.send(i % 2)
+			w.send(i%2, fmt.Sprintf("k%d", i/2)) // The third and fourth caller share a second key.
 		}
 		for range steps {
 			w.advance()
@@ -57,20 +57,11 @@
 	for range finishSteps {
 		w.advance()
 	}
-	last := w.send(0)
-	if w.crashed[0] {
-		last = w.send(1)
-	}
-	for n := 0; n < finishSteps && !last.answered; n++ {
-		w.advance()
-	}
 	problem := w.check()
-	switch {
-	case problem != "":
-	case !last.answered:
-		problem = "the last caller got no answer"
-	case last.err != nil && (w.ran() > 0 || radishcrank.AsRefusal(last.err).Outcome != radishcrank.OutcomeMayHaveRun):
-		problem = fmt.Sprintf("the last caller was refused after %d runs: %v", w.ran(), last.err)
+	for _, key := range []string{"k0", "k1"} {
+		if problem == "" {
+			problem = w.lastCall(key, finishSteps)
+		}
 	}
 	for i := range w.runners {
 		w.mu.Lock()
@@ -81,6 +72,30 @@
 	return problem
 }
 
+// lastCall sends one more request, when nothing fails any more.
+func (w *world) lastCall(key string, steps int) string {
+	instance := 0
+	if w.crashed[0] {
+		instance = 1
+	}
+	w.mu.Lock()
+	last := w.send(instance, key)
+	w.mu.Unlock()
+	for n := 0; n < steps && !last.answered; n++ {
+		w.advance()
+	}
+	problem := w.check()
+	switch {
+	case problem != "":
+		return problem
+	case !last.answered:
+		return "the last caller got no answer"
+	case last.err != nil && (w.ran(key) > 0 || radishcrank.AsRefusal(last.err).Outcome != radishcrank.OutcomeMayHaveRun):
+		return fmt.Sprintf("the last caller was refused after %d runs: %v", w.ran(key), last.err)
+	}
+	return ""
+}
+
 // check returns the first violated invariant.
 func (w *world) check() string {
 	w.mu.Lock()
@@ -88,16 +103,16 @@
 	if w.problem != "" {
 		return w.problem
 	}
-	if n := w.ran(); n > 1 {
-		return fmt.Sprintf("the call ran %d times", n)
-	}
 	for _, e := range w.effects {
+		if n := w.ran(e.key); n > 1 {
+			return fmt.Sprintf("the call ran %d times", n)
+		}
 		if e.happened == 0 {
 			continue
 		}
 		caused := false
 		for _, q := range w.requests {
-			mine := q.instance == e.instance && q.start <= e.at
+			mine := q.key == e.key && q.instance == e.instance && q.start <= e.at
 			caused = caused || mine && !q.notRun()
 			if mine && q.notRun() && e.at <= q.end && e.at > q.start {
 				return fmt.Sprintf("a request was told NotRun in step %d, its call was sent in step %d and ran", q.end, e.at)
@@ -128,7 +143,7 @@
 			retries:    rapid.IntRange(0, 4).Draw(rt, "Retries"),
 			pauses:     rapid.IntRange(0, 6).Draw(rt, "Pauses"),
 		}
-		callers := rapid.IntRange(1, 3).Draw(rt, "Callers")
+		callers := rapid.IntRange(1, 4).Draw(rt, "Callers")
 		// Drawn ahead, since rapid unwinds by panics and the schedule runs on another goroutine.
 		choices := rapid.SliceOfN(rapid.IntRange(0, maxChoice), modelSteps, modelSteps).Draw(rt, "Choices")
 		schedules++
@@ -169,19 +184,21 @@
 func exhaust(t *testing.T, left budget, steps, callers int) (schedules int) {
 	var choices, widths []int
 	for {
-		depth := 0
+		depth, same := 0, true
 		problem := play(t, left, steps, callers, func(n int) int {
 			if depth == len(choices) {
 				choices, widths = append(choices, 0), append(widths, n)
 			}
 			depth++
-			widths[depth-1] = n
+			// A prefix that does not replay alike would leave schedules out.
+			same = same && widths[depth-1] == n
 			return min(choices[depth-1], n-1)
 		})
 		schedules++
+		require.True(t, same, "choices %v of %v did not replay alike", choices, widths)
 		require.Empty(t, problem, "choices %v of %v", choices, widths)
 		last := depth - 1
-		for last >= 0 && choices[last] == widths[last]-1 {
+		for last >= 0 && choices[last] >= widths[last]-1 {
 			last--
 		}
 		if last < 0 {
--- a/internal/record/rcidem/world_test.go
+++ b/internal/record/rcidem/world_test.go
@@ -31,12 +31,14 @@
 // effect is one send of the call to the upstream.
 type effect struct {
 	instance int
+	key      string
 	at       int // Scheduler step.
 	happened int
 }
 
 // request is one request of a caller.
 type request struct {
+	key                  string
 	instance, start, end int
 	cancel               context.CancelFunc
 	answered             bool
@@ -53,7 +55,7 @@
 	faults, crashes, suspicions, cancels, retries, pauses int
 }
 
-// world is two instances, one table, one upstream and callers of one key,
+// world is two instances, one table, one upstream and callers of up to two keys,
 // under a scheduler that decides the order and the outcome of every step.
 type world struct {
 	mu       sync.Mutex
@@ -143,7 +145,7 @@
 
 func (p *port) Call(_ context.Context, _ radishcrank.Upstream, call radishcrank.ServiceCall) (answer radishcrank.ServiceAnswer, err error) {
 	p.w.mu.Lock()
-	e := &effect{instance: p.instance, at: p.w.step}
+	e := &effect{instance: p.instance, key: call.IdempotencyKey, at: p.w.step}
 	p.w.effects = append(p.w.effects, e)
 	p.w.mu.Unlock()
 	open := func(f func()) func() { return func() { f(); err = errOpen } }
@@ -160,9 +162,11 @@
 	return answer, err
 }
 
-func (p *port) Lookup(context.Context, radishcrank.Upstream, radishcrank.ServiceCall) (answer radishcrank.ServiceAnswer, found bool, err error) {
+func (p *port) Lookup(_ context.Context, _ radishcrank.Upstream, call radishcrank.ServiceCall) (answer radishcrank.ServiceAnswer, found bool, err error) {
 	if !p.yield("Lookup",
-		func() { answer, found = radishcrank.ServiceAnswer{Status: 200, Body: []byte("booked")}, p.w.ran() > 0 },
+		func() {
+			answer, found = radishcrank.ServiceAnswer{Status: 200, Body: []byte("booked")}, p.w.ran(call.IdempotencyKey) > 0
+		},
 		func() { err = errOpen },
 	) {
 		err = errOpen
@@ -170,27 +174,27 @@
 	return answer, found, err
 }
 
-func (w *world) ran() (n int) {
+func (w *world) ran(key string) (n int) {
 	for _, e := range w.effects {
-		n += e.happened
+		if e.key == key {
+			n += e.happened
+		}
 	}
 	return n
 }
 
-var modelCall = radishcrank.ServiceCall{Account: "a", Service: "booking", Method: "POST", Path: "/", Body: []byte("b"), IdempotencyKey: "k"}
-
 // send starts a caller's request at an instance.
-func (w *world) send(instance int) *request {
+func (w *world) send(instance int, key string) *request {
 	ctx, cancel := context.WithCancel(context.Background())
-	q := &request{instance: instance, start: w.step, cancel: cancel}
+	q := &request{key: key, instance: instance, start: w.step, cancel: cancel}
 	w.requests = append(w.requests, q)
 	go func() {
-		answer, err := w.runners[instance].Run(ctx, modelCall)
+		answer, err := w.runners[instance].Run(ctx, call(key, "b"))
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		q.answered, q.err, q.end = true, err, w.step
-		if err == nil && (string(answer.Body) != "booked" || w.ran() != 1) {
-			w.problem = fmt.Sprintf("answer %q accepted after %d runs", answer.Body, w.ran())
+		if err == nil && (string(answer.Body) != "booked" || w.ran(key) != 1) {
+			w.problem = fmt.Sprintf("answer %q accepted after %d runs", answer.Body, w.ran(key))
 		}
 	}()
 	return q
@@ -229,8 +233,8 @@
 		if w.left.suspicions > 0 && !w.dead[i] {
 			list = append(list, func() { w.left.suspicions--; w.dead[i] = true })
 		}
-		if w.left.retries > 0 && !w.crashed[i] && w.quiet() {
-			list = append(list, func() { w.left.retries--; w.send(i) })
+		if w.left.retries > 0 && !w.crashed[i] && w.quiet("k0") {
+			list = append(list, func() { w.left.retries--; w.send(i, "k0") })
 		}
 	}
 	for _, q := range w.requests {
@@ -242,8 +246,8 @@
 }
 
 // quiet reports whether the caller has its answer, so that it may try again.
-func (w *world) quiet() bool {
-	return !slices.ContainsFunc(w.requests, func(q *request) bool { return !q.answered })
+func (w *world) quiet(key string) bool {
+	return !slices.ContainsFunc(w.requests, func(q *request) bool { return q.key == key && !q.answered })
 }
 
 func (w *world) unlocked(f func()) {
