Notice empty finishes after a resume, and wait out rolling updates

A stream that was cut after three tokens was resumed on an engine that failed with an empty finish; its usage counted the three delivered tokens, so the caller got a short answer that looked complete (TestPairsOfFailures, truncated streams with empty answers). A resumed attempt now generates the last delivered token again, compares and drops it. An honest engine therefore always sends a token before its finish, and a stream without one is a failure. It costs one token for each resume.

During a rolling update a request was refused with no_engine (TestRollingUpdate): each engine had changed its weights or was in standby since its last report.

--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -183,6 +183,7 @@
 		Settings:    d.relaySettings,
 		Retrier:     d.retrier,
 		Guard:       d.poison,
+		Refresh:     d.watch.Hurry,
 	})
 	replay := replayer{d: d, relay: relay}
 	rcrpc.Handle(d.handlers, methodStreamFetch, replay.answerFetch)
--- a/internal/serving/rcrelay/attempt.go
+++ b/internal/serving/rcrelay/attempt.go
@@ -32,13 +32,15 @@
 	stream    radishcrank.TokenStream
 	leave     func(crashed, finished bool) // Ends the guard's registration.
 	first     radishcrank.Token
+	last      string // Text of the last token delivered before the attempt, if known.
+	hasLast   bool
 	err       error // Of the attempt up to its first event; io.EOF is a finish.
 }
 
 // begin dispatches an attempt. It sends itself to opened once its first event
 // or its failure is there.
 func (g *generation) begin(p radishcrank.Placement, opened chan<- *attempt) *attempt {
-	a := &attempt{g: g, req: g.req, placement: p, start: time.Now()}
+	a := &attempt{g: g, req: g.req, last: g.last, hasLast: g.hasLast, placement: p, start: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(g.ctx)
 	a.dog = &watchdog{expired: func() { a.cancel(radishcrank.ErrNoProgress) }}
 	a.engine = g.relay.cfg.Dialer.Engine(p.Upstream)
@@ -58,8 +60,12 @@
 	}
 	wait, floor := a.firstTokenWait()
 	a.dog.arm(wait, floor)
+	req := a.req
+	if a.overlaps() {
+		req.Resume--
+	}
 	stream, err := a.engine.Generate(a.ctx, radishcrank.GenerateRequest{
-		Request:   a.req,
+		Request:   req,
 		CacheKeys: a.placement.CacheKeys,
 		Weights:   a.placement.Weights,
 	})
@@ -67,10 +73,35 @@
 		return a.cause(err)
 	}
 	a.stream = stream
+	if a.overlaps() {
+		if err := a.recvOverlap(); err != nil {
+			return err
+		}
+	}
 	a.first, err = a.recv()
 	return err
 }
 
+// overlaps reports whether the engine generates the last delivered token again.
+// Without it, an engine that fails with an empty finish could not be told from
+// one that has nothing left to generate.
+func (a *attempt) overlaps() bool { return a.req.Resume > 0 }
+
+// recvOverlap drops the token that was delivered before, after a check that the
+// engine continues the same answer.
+func (a *attempt) recvOverlap() error {
+	t, err := a.recv()
+	switch {
+	case err == io.EOF:
+		return fmt.Errorf("%w: finish without a token", radishcrank.ErrTruncated)
+	case err != nil:
+		return err
+	case t.Index != a.req.Resume-1 || (a.hasLast && t.Text != a.last):
+		return fmt.Errorf("%w: token %d differs from the one that was delivered", radishcrank.ErrMismatch, t.Index)
+	}
+	return nil
+}
+
 // enter registers the run with the guard. The wait for isolation ends when the
 // caller would gain nothing from a first token.
 func (a *attempt) enter() (leave func(crashed, finished bool), err error) {
--- a/internal/serving/rcrelay/generation.go
+++ b/internal/serving/rcrelay/generation.go
@@ -24,13 +24,18 @@
 	stream   *stream
 	settings Settings
 	tried    []radishcrank.UpstreamID
+	last     string // Text of the last delivered token.
+	hasLast  bool
+	busy     busyEngines
 	reached  bool // Some attempt may have reached an engine.
 	sinkErr  error
 }
 
-// run tries engines until one completes the answer.
+// run tries engines until one completes the answer. An engine that refuses the
+// request without running it, as one whose weights have changed since its last
+// report, costs no attempt.
 func (g *generation) run() (finish radishcrank.Finish, err error) {
-	for n := range g.relay.cfg.MaxAttempts {
+	for n := 0; n < g.relay.cfg.MaxAttempts; {
 		if n > 0 {
 			if err := g.beforeRetry(n - 1); err != nil {
 				return finish, err
@@ -41,8 +46,14 @@
 			break
 		}
 		var refusal *radishcrank.Refusal
-		if errors.As(err, &refusal) {
-			return finish, withReach(err, g.reached)
+		switch {
+		case errors.As(err, &refusal):
+			if !g.waitForBusy() {
+				return finish, withReach(err, g.reached)
+			}
+		case errors.Is(err, radishcrank.ErrUpstreamBusy) && g.noteBusy():
+		default:
+			n++
 		}
 	}
 	if err == nil {
@@ -195,6 +206,7 @@
 		ws.SetWeights(weights)
 	}
 	g.stream.append(t.Text)
+	g.last, g.hasLast = t.Text, true
 	g.req.Resume = t.Index + 1
 	g.req.PinnedWeights = weights
 	if g.sinkErr == nil && !g.stream.callerGone() {
--- a/internal/serving/rcrelay/relay.go
+++ b/internal/serving/rcrelay/relay.go
@@ -98,6 +98,7 @@
 	Settings    func(account radishcrank.ClientAccountID) Settings // Nil is the defaults.
 	Retrier     Retrier                                            // Nil retries without limit and never hedges.
 	Guard       Guard                                              // Nil suspects nothing.
+	Refresh     func(radishcrank.UpstreamID)                       // Asks for a new load report; nil waits for the next one.
 }
 
 // Relay implements radishcrank.Generator.
--- a/internal/upstream/rcengine/stream.go
+++ b/internal/upstream/rcengine/stream.go
@@ -121,7 +121,7 @@
 // end records the finish. An answer without a single token is a failure.
 func (s *tokenStream) end(reason string, usage *rcwire.Usage) error {
 	switch {
-	case s.next == 0:
+	case s.next == s.req.Resume:
 		return fmt.Errorf("%w: empty answer", radishcrank.ErrTruncated)
 	case !trueFinish(reason):
 		return fmt.Errorf("%w: finish reason %q", radishcrank.ErrTruncated, reason)
