Derive docs/CAPACITY.md from measured slopes

The design page refers to docs/CAPACITY.md for what each role takes at the target size, and that page did not exist.

Package rccapacity measures CPU time, allocations, memory and bytes of each role with the real code at four or more sizes, fits lines, commits the result as measurements.json and generates the page from it. A test compares the committed page with the generated one.

--- /dev/null
+++ b/internal/eval/rccapacity/series.go
@@ -0,0 +1,107 @@
+// Package rccapacity measures how the cost of each role of an instance grows,
+// with the code that runs in production, and derives docs/CAPACITY.md from the
+// committed measurements.
+//
+// To measure again and to write the page:
+//
+//	RADISHCRANK_MEASURE=1 go test -run TestMeasure -v ./internal/eval/rccapacity
+//	go test -run TestPage ./internal/eval/rccapacity -update
+package rccapacity
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Point is one measured size of a series. Value is in the unit of the series;
+// the allocations are those of one operation.
+type Point struct {
+	Size           int
+	Value          float64
+	Allocations    float64
+	AllocatedBytes float64
+}
+
+// Series is the cost of one operation at several sizes, with the least-squares
+// line through the points.
+type Series struct {
+	Name      string
+	Operation string
+	SizeUnit  string
+	ValueUnit string // "µs" of CPU time or "B".
+	Points    []Point
+	Slope     float64
+	Intercept float64
+	R2        float64
+}
+
+// Measurements is the content of measurements.json.
+type Measurements struct {
+	Command     string
+	Date        string
+	Go          string
+	Cores       int
+	LoadAverage string // Of the machine at the start, over 1, 5 and 15 minutes.
+	Runs        int    // The best run counts.
+	Seed        uint64
+	Series      []Series
+}
+
+//go:embed measurements.json
+var committed []byte
+
+// Committed returns the committed measurements.
+func Committed() (m Measurements, err error) {
+	if err := json.Unmarshal(committed, &m); err != nil {
+		return m, fmt.Errorf("measurements.json: %w", err)
+	}
+	return m, nil
+}
+
+// series returns the series of a name. A page without one of its sources is a
+// fault of this package, so it panics.
+func (m *Measurements) series(name string) *Series {
+	i := slices.IndexFunc(m.Series, func(s Series) bool { return s.Name == name })
+	if i < 0 {
+		panic(fmt.Sprintf("rccapacity: no series %s", name))
+	}
+	return &m.Series[i]
+}
+
+// at returns the value of the fitted line at a size. Below the smallest measured
+// size the value measured there counts, which is an upper bound: lines of costs
+// that grow faster for large sizes are negative near zero.
+func (s *Series) at(size float64) float64 {
+	if first := s.Points[0]; size < float64(first.Size) {
+		return first.Value
+	}
+	return max(0, s.Intercept+s.Slope*size)
+}
+
+// last returns the point of the largest measured size.
+func (s *Series) last() Point { return s.Points[len(s.Points)-1] }
+
+// fit sets the least-squares line. R2 of points that do not vary is 1.
+func (s *Series) fit() {
+	n, sumX, sumY := float64(len(s.Points)), 0.0, 0.0
+	for _, p := range s.Points {
+		sumX += float64(p.Size)
+		sumY += p.Value
+	}
+	meanX, meanY := sumX/n, sumY/n
+	var xx, xy, yy float64
+	for _, p := range s.Points {
+		dx, dy := float64(p.Size)-meanX, p.Value-meanY
+		xx += dx * dx
+		xy += dx * dy
+		yy += dy * dy
+	}
+	s.Slope = xy / xx
+	s.Intercept = meanY - s.Slope*meanX
+	s.R2 = 1
+	if yy > 0 {
+		s.R2 = xy * xy / (xx * yy)
+	}
+}
--- /dev/null
+++ b/internal/eval/rccapacity/serving.go
@@ -0,0 +1,109 @@
+package rccapacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcengine"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcwire"
+)
+
+func servingProbes() []probe {
+	return []probe{
+		{"Relay", "relay one answer from an engine's connection to the caller's event bytes, CPU time of the stand-in of the engine included", "token", "µs",
+			[]int{64, 256, 1024, 4096}, relayAnswer},
+		{"TokenBytes", "events of one answer as a caller gets them", "token", "B",
+			[]int{64, 256, 1024, 4096}, answerBytes},
+	}
+}
+
+// fixedChooser sends each request to one engine.
+type fixedChooser struct{ up radishcrank.Upstream }
+
+func (c fixedChooser) Choose(context.Context, radishcrank.Request, []radishcrank.UpstreamID) (radishcrank.Placement, error) {
+	return radishcrank.Placement{Upstream: c.up, Weights: "2026-11-30"}, nil
+}
+
+func (c fixedChooser) Observe(radishcrank.Request, radishcrank.Placement, radishcrank.Observation) {}
+
+// callerSink encodes an answer as a caller gets it.
+type callerSink struct {
+	out *rcsse.Writer
+	enc *rcsse.TokenEncoder
+}
+
+func (s callerSink) Token(t radishcrank.Token) error       { return s.out.Token(s.enc, t.Index, t.Text) }
+func (s callerSink) Finish(radishcrank.Finish) (err error) { return nil }
+
+// countingWriter is a response that only counts its bytes.
+type countingWriter struct {
+	header http.Header
+	bytes  *int
+}
+
+func (w countingWriter) Header() http.Header { return w.header }
+func (w countingWriter) WriteHeader(int)     {}
+func (w countingWriter) Flush()              {}
+func (w countingWriter) Write(p []byte) (int, error) {
+	*w.bytes += len(p)
+	return len(p), nil
+}
+
+const relayID = radishcrank.RequestID("eu-north-1-router-17-123456")
+
+// engineAnswer is an answer of n tokens as an engine sends it.
+func engineAnswer(t *testing.T, n int) []byte {
+	var body bytes.Buffer
+	for i := range n + 1 {
+		chunk := rcwire.CompletionChunk{
+			ID: string(relayID), Choices: []rcwire.Choice{{Text: " word"}},
+			Extension: rcwire.ChunkExtension{RequestID: relayID, Index: i, Weights: "2026-11-30", Incarnation: engine(0).Incarnation},
+		}
+		if i == n {
+			chunk.Choices = []rcwire.Choice{{FinishReason: "stop"}}
+		}
+		data, err := json.Marshal(chunk)
+		check(t, err)
+		fmt.Fprintf(&body, "data: %s\n\n", data)
+	}
+	return body.Bytes()
+}
+
+func newSink(count *int) callerSink {
+	return callerSink{
+		rcsse.NewWriter(countingWriter{http.Header{}, count}),
+		rcsse.NewTokenEncoder(string(relayID), string(modelName), 1764793000, true),
+	}
+}
+
+func relayAnswer(t *testing.T, tokens int) Point {
+	body := engineAnswer(t, tokens)
+	server := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(body) }))
+	up := engine(0)
+	up.Addr = server.addr
+	relay := rcrelay.New(rcrelay.Config{
+		Board: rcboard.New(), Chooser: fixedChooser{up}, Dialer: rcengine.NewDialer(), MaxAttempts: 1,
+	})
+	written := 0
+	return best(func() {
+		check(t, relay.Generate(context.Background(),
+			radishcrank.Request{ID: relayID, Account: "account-1", Model: modelName, Prompt: "prompt"}, newSink(&written)))
+	})
+}
+
+func answerBytes(t *testing.T, tokens int) Point {
+	written := 0
+	sink := newSink(&written)
+	for i := range tokens {
+		check(t, sink.Token(radishcrank.Token{Index: i, Text: " word"}))
+	}
+	return Point{Value: float64(written)}
+}
