Separate ordinary instances in docs/CAPACITY.md

The sum of all roles holds for the first instance of an availability zone only, and the fitted line of admission gave 0.2 µs without peers where 2 µs were measured. The page now has a row for ordinary instances, and no figure is below the one measured at the smallest size. Heartbeats are run once for both series.

--- a/internal/eval/rccapacity/peer.go
+++ b/internal/eval/rccapacity/peer.go
@@ -25,11 +25,20 @@
 
 func peerProbes() []probe {
 	sizes := []int{2, 8, 16, 24, 34}
+	type result struct{ cpu, sent Point }
+	known := make(map[int]result) // Both series come from the same run.
+	measured := func(t *testing.T, n int) result {
+		if _, ok := known[n]; !ok {
+			cpu, sent := heartbeats(t, n)
+			known[n] = result{cpu, sent}
+		}
+		return known[n]
+	}
 	return []probe{
 		{"HeartbeatRound", "a second of heartbeats of one instance, sent and answered, in 11 availability zones", "instance of its zone", "µs",
-			sizes, func(t *testing.T, n int) Point { cpu, _ := heartbeats(t, n); return cpu }},
+			sizes, func(t *testing.T, n int) Point { return measured(t, n).cpu }},
 		{"HeartbeatBytes", "bytes that one instance sends for heartbeats in a second", "instance of its zone", "B",
-			sizes, func(t *testing.T, n int) Point { _, sent := heartbeats(t, n); return sent }},
+			sizes, func(t *testing.T, n int) Point { return measured(t, n).sent }},
 		{"HeartbeatFrame", "frame of one heartbeat", "rumor", "B",
 			[]int{0, 2, 4, 8}, heartbeatFrame},
 	}
--- a/internal/eval/rccapacity/role.go
+++ b/internal/eval/rccapacity/role.go
@@ -33,30 +33,32 @@
 	state     string
 	breaks    string
 	data      bool // On the way of requests and answers, not control.
+	few       bool // Held by one instance of each availability zone, or of the fleet.
+	fewRead   bool // Its messages are those of two instances of each availability zone.
 	load      func(m *Measurements, d *Deployment) load
 }
 
 var roles = []role{
 	{"relay", "`rcrelay`, `rcsse`: one buffer for each stream, bounded replay", "streams in flight, 32 MiB of replay",
-		"processor time; then the replay buffers, which are kept for less than 60 s once they are full", true, relayLoad},
+		"processor time; then the replay buffers, which are kept for less than 60 s once they are full", true, false, false, relayLoad},
 	{"chooser with prefix index", "`rcdecision`, `rcplacement`, `rcindex`: rendezvous candidates, bounded index", "index entries, 500 engines",
-		"memory of the index, which `MaxBytes` bounds; blocks beyond it are found by placement only", false, chooserLoad},
+		"memory of the index, which `MaxBytes` bounds; blocks beyond it are found by placement only", false, false, false, chooserLoad},
 	{"limiter", "`rclimit`: shares, fair queue; `rcdaemon` sums up the batches of all engines twice for each request", "accounts in use",
-		"`Daemon.capacity`, whose copy of the Upstreams table grows with the engines", false, limiterLoad},
+		"`Daemon.capacity`, whose copy of the Upstreams table grows with the engines", false, false, false, limiterLoad},
 	{"watcher of upstreams", "`rcwatch`: load reports within 2,000 B/s, events of no engine at this size", "Upstreams table",
-		"age of load reports", false, watcherLoad},
+		"age of load reports", false, false, false, watcherLoad},
 	{"reader of the instance list", "`rcwatch` and `rcmember`: the whole list 1.1 times a second", "none",
-		"bytes and decoding of the list", false, listLoad},
+		"bytes and decoding of the list", false, false, false, listLoad},
 	{"member", "`rcmember`: two heartbeats a second with up to 8 rumors", "370 members",
-		"heartbeat bytes, which grow with the zone's instances until 8 rumors are full", false, memberLoad},
+		"messages: two heartbeats a second and their answers", false, false, false, memberLoad},
 	{"configuration reader", "`rcrevision`, `rcconfig`: two readers of each availability zone, deltas, a full parse for each change", "one parsed document",
-		"parsing, which grows with accounts times changes", false, configLoad},
+		"parsing, which grows with accounts times changes", false, false, true, configLoad},
 	{"order leader", "`rclease`, `rcorder`: one lease row, intent rows", "intents",
-		"nothing at this size: one row is renewed", false, leaderLoad},
+		"nothing at this size: one row is renewed", false, true, false, leaderLoad},
 	{"snapshot pusher", "`rcsnapshot`: one pusher of each availability zone, every two minutes", "one encoded snapshot",
-		"bytes of a snapshot; entries beyond 8,000 are left out, though `rcdaemon` collects 20,000", false, snapshotLoad},
+		"bytes of a snapshot; entries beyond 8,000 are left out, though `rcdaemon` collects 20,000", false, true, false, snapshotLoad},
 	{"at-most-once records", "`rcidem`: two transactions for each booking, grouped only while others run", "calls under way",
-		"retention: the sweep looks at 40 rows/s (see below)", false, recordLoad},
+		"retention: the sweep looks at 40 rows/s (see below)", false, false, false, recordLoad},
 }
 
 func relayLoad(m *Measurements, d *Deployment) load {
@@ -83,7 +85,7 @@
 
 func limiterLoad(m *Measurements, d *Deployment) load {
 	calls := m.series("AdmitCapacityCalls").last().Value
-	request := m.series("AdmitPeers").at(d.PeersExchanged) + calls*m.series("Capacity").at(d.Engines) + m.series("LeavingScan").at(d.Accounts)
+	request := max(m.series("AdmitAccounts").at(d.Accounts), m.series("AdmitPeers").at(d.PeersExchanged)) + calls*m.series("Capacity").at(d.Engines) + m.series("LeavingScan").at(d.Accounts)
 	l := load{
 		CPU:    d.perInstance(d.Requests) * request / 1e3,
 		Memory: m.series("AccountMemory").at(d.Accounts) / megabyte,
@@ -163,3 +165,18 @@
 	}
 	return sum
 }
+
+// ordinary returns the sum of the control roles that each instance has.
+func ordinary(m *Measurements, d *Deployment) (sum load) {
+	for _, r := range roles {
+		if r.data || r.few {
+			continue
+		}
+		l := r.load(m, d)
+		if r.fewRead {
+			l.Traffic = 0
+		}
+		sum = sum.plus(l)
+	}
+	return sum
+}
--- a/internal/eval/rccapacity/series.go
+++ b/internal/eval/rccapacity/series.go
@@ -70,14 +70,11 @@
 	return &m.Series[i]
 }
 
-// at returns the value of the fitted line at a size. Below the smallest measured
-// size the value measured there counts, which is an upper bound: lines of costs
-// that grow faster for large sizes are negative near zero.
+// at returns the value of the fitted line at a size, or that of the smallest
+// measured size if it is higher, since no cost falls with the size: lines of
+// costs that grow faster for large sizes are too low near zero.
 func (s *Series) at(size float64) float64 {
-	if first := s.Points[0]; size < float64(first.Size) {
-		return first.Value
-	}
-	return max(0, s.Intercept+s.Slope*size)
+	return max(s.Points[0].Value, s.Intercept+s.Slope*size)
 }
 
 // last returns the point of the largest measured size.
