Check the constants that rccapacity copies

The capacity page rests on intervals and sizes that other packages do not export. A change there would have left the page wrong without a failing test. TestCopiedConstants now also looks them up in the sources.

--- a/internal/eval/rccapacity/capacity_test.go
+++ b/internal/eval/rccapacity/capacity_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"math"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,6 +91,30 @@
 	require.Equal(t, maxFrame, rcrpc.MaxMessageBytes)
 	require.Equal(t, retention, rcconfig.DefaultSettings().RecordRetention)
 	require.InDelta(t, leaseInterval, rcconfig.DefaultSettings().LeaseDuration.Seconds()/4*7/8, 1e-12)
+	for file, lines := range map[string][]string{
+		"upstream/rcwatch/observe.go":     {"observeAll = 64", "observers = 2", "defaultBytesPerSecond = 2000", "reportBytes = 700"},
+		"upstream/rcwatch/poll.go":        {"observedWeight = 4"},
+		"upstream/rcwatch/watch.go":       {"listInterval = time.Second", "defaultInterval = 250 * time.Millisecond"},
+		"peer/rcmember/tracker.go":        {"listInterval = 10 * time.Second"},
+		"node/rcdaemon/usage.go":          {"maxUsagePeers = 15", "usageInterval = 2 * time.Second"},
+		"node/rcdaemon/guard.go":          {"verdictInterval = 5 * time.Minute"},
+		"node/rcdaemon/snapshot.go":       {"snapshotPrefixes = 20000"},
+		"node/rcdaemon/orders.go":         {"candidatesPerZone = 1"},
+		"node/rcdaemon/peers.go":          {"readersPerZone = 2"},
+		"state/rcsnapshot/keeper.go":      {"pushInterval = 2 * time.Minute", "warmLimit = 3 * time.Second"},
+		"state/rcrevision/keeper.go":      {"pollInterval = time.Second"},
+		"record/rcidem/runner.go":         {"defaultSettleInterval = 5 * time.Second"},
+		"record/rcidem/settle.go":         {"sweepPage = 200"},
+		"serving/rcrelay/stream.go":       {"tokenOverhead = 32", "streamOverhead = 1024"},
+		"state/rcrevision/keeper_test.go": {"require.LessOrEqual(t, reads, 10*size.zones)"},
+	} {
+		source, err := os.ReadFile("../../" + file)
+		require.NoError(t, err)
+		text := strings.Join(strings.Fields(string(source)), " ")
+		for _, line := range lines {
+			require.Contains(t, text, line, file)
+		}
+	}
 }
 
 // Guards against a stated rate of the sweep that is not that of the code.
