--- a/internal/eval/rccapacity/page.go
+++ b/internal/eval/rccapacity/page.go
@@ -47,7 +47,7 @@
 			room = "no budget stated"
 		}
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n",
-			r.name, r.mechanism, r.state, number(l.CPU), number(l.Memory), number(l.Traffic), room, r.breaks)
+			r.name, r.mechanism, r.state, measured(l.CPU), measured(l.Memory), number(l.Traffic), room, r.breaks)
 	}
 	row := func(name string, l load) {
 		fmt.Fprintf(b, "| %s | | | %s | %s | %s | %s | |\n", name, number(l.CPU), number(l.Memory), number(l.Traffic), ratio(l.headroom()))
@@ -61,7 +61,7 @@
 	b.WriteString("## Roles of one instance today\n\n| role | Riga: CPU, ms/s | memory, MB | messages, B/s | Sofia: CPU, ms/s | memory, MB | messages, B/s |\n|---|---|---|---|---|---|---|\n")
 	row := func(name string, riga, sofia load) {
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s |\n", name,
-			number(riga.CPU), number(riga.Memory), number(riga.Traffic), number(sofia.CPU), number(sofia.Memory), number(sofia.Traffic))
+			measured(riga.CPU), measured(riga.Memory), number(riga.Traffic), measured(sofia.CPU), measured(sofia.Memory), number(sofia.Traffic))
 	}
 	for _, r := range roles {
 		row(r.name, r.load(m, &Riga), r.load(m, &Sofia))
@@ -169,7 +169,7 @@
 		fmt.Fprintf(b, "| `%s` | %s | %s per %s | %s | %s | %.3f | %s | %s |\n",
 			s.Name, s.Operation, s.ValueUnit, s.SizeUnit, number(s.Slope), number(s.Intercept), s.R2, sizes, allocations)
 	}
-	b.WriteString("\nA low R² with a small slope says that the cost does not depend on the size. Points that do not rise with the size are noise of the shared machine; `measurements.json` has all of them.\n\n")
+	b.WriteString("\nA low R² with a small slope says that the cost does not depend on the size. Where the points do not rise evenly with the size, the line is a rough description; `measurements.json` has all points.\n\n")
 }
 
 const unmeasured = `## Not measured
@@ -199,6 +199,14 @@
 	return text
 }
 
+// measured writes a figure of processor time or memory, of which no role needs none.
+func measured(v float64) string {
+	if v == 0 {
+		return "not measured"
+	}
+	return number(v)
+}
+
 func ratio(v float64) string {
 	if math.IsInf(v, 1) {
 		return "—"
