--- a/internal/eval/rccapacity/deployment.go
+++ b/internal/eval/rccapacity/deployment.go
@@ -23,6 +23,7 @@
 	observedWeight   = 4       // rcwatch.
 	usagePeers       = 15      // rcdaemon, maxUsagePeers.
 	usageInterval    = 2       // rcdaemon, seconds.
+	capacitySums     = 4.0     // rcdaemon, a second at most.
 	configReaders    = 2       // Of an availability zone; rcrevision reads each second.
 	leaseInterval    = 10.0 / 4 * 7 / 8
 	verdictInterval  = 300.0 // rcdaemon, seconds.
--- a/internal/eval/rccapacity/role.go
+++ b/internal/eval/rccapacity/role.go
@@ -43,8 +43,8 @@
 		"processor time; then the replay buffers, which are kept for less than 60 s once they are full", true, false, false, relayLoad},
 	{"chooser with prefix index", "`rcdecision`, `rcplacement`, `rcindex`: rendezvous candidates, bounded index", "index entries, 500 engines",
 		"memory of the index, which `MaxBytes` bounds; blocks beyond it are found by placement only", false, false, false, chooserLoad},
-	{"limiter", "`rclimit`: shares, fair queue; `rcdaemon` sums up the batches of all engines twice for each request", "accounts in use",
-		"`Daemon.capacity`, whose copy of the Upstreams table grows with the engines", false, false, false, limiterLoad},
+	{"limiter", "`rclimit`: shares, fair queue; `rcdaemon` sums up the batches of all engines at most 4 times a second", "accounts in use",
+		"processor time of the sum, which grows with the engines", false, false, false, limiterLoad},
 	{"watcher of upstreams", "`rcwatch`: load reports within 2,000 B/s, events of no engine at this size", "Upstreams table",
 		"age of load reports", false, false, false, watcherLoad},
 	{"reader of the instance list", "`rcwatch` and `rcmember`: the whole list 1.1 times a second", "none",
@@ -56,7 +56,7 @@
 	{"order leader", "`rclease`, `rcorder`: one lease row, intent rows", "intents",
 		"nothing at this size: one row is renewed", false, true, false, leaderLoad},
 	{"snapshot pusher", "`rcsnapshot`: one pusher of each availability zone, every two minutes", "one encoded snapshot",
-		"bytes of a snapshot; entries beyond 8,000 are left out, though `rcdaemon` collects 20,000", false, true, false, snapshotLoad},
+		"bytes of a snapshot; entries beyond 8,000 are left out", false, true, false, snapshotLoad},
 	{"at-most-once records", "`rcidem`: two transactions for each booking, grouped only while others run", "calls under way",
 		"retention: the sweep looks at 40 rows/s (see below)", false, false, false, recordLoad},
 }
@@ -85,9 +85,10 @@
 
 func limiterLoad(m *Measurements, d *Deployment) load {
 	calls := m.series("AdmitCapacityCalls").last().Value
-	request := max(m.series("AdmitAccounts").at(d.Accounts), m.series("AdmitPeers").at(d.PeersExchanged)) + calls*m.series("Capacity").at(d.Engines) + m.series("LeavingScan").at(d.Accounts)
+	request := max(m.series("AdmitAccounts").at(d.Accounts), m.series("AdmitPeers").at(d.PeersExchanged)) + m.series("FindAccount").at(d.Accounts)
+	sums := min(calls*d.perInstance(d.Requests), capacitySums)
 	l := load{
-		CPU:    d.perInstance(d.Requests) * request / 1e3,
+		CPU:    (d.perInstance(d.Requests)*request + sums*m.series("Capacity").at(d.Engines)) / 1e3,
 		Memory: m.series("AccountMemory").at(d.Accounts) / megabyte,
 	}
 	if d.PeersExchanged > 0 {
--- a/internal/eval/rccapacity/routing.go
+++ b/internal/eval/rccapacity/routing.go
@@ -35,7 +35,7 @@
 			[]int{1, 4, 16, 64}, event},
 		{"IndexMemory", "memory of the index", "entry", "B",
 			[]int{100_000, 400_000, 800_000, 1_600_000}, indexMemory},
-		{"HotEntries", "pick the 20,000 best entries for a snapshot", "entry of the index", "µs",
+		{"HotEntries", "pick the 8,000 best entries for a snapshot", "entry of the index", "µs",
 			[]int{100_000, 400_000, 800_000, 1_600_000}, hotEntries},
 		{"Capacity", "copy the upstreams to sum up their batches, as rcdaemon does for the limiter", "engine", "µs",
 			[]int{50, 125, 250, 500}, capacity},
@@ -151,9 +151,8 @@
 }
 
 func hotEntries(_ *testing.T, entries int) Point {
-	const snapshotPrefixes = 20_000 // As in rcdaemon.
 	f := newFeeder().fill(entries)
-	return best(func() { f.index.Hot(snapshotPrefixes) })
+	return best(func() { f.index.Hot(snapshotEntries) })
 }
 
 // capacity does what Daemon.capacity does, which is not exported.
--- a/internal/eval/rccapacity/state.go
+++ b/internal/eval/rccapacity/state.go
@@ -20,7 +20,7 @@
 		{"ConfigBytes", "text of a configuration document", "account", "B", accounts,
 			func(_ *testing.T, n int) Point { return Point{Value: float64(len(documentOf(n)))} }},
 		{"Authenticate", "find the account of a bearer key", "account", "µs", accounts, authenticate},
-		{"LeavingScan", "look for an account in the list, as rcdaemon does for each admission", "account", "µs", accounts, leavingScan},
+		{"FindAccount", "find an account by its ID, as rcdaemon does for each admission", "account", "µs", accounts, findAccount},
 		{"SnapshotEncode", "encode a snapshot", "index entry", "µs", entries, encodeTime},
 		{"SnapshotDecode", "decode a snapshot", "index entry", "µs", entries, decodeTime},
 		{"SnapshotBytes", "encoded snapshot", "index entry", "B", entries,
@@ -61,20 +61,14 @@
 	})
 }
 
-// leavingScan does what Daemon.isLeaving does, which is not exported, for the
-// last account of the list.
-func leavingScan(t *testing.T, accounts int) Point {
+// findAccount looks up the last account of the document.
+func findAccount(t *testing.T, accounts int) Point {
 	doc, err := rcconfig.Parse(documentOf(accounts))
 	check(t, err)
-	wanted, leaving := accountName(accounts-1), 0
+	wanted := accountName(accounts - 1)
 	return best(func() {
-		for _, account := range doc.Accounts {
-			if account.ID == wanted {
-				if account.Leaving {
-					leaving++
-				}
-				break
-			}
+		if _, ok := doc.Account(wanted); !ok {
+			panic("account is missing")
 		}
 	})
 }
