Let every setting take effect in each of its scopes

Cause: the read-through found settings without a reader (IsolationCrashes, VerdictCrashes, WeightLoads), settings that were read once before any document was there (HeaderReadTimeout, MaxHeaderBytes), and exceptions by model, upstream or zone that nothing asked for.

IsolationCrashes, VerdictCrashes and WeightLoads are removed, since all instances must agree on them and rows depend on them; the time to read a header is fixed at 5 s. MaxHeaderBytes is checked for each request.

--- a/internal/limits/rclimit/limiter.go
+++ b/internal/limits/rclimit/limiter.go
@@ -31,7 +31,8 @@
 	// Instances returns the number of instances in the last full view. Nil is 1.
 	Instances func() int
 	// OvershootFactor bounds the sum of the shares under a partition as a
-	// multiple of the limit. 0 is DefaultOvershootFactor.
+	// multiple of the limit, for accounts whose settings do not. 0 is
+	// DefaultOvershootFactor.
 	OvershootFactor float64
 }
 
--- a/internal/limits/rclimit/share.go
+++ b/internal/limits/rclimit/share.go
@@ -128,23 +128,31 @@
 	return members
 }
 
+// overshoot returns the account's OvershootFactor.
+func (l *Limiter) overshoot(a *account) float64 {
+	if a.settings.OvershootFactor > 0 {
+		return a.settings.OvershootFactor
+	}
+	return l.cfg.OvershootFactor
+}
+
 // groupLimit returns what the instances that hear each other may use together
 // of a fleet-wide limit. With all N instances it is the limit. A group of g gets
 // the part OvershootFactor × g/N of it, and at most all, so that the groups of
 // any partition get at most OvershootFactor times the limit together. An
 // instance that hears nobody gets 1/N.
-func (l *Limiter) groupLimit(limit float64, heard int) float64 {
+func (l *Limiter) groupLimit(limit, overshoot float64, heard int) float64 {
 	instances := max(l.cfg.Instances(), heard, 1)
 	if heard == 1 {
 		return limit / float64(instances)
 	}
-	return limit * min(1, l.cfg.OvershootFactor*float64(heard)/float64(instances))
+	return limit * min(1, overshoot*float64(heard)/float64(instances))
 }
 
 // shareLocked returns this instance's share of a fleet-wide rate limit.
 func (l *Limiter) shareLocked(a *account, limit float64, now time.Time) float64 {
 	s := l.splitLocked(a, now)
-	return l.groupLimit(limit, len(s.members)) * s.fraction
+	return l.groupLimit(limit, l.overshoot(a), len(s.members)) * s.fraction
 }
 
 // concurrencyShareLocked returns how many requests of the account may run here,
@@ -156,21 +164,21 @@
 	}
 	s := l.splitLocked(a, now)
 	if len(s.members) == 1 && l.cfg.Instances() > 1 {
-		return l.loneShare(a.settings.Concurrency)
+		return l.loneShare(a.settings.Concurrency, l.overshoot(a))
 	}
-	limit := l.groupLimit(float64(a.settings.Concurrency), len(s.members))
+	limit := l.groupLimit(float64(a.settings.Concurrency), l.overshoot(a), len(s.members))
 	return largestRemainder(slices.Clone(s.members), int(limit), l.cfg.Instance)
 }
 
 // loneShare is the part of a concurrency limit for an instance that hears
 // nobody: the limit / N. Below 1 the instance may still run one request if that
 // keeps all N within the overshoot.
-func (l *Limiter) loneShare(limit int) int {
+func (l *Limiter) loneShare(limit int, overshoot float64) int {
 	instances := l.cfg.Instances()
 	if share := limit / instances; share > 0 {
 		return share
 	}
-	if float64(instances) <= l.cfg.OvershootFactor*float64(limit) {
+	if float64(instances) <= overshoot*float64(limit) {
 		return 1
 	}
 	return 0
--- a/internal/limits/rcretry/retry.go
+++ b/internal/limits/rcretry/retry.go
@@ -3,6 +3,7 @@
 package rcretry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -48,29 +49,21 @@
 
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	s.RetryRatio = orDefault(s.RetryRatio, d.RetryRatio)
-	s.RetryFloor = orDefault(s.RetryFloor, d.RetryFloor)
-	s.RetryBurst = orDefault(s.RetryBurst, d.RetryBurst)
-	s.HedgeRatio = orDefault(s.HedgeRatio, d.HedgeRatio)
-	s.HedgeBurst = orDefault(s.HedgeBurst, d.HedgeBurst)
-	s.BackoffBase = orDefault(s.BackoffBase, d.BackoffBase)
-	s.BackoffCap = orDefault(s.BackoffCap, d.BackoffCap)
-	s.OpenAfter = orDefault(s.OpenAfter, d.OpenAfter)
-	s.OpenFor = orDefault(s.OpenFor, d.OpenFor)
-	s.OpenCap = orDefault(s.OpenCap, d.OpenCap)
-	s.SlowStart = orDefault(s.SlowStart, d.SlowStart)
-	s.MinimumWeight = orDefault(s.MinimumWeight, d.MinimumWeight)
+	s.RetryRatio = cmp.Or(s.RetryRatio, d.RetryRatio)
+	s.RetryFloor = cmp.Or(s.RetryFloor, d.RetryFloor)
+	s.RetryBurst = cmp.Or(s.RetryBurst, d.RetryBurst)
+	s.HedgeRatio = cmp.Or(s.HedgeRatio, d.HedgeRatio)
+	s.HedgeBurst = cmp.Or(s.HedgeBurst, d.HedgeBurst)
+	s.BackoffBase = cmp.Or(s.BackoffBase, d.BackoffBase)
+	s.BackoffCap = cmp.Or(s.BackoffCap, d.BackoffCap)
+	s.OpenAfter = cmp.Or(s.OpenAfter, d.OpenAfter)
+	s.OpenFor = cmp.Or(s.OpenFor, d.OpenFor)
+	s.OpenCap = cmp.Or(s.OpenCap, d.OpenCap)
+	s.SlowStart = cmp.Or(s.SlowStart, d.SlowStart)
+	s.MinimumWeight = cmp.Or(s.MinimumWeight, d.MinimumWeight)
 	return s
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // Config holds the parts that a Retrier works with.
 type Config struct {
 	Board    *rcboard.Board
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -37,6 +37,12 @@
 const (
 	reportInterval = 250 * time.Millisecond
 	maxAttempts    = 4
+
+	// A caller must have sent a request's header within headerReadTimeout. The
+	// HTTP server fixes it and the bound of headers before the first document is
+	// there; the front applies the setting MaxHeaderBytes below that bound.
+	headerReadTimeout = 5 * time.Second
+	maxHeaderBytes    = 1 << 20
 )
 
 // Config holds the settings, listeners and platform clients of one instance.
@@ -181,7 +187,7 @@
 		Chooser:     meter{Chooser: d.chooser, metrics: d.metrics},
 		Dialer:      d.dialer,
 		MaxAttempts: maxAttempts,
-		Settings:    d.relaySettings,
+		Progress:    d.progressTimeout,
 		Retrier:     d.retrier,
 		Guard:       d.poison,
 		Refresh:     d.watch.Hurry,
@@ -200,11 +206,10 @@
 		Ready:     d.isReady,
 		Log:       d.cfg.Log,
 	})
-	s := d.settings()
 	return &http.Server{
 		Handler:           front,
-		ReadHeaderTimeout: s.HeaderReadTimeout,
-		MaxHeaderBytes:    int(s.MaxHeaderBytes),
+		ReadHeaderTimeout: headerReadTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
--- a/internal/node/rcdaemon/guard.go
+++ b/internal/node/rcdaemon/guard.go
@@ -11,7 +11,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
 	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
-	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
 const (
@@ -45,8 +45,11 @@
 	rcrpc.Handle(d.handlers, methodPoison, d.answerPoison)
 }
 
-func (d *Daemon) relaySettings(account radishcrank.ClientAccountID) rcrelay.Settings {
-	return rcrelay.Settings{ProgressTimeout: d.document().SettingsFor(account).ProgressTimeout}
+// progressTimeout returns how long an attempt may deliver nothing.
+func (d *Daemon) progressTimeout(req radishcrank.Request, up radishcrank.Upstream) time.Duration {
+	return d.document().SettingsIn(rcconfig.Scope{
+		Account: req.Account, Model: req.Model, Upstream: up.ID, Zone: up.Zone,
+	}).ProgressTimeout
 }
 
 // poisonRecords carries what instances know of contents that were in flight in crashes.
--- a/internal/node/rcdaemon/usage.go
+++ b/internal/node/rcdaemon/usage.go
@@ -28,14 +28,13 @@
 
 func (d *Daemon) newLimiter() {
 	d.limiter = rclimit.New(rclimit.Config{
-		Board:           d.board,
-		Instance:        d.cfg.Boot.ID,
-		Settings:        func(id radishcrank.ClientAccountID) rcconfig.Settings { return d.document().SettingsFor(id) },
-		Leaving:         d.isLeaving,
-		Weight:          d.weight,
-		Capacity:        d.capacity,
-		Instances:       d.board.Instances.Len,
-		OvershootFactor: rcconfig.DefaultSettings().OvershootFactor,
+		Board:     d.board,
+		Instance:  d.cfg.Boot.ID,
+		Settings:  func(id radishcrank.ClientAccountID) rcconfig.Settings { return d.document().SettingsFor(id) },
+		Leaving:   d.isLeaving,
+		Weight:    d.weight,
+		Capacity:  d.capacity,
+		Instances: d.board.Instances.Len,
 	})
 	rcrpc.Handle(d.handlers, methodUsage, d.answerUsage)
 }
--- a/internal/serving/rcfront/generate.go
+++ b/internal/serving/rcfront/generate.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
@@ -85,6 +86,7 @@
 	if body.Choices != nil && *body.Choices != 1 {
 		return invalid(http.StatusBadRequest, "unsupported_n", "n must be 1")
 	}
+	settings := k.doc.SettingsIn(rcconfig.Scope{Account: k.account.ID, Model: radishcrank.ModelID(body.Model)})
 	req := radishcrank.Request{
 		ID:        k.id,
 		Account:   k.account.ID,
@@ -92,11 +94,11 @@
 		Prompt:    prompt,
 		Chat:      chat,
 		Stream:    body.Stream,
-		MaxTokens: min(max(body.MaxTokens, body.MaxCompletionTokens, 0), k.settings.MaxTokens),
-		Priority:  radishcrank.Priority(k.settings.Priority),
-		Deadline:  time.Now().Add(k.settings.FirstTokenDeadline),
+		MaxTokens: min(max(body.MaxTokens, body.MaxCompletionTokens, 0), settings.MaxTokens),
+		Priority:  radishcrank.Priority(settings.Priority),
+		Deadline:  time.Now().Add(settings.FirstTokenDeadline),
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), k.settings.StreamTimeout)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), settings.StreamTimeout)
 	defer cancel()
 	s.cfg.Metrics.Add(rcmetric.Requests, 1)
 	if req.Stream && c.Request().Header.Get(radishcrank.HeaderLastEventID) != "" {
--- a/internal/serving/rcfront/server.go
+++ b/internal/serving/rcfront/server.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -84,6 +85,10 @@
 		k := &call{id: newRequestID(s.cfg.Origin), doc: s.cfg.Document()}
 		c.Set(callKey, k)
 		c.Response().Header().Set(radishcrank.HeaderRequestID, string(k.id))
+		if size := headerBytes(c.Request()); size > k.doc.Defaults.MaxHeaderBytes {
+			return invalid(http.StatusRequestHeaderFieldsTooLarge, "header_too_large",
+				fmt.Sprintf("the header has %d bytes, at most %d are allowed", size, k.doc.Defaults.MaxHeaderBytes))
+		}
 		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
 		account, ok := k.doc.Authenticate(key)
 		if !ok {
@@ -103,6 +108,18 @@
 	}
 }
 
+// headerBytes returns the size of a request's header as it was sent in HTTP/1.1.
+func headerBytes(r *http.Request) int64 {
+	const separators = 4 // Colon, space and line end.
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
+}
+
 func (s *Server) log(c echo.Context, k *call, start time.Time, err error) {
 	event := s.cfg.Log.Info()
 	switch {
--- a/internal/serving/rcfront/server_test.go
+++ b/internal/serving/rcfront/server_test.go
@@ -213,6 +213,20 @@
 	require.Equal(t, http.StatusOK, f.post(t, chat, testKey, valid).StatusCode)
 }
 
+// Guards against a configured header bound that is not applied.
+func TestLargeHeader(t *testing.T) {
+	f := newFixture(t)
+	req, err := http.NewRequest(http.MethodGet, f.url+"/v1/models", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("X-Padding", strings.Repeat("x", 65<<10))
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+	require.Equal(t, string(radishcrank.OutcomeNotRun), resp.Header.Get(radishcrank.HeaderOutcome))
+}
+
 // Guards against a truncated answer that looks complete to the caller.
 func TestTruncatedStreamHasNoTerminator(t *testing.T) {
 	f := newFixture(t)
--- a/internal/serving/rcrelay/attempt.go
+++ b/internal/serving/rcrelay/attempt.go
@@ -138,10 +138,18 @@
 	return err
 }
 
+// progressTimeout returns how long the attempt may deliver nothing.
+func (a *attempt) progressTimeout() time.Duration {
+	if progress := a.g.relay.cfg.Progress; progress != nil {
+		return progress(a.req, a.placement.Upstream)
+	}
+	return a.g.settings.ProgressTimeout
+}
+
 // firstTokenWait returns the deadline of the first token and the part of it
 // that holds even if the upstream is suspect.
 func (a *attempt) firstTokenWait() (wait, floor time.Duration) {
-	progress := a.g.settings.ProgressTimeout
+	progress := a.progressTimeout()
 	predicted := a.placement.PredictedTTFT
 	if predicted > 0 {
 		wait = time.Duration(a.g.settings.FirstTokenFactor * float64(predicted))
@@ -163,7 +171,7 @@
 			TTFT: time.Since(a.start),
 		})
 	}
-	progress := a.g.settings.ProgressTimeout
+	progress := a.progressTimeout()
 	for err == nil {
 		if t.Index != a.g.req.Resume {
 			return finish, fmt.Errorf("%w: token %d, want %d", radishcrank.ErrMismatch, t.Index, a.g.req.Resume)
--- a/internal/serving/rcrelay/relay.go
+++ b/internal/serving/rcrelay/relay.go
@@ -4,6 +4,7 @@
 package rcrelay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -42,24 +43,16 @@
 
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	s.ProgressTimeout = orDefault(s.ProgressTimeout, d.ProgressTimeout)
-	s.FirstTokenFactor = orDefault(s.FirstTokenFactor, d.FirstTokenFactor)
-	s.HedgeFactor = orDefault(s.HedgeFactor, d.HedgeFactor)
-	s.ReconnectGrace = orDefault(s.ReconnectGrace, d.ReconnectGrace)
-	s.ReplayRetention = orDefault(s.ReplayRetention, d.ReplayRetention)
-	s.ReplayBytes = orDefault(s.ReplayBytes, d.ReplayBytes)
-	s.ReplayTotalBytes = orDefault(s.ReplayTotalBytes, d.ReplayTotalBytes)
+	s.ProgressTimeout = cmp.Or(s.ProgressTimeout, d.ProgressTimeout)
+	s.FirstTokenFactor = cmp.Or(s.FirstTokenFactor, d.FirstTokenFactor)
+	s.HedgeFactor = cmp.Or(s.HedgeFactor, d.HedgeFactor)
+	s.ReconnectGrace = cmp.Or(s.ReconnectGrace, d.ReconnectGrace)
+	s.ReplayRetention = cmp.Or(s.ReplayRetention, d.ReplayRetention)
+	s.ReplayBytes = cmp.Or(s.ReplayBytes, d.ReplayBytes)
+	s.ReplayTotalBytes = cmp.Or(s.ReplayTotalBytes, d.ReplayTotalBytes)
 	return s
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // Retrier bounds retries and hedges and learns how attempts ended.
 type Retrier interface {
 	// Dispatch counts a first attempt.
@@ -96,9 +89,12 @@
 	Dialer      radishcrank.EngineDialer
 	MaxAttempts int                                                // Engines tried for one request, without hedges.
 	Settings    func(account radishcrank.ClientAccountID) Settings // Nil is the defaults.
-	Retrier     Retrier                                            // Nil retries without limit and never hedges.
-	Guard       Guard                                              // Nil suspects nothing.
-	Refresh     func(radishcrank.UpstreamID)                       // Asks for a new load report; nil waits for the next one.
+	// Progress returns how long an attempt may deliver nothing. Nil is the
+	// ProgressTimeout of the settings.
+	Progress func(req radishcrank.Request, up radishcrank.Upstream) time.Duration
+	Retrier  Retrier                      // Nil retries without limit and never hedges.
+	Guard    Guard                        // Nil suspects nothing.
+	Refresh  func(radishcrank.UpstreamID) // Asks for a new load report; nil waits for the next one.
 }
 
 // Relay implements radishcrank.Generator.
--- a/internal/state/rcconfig/parse.go
+++ b/internal/state/rcconfig/parse.go
@@ -108,9 +108,6 @@
 // checkDefaults checks rules between settings. They have no exceptions.
 func (p *parser) checkDefaults() {
 	d := &p.doc.Defaults
-	if d.VerdictCrashes <= d.IsolationCrashes {
-		p.faults.add(p.defaultsLine, "VerdictCrashes %d must be above IsolationCrashes %d", d.VerdictCrashes, d.IsolationCrashes)
-	}
 	if 2*d.LeaseMargin >= d.LeaseDuration {
 		p.faults.add(p.defaultsLine, "LeaseMargin %v must be below half of LeaseDuration %v", d.LeaseMargin, d.LeaseDuration)
 	}
--- a/internal/state/rcconfig/settings.go
+++ b/internal/state/rcconfig/settings.go
@@ -24,19 +24,15 @@
 	StreamTimeout      time.Duration
 	MaxBodyBytes       int64
 	MaxHeaderBytes     int64
-	HeaderReadTimeout  time.Duration
 	BodyReadTimeout    time.Duration
 	MaxTokens          int
 	RetryRatio         float64
 	HedgeRatio         float64
-	IsolationCrashes   int
-	VerdictCrashes     int
 	RecordRetention    time.Duration
 	ChecksFence        bool
 	LeaseDuration      time.Duration
 	LeaseMargin        time.Duration
 	OrderTimeout       time.Duration
-	WeightLoads        int
 	SnapshotMaxAge     time.Duration
 	ShutdownTimeout    time.Duration
 }
