Keep a deadline on the token after a resume

Cause: receiving the overlapping token of a resumed attempt ended the watchdog's wait, and none was started for the next token. A prediction of exactly 0 counted as no prediction and allowed 30 s to the first token.

Change: the wait is started again after the overlap, and a prediction of 0 is known by its terms. TestSilenceAfterOverlap ends in a deadlock of its bubble without the change and passes with it.

--- a/internal/serving/rcrelay/attempt.go
+++ b/internal/serving/rcrelay/attempt.go
@@ -77,6 +77,7 @@
 		if err := a.recvOverlap(); err != nil {
 			return err
 		}
+		a.dog.arm(a.progressTimeout(), 0)
 	}
 	a.first, err = a.recv()
 	return err
@@ -151,7 +152,7 @@
 func (a *attempt) firstTokenWait() (wait, floor time.Duration) {
 	progress := a.progressTimeout()
 	predicted := a.placement.PredictedTTFT
-	if predicted > 0 {
+	if predicted > 0 || len(a.placement.Terms) > 0 { // A prediction of 0 has its terms.
 		wait = time.Duration(a.g.settings.FirstTokenFactor * float64(predicted))
 		return max(wait, progress), 2 * predicted
 	}
--- a/internal/serving/rcrelay/relay_test.go
+++ b/internal/serving/rcrelay/relay_test.go
@@ -389,6 +389,19 @@
 	})
 }
 
+// Guards against an engine that falls silent right after the token that a resumed
+// attempt generates again, for which no deadline ran.
+func TestSilenceAfterOverlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{weights: []radishcrank.WeightsVersion{"w1", "w1", "w1"}, faults: []fault{{kind: "truncate", after: 5}, {kind: "silent", after: 1}}}
+		c := &collector{}
+		start := time.Now()
+		require.NoError(t, newRelay(f, nil, Settings{}).Generate(t.Context(), request, c))
+		require.Equal(t, answer("w1", 0, answerTokens), c.text.String())
+		require.Less(t, time.Since(start), 7*time.Second)
+	})
+}
+
 // Guards against a refusal while a rolling update changes weights faster than
 // load reports tell: engines that refuse are asked for their load and tried again,
 // but not for longer than busyWait.
