--- a/cmd/radishcrankd/main.go
+++ b/cmd/radishcrankd/main.go
@@ -1,10 +1,17 @@
-// Command radishcrankd runs one router instance.
+// Command radishcrankd runs one router instance: with --settings by its own
+// settings, as "radishcrankd platform" by those of the users' platform.
 package main
 
 import (
 	"os"
 
+	"github.com/radishcrank/radishcrank/internal/cli/rcnode"
 	"github.com/radishcrank/radishcrank/internal/cli/rcserve"
 )
 
-func main() { os.Exit(rcserve.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	if len(os.Args) == 2 && os.Args[1] == "platform" {
+		os.Exit(rcnode.Main(os.Stdout, os.Stderr))
+	}
+	os.Exit(rcserve.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/rcnode/node.go
@@ -0,0 +1,33 @@
+// Package rcnode is the command line of a router instance on the users' platform.
+package rcnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishcrank/radishcrank/internal/node/rcinstance"
+	"github.com/radishcrank/radishcrank/platform"
+)
+
+// Main runs an instance until SIGTERM and returns its exit code.
+func Main(stdout, stderr io.Writer) int {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	if err != nil {
+		fmt.Fprintln(stderr, "radishcrankd:", err)
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log := zerolog.New(stdout).With().Timestamp().Logger()
+	if err := rcinstance.New(settings, log).Run(ctx); err != nil {
+		fmt.Fprintln(stderr, "radishcrankd:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/node/rcinstance/instance.go
@@ -0,0 +1,264 @@
+// Package rcinstance assembles one router instance on the users' platform as a
+// run group whose members stop together.
+package rcinstance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/record/rclease"
+	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
+	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
+	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
+	"github.com/radishcrank/radishcrank/platform"
+)
+
+const (
+	// leaseDuration is how long a holder of the orders' lease may be silent before
+	// another one takes over. It exceeds the time that two holders' orders must be
+	// apart, and weights still reach all engines in time after a takeover.
+	leaseDuration = 4 * time.Second
+	leaseMargin   = 800 * time.Millisecond
+	// noticeTime is how long a stopping instance goes on serving while it reports
+	// that it is not ready: the balancer needs two readiness checks, a second apart.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin ends a stop before the platform kills the process.
+	stopMargin = 700 * time.Millisecond
+	// headerTime bounds a caller's header until the configuration names a bound.
+	headerTime = 5 * time.Second
+	// idleTime keeps idle connections of callers somewhat longer than any
+	// configuration asks for: closing one that a caller is about to use costs a request.
+	idleTime = 75 * time.Second
+	// weightsMargin stops the use of older weights before it is forbidden.
+	weightsMargin = 1200 * time.Millisecond
+	// memoryShare of the process's memory limit makes the garbage collector hurry.
+	memoryShare = 0.7
+)
+
+// Instance is one router process.
+type Instance struct {
+	settings platform.Settings
+	log      zerolog.Logger
+	store    *platform.Store
+	fleet    *rcfleet.Fleet
+	board    *rcboard.Board
+	pool     *rcconn.Pool
+	guard    *rcpoison.Tracker
+	peers    *peers
+	metrics  *metrics
+	born     time.Time
+	table    atomic.Pointer[rcroute.Table]
+	closing  atomic.Bool
+
+	mu    sync.Mutex
+	named map[radishcrank.ModelID]rcrollout.Named
+}
+
+// New assembles an instance.
+func New(s platform.Settings, log zerolog.Logger) *Instance {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	i := &Instance{
+		settings: s,
+		log:      log.With().Str("Instance", s.Instance).Logger(),
+		store:    platform.NewStore(s.Store),
+		fleet:    rcfleet.New(),
+		board:    rcboard.New(),
+		pool:     rcconn.New(rcconn.Config{}),
+		metrics:  newMetrics(),
+		born:     time.Now(),
+		named:    map[radishcrank.ModelID]rcrollout.Named{},
+	}
+	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
+	i.peers = newPeers(i)
+	return i
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (i *Instance) Run(ctx context.Context) (err error) {
+	i.log.Info().Str("Event", "Start").Str("Zone", i.settings.Zone).Str("Callers", i.settings.Callers.String()).Send()
+	defer func() {
+		i.log.Info().Str("Event", "Stop").AnErr("Cause", err).Send()
+	}()
+	var g run.Group
+	add := func(f func(ctx context.Context) error) {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+	}
+	directory := &platform.Directory{
+		Store: i.store, Fleet: i.fleet, SetConfig: i.setTable, SetWeights: i.setNamed, Log: i.log,
+	}
+	add(directory.FollowOperator)
+	add(directory.FollowUpstreams)
+	add(i.peers.run)
+	add(i.guard.Run)
+	add(i.lead)
+
+	callers, err := net.Listen("tcp", i.settings.Callers.String())
+	if err != nil {
+		return err
+	}
+	front := &http.Server{Handler: i.front(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: nil}
+	stopped := make(chan struct{})
+	g.Add(func() error {
+		err := front.Serve(callers)
+		<-stopped
+		return ignoreClosed(err)
+	}, func(error) {})
+	// The first member to end is the one that drains; the others go on until then.
+	g.Add(func() error {
+		defer close(stopped)
+		<-ctx.Done()
+		i.closing.Store(true)
+		i.log.Info().Str("Event", "Draining").Send()
+		time.Sleep(noticeTime)
+		left, cancel := context.WithTimeout(context.Background(), i.settings.StopTime-noticeTime-stopMargin)
+		defer cancel()
+		return front.Shutdown(left)
+	}, func(error) {})
+	if err := i.serve(&g, i.settings.Ready.String(), i.readyHandler()); err != nil {
+		return err
+	}
+	if err := i.serve(&g, i.settings.Metrics.String(), i.metrics); err != nil {
+		return err
+	}
+	return g.Run()
+}
+
+func (i *Instance) serve(g *run.Group, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+	g.Add(func() error { return ignoreClosed(s.Serve(l)) }, func(error) { s.Close() })
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// readyHandler answers the balancer's checks. An instance is ready once it knows
+// a configuration and the upstreams.
+func (i *Instance) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if i.closing.Load() || i.table.Load() == nil || !i.fleet.Known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func (i *Instance) front() http.Handler {
+	forwarder := rcforward.New(rcforward.Config{
+		Zone:   radishcrank.AvailabilityZone(i.settings.Zone),
+		Fleet:  i.fleet,
+		Sender: &platform.Sender{Pool: i.pool},
+		Budget: rcbudget.New(rcbudget.Config{
+			Ratio: i.settings.RepeatRatio, Slack: i.settings.RepeatSlack, Window: i.settings.RepeatWindow, Instances: i.peers.count,
+		}),
+		Guard:     i.guard,
+		Weights:   i.weights,
+		Instances: i.peers.count,
+		Log:       i.log,
+		Metrics:   i.metrics,
+	})
+	return &platform.Front{
+		Table: i.table.Load, Server: forwarder, Closing: i.closing.Load, Count: i.metrics.Count, Log: i.log,
+	}
+}
+
+func (i *Instance) setTable(t *rcroute.Table) {
+	i.table.Store(t)
+	i.log.Info().Str("Event", "Config").Int64("Version", t.Version).Int("Routes", len(t.Routes)).Int("Accounts", len(t.Accounts)).Send()
+}
+
+// setNamed takes the weights that are wanted for a model.
+func (i *Instance) setNamed(model radishcrank.ModelID, w radishcrank.WeightsVersion) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.named[model].Weights.Less(w) {
+		return
+	}
+	i.named[model] = rcrollout.Named{Model: model, Weights: w, At: time.Now()}
+	i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).Send()
+}
+
+func (i *Instance) allNamed() (all []rcrollout.Named) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, n := range i.named {
+		all = append(all, n)
+	}
+	return all
+}
+
+func (i *Instance) weights(model radishcrank.ModelID) (n rcforward.Named) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if named, ok := i.named[model]; ok {
+		n = rcforward.Named{Weights: named.Weights, At: named.At, OldUntil: named.At.Add(i.settings.WeightsTime - weightsMargin)}
+	}
+	return n
+}
+
+// servicesOf returns the services whose engines serve a model.
+func (i *Instance) servicesOf(model radishcrank.ModelID) (names []string) {
+	t := i.table.Load()
+	if t == nil {
+		return nil
+	}
+	for _, s := range t.Services {
+		for _, m := range s.Models {
+			if m == model {
+				names = append(names, s.Name)
+			}
+		}
+	}
+	return names
+}
+
+// lead competes for the lease of orders and gives them while it holds it.
+func (i *Instance) lead(ctx context.Context) error {
+	controller := rcrollout.New(rcrollout.Config{
+		Fleet:    i.fleet,
+		Engines:  &platform.Engines{Pool: i.pool, Holder: i.settings.Instance},
+		Mode:     rcrollout.FinishRuns,
+		Named:    i.allNamed,
+		Service:  i.servicesOf,
+		Announce: i.peers.announce,
+		Log:      i.log,
+	})
+	lease := rclease.New(rclease.Config{
+		Table:    &platform.Table{Store: i.store, Name: "radishcrank-lease"},
+		Name:     "orders",
+		Instance: radishcrank.InstanceID(i.settings.Instance),
+		Duration: leaseDuration,
+		Margin:   leaseMargin,
+		Lead: func(ctx context.Context, term *rclease.Term) error {
+			return controller.Lead(ctx, term, term.Fence)
+		},
+	})
+	return lease.Run(ctx)
+}
--- /dev/null
+++ b/internal/routing/rcaffinity/choose.go
@@ -0,0 +1,223 @@
+// Package rcaffinity places exchanges on upstreams. Instances agree on the owner
+// of a shared prompt part by rendezvous hashing, without talking to each other,
+// and leave the owner only where its load, weights or faults cost more than
+// reading or copying the part elsewhere.
+//
+// It answers loads in which many callers share a few long prompt prefixes while
+// engines load weights, crash or slow down: without an owner every engine reads
+// every prefix, with nothing but an owner a hot prefix overloads it.
+package rcaffinity
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+const (
+	// prefillPerMS is the speed at which engines read prompts, in tokens a
+	// millisecond: the lower of the two that the deployments state.
+	prefillPerMS = 40
+	// waitingCost is the delay that a request pays for each one that waits ahead
+	// of it inside an engine: about the prefill of one chunk of 2,048 tokens.
+	waitingCost = 50 * time.Millisecond
+	// runningCost is the delay that each running request adds to a plain service.
+	runningCost = 10 * time.Millisecond
+	// crossZoneCost is the round trip between two zones, with something on top
+	// for the price of the bytes.
+	crossZoneCost = 3 * time.Millisecond
+	// strayCost keeps a prompt at its owner while that costs less than the copy
+	// of its shared parts to another engine and the memory that it takes there.
+	strayCost = 25 * time.Millisecond
+	// faultCost is the loss from an exchange that fails, in time.
+	faultCost = 800 * time.Millisecond
+	// probeCost is what it costs to try an upstream that has just failed.
+	probeCost = 60 * time.Millisecond
+	// staleCost weighs answers from older weights once newer ones have been named
+	// for staleAfter: they lose a fifth of their worth.
+	staleCost  = 250 * time.Millisecond
+	staleAfter = 1200 * time.Millisecond
+	// coldCost is the disadvantage of an upstream that has just started.
+	coldCost = 50 * time.Millisecond
+)
+
+// Request is what the placement of an exchange depends on.
+type Request struct {
+	Zone    radishcrank.AvailabilityZone // Of this instance.
+	Model   radishcrank.ModelID
+	Parts   []radishcrank.PromptPart
+	Salt    func(w radishcrank.WeightsVersion) string
+	Held    func(salt string) map[radishcrank.UpstreamID]int // Tokens of the prompt that upstreams hold.
+	Exclude func(id radishcrank.UpstreamID) bool
+	Newest  radishcrank.WeightsVersion // Newest weights that were named; empty if none.
+	NamedAt time.Time                  // When they were first seen.
+	// OldUntil is the moment from which older weights must not be used; zero is never.
+	OldUntil  time.Time
+	Instances int // Instances that send to the same upstreams.
+}
+
+// Choice is the upstream for an exchange.
+type Choice struct {
+	State    rcfleet.State
+	Weights  radishcrank.WeightsVersion
+	Salt     string
+	KVSource netip.AddrPort // Engine that is likely to hold what this one lacks.
+	Cost     time.Duration
+	Owner    bool // The upstream owns the shared part.
+	Missing  int  // Prompt tokens to prefill, if this instance's picture is right.
+}
+
+// Usable reports whether new work may go to an upstream at all.
+func Usable(s *rcfleet.State, now time.Time) bool {
+	return !s.Leaving && !s.Suspect && !s.Loading(now)
+}
+
+// Choose returns the upstream with the least expected cost. It reports false if
+// none may take the exchange.
+func Choose(req Request, states []rcfleet.State, now time.Time) (best Choice, ok bool) {
+	shared := sharedParts(req.Parts)
+	owner := ownerOf(partKey(shared), states, now, req.Exclude)
+	held := map[string]map[radishcrank.UpstreamID]int{}
+	heldUnder := func(salt string) map[radishcrank.UpstreamID]int {
+		h, ok := held[salt]
+		if !ok && req.Held != nil {
+			h = req.Held(salt)
+			held[salt] = h
+		}
+		return h
+	}
+	total, sharedTokens := tokens(req.Parts), tokens(shared)
+	for i := range states {
+		s := &states[i]
+		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
+			continue
+		}
+		c := Choice{State: *s, Owner: s.ID == owner}
+		if req.Model != "" {
+			c.Weights = s.Weights[req.Model]
+			if c.Weights == "" || stale(req, c.Weights) && !req.OldUntil.IsZero() && now.After(req.OldUntil) {
+				continue
+			}
+			c.Salt = req.Salt(c.Weights)
+			c.Missing = total - heldUnder(c.Salt)[s.ID]
+			if c.Owner {
+				c.Missing = min(c.Missing, total-sharedTokens)
+			}
+		}
+		c.Cost = cost(req, s, c, sharedTokens, now)
+		if !ok || c.Cost < best.Cost {
+			best, ok = c, true
+		}
+	}
+	if ok && req.Model != "" && sharedTokens > 0 {
+		best.KVSource = source(best, states, heldUnder(best.Salt), sharedTokens, req, owner, now)
+	}
+	return best, ok
+}
+
+func stale(req Request, w radishcrank.WeightsVersion) bool { return w.Less(req.Newest) }
+
+func cost(req Request, s *rcfleet.State, c Choice, sharedTokens int, now time.Time) time.Duration {
+	var d time.Duration
+	if req.Model != "" {
+		d = prefillTime(s.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
+		// Instances send to the same owners, so each sees a part of the queue there.
+		d += prefillTime(s.Prefilling) * time.Duration(min(req.Instances, 3)-1)
+		if !c.Owner && c.Missing > 0 && sharedTokens > 0 {
+			// What is copied need not be prefilled, so the owner's lead is bounded.
+			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
+			d += strayCost
+		}
+		if stale(req, c.Weights) && now.Sub(req.NamedAt) >= staleAfter {
+			d += staleCost
+		}
+	} else {
+		queue := max(s.Running, s.Reported.Running+s.Reported.Waiting)
+		d = time.Duration(queue) * runningCost
+		if s.Slots > 0 && queue >= s.Slots {
+			d += time.Duration(queue-s.Slots+1) * waitingCost
+		}
+	}
+	if s.Zone != req.Zone {
+		d += crossZoneCost
+	}
+	if s.Probing {
+		d += probeCost * time.Duration(1+s.Running)
+	}
+	if now.Before(s.ColdUntil) {
+		d += coldCost
+	}
+	return d + time.Duration(s.FaultRate*float64(faultCost))
+}
+
+func prefillTime(n int) time.Duration { return time.Duration(n) * time.Millisecond / prefillPerMS }
+
+// source returns an engine from which the chosen one can copy the shared parts
+// that it may lack. Asking an engine that lacks them, too, costs about a
+// millisecond; asking a dead one costs hundreds, so suspects are left out.
+func source(best Choice, states []rcfleet.State, held map[radishcrank.UpstreamID]int, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) (addr netip.AddrPort) {
+	if held[best.State.ID] >= sharedTokens {
+		return addr
+	}
+	most := held[best.State.ID]
+	sameZone := false
+	for i := range states {
+		s := &states[i]
+		if s.ID == best.State.ID || s.Suspect || s.Probing || s.Leaving || s.Loading(now) || s.Weights[req.Model] != best.Weights {
+			continue
+		}
+		n := held[s.ID]
+		if n == 0 && s.ID == owner {
+			n = 1 // The owner may have read the parts for another instance.
+		}
+		if n > most || n == most && n > 0 && !sameZone && s.Zone == best.State.Zone {
+			most, addr, sameZone = n, s.Addr, s.Zone == best.State.Zone
+		}
+	}
+	return addr
+}
+
+// sharedParts are all parts but the last one, which belongs to the request or its session.
+func sharedParts(parts []radishcrank.PromptPart) []radishcrank.PromptPart {
+	if len(parts) == 0 {
+		return nil
+	}
+	return parts[:len(parts)-1]
+}
+
+func partKey(shared []radishcrank.PromptPart) string {
+	if len(shared) == 0 {
+		return ""
+	}
+	return shared[len(shared)-1].ID
+}
+
+func tokens(parts []radishcrank.PromptPart) (n int) {
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+// ownerOf returns the usable upstream with the highest hash of the key and its
+// id, so that only the keys of an upstream that comes or goes change owners.
+func ownerOf(key string, states []rcfleet.State, now time.Time, exclude func(radishcrank.UpstreamID) bool) (owner radishcrank.UpstreamID) {
+	if key == "" {
+		return ""
+	}
+	var most uint64
+	for i := range states {
+		s := &states[i]
+		if !Usable(s, now) || exclude != nil && exclude(s.ID) {
+			continue
+		}
+		if h := xxhash.Sum64String(key + "/" + string(s.ID)); owner == "" || h > most {
+			owner, most = s.ID, h
+		}
+	}
+	return owner
+}
--- /dev/null
+++ b/internal/serving/rcforward/attempt.go
@@ -0,0 +1,306 @@
+package rcforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+// maxWholeBody bounds the answers that are read whole before they are passed on.
+const maxWholeBody = 16 << 20
+
+// errSilent says that the upstream sent nothing for too long.
+var errSilent = errors.New("upstream is silent")
+
+// attempt sends the exchange to one upstream. done means that the caller has its
+// final answer.
+func (fl *flight) attempt(choice rcaffinity.Choice) (done bool, err error) {
+	f, x := fl.f, fl.x
+	up := choice.State.Upstream
+	end, err := f.cfg.Guard.Enter(fl.ctx, fl.content, up)
+	if err != nil {
+		fl.cause = err
+		return false, nil
+	}
+	run := f.cfg.Fleet.Begin(up.ID, choice.Missing)
+	outcome, crashed := rcfleet.Abandoned, false
+	defer func() {
+		run.End(outcome)
+		end(crashed, outcome == rcfleet.Succeeded)
+	}()
+
+	ctx, cancel := context.WithCancelCause(fl.ctx)
+	defer cancel(nil)
+	patience := newWatchdog(fl.firstWait(), func() { cancel(errSilent) })
+	defer patience.stop()
+
+	reply, err := f.cfg.Sender.Send(ctx, up, x, radishcrank.SendOptions{
+		Weights:     choice.Weights,
+		CacheSalt:   choice.Salt,
+		KVSource:    choice.KVSource,
+		LastEventID: fl.lastEvent(),
+		Timeout:     time.Until(x.Deadline),
+		Fresh:       x.Route.Repeat == radishcrank.RepeatNever,
+	})
+	if err != nil {
+		if !errors.Is(err, radishcrank.ErrNotSent) {
+			fl.runs++
+		}
+		outcome, crashed = fl.failed(ctx, up, err)
+		return false, nil
+	}
+	defer reply.Body.Close()
+	fl.learn(up, choice, reply)
+	switch reply.Verdict {
+	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
+		outcome = rcfleet.Refused
+		fl.logAttempt(up, "Refused", reply.Status, nil)
+		return false, nil
+	case radishcrank.ReplyInvalid:
+		fl.runs++
+		outcome = rcfleet.Broken
+		fl.logAttempt(up, "Invalid", reply.Status, nil)
+		return false, nil
+	}
+	fl.runs++
+	if x.Route.Stream && reply.Status == http.StatusOK {
+		done, outcome, crashed = fl.stream(ctx, reply, run, patience, up)
+		if !done && outcome != rcfleet.Succeeded {
+			return false, nil
+		}
+		if outcome == rcfleet.Succeeded && choice.Salt != "" {
+			f.cfg.Fleet.Hold(up.ID, choice.Salt, x.Parts)
+		}
+		return done, nil
+	}
+	done, outcome, crashed = fl.whole(ctx, reply, up)
+	return done, nil
+}
+
+// firstWait is how long the upstream may take to the answer or first event
+// before another one is tried; zero means until the deadline.
+func (fl *flight) firstWait() time.Duration {
+	x := fl.x
+	if x.Route.Repeat == radishcrank.RepeatNever || fl.runs+1 >= x.Route.MaxAttempts {
+		return 0
+	}
+	if x.Route.Stream {
+		return time.Duration(firstEventPatience * float64(x.Route.Objective))
+	}
+	return time.Duration(replyPatience * float64(x.Route.Objective))
+}
+
+func (fl *flight) lastEvent() string {
+	if fl.answer.lastID != "" {
+		return fl.answer.lastID
+	}
+	return fl.x.LastEventID
+}
+
+// failed judges an attempt that brought no reply.
+func (fl *flight) failed(ctx context.Context, up radishcrank.Upstream, err error) (o rcfleet.Outcome, crashed bool) {
+	fl.cause = err
+	if fl.ctx.Err() != nil {
+		fl.logAttempt(up, "Abandoned", 0, err)
+		return rcfleet.Abandoned, false
+	}
+	silent := errors.Is(context.Cause(ctx), errSilent)
+	fl.logAttempt(up, "Broken", 0, err)
+	return rcfleet.Broken, !silent && !errors.Is(err, radishcrank.ErrNotSent)
+}
+
+// learn takes in what a reply says of its upstream.
+func (fl *flight) learn(up radishcrank.Upstream, choice rcaffinity.Choice, reply *radishcrank.Reply) {
+	fleet := fl.f.cfg.Fleet
+	if reply.Load != nil {
+		fleet.Report(up.ID, *reply.Load)
+	}
+	if fl.x.Generates() && reply.Weights != "" && reply.Verdict == radishcrank.ReplyAnswered {
+		fleet.SetWeights(up.ID, fl.x.Model, reply.Weights)
+	}
+}
+
+// whole passes on an answer that is not a stream of events. A failure of a
+// repeatable exchange is kept while another upstream may do better.
+func (fl *flight) whole(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxWholeBody+1))
+	if err == nil && len(body) > maxWholeBody {
+		err = errors.New("answer is too large")
+	}
+	if err != nil {
+		o, crashed = fl.failed(ctx, up, err)
+		return false, o, crashed
+	}
+	if reply.Status >= http.StatusInternalServerError {
+		fl.logAttempt(up, "UpstreamFailure", reply.Status, nil)
+		fl.last, fl.lastBody = reply, body
+		if fl.x.Route.Repeat != radishcrank.RepeatNever && !fl.answer.begun && fl.mayTryAgain() {
+			return false, rcfleet.Failed, false
+		}
+		if fl.answer.begun {
+			return false, rcfleet.Failed, false
+		}
+		fl.writeWhole(reply, body)
+		return true, rcfleet.Failed, false
+	}
+	if fl.answer.begun {
+		return false, rcfleet.Failed, false
+	}
+	fl.writeWhole(reply, body)
+	fl.f.cfg.Metrics.Count("Answered")
+	return true, rcfleet.Succeeded, false
+}
+
+func (fl *flight) writeWhole(reply *radishcrank.Reply, body []byte) {
+	copyHeader(fl.w.Header(), reply.Header)
+	fl.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	fl.w.WriteHeader(reply.Status)
+	fl.w.Write(body) // A caller that is gone needs no answer.
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil // Keeps the HTTP server from guessing one.
+	}
+}
+
+// answer is what the caller has got of a stream.
+type answer struct {
+	begun  bool
+	lastID string // Id of the last whole event.
+}
+
+// stream passes events on as they arrive. Of a stream that may be resumed, only
+// whole events are passed on, so that another upstream can continue it.
+func (fl *flight) stream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Run, patience *watchdog, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
+	resumable := fl.x.Route.Repeat == radishcrank.RepeatResume
+	flusher := http.NewResponseController(fl.w)
+	buf := make([]byte, 4<<10)
+	var pending []byte // An event that is not complete yet.
+	first := true
+	for {
+		n, err := reply.Body.Read(buf)
+		if n > 0 {
+			if first {
+				first = false
+				run.Started()
+			}
+			patience.reset(fl.eventWait())
+			out := buf[:n]
+			if resumable {
+				pending = append(pending, out...)
+				var skip bool
+				out, pending, skip = fl.takeEvents(pending)
+				if skip {
+					err = errors.New("stream continues at the wrong event")
+				}
+			}
+			if len(out) > 0 {
+				if !fl.answer.begun {
+					copyHeader(fl.w.Header(), reply.Header)
+					fl.w.WriteHeader(reply.Status)
+					fl.answer.begun = true
+				}
+				_, werr := fl.w.Write(out)
+				if werr == nil {
+					werr = flusher.Flush()
+				}
+				if werr != nil {
+					fl.cause = werr
+					fl.logAttempt(up, "CallerGone", reply.Status, werr)
+					return true, rcfleet.Abandoned, false
+				}
+			}
+		}
+		switch {
+		case err == io.EOF && len(pending) == 0:
+			if !fl.answer.begun {
+				copyHeader(fl.w.Header(), reply.Header)
+				fl.w.WriteHeader(reply.Status)
+			}
+			fl.f.cfg.Metrics.Count("Answered")
+			return true, rcfleet.Succeeded, false
+		case err != nil:
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			o, crashed = fl.failed(ctx, up, err)
+			return false, o, crashed
+		}
+	}
+}
+
+// eventWait is the longest pause between two events before the upstream counts
+// as silent.
+func (fl *flight) eventWait() time.Duration {
+	x := fl.x
+	if x.Route.Repeat != radishcrank.RepeatResume || fl.runs >= x.Route.MaxAttempts {
+		return 0
+	}
+	return silentStream * max(x.Route.MaxPause, 100*time.Millisecond)
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// takeEvents cuts the whole events off the front of pending. wrong reports an
+// event that does not come after those the caller has.
+func (fl *flight) takeEvents(pending []byte) (events, rest []byte, wrong bool) {
+	end := 0
+	for {
+		i := bytes.Index(pending[end:], eventEnd)
+		if i < 0 {
+			break
+		}
+		event := pending[end : end+i]
+		end += i + len(eventEnd)
+		if id, ok := eventID(event); ok {
+			if !follows(fl.answer.lastID, id) {
+				return nil, nil, true
+			}
+			fl.answer.lastID = id
+		}
+	}
+	return pending[:end:end], bytes.Clone(pending[end:]), false
+}
+
+func eventID(event []byte) (id string, ok bool) {
+	for line := range bytes.Lines(event) {
+		if rest, found := bytes.CutPrefix(line, idField); found {
+			return string(bytes.TrimSpace(rest)), true
+		}
+	}
+	return "", false
+}
+
+// follows reports whether event id may come after last. Ids that are not
+// numbers can't be compared.
+func follows(last, id string) bool {
+	a, errA := strconv.ParseInt(last, 10, 64)
+	b, errB := strconv.ParseInt(id, 10, 64)
+	return errA != nil || errB != nil || b > a
+}
+
+func (fl *flight) logAttempt(up radishcrank.Upstream, outcome string, status int, err error) {
+	fl.f.cfg.Metrics.Count("Attempt" + outcome)
+	e := fl.f.cfg.Log.Info().Str("Event", "AttemptEnded").Str("Request", string(fl.x.ID)).Str("Upstream", string(up.ID)).
+		Str("Outcome", outcome).Int("Status", status).Int("Arrival", fl.arrivals).Bool("Begun", fl.answer.begun).
+		Int64("AgeMS", time.Since(fl.x.ReceivedAt).Milliseconds())
+	if err != nil {
+		e = e.Str("Cause", err.Error())
+	}
+	e.Send()
+}
--- /dev/null
+++ b/internal/state/rcfleet/holders.go
@@ -0,0 +1,129 @@
+package rcfleet
+
+import (
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+const (
+	// holdLife is how long a part is believed to stay cached after its last use.
+	holdLife = 15 * time.Second
+	// maxHeldParts bounds the memory of an instance that sees many parts.
+	maxHeldParts = 50_000
+)
+
+// heldKey is a part under the scope that its cache entries belong to.
+type heldKey struct {
+	salt string
+	part string
+}
+
+type holding struct {
+	id   radishcrank.UpstreamID
+	used time.Time
+}
+
+// holders remembers which upstreams have read which parts.
+type holders struct {
+	parts map[heldKey][]holding
+}
+
+func newHolders() *holders { return &holders{parts: map[heldKey][]holding{}} }
+
+func (h *holders) add(key heldKey, id radishcrank.UpstreamID, now time.Time) {
+	list := h.parts[key]
+	for i := range list {
+		if list[i].id == id {
+			list[i].used = now
+			return
+		}
+	}
+	if len(h.parts) >= maxHeldParts {
+		h.sweep(now)
+	}
+	h.parts[key] = append(list, holding{id: id, used: now})
+}
+
+func (h *holders) sweep(now time.Time) {
+	for key, list := range h.parts {
+		kept := list[:0]
+		for _, held := range list {
+			if now.Sub(held.used) < holdLife {
+				kept = append(kept, held)
+			}
+		}
+		if len(kept) == 0 {
+			delete(h.parts, key)
+		} else {
+			h.parts[key] = kept
+		}
+	}
+}
+
+func (h *holders) forget(id radishcrank.UpstreamID) {
+	for key, list := range h.parts {
+		for i := range list {
+			if list[i].id == id {
+				list[i] = list[len(list)-1]
+				h.parts[key] = list[:len(list)-1]
+				break
+			}
+		}
+		if len(h.parts[key]) == 0 {
+			delete(h.parts, key)
+		}
+	}
+}
+
+// Hold records that an upstream has read the parts of a prompt under a salt.
+func (f *Fleet) Hold(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, p := range parts {
+		f.holders.add(heldKey{salt, p.ID}, id, now)
+	}
+}
+
+// Unhold records that an upstream has evicted a part.
+func (f *Fleet) Unhold(id radishcrank.UpstreamID, salt, part string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := heldKey{salt, part}
+	list := f.holders.parts[key]
+	for i := range list {
+		if list[i].id == id {
+			list[i] = list[len(list)-1]
+			f.holders.parts[key] = list[:len(list)-1]
+			return
+		}
+	}
+}
+
+// HeldTokens returns, for each upstream that holds a beginning of the prompt,
+// the tokens of that beginning.
+func (f *Fleet) HeldTokens(salt string, parts []radishcrank.PromptPart) map[radishcrank.UpstreamID]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	held := map[radishcrank.UpstreamID]int{}
+	tokens := 0
+	for i, p := range parts {
+		found := false
+		for _, h := range f.holders.parts[heldKey{salt, p.ID}] {
+			if now.Sub(h.used) >= holdLife {
+				continue
+			}
+			if i == 0 || held[h.id] == tokens {
+				held[h.id] = tokens + p.Tokens
+				found = true
+			}
+		}
+		if !found {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return held
+}
--- /dev/null
+++ b/internal/state/rcfleet/run.go
@@ -0,0 +1,92 @@
+package rcfleet
+
+import (
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// Outcome is how an exchange ended at an upstream.
+type Outcome int
+
+// Outcomes of exchanges.
+const (
+	// Succeeded means that the upstream answered.
+	Succeeded Outcome = iota
+	// Failed means that the upstream answered with a failure of its own.
+	Failed
+	// Refused means that it proved not to have run the exchange.
+	Refused
+	// Broken means that the connection failed or the answer was not valid.
+	Broken
+	// Abandoned means that the caller left or the deadline passed.
+	Abandoned
+)
+
+// Run is one exchange of this instance at an upstream.
+type Run struct {
+	fleet  *Fleet
+	id     radishcrank.UpstreamID
+	born   radishcrank.Incarnation
+	tokens int // Prompt tokens that count as prefilling until the first event.
+}
+
+// Begin counts an exchange at an upstream. tokens is what it has to prefill.
+func (f *Fleet) Begin(id radishcrank.UpstreamID, tokens int) *Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &Run{fleet: f, id: id, tokens: tokens}
+	if m, ok := f.members[id]; ok {
+		m.Running++
+		m.Prefilling += tokens
+		r.born = m.Incarnation
+	}
+	return r
+}
+
+func (r *Run) memberLocked() *member {
+	m, ok := r.fleet.members[r.id]
+	if !ok || m.Incarnation != r.born {
+		return nil
+	}
+	return m
+}
+
+// Started tells that the first event has arrived.
+func (r *Run) Started() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if m := r.memberLocked(); m != nil {
+		m.Prefilling -= r.tokens
+		m.succeed()
+	}
+	r.tokens = 0
+}
+
+func (m *member) succeed() {
+	m.faults, m.suspectUntil = 0, time.Time{}
+}
+
+// End tells how the exchange ended. It must be called once.
+func (r *Run) End(o Outcome) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	m := r.memberLocked()
+	if m == nil {
+		return
+	}
+	m.Running--
+	m.Prefilling -= r.tokens
+	r.tokens = 0
+	switch o {
+	case Succeeded:
+		m.succeed()
+		m.FaultRate *= 1 - faultDecay
+	case Failed:
+		m.succeed()
+		m.FaultRate += faultDecay * (1 - m.FaultRate)
+	case Broken:
+		m.fault(time.Now())
+		m.FaultRate += faultDecay * (1 - m.FaultRate)
+	}
+}
--- a/types.go
+++ b/types.go
@@ -114,3 +114,12 @@
 	MaxBatch           int
 	ReportedAt         time.Time
 }
+
+// Less reports whether w is older than o. Versions are numbers that rise; the
+// empty version is older than all others.
+func (w WeightsVersion) Less(o WeightsVersion) bool {
+	if len(w) != len(o) {
+		return len(w) < len(o)
+	}
+	return w < o
+}
