Exchange news between instances and keep runs while weights load

Cause: with one instance's picture only, engines that load weights were met with 421 and 503, and a load that lets runs finish first keeps its engine out of service for up to 6 s, since chat answers take 2 s on average.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
 	"github.com/radishcrank/radishcrank/platform"
 )
@@ -66,7 +67,7 @@
 	closing  atomic.Bool
 
 	mu    sync.Mutex
-	named map[radishcrank.ModelID]rcrollout.Named
+	named map[radishcrank.ModelID]rcweights.History
 }
 
 // New assembles an instance.
@@ -83,7 +84,7 @@
 		pool:     rcconn.New(rcconn.Config{}),
 		metrics:  newMetrics(),
 		born:     time.Now(),
-		named:    map[radishcrank.ModelID]rcrollout.Named{},
+		named:    map[radishcrank.ModelID]rcweights.History{},
 	}
 	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
 	i.peers = newPeers(i)
@@ -180,6 +181,8 @@
 		}),
 		Guard:     i.guard,
 		Weights:   i.weights,
+		OldLife:   i.settings.WeightsTime - weightsMargin,
+		Hold:      i.peers.hold,
 		Instances: i.peers.count,
 		Log:       i.log,
 		Metrics:   i.metrics,
@@ -198,29 +201,29 @@
 func (i *Instance) setNamed(model radishcrank.ModelID, w radishcrank.WeightsVersion) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.named[model].Weights.Less(w) {
+	h := i.named[model]
+	h.Model = model
+	next, added := h.Add(w, time.Now())
+	if !added {
 		return
 	}
-	i.named[model] = rcrollout.Named{Model: model, Weights: w, At: time.Now()}
+	i.named[model] = next
 	i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).Send()
 }
 
-func (i *Instance) allNamed() (all []rcrollout.Named) {
+func (i *Instance) allNamed() (all []rcweights.History) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, n := range i.named {
-		all = append(all, n)
+	for _, h := range i.named {
+		all = append(all, h)
 	}
 	return all
 }
 
-func (i *Instance) weights(model radishcrank.ModelID) (n rcforward.Named) {
+func (i *Instance) weights(model radishcrank.ModelID) rcweights.History {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if named, ok := i.named[model]; ok {
-		n = rcforward.Named{Weights: named.Weights, At: named.At, OldUntil: named.At.Add(i.settings.WeightsTime - weightsMargin)}
-	}
-	return n
+	return i.named[model]
 }
 
 // servicesOf returns the services whose engines serve a model.
@@ -244,7 +247,7 @@
 	controller := rcrollout.New(rcrollout.Config{
 		Fleet:    i.fleet,
 		Engines:  &platform.Engines{Pool: i.pool, Holder: i.settings.Instance},
-		Mode:     rcrollout.FinishRuns,
+		Mode:     rcrollout.KeepRuns,
 		Named:    i.allNamed,
 		Service:  i.servicesOf,
 		Announce: i.peers.announce,
@@ -256,7 +259,9 @@
 		Instance: radishcrank.InstanceID(i.settings.Instance),
 		Duration: leaseDuration,
 		Margin:   leaseMargin,
+		Held:     i.peers.leaseHeld,
 		Lead: func(ctx context.Context, term *rclease.Term) error {
+			defer i.peers.lead()()
 			return controller.Lead(ctx, term, term.Fence)
 		},
 	})
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -2,55 +2,240 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
+	"github.com/radishcrank/radishcrank/platform"
 )
 
-// methodNews carries what one instance tells the others.
-const newsTimeout = 500 * time.Millisecond
+const (
+	// newsTimeout bounds one message; a peer that takes longer is cut off.
+	newsTimeout = 500 * time.Millisecond
+	// newsPace collects what happens within it into one message.
+	newsPace = 15 * time.Millisecond
+	// leaseNewsPace is how often the holder of the orders' lease tells that it
+	// holds it; leaseNewsLife is how long that is believed.
+	leaseNewsPace = 700 * time.Millisecond
+	leaseNewsLife = 1600 * time.Millisecond
+	// leastPeers is the number of instances that the allowances are divided by
+	// before the others are known.
+	leastPeers = 6
+	// maxQueuedHolds bounds what waits for the next message.
+	maxQueuedHolds = 2000
+	// crashPace is how often records of crashes are exchanged.
+	crashPace = 500 * time.Millisecond
+)
+
+var methodNews = rcrpc.Method[news, struct{}]{Name: "News", Timeout: newsTimeout}
 
 // news is one message between instances.
 type news struct {
 	Engines []rcrollout.News
+	Holds   []hold
 	Crashes []rcpoison.Record
+	Leading bool // The sender holds the lease of orders.
+}
+
+// hold tells that an upstream reads shared parts under a salt.
+type hold struct {
+	Upstream radishcrank.UpstreamID
+	Salt     string
+	Parts    []radishcrank.PromptPart
 }
 
 // peers knows the other instances and tells them news.
 type peers struct {
-	i *Instance
+	i        *Instance
+	handlers *rcrpc.Handlers
+	wake     chan struct{}
 
-	mu    sync.Mutex
-	addrs map[string]netip.AddrPort
-	queue []rcrollout.News
-	wake  chan struct{}
+	mu        sync.Mutex
+	members   map[string]netip.AddrPort
+	next      news
+	leading   bool
+	leaseSeen time.Time // When another instance last told that it holds the lease.
 }
 
 func newPeers(i *Instance) *peers {
-	return &peers{i: i, addrs: map[string]netip.AddrPort{}, wake: make(chan struct{}, 1)}
+	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]netip.AddrPort{}, wake: make(chan struct{}, 1)}
+	rcrpc.Handle(p.handlers, methodNews, p.take)
+	return p
 }
 
 // count returns the number of instances, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(6, len(p.addrs)+1)
+	return max(leastPeers, len(p.members)+1)
 }
 
 func (p *peers) announce(n rcrollout.News) {
 	p.mu.Lock()
-	p.queue = append(p.queue, n)
+	p.next.Engines = append(p.next.Engines, n)
 	p.mu.Unlock()
+	p.hurry()
+}
+
+// hold records a dispatch and, where it is news, tells the others.
+func (p *peers) hold(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) {
+	if !p.i.fleet.Hold(id, salt, parts) {
+		return
+	}
+	p.mu.Lock()
+	if len(p.next.Holds) < maxQueuedHolds {
+		p.next.Holds = append(p.next.Holds, hold{id, salt, parts})
+	}
+	p.mu.Unlock()
+	p.hurry()
+}
+
+func (p *peers) hurry() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (p *peers) run(ctx context.Context) error {
+// leaseHeld reports whether another instance held the lease of orders a moment ago.
+func (p *peers) leaseHeld() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.leaseSeen) < leaseNewsLife
+}
+
+// lead tells that this instance holds the lease until the returned function is called.
+func (p *peers) lead() (end func()) {
+	p.setLeading(true)
+	return func() { p.setLeading(false) }
+}
+
+func (p *peers) setLeading(leading bool) {
+	p.mu.Lock()
+	p.leading = leading
+	p.mu.Unlock()
+	p.hurry()
+}
+
+func (p *peers) take(_ context.Context, _ rcrpc.Identity, n news) (struct{}, error) {
+	for _, e := range n.Engines {
+		rcrollout.Apply(p.i.fleet, e)
+	}
+	for _, h := range n.Holds {
+		p.i.fleet.Hold(h.Upstream, h.Salt, h.Parts)
+	}
+	if len(n.Crashes) > 0 {
+		p.i.guard.Merge(n.Crashes)
+	}
+	if n.Leading {
+		p.mu.Lock()
+		p.leaseSeen = time.Now()
+		p.mu.Unlock()
+	}
+	return struct{}{}, nil
+}
+
+// run exchanges news until ctx ends.
+func (p *peers) run(ctx context.Context) (err error) {
+	i := p.i
+	members := &platform.Members{
+		Store: i.store,
+		Self:  platform.Member{Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.Peer, Born: i.born.UnixMilli()},
+		Put: func(m platform.Member) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.members[m.Name] = m.Peer
+		},
+		Drop: func(name string) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.members, name)
+		},
+		Log: i.log,
+	}
+	listener, err := net.Listen("tcp", i.settings.Peer.String())
+	if err != nil {
+		return err
+	}
+	key, err := members.SharedKey(ctx)
+	if err != nil {
+		listener.Close()
+		return err
+	}
+	cfg := rcrpc.Config{
+		Identity: rcrpc.Identity{Instance: radishcrank.InstanceID(i.settings.Instance), Zone: radishcrank.AvailabilityZone(i.settings.Zone)},
+		Keys:     rcrpc.Keys{Current: key},
+		Handlers: p.handlers,
+	}
+	client := rcrpc.NewClient(cfg)
+	defer client.Close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = rcrpc.NewServer(listener, cfg).Run(ctx) }) // Ends with ctx only.
+	wg.Go(func() { _ = members.Follow(ctx) })                     // Ends with ctx only.
+	wg.Go(func() { p.tell(ctx, client) })
+	if err := members.Register(ctx); err != nil {
+		return err
+	}
 	<-ctx.Done()
 	return ctx.Err()
 }
+
+// tell sends what has happened to all other instances.
+func (p *peers) tell(ctx context.Context, client *rcrpc.Client) {
+	var crashesAt, leadAt time.Time
+	ticker := time.NewTicker(leaseNewsPace / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		p.mu.Lock()
+		n := p.next
+		p.next = news{}
+		n.Leading = p.leading
+		p.mu.Unlock()
+		if now := time.Now(); now.Sub(crashesAt) >= crashPace {
+			n.Crashes, crashesAt = p.i.guard.Export(), now
+		}
+		if len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && (!n.Leading || time.Since(leadAt) < leaseNewsPace) {
+			continue
+		}
+		if n.Leading {
+			leadAt = time.Now()
+		}
+		for _, addr := range p.addrs() {
+			go func() {
+				// A peer that misses news learns the weights from the upstreams' list
+				// and the rest from its own requests.
+				if _, err := rcrpc.Call(ctx, client, addr, methodNews, n); err != nil {
+					p.i.metrics.Count("NewsLost")
+				}
+			}()
+		}
+		pause := time.NewTimer(newsPace)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return
+		}
+	}
+}
+
+func (p *peers) addrs() (addrs []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, addr := range p.members {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
--- a/internal/record/rclease/lease.go
+++ b/internal/record/rclease/lease.go
@@ -44,6 +44,9 @@
 	Duration time.Duration // How long a renewal lasts; default 10 s.
 	Margin   time.Duration // How long before its end the holder stops; default 1 s.
 
+	// Held reports that another instance was heard of as the holder a moment ago,
+	// so that the table service need not be asked. Nil is never.
+	Held func() bool
 	// Lead does the holder's work. It must return soon after ctx ends.
 	Lead func(ctx context.Context, term *Term) error
 }
@@ -153,6 +156,14 @@
 	var seen uint64      // Version of the row that was seen last.
 	var seenAt time.Time // When it was first seen; the monotonic reading counts.
 	for known := false; ; {
+		if l.cfg.Held != nil && l.cfg.Held() {
+			// The row has been renewed meanwhile, so waiting for it starts anew.
+			known = false
+			if !l.sleep(ctx) {
+				return nil, 0, ctx.Err()
+			}
+			continue
+		}
 		version, current, err := l.read(ctx)
 		if err == nil {
 			if !known || version != seen {
--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
 const (
@@ -89,7 +90,7 @@
 	Fleet    *rcfleet.Fleet
 	Engines  Engines
 	Mode     Mode
-	Named    func() []Named
+	Named    func() []rcweights.History
 	Service  func(model radishcrank.ModelID) []string // Services whose engines serve a model.
 	Announce func(n News)
 	Log      zerolog.Logger
@@ -151,15 +152,16 @@
 }
 
 // load brings one engine to the weights.
-func (c *Controller) load(ctx context.Context, term Term, fence uint64, named Named, e rcfleet.State) {
+func (c *Controller) load(ctx context.Context, term Term, fence uint64, named rcweights.History, e rcfleet.State) {
 	begun := time.Now()
+	replacedAt, _ := named.ReplacedAt(e.Weights[named.Model])
 	report, err := c.order(ctx, term, fence, named, e)
 	if err == nil {
 		report, err = c.await(ctx, named, e)
 	}
 	log := c.cfg.Log.Info().Str("Event", "WeightsLoad").Str("Upstream", string(e.ID)).Str("Model", string(named.Model)).
-		Str("Weights", string(named.Weights)).Str("Before", string(e.Weights[named.Model])).Uint64("Fence", fence).
-		Int64("NamedAgeMS", begun.Sub(named.At).Milliseconds()).Int64("TookMS", time.Since(begun).Milliseconds())
+		Str("Weights", string(named.Newest())).Str("Before", string(e.Weights[named.Model])).Uint64("Fence", fence).
+		Int64("ReplacedAgeMS", begun.Sub(replacedAt).Milliseconds()).Int64("TookMS", time.Since(begun).Milliseconds())
 	if err != nil {
 		log.Str("Outcome", "Failed").Str("Cause", err.Error()).Send()
 		pause(ctx, retryPause)
@@ -172,13 +174,13 @@
 
 // order sends the order. Expecting the sequence that was just read keeps an
 // order that is carried out seconds late from overriding a later one.
-func (c *Controller) order(ctx context.Context, term Term, fence uint64, named Named, e rcfleet.State) (report Report, err error) {
+func (c *Controller) order(ctx context.Context, term Term, fence uint64, named rcweights.History, e rcfleet.State) (report Report, err error) {
 	asked := time.Now()
 	report, err = c.cfg.Engines.Report(ctx, e.Upstream)
 	if err != nil {
 		return report, err
 	}
-	if !report.Weights[named.Model].Less(named.Weights) || report.Busy {
+	if !report.Weights[named.Model].Less(named.Newest()) || report.Busy {
 		return report, nil
 	}
 	pause(ctx, quiesce-time.Since(asked))
@@ -187,7 +189,7 @@
 	}
 	sequence := report.Sequence
 	err = c.cfg.Engines.Load(ctx, e.Upstream, Order{
-		Model: named.Model, Weights: named.Weights, Mode: c.cfg.Mode, Fence: fence, Sequence: &sequence,
+		Model: named.Model, Weights: named.Newest(), Mode: c.cfg.Mode, Fence: fence, Sequence: &sequence,
 	})
 	if err != nil && !errors.Is(err, radishcrank.ErrNotSent) && !errors.Is(err, ErrBusy) && !errors.Is(err, radishcrank.ErrStaleFence) {
 		// The order may have been accepted; the reports tell.
@@ -203,7 +205,7 @@
 }
 
 // await waits until the engine reports the weights.
-func (c *Controller) await(ctx context.Context, named Named, e rcfleet.State) (report Report, err error) {
+func (c *Controller) await(ctx context.Context, named rcweights.History, e rcfleet.State) (report Report, err error) {
 	deadline := time.Now().Add(loadTimeout)
 	wait := firstPoll
 	for {
@@ -213,7 +215,7 @@
 			return report, ctx.Err()
 		}
 		report, err = c.cfg.Engines.Report(ctx, e.Upstream)
-		if err == nil && !report.Busy && !report.Weights[named.Model].Less(named.Weights) {
+		if err == nil && !report.Busy && !report.Weights[named.Model].Less(named.Newest()) {
 			return report, nil
 		}
 		if time.Now().After(deadline) {
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
 const (
@@ -53,10 +54,9 @@
 	Salt    func(w radishcrank.WeightsVersion) string
 	Held    func(salt string) map[radishcrank.UpstreamID]int // Tokens of the prompt that upstreams hold.
 	Exclude func(id radishcrank.UpstreamID) bool
-	Newest  radishcrank.WeightsVersion // Newest weights that were named; empty if none.
-	NamedAt time.Time                  // When they were first seen.
-	// OldUntil is the moment from which older weights must not be used; zero is never.
-	OldUntil  time.Time
+	Named   rcweights.History // Weights that were named for the model.
+	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
+	OldLife   time.Duration
 	Instances int // Instances that send to the same upstreams.
 }
 
@@ -99,7 +99,8 @@
 		c := Choice{State: *s, Owner: s.ID == owner}
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
-			if c.Weights == "" || stale(req, c.Weights) && !req.OldUntil.IsZero() && now.After(req.OldUntil) {
+			age := oldFor(req, c.Weights, now)
+			if c.Weights == "" || req.OldLife > 0 && age >= req.OldLife {
 				continue
 			}
 			c.Salt = req.Salt(c.Weights)
@@ -119,7 +120,13 @@
 	return best, ok
 }
 
-func stale(req Request, w radishcrank.WeightsVersion) bool { return w.Less(req.Newest) }
+// oldFor returns how long newer weights have been named; 0 means that there are none.
+func oldFor(req Request, w radishcrank.WeightsVersion, now time.Time) time.Duration {
+	if at, ok := req.Named.ReplacedAt(w); ok {
+		return now.Sub(at)
+	}
+	return 0
+}
 
 func cost(req Request, s *rcfleet.State, c Choice, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
@@ -132,7 +139,7 @@
 			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
 			d += strayCost
 		}
-		if stale(req, c.Weights) && now.Sub(req.NamedAt) >= staleAfter {
+		if oldFor(req, c.Weights, now) >= staleAfter {
 			d += staleCost
 		}
 	} else {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -31,6 +31,11 @@
 		return false, nil
 	}
 	run := f.cfg.Fleet.Begin(up.ID, choice.Missing)
+	if choice.Salt != "" && len(x.Parts) > 1 {
+		// The shared parts are there from the start of the run, or soon after, so
+		// requests that follow closely go to the same upstream.
+		f.cfg.Hold(up.ID, choice.Salt, x.Parts[:len(x.Parts)-1])
+	}
 	outcome, crashed := rcfleet.Abandoned, false
 	defer func() {
 		run.End(outcome)
@@ -76,9 +81,6 @@
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
-		if outcome == rcfleet.Succeeded && choice.Salt != "" {
-			f.cfg.Fleet.Hold(up.ID, choice.Salt, x.Parts)
-		}
 		return done, nil
 	}
 	done, outcome, crashed = fl.whole(ctx, reply, up)
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
 const (
@@ -53,13 +54,6 @@
 	Avoid(req radishcrank.Request) (must, rather []radishcrank.UpstreamID, changed <-chan struct{})
 }
 
-// Named is the newest weights that were named for a model.
-type Named struct {
-	Weights  radishcrank.WeightsVersion
-	At       time.Time
-	OldUntil time.Time // From then on older weights must not be used.
-}
-
 // Config holds the parts that a Forwarder works with.
 type Config struct {
 	Zone      radishcrank.AvailabilityZone
@@ -67,10 +61,13 @@
 	Sender    radishcrank.Sender
 	Budget    Budget
 	Guard     Guard
-	Weights   func(model radishcrank.ModelID) Named
+	Weights   func(model radishcrank.ModelID) rcweights.History
+	OldLife   time.Duration // How long weights may be used after newer ones were named.
 	Instances func() int
-	Log       zerolog.Logger
-	Metrics   Metrics
+	// Hold records that an upstream reads shared parts under a salt.
+	Hold    func(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart)
+	Log     zerolog.Logger
+	Metrics Metrics
 }
 
 // Metrics counts what becomes of exchanges.
@@ -218,16 +215,14 @@
 
 func (fl *flight) request(must []radishcrank.UpstreamID) rcaffinity.Request {
 	f, x := fl.f, fl.x
-	named := f.cfg.Weights(x.Model)
 	return rcaffinity.Request{
-		Zone:     f.cfg.Zone,
-		Model:    x.Model,
-		Parts:    x.Parts,
-		Salt:     func(w radishcrank.WeightsVersion) string { return CacheSalt(x, w) },
-		Held:     func(salt string) map[radishcrank.UpstreamID]int { return f.cfg.Fleet.HeldTokens(salt, x.Parts) },
-		Newest:   named.Weights,
-		NamedAt:  named.At,
-		OldUntil: named.OldUntil,
+		Zone:    f.cfg.Zone,
+		Model:   x.Model,
+		Parts:   x.Parts,
+		Salt:    func(w radishcrank.WeightsVersion) string { return CacheSalt(x, w) },
+		Held:    func(salt string) map[radishcrank.UpstreamID]int { return f.cfg.Fleet.HeldTokens(salt, x.Parts) },
+		Named:   f.cfg.Weights(x.Model),
+		OldLife: f.cfg.OldLife,
 		Exclude: func(id radishcrank.UpstreamID) bool {
 			if fl.tried[id] {
 				return true
--- a/internal/state/rcfleet/holders.go
+++ b/internal/state/rcfleet/holders.go
@@ -31,18 +31,21 @@
 
 func newHolders() *holders { return &holders{parts: map[heldKey][]holding{}} }
 
-func (h *holders) add(key heldKey, id radishcrank.UpstreamID, now time.Time) {
+// add records a use and reports whether the upstream was not known to hold the part.
+func (h *holders) add(key heldKey, id radishcrank.UpstreamID, now time.Time) (added bool) {
 	list := h.parts[key]
 	for i := range list {
 		if list[i].id == id {
+			added = now.Sub(list[i].used) >= holdLife/2
 			list[i].used = now
-			return
+			return added
 		}
 	}
 	if len(h.parts) >= maxHeldParts {
 		h.sweep(now)
 	}
 	h.parts[key] = append(list, holding{id: id, used: now})
+	return true
 }
 
 func (h *holders) sweep(now time.Time) {
@@ -76,14 +79,18 @@
 	}
 }
 
-// Hold records that an upstream has read the parts of a prompt under a salt.
-func (f *Fleet) Hold(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) {
+// Hold records that an upstream reads the parts of a prompt under a salt. It
+// reports whether that was not known, or not confirmed for long.
+func (f *Fleet) Hold(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) (added bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, p := range parts {
-		f.holders.add(heldKey{salt, p.ID}, id, now)
+		if f.holders.add(heldKey{salt, p.ID}, id, now) {
+			added = true
+		}
 	}
+	return added
 }
 
 // Unhold records that an upstream has evicted a part.
