Keep shared parts at their owners and in the store of kept KV cache

Cause: under high load with a quarter of the engines gone, a third of the long prompts left their owner for a queue that was 25 ms shorter. Their parts then lay in three engines each, memory ran out, and parts were read again.

--- a/exchange.go
+++ b/exchange.go
@@ -72,6 +72,7 @@
 	Weights     WeightsVersion // The upstream refuses the exchange if it serves other weights; empty leaves them open.
 	CacheSalt   string         // Scope of the cached parts that the run may use.
 	KVSource    netip.AddrPort // Engine or store to copy cached parts from; invalid for none.
+	KVTarget    netip.AddrPort // Store to copy the prompt's parts to once they are read; invalid for none.
 	LastEventID string         // Last event that the caller has.
 	Timeout     time.Duration  // Time that the upstream may take.
 	Fresh       bool           // Do not reuse a connection that has been idle for long.
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
@@ -183,6 +184,7 @@
 		Weights:   i.weights,
 		OldLife:   i.settings.WeightsTime - weightsMargin,
 		Hold:      i.peers.hold,
+		KVStore:   i.kvStore,
 		Instances: i.peers.count,
 		Log:       i.log,
 		Metrics:   i.metrics,
@@ -226,6 +228,20 @@
 	return i.named[model]
 }
 
+// kvStore returns the store of kept KV cache that the configuration names.
+func (i *Instance) kvStore() (store rcaffinity.Store) {
+	t := i.table.Load()
+	if t == nil {
+		return store
+	}
+	for _, s := range t.Services {
+		if s.KVStore.IsValid() {
+			return rcaffinity.Store{ID: radishcrank.UpstreamID("store/" + s.Name), Addr: s.KVStore}
+		}
+	}
+	return store
+}
+
 // servicesOf returns the services whose engines serve a model.
 func (i *Instance) servicesOf(model radishcrank.ModelID) (names []string) {
 	t := i.table.Load()
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -33,7 +33,11 @@
 	crossZoneCost = 3 * time.Millisecond
 	// strayCost keeps a prompt at its owner while that costs less than the copy
 	// of its shared parts to another engine and the memory that it takes there.
-	strayCost = 25 * time.Millisecond
+	strayCost  = 25 * time.Millisecond
+	strayShare = 1.0
+	// evictedAfter is how long after its last use a part may have yielded to others
+	// in an engine's memory when that is short.
+	evictedAfter = 1500 * time.Millisecond
 	// faultCost is the loss from an exchange that fails, in time.
 	faultCost = 800 * time.Millisecond
 	// probeCost is what it costs to try an upstream that has just failed.
@@ -52,7 +56,8 @@
 	Model   radishcrank.ModelID
 	Parts   []radishcrank.PromptPart
 	Salt    func(w radishcrank.WeightsVersion) string
-	Held    func(salt string) map[radishcrank.UpstreamID]int // Tokens of the prompt that upstreams hold.
+	Held    func(salt string) map[radishcrank.UpstreamID]rcfleet.Held // What upstreams and the store keep of the prompt.
+	Store   Store
 	Exclude func(id radishcrank.UpstreamID) bool
 	Named   rcweights.History // Weights that were named for the model.
 	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
@@ -60,15 +65,24 @@
 	Instances int // Instances that send to the same upstreams.
 }
 
+// Store is a store of kept KV cache. The zero value is none.
+type Store struct {
+	ID   radishcrank.UpstreamID // Name under which its parts are remembered.
+	Addr netip.AddrPort
+}
+
 // Choice is the upstream for an exchange.
 type Choice struct {
 	State    rcfleet.State
 	Weights  radishcrank.WeightsVersion
 	Salt     string
-	KVSource netip.AddrPort // Engine that is likely to hold what this one lacks.
-	Cost     time.Duration
-	Owner    bool // The upstream owns the shared part.
-	Missing  int  // Prompt tokens to prefill, if this instance's picture is right.
+	KVSource netip.AddrPort // Engine or store that is likely to hold what this one lacks.
+	KVTarget netip.AddrPort // Store that is to get the parts.
+	// StoreUsed names the store if the exchange reads parts from it or writes them to it.
+	StoreUsed radishcrank.UpstreamID
+	Cost      time.Duration
+	Owner     bool // The upstream owns the shared part.
+	Missing   int  // Prompt tokens to prefill, if this instance's picture is right.
 }
 
 // Usable reports whether new work may go to an upstream at all.
@@ -81,8 +95,8 @@
 func Choose(req Request, states []rcfleet.State, now time.Time) (best Choice, ok bool) {
 	shared := sharedParts(req.Parts)
 	owner := ownerOf(partKey(shared), states, now, req.Exclude)
-	held := map[string]map[radishcrank.UpstreamID]int{}
-	heldUnder := func(salt string) map[radishcrank.UpstreamID]int {
+	held := map[string]map[radishcrank.UpstreamID]rcfleet.Held{}
+	heldUnder := func(salt string) map[radishcrank.UpstreamID]rcfleet.Held {
 		h, ok := held[salt]
 		if !ok && req.Held != nil {
 			h = req.Held(salt)
@@ -104,7 +118,7 @@
 				continue
 			}
 			c.Salt = req.Salt(c.Weights)
-			c.Missing = total - heldUnder(c.Salt)[s.ID]
+			c.Missing = total - heldUnder(c.Salt)[s.ID].Tokens
 			if c.Owner {
 				c.Missing = min(c.Missing, total-sharedTokens)
 			}
@@ -115,7 +129,7 @@
 		}
 	}
 	if ok && req.Model != "" && sharedTokens > 0 {
-		best.KVSource = source(best, states, heldUnder(best.Salt), sharedTokens, req, owner, now)
+		best = withSource(best, states, heldUnder(best.Salt), sharedTokens, req, owner, now)
 	}
 	return best, ok
 }
@@ -137,7 +151,7 @@
 		if !c.Owner && c.Missing > 0 && sharedTokens > 0 {
 			// What is copied need not be prefilled, so the owner's lead is bounded.
 			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
-			d += strayCost
+			d += strayCost + time.Duration(strayShare*float64(prefillTime(min(sharedTokens, c.Missing))))
 		}
 		if oldFor(req, c.Weights, now) >= staleAfter {
 			d += staleCost
@@ -163,29 +177,39 @@
 
 func prefillTime(n int) time.Duration { return time.Duration(n) * time.Millisecond / prefillPerMS }
 
-// source returns an engine from which the chosen one can copy the shared parts
-// that it may lack. Asking an engine that lacks them, too, costs about a
-// millisecond; asking a dead one costs hundreds, so suspects are left out.
-func source(best Choice, states []rcfleet.State, held map[radishcrank.UpstreamID]int, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) (addr netip.AddrPort) {
-	if held[best.State.ID] >= sharedTokens {
-		return addr
+// withSource names where the chosen engine can copy the shared parts that it may
+// lack, and whether the store is to get them. Asking a source that lacks them,
+// too, costs about a millisecond; asking a dead one costs hundreds, so suspects
+// are left out.
+func withSource(c Choice, states []rcfleet.State, held map[radishcrank.UpstreamID]rcfleet.Held, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) Choice {
+	stored := held[req.Store.ID].Tokens >= sharedTokens
+	if req.Store.Addr.IsValid() && !stored {
+		c.KVTarget, c.StoreUsed = req.Store.Addr, req.Store.ID
 	}
-	most := held[best.State.ID]
+	own := held[c.State.ID]
+	if own.Tokens >= sharedTokens && own.Age < evictedAfter {
+		return c
+	}
+	var best rcfleet.Held
 	sameZone := false
 	for i := range states {
 		s := &states[i]
-		if s.ID == best.State.ID || s.Suspect || s.Probing || s.Leaving || s.Loading(now) || s.Weights[req.Model] != best.Weights {
+		if s.ID == c.State.ID || s.Suspect || s.Probing || s.Leaving || s.Loading(now) || s.Weights[req.Model] != c.Weights {
 			continue
 		}
-		n := held[s.ID]
-		if n == 0 && s.ID == owner {
-			n = 1 // The owner may have read the parts for another instance.
+		h := held[s.ID]
+		if h.Tokens == 0 && s.ID == owner {
+			h.Tokens = 1 // The owner may have read the parts for another instance.
 		}
-		if n > most || n == most && n > 0 && !sameZone && s.Zone == best.State.Zone {
-			most, addr, sameZone = n, s.Addr, s.Zone == best.State.Zone
+		inZone := s.Zone == c.State.Zone
+		if h.Tokens > best.Tokens || h.Tokens == best.Tokens && h.Tokens > 0 && inZone && !sameZone {
+			best, c.KVSource, sameZone = h, s.Addr, inZone
 		}
 	}
-	return addr
+	if stored && (best.Tokens < sharedTokens || best.Age >= evictedAfter) && req.Store.Addr.IsValid() {
+		c.KVSource, c.StoreUsed = req.Store.Addr, req.Store.ID
+	}
+	return c
 }
 
 // sharedParts are all parts but the last one, which belongs to the request or its session.
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -34,7 +34,11 @@
 	if choice.Salt != "" && len(x.Parts) > 1 {
 		// The shared parts are there from the start of the run, or soon after, so
 		// requests that follow closely go to the same upstream.
-		f.cfg.Hold(up.ID, choice.Salt, x.Parts[:len(x.Parts)-1])
+		shared := x.Parts[:len(x.Parts)-1]
+		f.cfg.Hold(up.ID, choice.Salt, shared)
+		if choice.StoreUsed != "" {
+			f.cfg.Hold(choice.StoreUsed, choice.Salt, shared)
+		}
 	}
 	outcome, crashed := rcfleet.Abandoned, false
 	defer func() {
@@ -51,6 +55,7 @@
 		Weights:     choice.Weights,
 		CacheSalt:   choice.Salt,
 		KVSource:    choice.KVSource,
+		KVTarget:    choice.KVTarget,
 		LastEventID: fl.lastEvent(),
 		Timeout:     time.Until(x.Deadline),
 		Fresh:       x.Route.Repeat == radishcrank.RepeatNever,
--- a/internal/state/rcfleet/holders.go
+++ b/internal/state/rcfleet/holders.go
@@ -93,37 +93,28 @@
 	return added
 }
 
-// Unhold records that an upstream has evicted a part.
-func (f *Fleet) Unhold(id radishcrank.UpstreamID, salt, part string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	key := heldKey{salt, part}
-	list := f.holders.parts[key]
-	for i := range list {
-		if list[i].id == id {
-			list[i] = list[len(list)-1]
-			f.holders.parts[key] = list[:len(list)-1]
-			return
-		}
-	}
+// Held is what an upstream or store is believed to keep of a prompt.
+type Held struct {
+	Tokens int           // Of the prompt's beginning.
+	Age    time.Duration // Since the last part of it was used.
 }
 
-// HeldTokens returns, for each upstream that holds a beginning of the prompt,
-// the tokens of that beginning.
-func (f *Fleet) HeldTokens(salt string, parts []radishcrank.PromptPart) map[radishcrank.UpstreamID]int {
+// Held returns what upstreams and stores keep of the prompt's beginning.
+func (f *Fleet) Held(salt string, parts []radishcrank.PromptPart) map[radishcrank.UpstreamID]Held {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	held := map[radishcrank.UpstreamID]int{}
+	held := map[radishcrank.UpstreamID]Held{}
 	tokens := 0
 	for i, p := range parts {
 		found := false
 		for _, h := range f.holders.parts[heldKey{salt, p.ID}] {
-			if now.Sub(h.used) >= holdLife {
+			age := now.Sub(h.used)
+			if age >= holdLife {
 				continue
 			}
-			if i == 0 || held[h.id] == tokens {
-				held[h.id] = tokens + p.Tokens
+			if i == 0 || held[h.id].Tokens == tokens {
+				held[h.id] = Held{Tokens: tokens + p.Tokens, Age: age}
 				found = true
 			}
 		}
@@ -134,3 +125,10 @@
 	}
 	return held
 }
+
+// Forget drops what is believed of the parts that an upstream or store keeps.
+func (f *Fleet) Forget(id radishcrank.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holders.forget(id)
+}
