--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -62,7 +62,8 @@
 	Named   rcweights.History // Weights that were named for the model.
 	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
 	OldLife   time.Duration
-	Instances int // Instances that send to the same upstreams.
+	Pauses    float64 // Share of the latest streams that paused for too long.
+	Instances int     // Instances that send to the same upstreams.
 }
 
 // Store is a store of kept KV cache. The zero value is none.
@@ -94,7 +95,12 @@
 // none may take the exchange.
 func Choose(req Request, states []rcfleet.State, now time.Time) (best Choice, ok bool) {
 	shared := sharedParts(req.Parts)
-	owner := ownerOf(partKey(shared), states, now, req.Exclude)
+	total, sharedTokens := tokens(req.Parts), tokens(shared)
+	var preferred lane
+	if req.Model != "" && leaveCost(req.Pauses) >= leastLaneCost {
+		preferred = laneFor(total, states)
+	}
+	owner := owner(req, partKey(shared), states, preferred, now)
 	held := map[string]map[radishcrank.UpstreamID]rcfleet.Held{}
 	heldUnder := func(salt string) map[radishcrank.UpstreamID]rcfleet.Held {
 		h, ok := held[salt]
@@ -104,7 +110,6 @@
 		}
 		return h
 	}
-	total, sharedTokens := tokens(req.Parts), tokens(shared)
 	for i := range states {
 		s := &states[i]
 		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
@@ -124,6 +129,9 @@
 			}
 		}
 		c.Cost = cost(req, s, c, sharedTokens, now)
+		if !preferred.has(s.ID) {
+			c.Cost += leaveCost(req.Pauses)
+		}
 		if !ok || c.Cost < best.Cost {
 			best, ok = c, true
 		}
@@ -234,20 +242,27 @@
 	return n
 }
 
-// ownerOf returns the usable upstream with the highest hash of the key and its
-// id, so that only the keys of an upstream that comes or goes change owners.
-func ownerOf(key string, states []rcfleet.State, now time.Time, exclude func(radishcrank.UpstreamID) bool) (owner radishcrank.UpstreamID) {
+// owner returns the upstream with the highest hash of the key and its id, so
+// that only the keys of an upstream that comes or goes change owners. Upstreams
+// of the preferred lane go first.
+func owner(req Request, key string, states []rcfleet.State, preferred lane, now time.Time) (owner radishcrank.UpstreamID) {
 	if key == "" {
 		return ""
 	}
 	var most uint64
+	bestGrade := -1
 	for i := range states {
 		s := &states[i]
-		if !Usable(s, now) || exclude != nil && exclude(s.ID) {
+		if !Usable(s, now) || req.Exclude != nil && req.Exclude(s.ID) {
 			continue
 		}
-		if h := xxhash.Sum64String(key + "/" + string(s.ID)); owner == "" || h > most {
-			owner, most = s.ID, h
+		grade := 0
+		if preferred.has(s.ID) {
+			grade++
+		}
+		h := xxhash.Sum64String(key + "/" + string(s.ID))
+		if grade > bestGrade || grade == bestGrade && h > most {
+			owner, most, bestGrade = s.ID, h, grade
 		}
 	}
 	return owner
--- /dev/null
+++ b/internal/routing/rcaffinity/lane.go
@@ -0,0 +1,75 @@
+package rcaffinity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+// Lanes keep long prompts away from the engines that generate long answers.
+// They answer a mix of short questions with long answers and long prompts with
+// short answers: an engine that reads a prompt of several chunks produces a token
+// for its other streams only after each chunk, so that all of them pause for
+// longer than their callers accept.
+const (
+	// shortPrompt is the longest prompt of the short lane, in tokens: engines read
+	// it in one chunk.
+	shortPrompt = 2048
+	// shortShare of the engines of a service make up the short lane.
+	shortShare = 1.0 / 4
+	// leastForLanes is the number of engines from which there are lanes at all.
+	leastForLanes = 4
+	// laneCost is the price of leaving the lane for each share of the streams that
+	// paused for too long, up to maxLaneCost. Engines whose chunks are quick enough
+	// for their streams then have no lanes, and all of their memory for all prompts.
+	laneCost    = 1500 * time.Millisecond
+	maxLaneCost = 150 * time.Millisecond
+	// leastLaneCost is the price below which there are no lanes: it is less than
+	// what owners of parts change for.
+	leastLaneCost = 60 * time.Millisecond
+)
+
+// lane is the set of engines that requests of one length prefer.
+type lane map[radishcrank.UpstreamID]bool
+
+// laneFor returns the engines that prompts of a length prefer, or nil for all.
+// Engines that load weights or are left alone for a moment keep their lane, so
+// that the others' lanes do not change with them.
+func laneFor(promptTokens int, states []rcfleet.State) lane {
+	var engines []rcfleet.State
+	for _, s := range states {
+		if !s.Leaving {
+			engines = append(engines, s)
+		}
+	}
+	if len(engines) < leastForLanes {
+		return nil
+	}
+	rank := func(s rcfleet.State) uint64 { return xxhash.Sum64String(string(s.ID)) }
+	slices.SortFunc(engines, func(a, b rcfleet.State) int { return cmp.Compare(rank(a), rank(b)) })
+	short := int(math.Round(shortShare * float64(len(engines))))
+	if promptTokens <= shortPrompt {
+		engines = engines[:short]
+	} else {
+		engines = engines[short:]
+	}
+	l := lane{}
+	for _, s := range engines {
+		l[s.ID] = true
+	}
+	return l
+}
+
+// leaveCost is the price of leaving the lane when a share of the streams pause
+// for too long.
+func leaveCost(pauses float64) time.Duration {
+	return min(maxLaneCost, time.Duration(pauses*float64(laneCost)))
+}
+
+func (l lane) has(id radishcrank.UpstreamID) bool { return l == nil || l[id] }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -196,9 +196,16 @@
 	buf := make([]byte, 4<<10)
 	var pending []byte // An event that is not complete yet.
 	first := true
+	var pause longest
+	defer func() {
+		if o == rcfleet.Succeeded && fl.x.Route.MaxPause > 0 {
+			fl.f.pauses.add(pause.wait > fl.x.Route.MaxPause)
+		}
+	}()
 	for {
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
+			pause.event(time.Now())
 			if first {
 				first = false
 				run.Started()
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -79,7 +79,8 @@
 
 // Forwarder serves exchanges. It is safe for concurrent use.
 type Forwarder struct {
-	cfg Config
+	cfg    Config
+	pauses average
 }
 
 // New returns a Forwarder.
@@ -237,6 +238,7 @@
 			}
 			return false
 		},
+		Pauses:    f.pauses.value(),
 		Instances: f.cfg.Instances(),
 	}
 }
