--- a/internal/cli/rcnode/node.go
+++ b/internal/cli/rcnode/node.go
@@ -17,7 +17,8 @@
 
 // Main runs an instance until SIGTERM and returns its exit code.
 func Main(stdout, stderr io.Writer) int {
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	path := os.Getenv(platform.SettingsEnv)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(stderr, "radishcrankd:", err)
 		return 1
@@ -25,7 +26,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := zerolog.New(stdout).With().Timestamp().Logger()
-	if err := rcinstance.New(settings, log).Run(ctx); err != nil {
+	instance := rcinstance.New(settings, log)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		for range hangup {
+			instance.Reload(path)
+		}
+	}()
+	if err := instance.Run(ctx); err != nil {
 		fmt.Fprintln(stderr, "radishcrankd:", err)
 		return 1
 	}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -54,18 +54,19 @@
 
 // Instance is one router process.
 type Instance struct {
-	settings platform.Settings
-	log      zerolog.Logger
-	store    *platform.Store
-	fleet    *rcfleet.Fleet
-	board    *rcboard.Board
-	pool     *rcconn.Pool
-	guard    *rcpoison.Tracker
-	peers    *peers
-	metrics  *metrics
-	born     time.Time
-	table    atomic.Pointer[rcroute.Table]
-	closing  atomic.Bool
+	settings  platform.Settings
+	log       zerolog.Logger
+	store     *platform.Store
+	fleet     *rcfleet.Fleet
+	board     *rcboard.Board
+	pool      *rcconn.Pool
+	guard     *rcpoison.Tracker
+	peers     *peers
+	directory *platform.Directory
+	metrics   *metrics
+	born      time.Time
+	table     atomic.Pointer[rcroute.Table]
+	closing   atomic.Bool
 
 	mu    sync.Mutex
 	named map[radishcrank.ModelID]rcweights.History
@@ -89,6 +90,11 @@
 	}
 	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
 	i.peers = newPeers(i)
+	i.directory = &platform.Directory{
+		Store: i.store, Fleet: i.fleet, SetConfig: i.setTable, SetWeights: i.setNamed,
+		Relaying: i.peers.relaying, Publish: i.peers.publish, Log: i.log,
+	}
+	i.directory.Init()
 	return i
 }
 
@@ -103,11 +109,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	directory := &platform.Directory{
-		Store: i.store, Fleet: i.fleet, SetConfig: i.setTable, SetWeights: i.setNamed, Log: i.log,
-	}
-	add(directory.FollowOperator)
-	add(directory.FollowUpstreams)
+	add(i.directory.FollowOperator)
+	add(i.directory.FollowUpstreams)
 	add(i.peers.run)
 	add(i.guard.Run)
 	add(i.lead)
@@ -132,7 +135,11 @@
 		time.Sleep(noticeTime)
 		left, cancel := context.WithTimeout(context.Background(), i.settings.StopTime-noticeTime-stopMargin)
 		defer cancel()
-		return front.Shutdown(left)
+		if err := front.Shutdown(left); err != nil {
+			i.log.Warn().Str("Event", "DrainCut").Err(err).Send()
+			return front.Close()
+		}
+		return nil
 	}, func(error) {})
 	if err := i.serve(&g, i.settings.Ready.String(), i.readyHandler()); err != nil {
 		return err
@@ -143,6 +150,17 @@
 	return g.Run()
 }
 
+// Reload reads the settings file again. Addresses and limits of a running
+// process stay as they are; what differs is logged, and holds from the next start.
+func (i *Instance) Reload(path string) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		i.log.Error().Str("Event", "Reload").Err(err).Send()
+		return
+	}
+	i.log.Info().Str("Event", "Reload").Bool("Changed", s != i.settings).Send()
+}
+
 func (i *Instance) serve(g *run.Group, addr string, h http.Handler) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -39,7 +38,18 @@
 	Engines []rcrollout.News
 	Holds   []hold
 	Crashes []rcpoison.Record
-	Leading bool // The sender holds the lease of orders.
+	Feeds   []platform.Batch
+	Leading bool // The holder of the lease of orders has been heard of, or is the sender.
+}
+
+func (n *news) empty() bool {
+	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && !n.Leading
+}
+
+// peer is another instance.
+type peer struct {
+	platform.Member
+	failedAt time.Time // Of the last call that failed; zero after one that succeeded.
 }
 
 // hold tells that an upstream reads shared parts under a salt.
@@ -56,14 +66,20 @@
 	wake     chan struct{}
 
 	mu        sync.Mutex
-	members   map[string]netip.AddrPort
+	members   map[string]*peer
 	next      news
+	fromZone  news // What a relay has heard from its zone and tells all others.
+	fromOther news // What it has heard from other relays and tells its zone.
+	self      *peer
 	leading   bool
 	leaseSeen time.Time // When another instance last told that it holds the lease.
 }
 
 func newPeers(i *Instance) *peers {
-	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]netip.AddrPort{}, wake: make(chan struct{}, 1)}
+	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]*peer{}, wake: make(chan struct{}, 1)}
+	p.self = &peer{Member: platform.Member{
+		Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.Peer, Born: i.born.UnixMilli(), CPU: i.settings.CPU,
+	}}
 	rcrpc.Handle(p.handlers, methodNews, p.take)
 	return p
 }
@@ -106,6 +122,9 @@
 func (p *peers) leaseHeld() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.relayedLocked() && p.relayOfLocked(p.i.settings.Zone) != nil {
+		return true // Only relays compete.
+	}
 	return time.Since(p.leaseSeen) < leaseNewsLife
 }
 
@@ -122,7 +141,19 @@
 	p.hurry()
 }
 
-func (p *peers) take(_ context.Context, _ rcrpc.Identity, n news) (struct{}, error) {
+// publish tells the zone what the store said.
+func (p *peers) publish(b platform.Batch) {
+	p.mu.Lock()
+	p.next.Feeds = append(p.next.Feeds, b)
+	p.mu.Unlock()
+	p.hurry()
+}
+
+func (p *peers) take(_ context.Context, from rcrpc.Identity, n news) (struct{}, error) {
+	for _, b := range n.Feeds {
+		p.i.directory.Offer(b)
+	}
+	p.passOn(string(from.Zone), n)
 	for _, e := range n.Engines {
 		rcrollout.Apply(p.i.fleet, e)
 	}
@@ -140,16 +171,34 @@
 	return struct{}{}, nil
 }
 
+// passOn keeps what a relay has heard from a zone and has to tell.
+func (p *peers) passOn(zone string, n news) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.relayedLocked() || p.relayOfLocked(p.i.settings.Zone) != nil {
+		return
+	}
+	heard := &p.fromOther
+	if zone == p.i.settings.Zone {
+		heard = &p.fromZone
+	}
+	heard.Engines = append(heard.Engines, n.Engines...)
+	if len(heard.Holds) < maxQueuedHolds {
+		heard.Holds = append(heard.Holds, n.Holds...)
+	}
+	heard.Leading = heard.Leading || n.Leading
+}
+
 // run exchanges news until ctx ends.
 func (p *peers) run(ctx context.Context) (err error) {
 	i := p.i
 	members := &platform.Members{
 		Store: i.store,
-		Self:  platform.Member{Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.Peer, Born: i.born.UnixMilli()},
+		Self:  p.self.Member,
 		Put: func(m platform.Member) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.members[m.Name] = m.Peer
+			p.members[m.Name] = &peer{Member: m}
 		},
 		Drop: func(name string) {
 			p.mu.Lock()
@@ -186,7 +235,7 @@
 	return ctx.Err()
 }
 
-// tell sends what has happened to all other instances.
+// tell sends what has happened to the other instances.
 func (p *peers) tell(ctx context.Context, client *rcrpc.Client) {
 	var crashesAt, leadAt time.Time
 	ticker := time.NewTicker(leaseNewsPace / 2)
@@ -198,30 +247,30 @@
 		case <-ctx.Done():
 			return
 		}
-		p.mu.Lock()
-		n := p.next
-		p.next = news{}
-		n.Leading = p.leading
-		p.mu.Unlock()
 		if now := time.Now(); now.Sub(crashesAt) >= crashPace {
-			n.Crashes, crashesAt = p.i.guard.Export(), now
+			if crashes := p.i.guard.Export(); len(crashes) > 0 {
+				p.mu.Lock()
+				p.next.Crashes = crashes
+				p.mu.Unlock()
+			}
+			crashesAt = now
 		}
-		if len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && (!n.Leading || time.Since(leadAt) < leaseNewsPace) {
-			continue
+		p.mu.Lock()
+		if p.leading && time.Since(leadAt) >= leaseNewsPace {
+			p.next.Leading, leadAt = true, time.Now()
 		}
-		if n.Leading {
-			leadAt = time.Now()
+		round := p.roundLocked()
+		p.mu.Unlock()
+		for to, n := range round {
+			if !n.empty() {
+				go p.send(ctx, client, to, n)
+			}
 		}
-		for _, addr := range p.addrs() {
-			go func() {
-				// A peer that misses news learns the weights from the upstreams' list
-				// and the rest from its own requests.
-				if _, err := rcrpc.Call(ctx, client, addr, methodNews, n); err != nil {
-					p.i.metrics.Count("NewsLost")
-				}
-			}()
+		pace := newsPace
+		if p.relayed() {
+			pace = relayPace
 		}
-		pause := time.NewTimer(newsPace)
+		pause := time.NewTimer(pace)
 		select {
 		case <-pause.C:
 		case <-ctx.Done():
@@ -231,11 +280,15 @@
 	}
 }
 
-func (p *peers) addrs() (addrs []netip.AddrPort) {
+// send makes one call. A peer that misses news learns the weights from the
+// upstreams' list and the rest from its own requests.
+func (p *peers) send(ctx context.Context, client *rcrpc.Client, to *peer, n *news) {
+	_, err := rcrpc.Call(ctx, client, to.Peer, methodNews, *n)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, addr := range p.members {
-		addrs = append(addrs, addr)
+	to.failedAt = time.Time{}
+	if err != nil {
+		to.failedAt = time.Now()
+		p.i.metrics.Count("NewsLost")
 	}
-	return addrs
 }
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -249,6 +249,7 @@
 	if key == "" {
 		return ""
 	}
+	keyHash := xxhash.Sum64String(key)
 	var most uint64
 	bestGrade := -1
 	for i := range states {
@@ -260,10 +261,18 @@
 		if preferred.has(s.ID) {
 			grade++
 		}
-		h := xxhash.Sum64String(key + "/" + string(s.ID))
+		h := mix(keyHash ^ s.Hash)
 		if grade > bestGrade || grade == bestGrade && h > most {
 			owner, most, bestGrade = s.ID, h, grade
 		}
 	}
 	return owner
 }
+
+// mix spreads the bits of a number over all of its bits, as the finalizer of
+// SplitMix64 does.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- a/internal/routing/rcaffinity/lane.go
+++ b/internal/routing/rcaffinity/lane.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 )
@@ -42,17 +40,16 @@
 // Engines that load weights or are left alone for a moment keep their lane, so
 // that the others' lanes do not change with them.
 func laneFor(promptTokens int, states []rcfleet.State) lane {
-	var engines []rcfleet.State
-	for _, s := range states {
-		if !s.Leaving {
-			engines = append(engines, s)
+	engines := make([]*rcfleet.State, 0, len(states))
+	for i := range states {
+		if !states[i].Leaving {
+			engines = append(engines, &states[i])
 		}
 	}
 	if len(engines) < leastForLanes {
 		return nil
 	}
-	rank := func(s rcfleet.State) uint64 { return xxhash.Sum64String(string(s.ID)) }
-	slices.SortFunc(engines, func(a, b rcfleet.State) int { return cmp.Compare(rank(a), rank(b)) })
+	slices.SortFunc(engines, func(a, b *rcfleet.State) int { return cmp.Compare(a.Hash, b.Hash) })
 	short := int(math.Round(shortShare * float64(len(engines))))
 	if promptTokens <= shortPrompt {
 		engines = engines[:short]
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishcrank/radishcrank"
 )
 
@@ -37,6 +39,7 @@
 // State is a copy of what is believed of one upstream.
 type State struct {
 	Entry
+	Hash         uint64    // Of the id, for ranks that all instances agree on.
 	Listed       bool      // False in the grace after a doubtful removal.
 	Running      int       // Exchanges of this instance that are under way there.
 	Prefilling   int       // Prompt tokens of those that have no first event yet.
@@ -116,7 +119,7 @@
 		ok = false
 	}
 	if !ok {
-		m = &member{}
+		m = &member{State: State{Hash: xxhash.Sum64String(string(e.ID))}}
 		f.members[e.ID] = m
 		f.services[e.Service] = append(f.services[e.Service], m)
 	}
