Spread kept parts over all stores of a deployment

Cause: grown deployments have a store in each of three zones, and only the first was used. Each shared part now has one store by rendezvous hashing.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -202,7 +202,7 @@
 		Weights:   i.weights,
 		OldLife:   i.settings.WeightsTime - weightsMargin,
 		Hold:      i.peers.hold,
-		KVStore:   i.kvStore,
+		KVStores:  i.kvStores,
 		Instances: i.peers.count,
 		Log:       i.log,
 		Metrics:   i.metrics,
@@ -246,18 +246,18 @@
 	return i.named[model]
 }
 
-// kvStore returns the store of kept KV cache that the configuration names.
-func (i *Instance) kvStore() (store rcaffinity.Store) {
+// kvStores returns the stores of kept KV cache that the configuration names.
+func (i *Instance) kvStores() (stores []rcaffinity.Store) {
 	t := i.table.Load()
 	if t == nil {
-		return store
+		return nil
 	}
 	for _, s := range t.Services {
 		if s.KVStore.IsValid() {
-			return rcaffinity.Store{ID: radishcrank.UpstreamID("store/" + s.Name), Addr: s.KVStore}
+			stores = append(stores, rcaffinity.Store{ID: radishcrank.UpstreamID("store/" + s.Name), Addr: s.KVStore})
 		}
 	}
-	return store
+	return stores
 }
 
 // servicesOf returns the services whose engines serve a model.
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -57,7 +57,7 @@
 	Parts   []radishcrank.PromptPart
 	Salt    func(w radishcrank.WeightsVersion) string
 	Held    func(salt string) map[radishcrank.UpstreamID]rcfleet.Held // What upstreams and the store keep of the prompt.
-	Store   Store
+	Stores  []Store                                                   // Stores of kept KV cache. Each shared part has one of them.
 	Exclude func(id radishcrank.UpstreamID) bool
 	Named   rcweights.History // Weights that were named for the model.
 	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
@@ -66,7 +66,7 @@
 	Instances int     // Instances that send to the same upstreams.
 }
 
-// Store is a store of kept KV cache. The zero value is none.
+// Store is a store of kept KV cache.
 type Store struct {
 	ID   radishcrank.UpstreamID // Name under which its parts are remembered.
 	Addr netip.AddrPort
@@ -190,9 +190,10 @@
 // too, costs about a millisecond; asking a dead one costs hundreds, so suspects
 // are left out.
 func withSource(c Choice, states []rcfleet.State, held map[radishcrank.UpstreamID]rcfleet.Held, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) Choice {
-	stored := held[req.Store.ID].Tokens >= sharedTokens
-	if req.Store.Addr.IsValid() && !stored {
-		c.KVTarget, c.StoreUsed = req.Store.Addr, req.Store.ID
+	store, hasStore := storeOf(partKey(sharedParts(req.Parts)), req.Stores)
+	stored := hasStore && held[store.ID].Tokens >= sharedTokens
+	if hasStore && !stored {
+		c.KVTarget, c.StoreUsed = store.Addr, store.ID
 	}
 	own := held[c.State.ID]
 	if own.Tokens >= sharedTokens && own.Age < evictedAfter {
@@ -214,12 +215,24 @@
 			best, c.KVSource, sameZone = h, s.Addr, inZone
 		}
 	}
-	if stored && (best.Tokens < sharedTokens || best.Age >= evictedAfter) && req.Store.Addr.IsValid() {
-		c.KVSource, c.StoreUsed = req.Store.Addr, req.Store.ID
+	if stored && (best.Tokens < sharedTokens || best.Age >= evictedAfter) {
+		c.KVSource, c.StoreUsed = store.Addr, store.ID
 	}
 	return c
 }
 
+// storeOf returns the store that keeps a part, by rendezvous hashing.
+func storeOf(key string, stores []Store) (store Store, ok bool) {
+	keyHash := xxhash.Sum64String(key)
+	var most uint64
+	for _, s := range stores {
+		if h := mix(keyHash ^ xxhash.Sum64String(string(s.ID))); !ok || h > most {
+			store, most, ok = s, h, true
+		}
+	}
+	return store, ok
+}
+
 // sharedParts are all parts but the last one, which belongs to the request or its session.
 func sharedParts(parts []radishcrank.PromptPart) []radishcrank.PromptPart {
 	if len(parts) == 0 {
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -64,8 +64,8 @@
 	Weights   func(model radishcrank.ModelID) rcweights.History
 	OldLife   time.Duration // How long weights may be used after newer ones were named.
 	Instances func() int
-	// KVStore returns the store of kept KV cache, if there is one that is up.
-	KVStore func() rcaffinity.Store
+	// KVStores returns the stores of kept KV cache.
+	KVStores func() []rcaffinity.Store
 	// Hold records that an upstream reads shared parts under a salt.
 	Hold    func(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart)
 	Log     zerolog.Logger
@@ -224,7 +224,7 @@
 		Parts:   x.Parts,
 		Salt:    func(w radishcrank.WeightsVersion) string { return CacheSalt(x, w) },
 		Held:    func(salt string) map[radishcrank.UpstreamID]rcfleet.Held { return f.cfg.Fleet.Held(salt, x.Parts) },
-		Store:   f.cfg.KVStore(),
+		Stores:  f.cfg.KVStores(),
 		Named:   f.cfg.Weights(x.Model),
 		OldLife: f.cfg.OldLife,
 		Exclude: func(id radishcrank.UpstreamID) bool {
