--- /dev/null
+++ b/internal/node/rcinstance/instance_test.go
@@ -0,0 +1,262 @@
+package rcinstance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeupstream"
+	"github.com/radishcrank/radishcrank/platform"
+)
+
+// site is a small deployment on loopback: the store, upstreams and instances.
+type site struct {
+	t       *testing.T
+	store   *rcfakestore.Store
+	ledger  *rcfakeupstream.Ledger
+	engines []*rcfakeupstream.Upstream
+	callers []string
+	stop    []context.CancelFunc
+	stopped []chan error
+}
+
+const siteConfig = `{"Version":%d,"Routes":[
+ {"Name":"advice","Hostname":"a.example","Prefix":"/advice/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":3},
+ {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":1},
+ {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":2}%s],
+"Services":[{"Name":"llm","Engine":{"Slots":8,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
+"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]}]}`
+
+func freePorts(t *testing.T, n int) (addrs []netip.AddrPort) {
+	t.Helper()
+	var listeners []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	for _, l := range listeners {
+		l.Close()
+	}
+	return addrs
+}
+
+func newSite(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *site {
+	s := &site{t: t, store: rcfakestore.New(), ledger: rcfakeupstream.NewLedger()}
+	front := httptest.NewServer(s.store)
+	t.Cleanup(front.Close)
+	s.configure(1, "")
+	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
+	for i := range 7 {
+		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Ledger: s.ledger, Fault: fault, Work: 2 * time.Millisecond, LoadFor: 300 * time.Millisecond}
+		service := "desk"
+		if i < 4 {
+			cfg.Model, cfg.Events, service = "m", 8, "llm"
+		}
+		u, err := rcfakeupstream.Start(cfg)
+		require.NoError(t, err)
+		t.Cleanup(u.Close)
+		if cfg.Model != "" {
+			s.engines = append(s.engines, u)
+		}
+		s.store.Put("servers", cfg.ID, map[string]any{
+			"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": time.Now().UnixMilli(),
+			"Models": []any{map[string]any{"Name": cfg.Model, "Version": 1}},
+		})
+	}
+	for i := range instances {
+		ports := freePorts(t, 4)
+		settings := platform.Settings{
+			Instance: fmt.Sprint("i", i), Zone: "z", Callers: ports[0], Ready: ports[1], Peer: ports[2], Metrics: ports[3],
+			Store:       netip.MustParseAddrPort(front.Listener.Addr().String()),
+			WeightsTime: 10 * time.Second, StopTime: 8 * time.Second, RepeatRatio: 0.5, RepeatSlack: 1000, RepeatWindow: 10 * time.Second,
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			done <- New(settings, zerolog.Nop()).Run(ctx)
+			close(done)
+		}()
+		s.callers, s.stop, s.stopped = append(s.callers, ports[0].String()), append(s.stop, cancel), append(s.stopped, done)
+		require.Eventually(t, func() bool {
+			resp, err := http.Get("http://" + ports[1].String() + "/radishcrank/ready")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}, 5*time.Second, 10*time.Millisecond)
+	}
+	t.Cleanup(func() {
+		for i := range s.stop {
+			s.stop[i]()
+		}
+		for i := range s.stopped {
+			<-s.stopped[i]
+		}
+	})
+	return s
+}
+
+func (s *site) configure(version int, routes string) {
+	s.store.PutBytes("op", "config", fmt.Appendf(nil, siteConfig, version, routes))
+}
+
+// call makes one request and returns its status, or 0 if the connection broke.
+func (s *site) call(instance int, method, path, id string) (status int, body string, signed bool) {
+	r, err := http.NewRequest(method, "http://"+s.callers[instance]+path, strings.NewReader("body of "+id))
+	require.NoError(s.t, err)
+	r.Host = "a.example"
+	r.Header.Set("Radishcrank-Attempt-Id", id)
+	r.Header.Set("Radishcrank-Deadline-Ms", "3000")
+	r.Header.Set("X-Api-Key", "k1")
+	if strings.HasPrefix(path, "/advice/") {
+		r.Header.Set("Radishcrank-Model", "m")
+		r.Header.Set("Radishcrank-Prefix-Hash", "aa:2500,bb:3000,"+fmt.Sprintf("%x", id)+":900")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", false
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, string(text), false
+	}
+	return resp.StatusCode, string(text), resp.Header.Get("Radishcrank-Response-Seal") != ""
+}
+
+func wholeStream(events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestPromisesUnderFaults guards against answers that are not the upstream's,
+// bookings that run twice, refusals of requests that ran and streams with a gap,
+// while upstreams refuse, fail, break off and lose answers, and while the store
+// is away.
+func TestPromisesUnderFaults(t *testing.T) {
+	rng := rand.New(rand.NewPCG(20261203, 0))
+	var mu sync.Mutex
+	fault := func() rcfakeupstream.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if rng.IntN(4) > 0 {
+			return rcfakeupstream.None
+		}
+		return rcfakeupstream.Fault(1 + rng.IntN(4))
+	}
+	s := newSite(t, 2, fault)
+	var answered atomic.Int32
+	var wg sync.WaitGroup
+	for c := range 12 {
+		wg.Go(func() {
+			for i := range 40 {
+				if c == 0 && i == 10 {
+					s.store.SetFault(rcfakestore.Silent)
+				}
+				if c == 0 && i == 30 {
+					s.store.SetFault(rcfakestore.None)
+				}
+				id := fmt.Sprintf("r-%d-%d", c, i)
+				path := []string{"/advice/1", "/book/1", "/look/1"}[(c+i)%3]
+				status, body, signed := s.call(c%2, http.MethodPost, path, id)
+				runs := s.ledger.Runs(id)
+				if path == "/book/1" && runs > 1 {
+					t.Errorf("%s ran %d times", id, runs)
+				}
+				switch {
+				case status == http.StatusOK:
+					answered.Add(1)
+					want := "done " + id
+					if path == "/advice/1" {
+						want = wholeStream(8)
+					}
+					if !signed || body != want {
+						t.Errorf("%s: signed %v, body %q", id, signed, body)
+					}
+				case status == http.StatusServiceUnavailable && runs > 0 && path == "/book/1":
+					t.Errorf("%s was refused and ran", id)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Greater(t, answered.Load(), int32(12*40/2))
+}
+
+// TestWeightsReachAllEngines guards against weights that are named and never
+// brought to the engines, and against a fleet that stops serving meanwhile.
+func TestWeightsReachAllEngines(t *testing.T) {
+	s := newSite(t, 2, nil)
+	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 2})
+	served := 0
+	require.Eventually(t, func() bool {
+		if status, body, _ := s.call(rand.IntN(2), http.MethodPost, "/advice/1", fmt.Sprint("w", served)); status == http.StatusOK && body == wholeStream(8) {
+			served++
+		}
+		for _, e := range s.engines {
+			if e.Weights() != 2 {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Positive(t, served)
+}
+
+// TestConfigurationComesIntoForce guards against routes that are added or removed
+// and not seen within the 2 s that the platform gives.
+func TestConfigurationComesIntoForce(t *testing.T) {
+	s := newSite(t, 1, nil)
+	status, _, _ := s.call(0, http.MethodGet, "/new/1", "n0")
+	require.Equal(t, http.StatusNotFound, status)
+	s.configure(5, `,{"Name":"new","Hostname":"a.example","Prefix":"/new/","Kind":"idempotent","Service":"desk","TimeoutMs":800}`)
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		status, _, _ := s.call(0, http.MethodGet, "/new/1", fmt.Sprint("n", n))
+		return status == http.StatusOK
+	}, 2*time.Second, 20*time.Millisecond)
+}
+
+// TestStopFinishesAcceptedWork guards against a planned stop that cuts answers.
+func TestStopFinishesAcceptedWork(t *testing.T) {
+	s := newSite(t, 1, nil)
+	var wg sync.WaitGroup
+	for c := range 8 {
+		wg.Go(func() {
+			for i := range 15 {
+				if status, _, _ := s.call(0, http.MethodPost, "/book/1", fmt.Sprintf("s-%d-%d", c, i)); status != http.StatusOK {
+					t.Errorf("request %d of caller %d: status %d", i, c, status)
+				}
+			}
+		})
+	}
+	s.stop[0]()
+	wg.Wait()
+	select {
+	case err := <-s.stopped[0]:
+		require.NoError(t, err)
+	case <-time.After(8 * time.Second):
+		t.Fatal("the instance did not stop")
+	}
+}
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -133,6 +134,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case fault == Silent:
+		// Only after the body is the end of the caller's connection noticed.
+		io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
