Tell the other instances what is under way at each engine

Cause: with 58 instances each saw a fiftieth of an engine's load, and the queue there was guessed from its own part.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -198,14 +198,13 @@
 		Budget: rcbudget.New(rcbudget.Config{
 			Ratio: i.settings.RepeatRatio, Slack: i.settings.RepeatSlack, Window: i.settings.RepeatWindow, Instances: i.peers.count,
 		}),
-		Guard:     i.guard,
-		Weights:   i.weights,
-		OldLife:   i.settings.WeightsTime - weightsMargin,
-		Hold:      i.peers.hold,
-		KVStores:  i.kvStores,
-		Instances: i.peers.count,
-		Log:       i.log,
-		Metrics:   i.metrics,
+		Guard:    i.guard,
+		Weights:  i.weights,
+		OldLife:  i.settings.WeightsTime - weightsMargin,
+		Hold:     i.peers.hold,
+		KVStores: i.kvStores,
+		Log:      i.log,
+		Metrics:  i.metrics,
 	})
 	return &platform.Front{
 		Table: i.table.Load, Server: forwarder, Closing: i.closing.Load, Count: i.metrics.Count, Log: i.log,
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -10,6 +10,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
@@ -27,6 +28,8 @@
 	leastPeers = 6
 	// maxQueuedHolds bounds what waits for the next message.
 	maxQueuedHolds = 2000
+	// loadsPace is how often instances tell what they have under way.
+	loadsPace = 100 * time.Millisecond
 	// crashPace is how often records of crashes are exchanged.
 	crashPace = 500 * time.Millisecond
 )
@@ -39,11 +42,14 @@
 	Holds   []hold
 	Crashes []rcpoison.Record
 	Feeds   []platform.Batch
+	// Loads is what the sender has under way by upstream; from a relay to its zone
+	// what all instances have, from one relay to another what its zone has. Nil is no news.
+	Loads   map[radishcrank.UpstreamID]rcfleet.Load
 	Leading bool // The holder of the lease of orders has been heard of, or is the sender.
 }
 
 func (n *news) empty() bool {
-	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && !n.Leading
+	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && n.Loads == nil && !n.Leading
 }
 
 // peer is another instance.
@@ -68,6 +74,7 @@
 	mu        sync.Mutex
 	members   map[string]*peer
 	next      news
+	loads     map[radishcrank.InstanceID]toldLoads
 	fromZone  news // What a relay has heard from its zone and tells all others.
 	fromOther news // What it has heard from other relays and tells its zone.
 	self      *peer
@@ -76,7 +83,7 @@
 }
 
 func newPeers(i *Instance) *peers {
-	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]*peer{}, wake: make(chan struct{}, 1)}
+	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]*peer{}, loads: map[radishcrank.InstanceID]toldLoads{}, wake: make(chan struct{}, 1)}
 	p.self = &peer{Member: platform.Member{
 		Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.Peer, Born: i.born.UnixMilli(), CPU: i.settings.CPU,
 	}}
@@ -153,6 +160,9 @@
 	for _, b := range n.Feeds {
 		p.i.directory.Offer(b)
 	}
+	if n.Loads != nil {
+		p.takeLoads(from, n.Loads)
+	}
 	p.passOn(string(from.Zone), n)
 	for _, e := range n.Engines {
 		rcrollout.Apply(p.i.fleet, e)
@@ -237,8 +247,8 @@
 
 // tell sends what has happened to the other instances.
 func (p *peers) tell(ctx context.Context, client *rcrpc.Client) {
-	var crashesAt, leadAt time.Time
-	ticker := time.NewTicker(leaseNewsPace / 2)
+	var crashesAt, leadAt, loadsAt time.Time
+	ticker := time.NewTicker(loadsPace)
 	defer ticker.Stop()
 	for {
 		select {
@@ -259,6 +269,9 @@
 		if p.leading && time.Since(leadAt) >= leaseNewsPace {
 			p.next.Leading, leadAt = true, time.Now()
 		}
+		if now := time.Now(); now.Sub(loadsAt) >= loadsPace {
+			p.next.Loads, loadsAt = p.i.fleet.Loads(), now
+		}
 		round := p.roundLocked()
 		p.mu.Unlock()
 		for to, n := range round {
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -73,6 +73,10 @@
 	outward := own.join(fromZone)
 	all := outward.join(fromOther)
 	outward.Feeds = nil // Each zone's relay reads the store itself.
+	if own.Loads != nil {
+		all.Loads = p.withOwn(p.sumLocked(""))
+		outward.Loads = p.withOwn(p.sumLocked(zone))
+	}
 	zones := map[string]bool{zone: true}
 	for _, m := range p.members {
 		if m.Zone == zone {
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -23,7 +23,7 @@
 	for _, m := range members {
 		p := &peers{
 			i:       &Instance{settings: platform.Settings{Instance: m.Name, Zone: m.Zone}, fleet: rcfleet.New()},
-			members: map[string]*peer{}, self: &peer{Member: m}, wake: make(chan struct{}, 1),
+			members: map[string]*peer{}, loads: map[radishcrank.InstanceID]toldLoads{}, self: &peer{Member: m}, wake: make(chan struct{}, 1),
 		}
 		for _, o := range members {
 			if o.Name != m.Name {
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -35,6 +35,8 @@
 	// of its shared parts to another engine and the memory that it takes there.
 	strayCost  = 25 * time.Millisecond
 	strayShare = 1.0
+	// spreadCost is the most that the second choices of prompts differ by.
+	spreadCost = 30 * time.Millisecond
 	// evictedAfter is how long after its last use a part may have yielded to others
 	// in an engine's memory when that is short.
 	evictedAfter = 1500 * time.Millisecond
@@ -61,9 +63,8 @@
 	Exclude func(id radishcrank.UpstreamID) bool
 	Named   rcweights.History // Weights that were named for the model.
 	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
-	OldLife   time.Duration
-	Pauses    float64 // Share of the latest streams that paused for too long.
-	Instances int     // Instances that send to the same upstreams.
+	OldLife time.Duration
+	Pauses  float64 // Share of the latest streams that paused for too long.
 }
 
 // Store is a store of kept KV cache.
@@ -100,6 +101,7 @@
 	if req.Model != "" && leaveCost(req.Pauses) >= leastLaneCost {
 		preferred = laneFor(total, states)
 	}
+	keyHash := xxhash.Sum64String(partKey(shared))
 	owner := owner(req, partKey(shared), states, preferred, now)
 	held := map[string]map[radishcrank.UpstreamID]rcfleet.Held{}
 	heldUnder := func(salt string) map[radishcrank.UpstreamID]rcfleet.Held {
@@ -128,7 +130,7 @@
 				c.Missing = min(c.Missing, total-sharedTokens)
 			}
 		}
-		c.Cost = cost(req, s, c, sharedTokens, now)
+		c.Cost = cost(req, s, c, keyHash, sharedTokens, now)
 		if !preferred.has(s.ID) {
 			c.Cost += leaveCost(req.Pauses)
 		}
@@ -150,22 +152,23 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, keyHash uint64, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = prefillTime(s.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
-		// Instances send to the same owners, so each sees a part of the queue there.
-		d += prefillTime(s.Prefilling) * time.Duration(min(req.Instances, 3)-1)
+		d = prefillTime(s.Prefilling+s.Others.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
 		if !c.Owner && c.Missing > 0 && sharedTokens > 0 {
 			// What is copied need not be prefilled, so the owner's lead is bounded.
 			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
+			// Instances whose pictures are as old as each other's agree on a second
+			// engine for a prompt rather than on the one that is idle at the moment.
+			d += time.Duration(float64(spreadCost) * float64(mix(keyHash^s.Hash)>>11) / (1 << 53))
 			d += strayCost + time.Duration(strayShare*float64(prefillTime(min(sharedTokens, c.Missing))))
 		}
 		if oldFor(req, c.Weights, now) >= staleAfter {
 			d += staleCost
 		}
 	} else {
-		queue := max(s.Running, s.Reported.Running+s.Reported.Waiting)
+		queue := max(s.Running+s.Others.Running, s.Reported.Running+s.Reported.Waiting)
 		d = time.Duration(queue) * runningCost
 		if s.Slots > 0 && queue >= s.Slots {
 			d += time.Duration(queue-s.Slots+1) * waitingCost
--- a/internal/routing/rcaffinity/choose_test.go
+++ b/internal/routing/rcaffinity/choose_test.go
@@ -33,11 +33,10 @@
 
 func request(key string) Request {
 	return Request{
-		Zone:      "z",
-		Model:     model,
-		Parts:     []radishcrank.PromptPart{{ID: "root", Tokens: 2500}, {ID: key, Tokens: 3800}, {ID: "own", Tokens: 2900}},
-		Salt:      func(w radishcrank.WeightsVersion) string { return string(w) },
-		Instances: 6,
+		Zone:  "z",
+		Model: model,
+		Parts: []radishcrank.PromptPart{{ID: "root", Tokens: 2500}, {ID: key, Tokens: 3800}, {ID: "own", Tokens: 2900}},
+		Salt:  func(w radishcrank.WeightsVersion) string { return string(w) },
 	}
 }
 
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -56,14 +56,13 @@
 
 // Config holds the parts that a Forwarder works with.
 type Config struct {
-	Zone      radishcrank.AvailabilityZone
-	Fleet     *rcfleet.Fleet
-	Sender    radishcrank.Sender
-	Budget    Budget
-	Guard     Guard
-	Weights   func(model radishcrank.ModelID) rcweights.History
-	OldLife   time.Duration // How long weights may be used after newer ones were named.
-	Instances func() int
+	Zone    radishcrank.AvailabilityZone
+	Fleet   *rcfleet.Fleet
+	Sender  radishcrank.Sender
+	Budget  Budget
+	Guard   Guard
+	Weights func(model radishcrank.ModelID) rcweights.History
+	OldLife time.Duration // How long weights may be used after newer ones were named.
 	// KVStores returns the stores of kept KV cache.
 	KVStores func() []rcaffinity.Store
 	// Hold records that an upstream reads shared parts under a salt.
@@ -238,8 +237,7 @@
 			}
 			return false
 		},
-		Pauses:    f.pauses.value(),
-		Instances: f.cfg.Instances(),
+		Pauses: f.pauses.value(),
 	}
 }
 
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -99,11 +99,10 @@
 	fleet.Replace(entries)
 	f := New(Config{
 		Fleet: fleet, Sender: sender, Budget: budget,
-		Guard:     rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
-		Weights:   func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
-		KVStores:  func() []rcaffinity.Store { return nil },
-		Instances: func() int { return 1 },
-		Metrics:   noMetrics{}, Log: zerolog.Nop(),
+		Guard:    rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
+		Weights:  func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
+		KVStores: func() []rcaffinity.Store { return nil },
+		Metrics:  noMetrics{}, Log: zerolog.Nop(),
 	})
 	x.ID, x.Service, x.Method, x.Target = "r1", "s", http.MethodPost, "/p"
 	x.ReceivedAt = time.Now()
@@ -284,10 +283,9 @@
 	}
 	f := New(Config{
 		Fleet: fleet, Sender: s, Budget: freeBudget{}, Guard: guard,
-		Weights:   func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
-		KVStores:  func() []rcaffinity.Store { return nil },
-		Instances: func() int { return 1 },
-		Metrics:   noMetrics{}, Log: zerolog.Nop(),
+		Weights:  func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
+		KVStores: func() []rcaffinity.Store { return nil },
+		Metrics:  noMetrics{}, Log: zerolog.Nop(),
 	})
 	for i := range 10 {
 		x := once()
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -26,6 +26,9 @@
 	faultDecay = 0.15
 	// loadReportLife bounds the age of a load report that still counts.
 	loadReportLife = 2 * time.Second
+	// othersLife bounds the age of what other instances told of their load: they
+	// tell it several times a second while there is any.
+	othersLife = time.Second
 )
 
 // Entry is an upstream as the platform lists it.
@@ -43,6 +46,7 @@
 	Listed       bool      // False in the grace after a doubtful removal.
 	Running      int       // Exchanges of this instance that are under way there.
 	Prefilling   int       // Prompt tokens of those that have no first event yet.
+	Others       Load      // What other instances have under way there, as far as they told lately.
 	Suspect      bool      // Left alone after a fault.
 	Probing      bool      // The suspicion has ended, but nothing has succeeded since.
 	FaultRate    float64   // Moving average of failed exchanges.
@@ -52,6 +56,12 @@
 	ColdUntil    time.Time
 }
 
+// Load is what instances have under way at an upstream.
+type Load struct {
+	Running    int
+	Prefilling int // Prompt tokens of exchanges that have no first event yet.
+}
+
 // Loading reports whether the upstream loads weights or is about to.
 func (s *State) Loading(now time.Time) bool { return now.Before(s.LoadingUntil) }
 
@@ -60,6 +70,7 @@
 	faults       int
 	suspectUntil time.Time
 	removedAt    time.Time
+	othersAt     time.Time // When Others was told.
 }
 
 // Fleet holds the members. It is safe for concurrent use.
@@ -257,6 +268,9 @@
 	s := m.State
 	s.Suspect = now.Before(m.suspectUntil)
 	s.Probing = m.faults > 0 && !s.Suspect
+	if now.Sub(m.othersAt) > othersLife {
+		s.Others = Load{}
+	}
 	if now.Sub(s.ReportedAt) > loadReportLife {
 		s.Reported = radishcrank.QueueReport{}
 	}
--- a/internal/state/rcfleet/run.go
+++ b/internal/state/rcfleet/run.go
@@ -90,3 +90,38 @@
 		m.FaultRate += faultDecay * (1 - m.FaultRate)
 	}
 }
+
+// Loads returns what this instance has under way, by upstream.
+func (f *Fleet) Loads() map[radishcrank.UpstreamID]Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := map[radishcrank.UpstreamID]Load{}
+	for id, m := range f.members {
+		if m.Running > 0 || m.Prefilling > 0 {
+			loads[id] = Load{Running: m.Running, Prefilling: m.Prefilling}
+		}
+	}
+	return loads
+}
+
+// SetOthers takes in what all other instances have under way. Upstreams that
+// are not named have nothing.
+func (f *Fleet) SetOthers(loads map[radishcrank.UpstreamID]Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for id, m := range f.members {
+		m.Others, m.othersAt = loads[id], now
+	}
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling}
+}
+
+// Without returns what is left of a sum without one of its parts, which may have
+// changed since it was told.
+func (l Load) Without(o Load) Load {
+	return Load{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling)}
+}
