Bound the log's volume and trace requests through it

The log never delays a request: lines beyond 200 a second, or that the output does not take, are left out and counted. radishcrank trace prints a request's story across instances, radishcrank settings checks the platform's file.

--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -26,14 +26,16 @@
 )
 
 type commands struct {
-	Status  statusCommand  `cmd:"" help:"Print the short state of an instance."`
-	Dump    dumpCommand    `cmd:"" help:"Print the whole state of an instance as JSON, without secrets."`
-	Explain explainCommand `cmd:"" help:"Print where a request would go, and each term of the choice."`
-	Drain   drainCommand   `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
-	Config  configCommand  `cmd:"" help:"Check, compare and commit the fleet's configuration."`
-	Load    loadCommand    `cmd:"" help:"Send a traffic shape to a running fleet and measure it."`
-	Report  reportCommand  `cmd:"" help:"Write an HTML report of a load result, or compare two."`
-	Demo    demoCommand    `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
+	Status   statusCommand   `cmd:"" help:"Print the short state of an instance."`
+	Dump     dumpCommand     `cmd:"" help:"Print the whole state of an instance as JSON, without secrets."`
+	Explain  explainCommand  `cmd:"" help:"Print where a request would go, and each term of the choice."`
+	Drain    drainCommand    `cmd:"" help:"Make an instance refuse new work, finish what it has and stop."`
+	Config   configCommand   `cmd:"" help:"Check, compare and commit the fleet's configuration."`
+	Trace    traceCommand    `cmd:"" help:"Print the story of a request from the logs of all instances."`
+	Settings settingsCommand `cmd:"" help:"Check a settings file of the users' platform and print what it says."`
+	Load     loadCommand     `cmd:"" help:"Send a traffic shape to a running fleet and measure it."`
+	Report   reportCommand   `cmd:"" help:"Write an HTML report of a load result, or compare two."`
+	Demo     demoCommand     `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
 // streams are what a command reads and writes.
--- a/internal/cli/rcnode/node.go
+++ b/internal/cli/rcnode/node.go
@@ -8,10 +8,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank/internal/node/rcinstance"
+	"github.com/radishcrank/radishcrank/internal/state/rclog"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
@@ -25,7 +27,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := zerolog.New(stdout).With().Timestamp().Logger()
+	lines := rclog.New(stdout)
+	defer lines.Close()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(lines).With().Timestamp().Logger()
 	instance := rcinstance.New(settings, log)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
