--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -30,6 +30,7 @@
 		fl.cause = err
 		return false, nil
 	}
+	fl.logPlacement(choice)
 	run := f.cfg.Fleet.Begin(up.ID, choice.Missing)
 	if choice.Salt != "" && len(x.Parts) > 1 {
 		// The shared parts are there from the start of the run, or soon after, so
@@ -308,6 +309,23 @@
 	return errA != nil || errB != nil || b > a
 }
 
+// logPlacement writes what a dispatch was decided on.
+func (fl *flight) logPlacement(c rcaffinity.Choice) {
+	x, s := fl.x, &c.State
+	e := fl.f.cfg.Log.Info().Str("Event", "Placed").Str("Request", string(x.ID)).Str("Upstream", string(s.ID)).
+		Str("Route", x.Route.Name).Str("Service", x.Service).Int("Arrival", fl.arrivals).
+		Int64("CostMS", c.Cost.Milliseconds()).Int("Running", s.Running).Int("OthersRunning", s.Others.Running).
+		Int64("AgeMS", time.Since(x.ReceivedAt).Milliseconds()).Int64("LeftMS", time.Until(x.Deadline).Milliseconds())
+	if x.Generates() {
+		e = e.Str("Weights", string(c.Weights)).Bool("Owner", c.Owner).Int("Missing", c.Missing).
+			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.Others.Prefilling).Bool("Copied", c.KVSource.IsValid())
+	}
+	if !s.ReportedAt.IsZero() {
+		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
+	}
+	e.Send()
+}
+
 func (fl *flight) logAttempt(up radishcrank.Upstream, outcome string, status int, err error) {
 	fl.f.cfg.Metrics.Count("Attempt" + outcome)
 	e := fl.f.cfg.Log.Info().Str("Event", "AttemptEnded").Str("Request", string(fl.x.ID)).Str("Upstream", string(up.ID)).
