Refuse a suspect in time instead of holding it for its turn

It now waits for three quarters of its objective. The test fails without the change (waits for its deadline).

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -25,7 +25,9 @@
 func (fl *flight) attempt(choice rcaffinity.Choice) (done bool, err error) {
 	f, x := fl.f, fl.x
 	up := choice.State.Upstream
-	end, err := f.cfg.Guard.Enter(fl.ctx, fl.content, up)
+	turn, cancelTurn := context.WithDeadline(fl.ctx, fl.waitLimit())
+	end, err := f.cfg.Guard.Enter(turn, fl.content, up)
+	cancelTurn()
 	if err != nil {
 		fl.cause = err
 		return false, nil
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -164,10 +164,7 @@
 // it waits for a part of the objective: what can't be served is told early.
 func (fl *flight) place() (choice rcaffinity.Choice, ok bool) {
 	f, x := fl.f, fl.x
-	limit := x.ReceivedAt.Add(x.Route.Objective * 3 / 4)
-	if fl.answer.begun {
-		limit = x.Deadline
-	}
+	limit := fl.waitLimit()
 	var buf []rcfleet.State
 	for {
 		changed := f.cfg.Fleet.Changed()
@@ -196,6 +193,15 @@
 	}
 }
 
+// waitLimit is until when an exchange may wait for an upstream: for a part of the
+// objective, or, once the caller has a part of the answer, until its deadline.
+func (fl *flight) waitLimit() time.Time {
+	if fl.answer.begun {
+		return fl.x.Deadline
+	}
+	return fl.x.ReceivedAt.Add(fl.x.Route.Objective * 3 / 4)
+}
+
 // nextUsable returns how long until an upstream is expected to be usable again;
 // 0 means that none is.
 func nextUsable(states []rcfleet.State, now time.Time) (wait time.Duration) {
@@ -255,6 +261,9 @@
 // giveUp tells the caller why there is no answer.
 func (fl *flight) giveUp() error {
 	switch {
+	case errors.Is(fl.ctx.Err(), context.Canceled):
+		fl.log("CallerGone", 0)
+		return ErrCut
 	case fl.answer.begun:
 		fl.log("Cut", http.StatusOK)
 		return ErrCut
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -91,6 +91,10 @@
 }
 
 func serve(sender *script, upstreams int, budget Budget, x radishcrank.Exchange) outcome {
+	return serveWith(rcpoison.New(rcpoison.Config{Board: rcboard.New()}), sender, upstreams, budget, x)
+}
+
+func serveWith(guard Guard, sender *script, upstreams int, budget Budget, x radishcrank.Exchange) outcome {
 	fleet := rcfleet.New()
 	var entries []rcfleet.Entry
 	for i := range upstreams {
@@ -300,3 +304,22 @@
 	}
 	require.Len(t, s.sent, rcpoison.VerdictAfter)
 }
+
+// reserving is a Guard whose upstreams are all reserved for other requests.
+type reserving struct{ *rcpoison.Tracker }
+
+func (reserving) Enter(ctx context.Context, _ radishcrank.Request, _ radishcrank.Upstream) (func(crashed, finished bool), error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestSuspectIsNotHeld guards against a request that waits for a reserved upstream
+// until its caller leaves (Riga scale-1: 2.4 s, then refused).
+func TestSuspectIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		got := serveWith(reserving{rcpoison.New(rcpoison.Config{Board: rcboard.New()})}, &script{}, 3, freeBudget{}, once())
+		require.Equal(t, http.StatusServiceUnavailable, got.Code)
+		require.LessOrEqual(t, time.Since(begun), 150*time.Millisecond)
+	})
+}
