--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -103,7 +103,7 @@
 	fleet.Replace(entries)
 	f := New(Config{
 		Fleet: fleet, Sender: sender, Budget: budget,
-		Guard:    rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
+		Guard:    guard,
 		Weights:  func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
 		KVStores: func() []rcaffinity.Store { return nil },
 		Metrics:  noMetrics{}, Log: zerolog.Nop(),
