Use one interruptible wait everywhere

Ten packages each had their own sleep or pause of the same shape. They now share rcwait.For, which also answers whether the wait was cut short. No change in behaviour, except that the stand-in table fails at once for a caller that has already left.

--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -108,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
 	defer cancel()
 	d.members.Leave(ctx)
-	d.wait(ctx, d.cfg.NoticeDelay)
+	rcwait.For(ctx, d.cfg.NoticeDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.logCut(err)
 		d.callers.Close()
@@ -151,18 +153,6 @@
 	}
 }
 
-func (d *Daemon) wait(ctx context.Context, delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (d *Daemon) stopOperators() {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorsStopTimeout)
 	defer cancel()
--- a/internal/peer/rcfakepeer/network.go
+++ b/internal/peer/rcfakepeer/network.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 // ErrUnreachable says that no instance listens at an address.
@@ -185,8 +186,8 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if err := sleep(ctx, link.Latency); err != nil {
-		return err
+	if !rcwait.For(ctx, link.Latency) {
+		return ctx.Err()
 	}
 	if err := to.waitResumed(ctx); err != nil {
 		return err
@@ -215,17 +216,3 @@
 		return ctx.Err()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/peer/rcrpc/server.go
+++ b/internal/peer/rcrpc/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -57,7 +59,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		case err != nil:
-			pause(ctx, acceptPause)
+			rcwait.For(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -69,15 +71,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	defer func() { <-s.slots }()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -105,11 +105,14 @@
 	return refusePlatform()
 }
 
+// jittered spreads waits of about d, so that the instances that wait for one row
+// do not read in step.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 // pause waits before the next look at another attempt's row. It returns false
 // when nobody waits for the answer any more.
 func (r *Runner) pause(f *flight, d time.Duration) bool {
-	// Jitter keeps the instances that wait for one row from reading in step.
-	timer := time.NewTimer(d/2 + rand.N(d/2))
+	timer := time.NewTimer(jittered(d))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/record/rcidem/settle.go
+++ b/internal/record/rcidem/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -41,7 +41,7 @@
 		}
 		done := r.release(e)
 		<-e.sem
-		if done || !r.sleep(r.ctx, wait) {
+		if done || !rcwait.For(r.ctx, jittered(wait)) {
 			return
 		}
 	}
@@ -74,18 +74,6 @@
 	return true
 }
 
-// sleep waits for about d and returns false if ctx ends first.
-func (r *Runner) sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // writeStored writes the final record of an own attempt and returns true once
 // the row needs no more writes.
 func (r *Runner) writeStored(e *entry) bool {
@@ -169,7 +157,7 @@
 	for {
 		instances := max(1, r.cfg.Board.Instances.Len())
 		// sleep takes three quarters of its argument on average.
-		if !r.sleep(ctx, r.cfg.SettleInterval*time.Duration(instances)*4/3) {
+		if !rcwait.For(ctx, jittered(r.cfg.SettleInterval*time.Duration(instances)*4/3)) {
 			return ctx.Err()
 		}
 		r.settleDead(ctx)
--- a/internal/record/rcorder/controller.go
+++ b/internal/record/rcorder/controller.go
@@ -44,6 +44,7 @@
 	"github.com/radishcrank/radishcrank/internal/platform/rcplatform"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -149,19 +150,8 @@
 		if err == nil || errors.Is(err, errSuperseded) || ctx.Err() != nil {
 			return rows, err
 		}
-		if !sleep(ctx, c.cfg.Interval) {
+		if !rcwait.For(ctx, c.cfg.Interval) {
 			return nil, ctx.Err()
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/record/rcorder/controller_test.go
+++ b/internal/record/rcorder/controller_test.go
@@ -18,6 +18,7 @@
 	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
 )
 
@@ -110,7 +111,7 @@
 		e.draining = false
 	}
 	for ; left > 0; left-- {
-		if !sleep(ctx, time.Second) {
+		if !rcwait.For(ctx, time.Second) {
 			return resume, ctx.Err()
 		}
 		f.mu.Lock()
--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
@@ -164,7 +165,7 @@
 		Int64("ReplacedAgeMS", begun.Sub(replacedAt).Milliseconds()).Int64("TookMS", time.Since(begun).Milliseconds())
 	if err != nil {
 		log.Str("Outcome", "Failed").Str("Cause", err.Error()).Send()
-		pause(ctx, retryPause)
+		rcwait.For(ctx, retryPause)
 		c.announce(e, News{Model: named.Model})
 		return
 	}
@@ -183,7 +184,7 @@
 	if !report.Weights[named.Model].Less(named.Newest()) || report.Busy {
 		return report, nil
 	}
-	pause(ctx, quiesce-time.Since(asked))
+	rcwait.For(ctx, quiesce-time.Since(asked))
 	if !term.Valid() {
 		return report, errors.New("lease has ended")
 	}
@@ -195,7 +196,7 @@
 		// The order may have been accepted; the reports tell.
 		deadline := time.Now().Add(unansweredWait)
 		for time.Now().Before(deadline) && ctx.Err() == nil {
-			pause(ctx, pollInterval)
+			rcwait.For(ctx, pollInterval)
 			if r, reportErr := c.cfg.Engines.Report(ctx, e.Upstream); reportErr == nil && (r.Busy || r.Sequence > sequence) {
 				return r, nil
 			}
@@ -209,7 +210,7 @@
 	deadline := time.Now().Add(loadTimeout)
 	wait := firstPoll
 	for {
-		pause(ctx, wait)
+		rcwait.For(ctx, wait)
 		wait = pollInterval
 		if ctx.Err() != nil {
 			return report, ctx.Err()
@@ -227,15 +228,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/rcfakeengine/handler.go
+++ b/internal/standin/rcfakeengine/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwire"
 )
 
@@ -139,7 +140,7 @@
 	cfg := &g.engine.cfg
 	promptTokens := radishcrank.PromptTokens(len(g.req.Prompt), cfg.BytesPerToken)
 	cached, done := g.engine.prefill(promptTokens, g.req.Extension.CacheKeys)
-	if !sleep(ctx, time.Until(done)) {
+	if !rcwait.For(ctx, time.Until(done)) {
 		return errAborted
 	}
 	if g.faults.CrashPrompt != "" && g.faults.CrashPrompt == g.req.Prompt {
@@ -158,7 +159,7 @@
 		if err := g.token(ctx, i); err != nil {
 			return err
 		}
-		if !sleep(ctx, step) {
+		if !rcwait.For(ctx, step) {
 			return errAborted
 		}
 	}
@@ -210,18 +211,3 @@
 	}
 	return g.out.Event("", 0, data)
 }
-
-// sleep waits for d and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/rcfakeengine/order.go
+++ b/internal/standin/rcfakeengine/order.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcwire"
 )
 
@@ -112,11 +113,11 @@
 	case radishcrank.OrderLoadWeights:
 		factor := e.cfg.Loads.start()
 		defer e.cfg.Loads.end()
-		if !sleep(r.Context(), time.Duration(factor*float64(e.cfg.LoadWeights))) {
+		if !rcwait.For(r.Context(), time.Duration(factor*float64(e.cfg.LoadWeights))) {
 			return
 		}
 	case radishcrank.OrderLoadAdapter:
-		if !sleep(r.Context(), e.cfg.LoadAdapter) {
+		if !rcwait.For(r.Context(), e.cfg.LoadAdapter) {
 			return
 		}
 	}
--- a/internal/standin/rcfaketable/table.go
+++ b/internal/standin/rcfaketable/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 // Faults are the failure switches of a Table.
@@ -123,16 +124,7 @@
 	t.mu.Lock()
 	faults := t.faults
 	t.mu.Unlock()
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return radishcrank.ErrUnavailable
-		}
-	}
-	if faults.Down {
+	if !rcwait.For(ctx, faults.Delay) || faults.Down {
 		return radishcrank.ErrUnavailable
 	}
 	return nil
--- a/internal/state/rcrevision/commit.go
+++ b/internal/state/rcrevision/commit.go
@@ -12,6 +12,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -98,7 +99,7 @@
 		case !errors.Is(err, radishcrank.ErrConflict):
 			return unsettled(err, unknown)
 		}
-		pause(ctx, commitPause)
+		rcwait.For(ctx, commitPause)
 	}
 	return unsettled(radishcrank.ErrConflict, unknown)
 }
@@ -282,12 +283,3 @@
 	}
 	return list, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/state/rcsnapshot/keeper.go
+++ b/internal/state/rcsnapshot/keeper.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -146,7 +147,7 @@
 				return content, true
 			}
 		}
-		pause(ctx, peerPause/2+rand.N(peerPause))
+		rcwait.For(ctx, peerPause/2+rand.N(peerPause))
 	}
 	return Content{}, false
 }
@@ -163,7 +164,7 @@
 // searchObject reads the zone's snapshot, at most twice.
 func (k *Keeper) searchObject(ctx context.Context) (Content, bool) {
 	if !k.cfg.Early() {
-		pause(ctx, objectDelay+rand.N(objectJitter))
+		rcwait.For(ctx, objectDelay+rand.N(objectJitter))
 	}
 	for range objectTries {
 		if ctx.Err() != nil {
@@ -178,7 +179,7 @@
 		if !errors.Is(err, radishcrank.ErrUnavailable) && !errors.Is(err, context.DeadlineExceeded) {
 			break
 		}
-		pause(ctx, rand.N(peerPause))
+		rcwait.For(ctx, rand.N(peerPause))
 	}
 	return Content{}, false
 }
@@ -204,7 +205,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	for {
 		// The jitter keeps the pushers of all zones apart after a common start.
-		pause(ctx, pushInterval*3/4+rand.N(pushInterval/2))
+		rcwait.For(ctx, pushInterval*3/4+rand.N(pushInterval/2))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -276,12 +277,3 @@
 	}
 	return k.object.Cut(q)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/state/rcsnapshot/warm_test.go
+++ b/internal/state/rcsnapshot/warm_test.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank/internal/peer/rcfakepeer"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeobject"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 // store counts the traffic of an object store that takes some time.
@@ -30,7 +31,7 @@
 }
 
 func (s *store) Get(ctx context.Context, name string) ([]byte, error) {
-	pause(ctx, s.delay)
+	rcwait.For(ctx, s.delay)
 	if ctx.Err() != nil {
 		return nil, radishcrank.ErrUnavailable
 	}
