Leave only translation in the platform folder

Rows of the operator that can't be read are now refused in one place, with a log line each. The instances' rows go through the same table client as the lease.

--- /dev/null
+++ b/internal/node/rcinstance/directory_test.go
@@ -0,0 +1,50 @@
+package rcinstance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+// TestConfigNeverGoesBack guards against a row that is read late and puts an older
+// configuration or older weights into force.
+func TestConfigNeverGoesBack(t *testing.T) {
+	var versions []int64
+	var weights []radishcrank.WeightsVersion
+	d := &directory{
+		log: zerolog.Nop(), fleet: rcfleet.New(),
+		setConfig:  func(t *rcroute.Table) { versions = append(versions, t.Version) },
+		setWeights: func(_ radishcrank.ModelID, w radishcrank.WeightsVersion) { weights = append(weights, w) },
+	}
+	row := func(version int) rcfeed.Row {
+		return rcfeed.Row{Key: "config", Value: fmt.Appendf(nil, siteConfig, version, "")}
+	}
+	d.operatorRow(row(7))
+	d.operatorRow(row(9))
+	d.operatorRow(row(7))
+	d.operatorRow(rcfeed.Row{Key: "config", Value: []byte("{")})
+	d.operatorRow(rcfeed.Row{Key: "config", Removed: true})
+	require.Equal(t, []int64{7, 9}, versions)
+	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":2}`)})
+	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":"x"}`)})
+	require.Equal(t, []radishcrank.WeightsVersion{"2"}, weights)
+}
+
+// TestRemovedUpstream guards against an upstream that stays in use after its
+// entry was dropped or replaced by one that can't be read.
+func TestRemovedUpstream(t *testing.T) {
+	d := &directory{log: zerolog.Nop(), fleet: rcfleet.New()}
+	good := []byte(`{"Service":"s","Address":"10.0.0.1:80","State":"ready","born":1}`)
+	d.resetUpstreams([]rcfeed.Row{{Key: "a", Value: good}, {Key: "b", Value: good}, {Key: "c", Value: []byte("{")}})
+	require.Len(t, d.fleet.All(), 2)
+	d.upstreamRow(rcfeed.Row{Key: "a", Removed: true})
+	d.upstreamRow(rcfeed.Row{Key: "b", Value: []byte("[]")})
+	require.Empty(t, d.fleet.All())
+}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
@@ -62,7 +63,7 @@
 	pool      *rcconn.Pool
 	guard     *rcpoison.Tracker
 	peers     *peers
-	directory *platform.Directory
+	directory *directory
 	metrics   *metrics
 	born      time.Time
 	table     atomic.Pointer[rcroute.Table]
@@ -90,11 +91,8 @@
 	}
 	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
 	i.peers = newPeers(i)
-	i.directory = &platform.Directory{
-		Store: i.store, Fleet: i.fleet, SetConfig: i.setTable, SetWeights: i.setNamed,
-		Relaying: i.peers.relaying, Publish: i.peers.publish, Log: i.log,
-	}
-	i.directory.Init()
+	i.directory = &directory{fleet: i.fleet, setConfig: i.setTable, setWeights: i.setNamed, log: i.log}
+	i.directory.follow(rcfeed.Config{Source: i.store, Relaying: i.peers.relaying, Publish: i.peers.publish, Log: i.log})
 	return i
 }
 
@@ -109,8 +107,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	add(i.directory.FollowOperator)
-	add(i.directory.FollowUpstreams)
+	add(i.directory.followOperator)
+	add(i.directory.followUpstreams)
 	add(i.peers.run)
 	add(i.guard.Run)
 	add(i.lead)
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -10,7 +10,9 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
@@ -41,7 +43,7 @@
 	Engines []rcrollout.News
 	Holds   []hold
 	Crashes []rcpoison.Record
-	Feeds   []platform.Batch
+	Feeds   []rcfeed.Batch
 	// Loads is what the sender has under way by upstream; from a relay to its zone
 	// what all instances have, from one relay to another what its zone has. Nil is no news.
 	Loads   map[radishcrank.UpstreamID]rcfleet.Load
@@ -54,7 +56,7 @@
 
 // peer is another instance.
 type peer struct {
-	platform.Member
+	member
 	failedAt time.Time // Of the last call that failed; zero after one that succeeded.
 }
 
@@ -84,7 +86,7 @@
 
 func newPeers(i *Instance) *peers {
 	p := &peers{i: i, handlers: rcrpc.NewHandlers(), members: map[string]*peer{}, loads: map[radishcrank.InstanceID]toldLoads{}, wake: make(chan struct{}, 1)}
-	p.self = &peer{Member: platform.Member{
+	p.self = &peer{member: member{
 		Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.Peer, Born: i.born.UnixMilli(), CPU: i.settings.CPU,
 	}}
 	rcrpc.Handle(p.handlers, methodNews, p.take)
@@ -149,7 +151,7 @@
 }
 
 // publish tells the zone what the store said.
-func (p *peers) publish(b platform.Batch) {
+func (p *peers) publish(b rcfeed.Batch) {
 	p.mu.Lock()
 	p.next.Feeds = append(p.next.Feeds, b)
 	p.mu.Unlock()
@@ -158,7 +160,7 @@
 
 func (p *peers) take(_ context.Context, from rcrpc.Identity, n news) (struct{}, error) {
 	for _, b := range n.Feeds {
-		p.i.directory.Offer(b)
+		p.i.directory.offer(b)
 	}
 	if n.Loads != nil {
 		p.takeLoads(from, n.Loads)
@@ -202,26 +204,28 @@
 // run exchanges news until ctx ends.
 func (p *peers) run(ctx context.Context) (err error) {
 	i := p.i
-	members := &platform.Members{
-		Store: i.store,
-		Self:  p.self.Member,
-		Put: func(m platform.Member) {
+	table := &platform.Table{Store: i.store, Name: membersTable}
+	members := &members{
+		table:  table,
+		source: table,
+		self:   p.self.member,
+		put: func(m member) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.members[m.Name] = &peer{Member: m}
+			p.members[m.Name] = &peer{member: m}
 		},
-		Drop: func(name string) {
+		drop: func(name string) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			delete(p.members, name)
 		},
-		Log: i.log,
+		log: i.log,
 	}
 	listener, err := net.Listen("tcp", i.settings.Peer.String())
 	if err != nil {
 		return err
 	}
-	key, err := members.SharedKey(ctx)
+	key, err := members.sharedSecret(ctx)
 	if err != nil {
 		listener.Close()
 		return err
@@ -236,9 +240,9 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { _ = rcrpc.NewServer(listener, cfg).Run(ctx) }) // Ends with ctx only.
-	wg.Go(func() { _ = members.Follow(ctx) })                     // Ends with ctx only.
+	wg.Go(func() { _ = members.follow(ctx) })                     // Ends with ctx only.
 	wg.Go(func() { p.tell(ctx, client) })
-	if err := members.Register(ctx); err != nil {
+	if err := members.register(ctx); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -283,11 +287,7 @@
 		if p.relayed() {
 			pace = relayPace
 		}
-		pause := time.NewTimer(pace)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		if !rcwait.For(ctx, pace) {
 			return
 		}
 	}
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -16,18 +16,18 @@
 
 // fleetOf returns the peers of n instances in zones, each of which knows all others.
 func fleetOf(n, zones int) (all []*peers) {
-	var members []platform.Member
+	var members []member
 	for i := range n {
-		members = append(members, platform.Member{Name: fmt.Sprintf("i%02d", i), Zone: fmt.Sprint("z", i%zones), CPU: float64(i % 3)})
+		members = append(members, member{Name: fmt.Sprintf("i%02d", i), Zone: fmt.Sprint("z", i%zones), CPU: float64(i % 3)})
 	}
 	for _, m := range members {
 		p := &peers{
 			i:       &Instance{settings: platform.Settings{Instance: m.Name, Zone: m.Zone}, fleet: rcfleet.New()},
-			members: map[string]*peer{}, loads: map[radishcrank.InstanceID]toldLoads{}, self: &peer{Member: m}, wake: make(chan struct{}, 1),
+			members: map[string]*peer{}, loads: map[radishcrank.InstanceID]toldLoads{}, self: &peer{member: m}, wake: make(chan struct{}, 1),
 		}
 		for _, o := range members {
 			if o.Name != m.Name {
-				p.members[o.Name] = &peer{Member: o}
+				p.members[o.Name] = &peer{member: o}
 			}
 		}
 		all = append(all, p)
--- /dev/null
+++ b/internal/state/rcfeed/feed.go
@@ -0,0 +1,240 @@
+// Package rcfeed keeps copies of the tables of a versioned store up to date,
+// through outages, lost history and slow answers. In large fleets one instance
+// of a zone reads the store and passes on what it read, and the others take
+// that over as long as it comes.
+package rcfeed
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
+)
+
+const (
+	// feedRetry is the pause after a call that failed. A store that is down costs
+	// a few calls a second at most, and its return is noticed in good time.
+	feedRetry = 250 * time.Millisecond
+	// firstRead is the pause between attempts to read a table for the first time,
+	// when an instance can serve nothing yet.
+	firstRead = 100 * time.Millisecond
+	// feedWait is the longest that the store holds a call for changes open. A store
+	// that falls silent drops the call, and no news arrives until the wait has
+	// ended. With feedMargin it stays within the 3 s that an instance has to recover
+	// contact.
+	feedWait = 2 * time.Second
+	// feedMargin is how much later than feedWait an answer may come.
+	feedMargin = 700 * time.Millisecond
+	// probeWait and probeMargin replace them after a failure, until a call succeeds.
+	probeWait   time.Duration = 0
+	probeMargin               = 500 * time.Millisecond
+	// relayLife is how long an instance goes without a batch of its relay before it
+	// reads the store itself. With a call it stays within the bounds for changes.
+	relayLife = 1400 * time.Millisecond
+	// relayWait is feedWait of an instance whose batches are passed on: each one,
+	// even an empty one, shows the others that the store can be reached.
+	relayWait   = 700 * time.Millisecond
+	relayMargin = 400 * time.Millisecond
+	// patientWait is feedWait of a table whose news may be late by as much.
+	patientWait = 20 * time.Second
+	// offers is the number of batches that may wait to be applied; one that finds
+	// no room is read from the store.
+	offers = 16
+)
+
+// ErrHistoryGone says that a store no longer has the changes since a version.
+var ErrHistoryGone = errors.New("history of the store is gone")
+
+// Row is one row of a table.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64 // Number of the transaction that wrote the row, over all tables.
+	Removed bool
+}
+
+// Batch is what one call to the store told of a table: all changes after one
+// version up to another.
+type Batch struct {
+	Table          string
+	After, Version uint64
+	Rows           []Row
+}
+
+// Source reads tables. Implementations are safe for concurrent use.
+type Source interface {
+	// Read returns all rows of a table and the newest version of the store. Changes
+	// since that version may or may not be among the rows.
+	Read(ctx context.Context, table string) (rows []Row, version uint64, err error)
+	// Changes waits for rows that changed after a version, and answers without any
+	// after wait. It fails once that is overdue by margin. ErrHistoryGone asks for
+	// a new Read.
+	Changes(ctx context.Context, table string, after uint64, wait, margin time.Duration) (rows []Row, version uint64, err error)
+}
+
+// Config says what is followed and who is told.
+type Config struct {
+	Source Source
+	Table  string
+	// Pace is the least time between two calls, so that changes in a row cost one
+	// call rather than one each.
+	Pace    time.Duration
+	Patient bool             // News may be late.
+	Reset   func(rows []Row) // Takes in the whole table.
+	Change  func(row Row)
+	Reached func(ok bool) // Told whenever a call succeeds or fails. May be nil.
+	// Relaying reports whether other instances rely on what this one reads, and
+	// Publish passes a batch on to them. Both are nil where each reads for itself.
+	Relaying func() bool
+	Publish  func(b Batch)
+	Log      zerolog.Logger
+}
+
+// Follower keeps a copy of a table up to date.
+type Follower struct {
+	cfg       Config
+	offered   chan Batch // What a relay has read. Nil if there are no relays.
+	version   uint64
+	known     bool
+	reachable bool
+	offeredAt time.Time
+}
+
+// New returns a Follower.
+func New(cfg Config) *Follower {
+	f := &Follower{cfg: cfg}
+	if cfg.Relaying != nil {
+		f.offered = make(chan Batch, offers)
+	}
+	return f
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.reachable = true
+	for ctx.Err() == nil {
+		if f.known && f.takeOffer(ctx) {
+			continue
+		}
+		f.read(ctx)
+	}
+	return ctx.Err()
+}
+
+// takeOffer waits for a relay's batch. It reports false if the store must be
+// read: no relay has been heard of for long, or a batch does not follow on from
+// what is known.
+func (f *Follower) takeOffer(ctx context.Context) bool {
+	if f.offered == nil || f.cfg.Relaying() {
+		return false
+	}
+	wait := relayLife - time.Since(f.offeredAt)
+	if wait <= 0 {
+		// A batch that has arrived meanwhile shows that the relay is back.
+		select {
+		case b := <-f.offered:
+			return f.apply(b)
+		default:
+			return false
+		}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case b := <-f.offered:
+		return f.apply(b)
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
+func (f *Follower) apply(b Batch) bool {
+	if b.After > f.version {
+		return false
+	}
+	f.offeredAt = time.Now()
+	f.tell(nil)
+	f.take(b.Rows, b.Version)
+	return true
+}
+
+func (f *Follower) take(rows []Row, version uint64) {
+	for _, row := range rows {
+		if row.Version > f.version || row.Version == 0 {
+			f.cfg.Change(row)
+		}
+	}
+	f.version = max(f.version, version)
+}
+
+// Offer hands over what a relay has read. It does nothing where there are no relays.
+func (f *Follower) Offer(b Batch) {
+	select {
+	case f.offered <- b:
+	default:
+	}
+}
+
+func (f *Follower) tell(err error) {
+	ok := err == nil || errors.Is(err, ErrHistoryGone)
+	if ok != f.reachable {
+		f.cfg.Log.Warn().Str("Event", "Dependency").Str("Table", f.cfg.Table).Bool("Reachable", ok).AnErr("Cause", err).Send()
+	}
+	f.reachable = ok
+	if f.cfg.Reached != nil {
+		f.cfg.Reached(ok)
+	}
+}
+
+// read makes one call to the store.
+func (f *Follower) read(ctx context.Context) {
+	begun := time.Now()
+	if !f.known {
+		rows, newest, err := f.cfg.Source.Read(ctx, f.cfg.Table)
+		f.tell(err)
+		if err != nil {
+			rcwait.For(ctx, firstRead)
+			return
+		}
+		f.cfg.Reset(rows)
+		f.version, f.known = max(f.version, newest), true
+	}
+	relaying := f.cfg.Relaying != nil && f.cfg.Relaying()
+	wait, margin := feedWait, feedMargin
+	if f.cfg.Patient {
+		wait = patientWait
+	}
+	switch {
+	case !f.reachable:
+		wait, margin = probeWait, probeMargin
+	case relaying:
+		wait, margin = relayWait, relayMargin
+	}
+	after := f.version
+	rows, newest, err := f.cfg.Source.Changes(ctx, f.cfg.Table, after, wait, margin)
+	if ctx.Err() != nil {
+		return
+	}
+	f.tell(err)
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		f.cfg.Log.Warn().Str("Event", "HistoryGone").Str("Table", f.cfg.Table).Uint64("Version", f.version).Send()
+		f.known = false
+		return
+	case err != nil:
+		rcwait.For(ctx, feedRetry)
+		return
+	}
+	f.take(rows, newest)
+	if relaying {
+		f.cfg.Publish(Batch{Table: f.cfg.Table, After: after, Version: max(after, newest), Rows: rows})
+	}
+	if len(rows) > 0 {
+		rcwait.For(ctx, f.cfg.Pace-time.Since(begun))
+	}
+}
