Place strays by an agreed order, and count copied parts as read

Parts that are copied were counted as a backlog, so that engines looked busier than they were and only 15% of the long prompts met their owner. Chat requests waited up to 1.3 s for slots of the short lane.

Change: a stray goes down an order of engines that follows from the prompt; copied parts are no backlog; full slots cost; lanes need room; the freshest holder is the source, or else the store; holders are told at the first event; patience grows with the expected wait. Instances read upstreams less often while a fleet starts and retry seldom where news may be late.

--- a/internal/node/rcinstance/directory.go
+++ b/internal/node/rcinstance/directory.go
@@ -19,6 +19,9 @@
 	operatorPace = 200 * time.Millisecond
 	// upstreamsPace spreads the reads of the upstreams' entries in the same way.
 	upstreamsPace = 400 * time.Millisecond
+	// upstreamsStartPace replaces it while a fleet starts: upstreams start too, and
+	// each instance of a large fleet would read each of their changes.
+	upstreamsStartPace = 1500 * time.Millisecond
 )
 
 // directory takes in what the operator and the upstreams write to the store.
@@ -45,7 +48,7 @@
 	}
 	d.operator = rcfeed.New(operator)
 	upstreams := cfg
-	upstreams.Table, upstreams.Pace = platform.UpstreamsTable, upstreamsPace
+	upstreams.Table, upstreams.Pace, upstreams.StartPace = platform.UpstreamsTable, upstreamsPace, upstreamsStartPace
 	upstreams.Change, upstreams.Reset = d.upstreamRow, d.resetUpstreams
 	upstreams.Reached = func(ok bool) {
 		d.fleet.SetReachable(ok)
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -35,8 +35,14 @@
 	// of its shared parts to another engine and the memory that it takes there.
 	strayCost  = 25 * time.Millisecond
 	strayShare = 1.0
-	// spreadCost is the most that the second choices of prompts differ by.
-	spreadCost = 30 * time.Millisecond
+	// rankCost is the price of each step down in the order of engines that all
+	// instances agree on for a prompt. Loads that are told are some hundred
+	// milliseconds old, as long as it takes to read one or two long prompts, so a
+	// smaller difference between two engines says little.
+	rankCost = 50 * time.Millisecond
+	// slotCost is the wait for each request beyond an engine's slots: a chat
+	// answer of 2.5 s on 32 slots frees one in 80 ms.
+	slotCost = 80 * time.Millisecond
 	// evictedAfter is how long after its last use a part may have yielded to others
 	// in an engine's memory when that is short.
 	evictedAfter = 1500 * time.Millisecond
@@ -48,6 +54,9 @@
 	// for staleAfter: they lose a fifth of their worth.
 	staleCost  = 250 * time.Millisecond
 	staleAfter = 1200 * time.Millisecond
+	// guessedTokens stand for what an owner may hold that is not known to: it is
+	// asked only where nobody is known to hold more.
+	guessedTokens = 1
 	// coldCost is the disadvantage of an upstream that has just started.
 	coldCost = 50 * time.Millisecond
 )
@@ -101,8 +110,7 @@
 	if req.Model != "" && leaveCost(req.Pauses) >= leastLaneCost {
 		preferred = laneFor(total, states)
 	}
-	keyHash := xxhash.Sum64String(partKey(shared))
-	owner := owner(req, partKey(shared), states, preferred, now)
+	ranks := rank(req, partKey(shared), states, preferred, now)
 	held := map[string]map[radishcrank.UpstreamID]rcfleet.Held{}
 	heldUnder := func(salt string) map[radishcrank.UpstreamID]rcfleet.Held {
 		h, ok := held[salt]
@@ -117,7 +125,7 @@
 		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
 			continue
 		}
-		c := Choice{State: *s, Owner: s.ID == owner}
+		c := Choice{State: *s, Owner: s.ID == ranks.owner}
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
 			age := oldFor(req, c.Weights, now)
@@ -130,7 +138,7 @@
 				c.Missing = min(c.Missing, total-sharedTokens)
 			}
 		}
-		c.Cost = cost(req, s, c, keyHash, sharedTokens, now)
+		c.Cost = cost(req, s, c, ranks.of[s.ID], sharedTokens, now)
 		if !preferred.has(s.ID) {
 			c.Cost += leaveCost(req.Pauses)
 		}
@@ -139,7 +147,7 @@
 		}
 	}
 	if ok && req.Model != "" && sharedTokens > 0 {
-		best = withSource(best, states, heldUnder(best.Salt), sharedTokens, req, owner, now)
+		best = withSource(best, states, heldUnder(best.Salt), sharedTokens, req, ranks.owner, now)
 	}
 	return best, ok
 }
@@ -152,7 +160,7 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, keyHash uint64, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
 		d = prefillTime(s.Prefilling+s.Others.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
@@ -161,9 +169,12 @@
 			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
 			// Instances whose pictures are as old as each other's agree on a second
 			// engine for a prompt rather than on the one that is idle at the moment.
-			d += time.Duration(float64(spreadCost) * float64(mix(keyHash^s.Hash)>>11) / (1 << 53))
+			d += time.Duration(rank) * rankCost
 			d += strayCost + time.Duration(strayShare*float64(prefillTime(min(sharedTokens, c.Missing))))
 		}
+		if over := s.Running + s.Others.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
+			d += time.Duration(over) * slotCost
+		}
 		if oldFor(req, c.Weights, now) >= staleAfter {
 			d += staleCost
 		}
@@ -189,9 +200,12 @@
 func prefillTime(n int) time.Duration { return time.Duration(n) * time.Millisecond / prefillPerMS }
 
 // withSource names where the chosen engine can copy the shared parts that it may
-// lack, and whether the store is to get them. Asking a source that lacks them,
-// too, costs about a millisecond; asking a dead one costs hundreds, so suspects
-// are left out.
+// lack, and whether the store is to get them. What is copied counts as read: it
+// takes a tenth of the time, and counting it as a backlog drives prompts away
+// from engines that have none. Asking a source that lacks the parts costs about a
+// millisecond; asking a dead one costs hundreds, so suspects are left out. Of
+// several holders the one that used the parts last is the least likely to have
+// dropped them.
 func withSource(c Choice, states []rcfleet.State, held map[radishcrank.UpstreamID]rcfleet.Held, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) Choice {
 	store, hasStore := storeOf(partKey(sharedParts(req.Parts)), req.Stores)
 	stored := hasStore && held[store.ID].Tokens >= sharedTokens
@@ -211,15 +225,23 @@
 		}
 		h := held[s.ID]
 		if h.Tokens == 0 && s.ID == owner {
-			h.Tokens = 1 // The owner may have read the parts for another instance.
+			h.Tokens = guessedTokens // The owner may have read the parts for another instance.
 		}
 		inZone := s.Zone == c.State.Zone
-		if h.Tokens > best.Tokens || h.Tokens == best.Tokens && h.Tokens > 0 && inZone && !sameZone {
+		if h.Tokens > best.Tokens || h.Tokens == best.Tokens && h.Tokens > 0 && (inZone && !sameZone || inZone == sameZone && h.Age < best.Age) {
 			best, c.KVSource, sameZone = h, s.Addr, inZone
 		}
 	}
-	if stored && (best.Tokens < sharedTokens || best.Age >= evictedAfter) {
+	switch {
+	case stored && (best.Tokens < sharedTokens || best.Age >= evictedAfter):
 		c.KVSource, c.StoreUsed = store.Addr, store.ID
+		best.Tokens = held[store.ID].Tokens
+	case hasStore && !c.KVSource.IsValid():
+		// It may have got the prompt's first parts with other prompts.
+		c.KVSource = store.Addr
+	}
+	if best.Tokens > guessedTokens {
+		c.Missing = min(c.Missing, tokens(req.Parts)-min(best.Tokens, sharedTokens))
 	}
 	return c
 }
@@ -258,33 +280,6 @@
 	return n
 }
 
-// owner returns the upstream with the highest hash of the key and its id, so
-// that only the keys of an upstream that comes or goes change owners. Upstreams
-// of the preferred lane go first.
-func owner(req Request, key string, states []rcfleet.State, preferred lane, now time.Time) (owner radishcrank.UpstreamID) {
-	if key == "" {
-		return ""
-	}
-	keyHash := xxhash.Sum64String(key)
-	var most uint64
-	bestGrade := -1
-	for i := range states {
-		s := &states[i]
-		if !Usable(s, now) || req.Exclude != nil && req.Exclude(s.ID) {
-			continue
-		}
-		grade := 0
-		if preferred.has(s.ID) {
-			grade++
-		}
-		h := mix(keyHash ^ s.Hash)
-		if grade > bestGrade || grade == bestGrade && h > most {
-			owner, most, bestGrade = s.ID, h, grade
-		}
-	}
-	return owner
-}
-
 // mix spreads the bits of a number over all of its bits, as the finalizer of
 // SplitMix64 does.
 func mix(h uint64) uint64 {
--- a/internal/routing/rcaffinity/lane.go
+++ b/internal/routing/rcaffinity/lane.go
@@ -19,8 +19,14 @@
 	// shortPrompt is the longest prompt of the short lane, in tokens: engines read
 	// it in one chunk.
 	shortPrompt = 2048
-	// shortShare of the engines of a service make up the short lane.
+	// shortShare of the engines of a service make up the short lane at least.
 	shortShare = 1.0 / 4
+	// laneFill is the share of the short lane's slots that all running requests
+	// may take: with more, requests wait for slots there.
+	laneFill = 0.7
+	// mostShort is the largest share of engines for the short lane. Beyond it the
+	// long prompts wait in the other lane, and there are no lanes.
+	mostShort = 1.0 / 3
 	// leastForLanes is the number of engines from which there are lanes at all.
 	leastForLanes = 4
 	// laneCost is the price of leaving the lane for each share of the streams that
@@ -36,7 +42,9 @@
 // lane is the set of engines that requests of one length prefer.
 type lane map[radishcrank.UpstreamID]bool
 
-// laneFor returns the engines that prompts of a length prefer, or nil for all.
+// laneFor returns the engines that prompts of a length prefer, or nil for all:
+// where the fleet is so full that the short lane has no room, lanes only move the
+// wait from the streams' pauses to their first events.
 // Engines that load weights or are left alone for a moment keep their lane, so
 // that the others' lanes do not change with them.
 func laneFor(promptTokens int, states []rcfleet.State) lane {
@@ -50,7 +58,19 @@
 		return nil
 	}
 	slices.SortFunc(engines, func(a, b *rcfleet.State) int { return cmp.Compare(a.Hash, b.Hash) })
-	short := int(math.Round(shortShare * float64(len(engines))))
+	running, slots := 0, 0
+	for _, s := range engines {
+		running += s.Running + s.Others.Running
+		slots += s.Slots
+	}
+	share := shortShare
+	if slots > 0 {
+		share = max(share, float64(running)/(laneFill*float64(slots)))
+	}
+	if share > mostShort {
+		return nil
+	}
+	short := int(math.Round(share * float64(len(engines))))
 	if promptTokens <= shortPrompt {
 		engines = engines[:short]
 	} else {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -36,15 +36,6 @@
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
 	}
 	run := f.cfg.Fleet.Begin(up.ID, choice.Missing)
-	if choice.Salt != "" && len(x.Parts) > 1 {
-		// The shared parts are there from the start of the run, or soon after, so
-		// requests that follow closely go to the same upstream.
-		shared := x.Parts[:len(x.Parts)-1]
-		f.cfg.Hold(up.ID, choice.Salt, shared)
-		if choice.StoreUsed != "" {
-			f.cfg.Hold(choice.StoreUsed, choice.Salt, shared)
-		}
-	}
 	outcome, crashed := rcfleet.Abandoned, false
 	defer func() {
 		run.End(outcome)
@@ -53,7 +44,7 @@
 
 	ctx, cancel := context.WithCancelCause(fl.ctx)
 	defer cancel(nil)
-	patience := newWatchdog(fl.firstWait(), func() { cancel(errSilent) })
+	patience := newWatchdog(fl.firstWait(choice.Cost), func() { cancel(errSilent) })
 	defer patience.stop()
 
 	reply, err := f.cfg.Sender.Send(ctx, up, x, radishcrank.SendOptions{
@@ -87,7 +78,7 @@
 	}
 	fl.runs++
 	if x.Route.Stream && reply.Status == http.StatusOK {
-		done, outcome, crashed = fl.stream(ctx, reply, run, patience, up)
+		done, outcome, crashed = fl.stream(ctx, reply, run, patience, choice)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
@@ -118,15 +109,31 @@
 	return end, err
 }
 
+// hold tells that the shared parts of the prompt have been read, which the first
+// event shows. Others that heard of it sooner would copy them in vain, and a
+// refused attempt would leave a holder that holds nothing.
+func (fl *flight) hold(choice rcaffinity.Choice) {
+	if choice.Salt == "" || len(fl.x.Parts) < 2 {
+		return
+	}
+	shared := fl.x.Parts[:len(fl.x.Parts)-1]
+	fl.f.cfg.Hold(choice.State.ID, choice.Salt, shared)
+	if choice.StoreUsed != "" {
+		fl.f.cfg.Hold(choice.StoreUsed, choice.Salt, shared)
+	}
+}
+
 // firstWait is how long the upstream may take to the answer or first event
-// before another one is tried; zero means until the deadline.
-func (fl *flight) firstWait() time.Duration {
+// before another one is tried; zero means until the deadline. It grows with the
+// time that the placement expected: to leave an engine that is only full throws
+// away what it has read, and adds that load to the next one.
+func (fl *flight) firstWait(expected time.Duration) time.Duration {
 	x := fl.x
 	if x.Route.Repeat == radishcrank.RepeatNever || fl.runs+1 >= x.Route.MaxAttempts {
 		return 0
 	}
 	if x.Route.Stream {
-		return time.Duration(firstEventPatience * float64(x.Route.Objective))
+		return time.Duration(firstEventPatience * float64(max(x.Route.Objective, expected)))
 	}
 	return time.Duration(replyPatience * float64(x.Route.Objective))
 }
@@ -217,7 +224,8 @@
 
 // stream passes events on as they arrive. Of a stream that may be resumed, only
 // whole events are passed on, so that another upstream can continue it.
-func (fl *flight) stream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Run, patience *watchdog, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
+func (fl *flight) stream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Run, patience *watchdog, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
+	up := choice.State.Upstream
 	resumable := fl.x.Route.Repeat == radishcrank.RepeatResume
 	flusher := http.NewResponseController(fl.w)
 	buf := make([]byte, 4<<10)
@@ -236,6 +244,7 @@
 			if first {
 				first = false
 				run.Started()
+				fl.hold(choice)
 			}
 			patience.reset(fl.eventWait())
 			out := buf[:n]
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -30,7 +30,8 @@
 	// silentStream times a stream's longest pause is silence: the upstream has
 	// stopped, not slowed, and another one can still continue before callers leave.
 	silentStream = 4
-	// firstEventPatience times the objective is the wait for the first event of a
+	// firstEventPatience times the objective, or the expected time to the first
+	// event if that is longer, is the wait for the first event of a
 	// stream that another upstream may run instead.
 	firstEventPatience = 2.2
 	// replyPatience times the objective is the wait for an answer that another
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -329,3 +329,44 @@
 		require.LessOrEqual(t, time.Since(begun), 150*time.Millisecond)
 	})
 }
+
+// TestHoldFollowsFirstEvent guards against parts that are believed to be cached
+// though the attempt that was to read them was refused.
+func TestHoldFollowsFirstEvent(t *testing.T) {
+	x := stream(radishcrank.RepeatResume)
+	x.Model, x.Parts = "m", []radishcrank.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 10}}
+	f, fleet := New(Config{Metrics: &rcmetric.Set{}, Log: zerolog.Nop()}), rcfleet.New()
+	var held []radishcrank.UpstreamID
+	f.cfg.Hold = func(id radishcrank.UpstreamID, _ string, _ []radishcrank.PromptPart) { held = append(held, id) }
+	f.cfg.Fleet, f.cfg.Budget, f.cfg.Guard = fleet, freeBudget{}, rcpoison.New(rcpoison.Config{Board: rcboard.New()})
+	f.cfg.Weights = func(radishcrank.ModelID) rcweights.History { return rcweights.History{} }
+	f.cfg.OldLife = func() time.Duration { return 0 }
+	f.cfg.KVStores = func() []rcaffinity.Store { return nil }
+	for _, id := range []radishcrank.UpstreamID{"u0", "u1"} {
+		fleet.Put(rcfleet.Entry{
+			Upstream: radishcrank.Upstream{ID: id, Service: "s"},
+			Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+		})
+	}
+	s := &script{steps: []step{
+		{reply: radishcrank.Reply{Verdict: radishcrank.ReplyBusy}},
+		{reply: answer200(), body: strings.NewReader("id: 1\n\n")},
+	}}
+	f.cfg.Sender = s
+	x.ID, x.Service, x.ReceivedAt, x.Deadline = "r", "s", time.Now(), time.Now().Add(time.Minute)
+	require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+	require.Len(t, s.sent, 2)
+	require.Equal(t, []radishcrank.UpstreamID{s.sent[1].up}, held)
+}
+
+// TestPatienceGrowsWithTheExpectedWait guards against streams that leave a full
+// engine just before their turn and have all of it read again elsewhere (Riga
+// grown scale-1: a thousand of 7,000 attempts).
+func TestPatienceGrowsWithTheExpectedWait(t *testing.T) {
+	x := stream(radishcrank.RepeatResume)
+	fl := &flight{x: &x}
+	require.Equal(t, 1320*time.Millisecond, fl.firstWait(50*time.Millisecond))
+	require.Equal(t, 3300*time.Millisecond, fl.firstWait(1500*time.Millisecond))
+	fl.runs = 1
+	require.Zero(t, fl.firstWait(0), "the last attempt has until the deadline")
+}
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -40,6 +40,11 @@
 	relayMargin = 400 * time.Millisecond
 	// patientWait is feedWait of a table whose news may be late by as much.
 	patientWait = 20 * time.Second
+	// startTime is how long the instances of a fleet that starts take to find each
+	// other and their relays.
+	startTime = 5 * time.Second
+	// patientRetry replaces feedRetry where news may be late.
+	patientRetry = 2 * time.Second
 	// offers is the number of batches that may wait to be applied; one that finds
 	// no room is read from the store.
 	offers = 16
@@ -80,12 +85,13 @@
 	Source Source
 	Table  string
 	// Pace is the least time between two calls, so that changes in a row cost one
-	// call rather than one each.
-	Pace    time.Duration
-	Patient bool             // News may be late.
-	Reset   func(rows []Row) // Takes in the whole table.
-	Change  func(row Row)
-	Reached func(ok bool) // Told whenever a call succeeds or fails. May be nil.
+	// call rather than one each. For startTime after Run begins it is StartPace, if
+	// that is set.
+	Pace, StartPace time.Duration
+	Patient         bool             // News may be late.
+	Reset           func(rows []Row) // Takes in the whole table.
+	Change          func(row Row)
+	Reached         func(ok bool) // Told whenever a call succeeds or fails. May be nil.
 	// Relaying reports whether other instances rely on what this one reads, and
 	// Publish passes a batch on to them. Both are nil where each reads for itself.
 	Relaying func() bool
@@ -101,6 +107,7 @@
 	known     bool
 	reachable bool
 	offeredAt time.Time
+	startedAt time.Time
 }
 
 // New returns a Follower.
@@ -114,7 +121,7 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.reachable = true
+	f.reachable, f.startedAt = true, time.Now()
 	for ctx.Err() == nil {
 		if f.known && f.takeOffer(ctx) {
 			continue
@@ -227,7 +234,11 @@
 		f.known = false
 		return
 	case err != nil:
-		rcwait.For(ctx, feedRetry)
+		retry := feedRetry
+		if f.cfg.Patient {
+			retry = patientRetry
+		}
+		rcwait.For(ctx, retry)
 		return
 	}
 	f.take(rows, newest)
@@ -235,6 +246,10 @@
 		f.cfg.Publish(Batch{Table: f.cfg.Table, After: after, Version: max(after, newest), Rows: rows})
 	}
 	if len(rows) > 0 {
-		rcwait.For(ctx, f.cfg.Pace-time.Since(begun))
+		pace := f.cfg.Pace
+		if f.cfg.StartPace > 0 && time.Since(f.startedAt) < startTime {
+			pace = f.cfg.StartPace
+		}
+		rcwait.For(ctx, pace-time.Since(begun))
 	}
 }
--- /dev/null
+++ b/internal/state/rcfeed/pace_test.go
@@ -0,0 +1,58 @@
+package rcfeed_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
+)
+
+// busySource has a change for each call, or fails each one.
+type busySource struct {
+	calls int
+	fail  bool
+}
+
+func (s *busySource) Read(context.Context, string) ([]rcfeed.Row, uint64, error) { return nil, 1, nil }
+
+func (s *busySource) Changes(_ context.Context, _ string, after uint64, _, _ time.Duration) ([]rcfeed.Row, uint64, error) {
+	s.calls++
+	if s.fail {
+		return nil, 0, errors.New("away")
+	}
+	return []rcfeed.Row{{Key: "k", Version: after + 1}}, after + 1, nil
+}
+
+// TestPaceBoundsCalls guards against one call for each change while a whole fleet
+// starts (Riga grown: 22 calls an instance before the first request), and against
+// frequent calls to a store that turns an instance away where news may be late.
+func TestPaceBoundsCalls(t *testing.T) {
+	for name, c := range map[string]struct {
+		cfg   rcfeed.Config
+		fail  bool
+		calls int // In 5 s.
+	}{
+		"paced":      {cfg: rcfeed.Config{Pace: 400 * time.Millisecond}, calls: 13},
+		"starting":   {cfg: rcfeed.Config{Pace: 400 * time.Millisecond, StartPace: 1500 * time.Millisecond}, calls: 4},
+		"turned off": {cfg: rcfeed.Config{}, fail: true, calls: 20},
+		"patient":    {cfg: rcfeed.Config{Patient: true}, fail: true, calls: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &busySource{fail: c.fail}
+				c.cfg.Source, c.cfg.Table, c.cfg.Log = source, "t", zerolog.Nop()
+				c.cfg.Reset, c.cfg.Change = func([]rcfeed.Row) {}, func(rcfeed.Row) {}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second-time.Millisecond)
+				defer cancel()
+				require.ErrorIs(t, rcfeed.New(c.cfg).Run(ctx), context.DeadlineExceeded)
+				require.Equal(t, c.calls, source.calls)
+			})
+		})
+	}
+}
