Add a soak of real instances with seeded faults

Processes are stopped, killed, paused and restarted by their ids; planned work comes alone first, so that what it breaks can't be put down to a fault. Checked are: at most once, true refusals, whole and signed answers, configuration in force and never back, planned work cutting nothing, drains, stops in time, weights on all engines, recovery.

--- a/internal/cli/rccli/cli.go
+++ b/internal/cli/rccli/cli.go
@@ -35,6 +35,7 @@
 	Settings settingsCommand `cmd:"" help:"Check a settings file of the users' platform and print what it says."`
 	Load     loadCommand     `cmd:"" help:"Send a traffic shape to a running fleet and measure it."`
 	Report   reportCommand   `cmd:"" help:"Write an HTML report of a load result, or compare two."`
+	Soak     soakCommand     `cmd:"" help:"Play seeded faults against real instances on loopback and check the promises."`
 	Demo     demoCommand     `cmd:"" help:"Run router instances and stand-ins of the platform and the upstreams in one process."`
 }
 
--- /dev/null
+++ b/internal/eval/rcsoak/callers.go
@@ -0,0 +1,185 @@
+package rcsoak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
+)
+
+const (
+	callerCount = 10
+	// callerPause is the mean pause of a caller between two requests.
+	callerPause = 10 * time.Millisecond
+	// callerPatience is what callers state and wait.
+	callerPatience = 2500 * time.Millisecond
+	// contactTime is the platform's ContactMs: a fault excuses what happens until
+	// so long after its end.
+	contactTime = 3 * time.Second
+	// readyInterval and readyMisses are those of the platform's balancer.
+	readyInterval = time.Second
+	readyMisses   = 2
+)
+
+// refusals promise that the request did not run and never will.
+var refusals = map[int]bool{
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+// result is what a caller saw of a request.
+type result struct {
+	status int // 0 if the connection broke before a status line.
+	signed bool
+	body   string
+	err    error // Of the connection or the body.
+}
+
+// callers send requests and judge the answers.
+type callers struct {
+	s        *soak
+	sent     atomic.Int64
+	answered atomic.Int64
+	misses   []atomic.Int32 // Readiness checks in a row that failed, by instance.
+
+	mu      sync.Mutex
+	refused map[string]int // Requests that were refused, and with what.
+}
+
+func newCallers(s *soak) *callers {
+	return &callers{s: s, misses: make([]atomic.Int32, len(s.instances)), refused: map[string]int{}}
+}
+
+// watch plays the balancer's readiness checks.
+func (c *callers) watch(ctx context.Context) {
+	client := &http.Client{Timeout: readyInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		for n, i := range c.s.instances {
+			if i.isReady(client) {
+				c.misses[n].Store(0)
+			} else {
+				c.misses[n].Add(1)
+			}
+		}
+		if !rcwait.For(ctx, readyInterval) {
+			return
+		}
+	}
+}
+
+// run is one caller. It keeps a connection to each instance for as long as that
+// lasts, and opens new ones only to instances that are in rotation.
+func (c *callers) run(ctx context.Context, number int, rng *rand.Rand) {
+	clients := make([]*http.Client, len(c.s.instances))
+	for n := range clients {
+		transport := &http.Transport{MaxIdleConnsPerHost: 1}
+		defer transport.CloseIdleConnections()
+		clients[n] = &http.Client{Transport: transport, Timeout: callerPatience + 500*time.Millisecond}
+	}
+	for k := 0; rcwait.For(ctx, time.Duration(rng.Int64N(int64(2*callerPause)))); k++ {
+		n := rng.IntN(len(clients))
+		if c.misses[n].Load() >= readyMisses {
+			clients[n].CloseIdleConnections()
+			continue
+		}
+		path := []string{"/book/1", "/look/1", "/advice/1"}[rng.IntN(3)]
+		c.request(clients[n], c.s.instances[n], path, fmt.Sprintf("r-%d-%d", number, k))
+	}
+}
+
+func send(client *http.Client, i *instance, path, id string) (r result) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.front+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return result{err: err}
+	}
+	req.Host = "a.example"
+	for name, value := range map[string]string{
+		"Radishcrank-Attempt-Id": id, "X-Api-Key": "k1", "Radishcrank-Deadline-Ms": fmt.Sprint(callerPatience.Milliseconds()),
+	} {
+		req.Header.Set(name, value)
+	}
+	if strings.HasPrefix(path, "/advice/") {
+		req.Header.Set("Radishcrank-Model", model)
+		req.Header.Set("Radishcrank-Prefix-Hash", fmt.Sprintf("aa:2500,b%d:3000,%x:900", len(id)%4, id))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, signed: resp.Header.Get("Radishcrank-Response-Seal") != "", body: string(text), err: err}
+}
+
+// request sends one request and judges what comes back.
+func (c *callers) request(client *http.Client, i *instance, path, id string) {
+	begun := time.Now()
+	c.sent.Add(1)
+	r := send(client, i, path, id)
+	once := path == "/book/1"
+	if n := c.s.world.ledger.Runs(id); once && n > 1 {
+		c.s.broken("at most once", "%s ran %d times", id, n)
+	}
+	switch {
+	case r.status == http.StatusOK:
+		c.judgeAnswer(path, id, r)
+	case refusals[r.status] && once:
+		c.mu.Lock()
+		c.refused[id] = r.status
+		c.mu.Unlock()
+		c.judgeRefusals(id)
+	case r.status == http.StatusNotFound || r.status == http.StatusUnauthorized:
+		c.s.broken("proper requests are not denied", "%s to %s: status %d", id, path, r.status)
+	case r.status == 0 && c.s.world.ledger.Runs(id) > 0 && c.s.world.calmSince(begun.Add(-contactTime)):
+		c.s.broken("planned work cuts nothing", "%s to i%d, sent at %s: %v", id, i.number, c.s.clock(begun), r.err)
+	}
+}
+
+func (c *callers) judgeAnswer(path, id string, r result) {
+	want := "done " + id
+	if path == "/advice/1" {
+		want = wholeStream()
+	}
+	switch {
+	case r.err != nil && strings.HasPrefix(want, r.body):
+		return // Cut short, and it shows.
+	case !r.signed:
+		c.s.broken("answers are the upstream's", "%s: 200 without a signature", id)
+	case r.body != want:
+		c.s.broken("answers are whole", "%s: got %q (%v)", id, r.body, r.err)
+	default:
+		c.answered.Add(1)
+	}
+}
+
+// judgeRefusals checks that refused requests have not run.
+func (c *callers) judgeRefusals(ids ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(ids) == 0 {
+		for id := range c.refused {
+			ids = append(ids, id)
+		}
+	}
+	for _, id := range ids {
+		if n := c.s.world.ledger.Runs(id); n > 0 {
+			c.s.broken("refusals are true", "%s got %d and ran %d times", id, c.refused[id], n)
+		}
+	}
+}
+
+func wholeStream() string {
+	var b bytes.Buffer
+	for i := 1; i <= streamEvents; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/eval/rcsoak/process.go
@@ -0,0 +1,200 @@
+package rcsoak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// stopBound is the platform's GraceS: a process that was told to stop has ended by then.
+const stopBound = 8 * time.Second
+
+// settingsText is the platform's settings file of one instance. The bounds are
+// those of the standard deployments.
+const settingsText = `
+NodeName = "i%d"
+Ip = "127.0.0.1"
+Zone = "z%d"
+PortRange = [%d, %d]
+HeartbeatMs = 1200
+[Listen]
+Front = "127.0.0.1:%d"
+Ready = "127.0.0.1:%d"
+[Limits]
+CpuShare = 0.4
+MemoryMb = 284
+[Bounds]
+DrainMs = 2000
+GraceS = 8
+VersionMs = 10000
+LeaseMs = 3000
+RetryBudgetRatio = %.2f
+RetryBudgetSlack = 1000
+BudgetWindowS = 10
+[Provider]
+Address = "%s"
+RowBytes = 65536
+`
+
+// instance is one router process and its link to the store.
+type instance struct {
+	number  int
+	program []string
+	dir     string
+	front   string
+	ready   string
+	peer    int
+	store   *proxy
+
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	done      chan struct{} // Closed when cmd has ended.
+	started   int           // Number of starts.
+	stopping  bool
+	disturbed time.Time // End of the last fault that concerned it.
+	exits     []string  // Ends that nobody asked for.
+}
+
+func freePorts(n int) (ports []int, err error) {
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+func newInstance(number int, program []string, dir, store string) (i *instance, err error) {
+	defer func() {
+		if err != nil {
+			err = trace.Wrap(err, "instance %d", number)
+		}
+	}()
+	ports, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	link, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	i = &instance{
+		number: number, program: program, dir: dir, store: link, peer: ports[2],
+		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", ports[1]),
+	}
+	return i, i.writeSettings(0.5)
+}
+
+func (i *instance) settings() string { return filepath.Join(i.dir, fmt.Sprintf("i%d.toml", i.number)) }
+
+func (i *instance) writeSettings(ratio float64) error {
+	_, front, err := net.SplitHostPort(i.front)
+	if err != nil {
+		return err
+	}
+	var frontPort, readyPort int
+	if _, err := fmt.Sscan(front, &frontPort); err != nil {
+		return err
+	}
+	if _, err := fmt.Sscanf(i.ready, "http://127.0.0.1:%d/", &readyPort); err != nil {
+		return err
+	}
+	text := fmt.Sprintf(settingsText, i.number, i.number%2, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
+	return os.WriteFile(i.settings(), []byte(text), 0o600)
+}
+
+// start starts the process. Its log goes to a file beside the settings.
+func (i *instance) start() (err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	log, err := os.OpenFile(i.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(i.program[0], i.program[1:]...)
+	cmd.Env = append(os.Environ(), "RADISHCRANK_SETTINGS="+i.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return err
+	}
+	done := make(chan struct{})
+	i.cmd, i.done, i.stopping = cmd, done, false
+	i.started++
+	go func() {
+		defer close(done)
+		defer log.Close()
+		err := cmd.Wait()
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if !i.stopping || err != nil && cmd.ProcessState.ExitCode() >= 0 {
+			i.exits = append(i.exits, fmt.Sprintf("i%d ended by itself: %v", i.number, cmd.ProcessState))
+		}
+	}()
+	return nil
+}
+
+func (i *instance) logFile() string { return filepath.Join(i.dir, fmt.Sprintf("i%d.log", i.number)) }
+
+// signal sends a signal and returns a channel that is closed when the process has ended.
+func (i *instance) signal(s syscall.Signal, ends bool) <-chan struct{} {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopping = i.stopping || ends
+	_ = i.cmd.Process.Signal(s) // One that has ended is noticed by done.
+	return i.done
+}
+
+func (i *instance) running() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.stopping
+}
+
+func (i *instance) lifetime() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.started
+}
+
+// disturb notes a fault that lasts until a moment.
+func (i *instance) disturb(until time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if until.After(i.disturbed) {
+		i.disturbed = until
+	}
+}
+
+// calmSince reports whether no fault concerned the instance from a moment on.
+func (i *instance) calmSince(t time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.disturbed.Before(t)
+}
+
+func (i *instance) isReady(client *http.Client) bool {
+	resp, err := client.Get(i.ready)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// end kills the process and waits for it.
+func (i *instance) end() {
+	<-i.signal(syscall.SIGKILL, true)
+	i.store.close()
+}
--- /dev/null
+++ b/internal/eval/rcsoak/world.go
@@ -0,0 +1,253 @@
+package rcsoak
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeupstream"
+)
+
+const (
+	engineCount  = 4
+	serviceCount = 3
+	streamEvents = 30
+	// eventPause and serviceWork are short, so that much happens in a short run.
+	eventPause  = 5 * time.Millisecond
+	serviceWork = 15 * time.Millisecond
+	loadTime    = 400 * time.Millisecond
+	// drainTime is how long a leaving upstream goes on serving. It exceeds the
+	// platform's DrainMs, as it does there.
+	drainTime = 4 * time.Second
+	model     = "m"
+)
+
+const configText = `{"Version":%d,"Routes":[
+ {"Name":"advice","Hostname":"a.example","Prefix":"/advice/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":3},
+ {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":1},
+ {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2},
+ {"Name":"new","Hostname":"a.example","Prefix":"/new%d/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2}],
+"Services":[{"Name":"llm","Engine":{"Slots":32,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
+"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]}]}`
+
+// upstream is one stand-in of an upstream behind its link.
+type upstream struct {
+	*rcfakeupstream.Upstream
+	id      string
+	service string
+	link    *proxy
+	leftAt  time.Time // When the store had accepted that it leaves; zero while it does not.
+}
+
+// world is what surrounds the instances.
+type world struct {
+	store  *rcfakestore.Store
+	server *httptest.Server
+	ledger *rcfakeupstream.Ledger
+	faults [2]atomic.Int32 // Of every second request to a service, each a rcfakeupstream.Fault.
+
+	mu        sync.Mutex
+	upstreams []*upstream
+	left      []*upstream // Those that have announced that they leave.
+	made      int
+	config    int // Number of the newest configuration.
+	configAt  time.Time
+	weights   int64
+	weightsAt time.Time
+	faultEnd  time.Time // Latest end of any fault.
+}
+
+func newWorld() (w *world, err error) {
+	w = &world{store: rcfakestore.New(), ledger: rcfakeupstream.NewLedger()}
+	w.server = httptest.NewServer(w.store)
+	w.changeConfig()
+	w.nameWeights()
+	for range engineCount {
+		if err := w.addUpstream("llm"); err != nil {
+			return w, err
+		}
+	}
+	for range serviceCount {
+		if err := w.addUpstream("desk"); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) storeAddr() string { return strings.TrimPrefix(w.server.URL, "http://") }
+
+// addUpstream starts an upstream with the newest weights, as a new server has them.
+func (w *world) addUpstream(service string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.made++
+	fault, asked := &w.faults[0], atomic.Int32{}
+	if service == "llm" {
+		fault = &w.faults[1]
+	}
+	cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", w.made), Ledger: w.ledger, Work: serviceWork, Fault: func() rcfakeupstream.Fault {
+		if asked.Add(1)%2 == 0 {
+			return rcfakeupstream.None
+		}
+		return rcfakeupstream.Fault(fault.Load())
+	}}
+	if service == "llm" {
+		cfg.Model, cfg.Events, cfg.Work, cfg.LoadFor, cfg.Weights = model, streamEvents, eventPause, loadTime, w.weights
+	}
+	server, err := rcfakeupstream.Start(cfg)
+	if err != nil {
+		return err
+	}
+	link, err := newProxy(server.Addr)
+	if err != nil {
+		server.Close()
+		return err
+	}
+	u := &upstream{Upstream: server, id: cfg.ID, service: service, link: link}
+	w.upstreams = append(w.upstreams, u)
+	w.writeUpstream(u, "ready")
+	return nil
+}
+
+func (w *world) writeUpstream(u *upstream, state string) {
+	w.store.Put("servers", u.id, map[string]any{
+		"Service": u.service, "Address": u.link.addr(), "Zone": "z0", "State": state, "Slots": 32, "born": time.Now().UnixMilli(),
+		"Models": []any{map[string]any{"Name": model, "Version": u.Weights()}},
+	})
+}
+
+// take removes one upstream from those in use, if its service keeps others.
+func (w *world) take(target int) *upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.upstreams[target%len(w.upstreams)]
+	others := 0
+	kept := make([]*upstream, 0, len(w.upstreams))
+	for _, o := range w.upstreams {
+		if o == u {
+			continue
+		}
+		kept = append(kept, o)
+		if o.service == u.service {
+			others++
+		}
+	}
+	if others < 2 {
+		return nil
+	}
+	w.upstreams = kept
+	return u
+}
+
+// crash ends an upstream without notice; its entry lapses later, and it is back
+// as a new one.
+func (w *world) crash(target int) {
+	u := w.take(target)
+	if u == nil {
+		return
+	}
+	u.Close()
+	u.link.close()
+	time.AfterFunc(time.Second, func() { w.store.Drop("servers", u.id) })
+	w.replace(u)
+}
+
+// drain lets an upstream announce that it leaves.
+func (w *world) drain(target int) {
+	u := w.take(target)
+	if u == nil {
+		return
+	}
+	w.writeUpstream(u, "draining")
+	w.mu.Lock()
+	u.leftAt = time.Now()
+	w.left = append(w.left, u)
+	w.mu.Unlock()
+	time.AfterFunc(drainTime, func() {
+		w.store.Drop("servers", u.id)
+		u.Close()
+		u.link.close()
+	})
+	w.replace(u)
+}
+
+func (w *world) replace(u *upstream) {
+	time.AfterFunc(500*time.Millisecond, func() {
+		if err := w.addUpstream(u.service); err != nil {
+			panic(err) // No port is left on loopback.
+		}
+	})
+}
+
+func (w *world) changeConfig() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config++
+	w.store.PutBytes("op", "config", fmt.Appendf(nil, configText, w.config*3, w.config))
+	w.configAt = time.Now()
+}
+
+func (w *world) nameWeights() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.weights++
+	w.store.Put("op", "version/"+model, map[string]any{"Model": model, "Version": w.weights})
+	w.weightsAt = time.Now()
+}
+
+// disturb notes a fault that lasts until a moment.
+func (w *world) disturb(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until.After(w.faultEnd) {
+		w.faultEnd = until
+	}
+}
+
+// calmSince reports whether there was no fault at all from a moment on.
+func (w *world) calmSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faultEnd.Before(t)
+}
+
+func (w *world) current() (config int, since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config, w.configAt
+}
+
+// outdated returns the engines in use that do not have the newest weights.
+func (w *world) outdated() (ids []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range w.upstreams {
+		if u.service == "llm" && u.Weights() != w.weights {
+			ids = append(ids, u.id)
+		}
+	}
+	return ids
+}
+
+func (w *world) upstream(target int) *upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.upstreams[target%len(w.upstreams)]
+}
+
+func (w *world) close() {
+	w.store.SetFault(rcfakestore.None)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range append(w.upstreams, w.left...) {
+		u.Close()
+		u.link.close()
+	}
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -56,6 +56,7 @@
 	Work    time.Duration // Time of a plain answer, or between two events.
 	Events  int           // Events of a stream.
 	LoadFor time.Duration // Time that weights take to load.
+	Weights int64         // Weights at the start; 0 is 1.
 }
 
 // Upstream is one running upstream.
@@ -68,6 +69,7 @@
 	weights  int64
 	sequence int64
 	busy     bool
+	lastRun  time.Time
 }
 
 // Start listens on a loopback port.
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: 1}
+	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights)}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l) // Ends with Close only.
 	return u, nil
@@ -92,6 +94,13 @@
 	return u.weights
 }
 
+// LastRun returns when the last request began to run.
+func (u *Upstream) LastRun() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lastRun
+}
+
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
@@ -127,6 +136,9 @@
 		return
 	}
 	u.cfg.Ledger.run(id)
+	u.mu.Lock()
+	u.lastRun = time.Now()
+	u.mu.Unlock()
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
 	switch {
 	case fault == Reset:
