Make the soak's failing services answer with all faults in turn

Instances' ports lie outside the range of outgoing connections, one of which had taken a port during a restart.

--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -1,7 +1,9 @@
 package rcsoak
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -63,14 +65,25 @@
 	exits     []string  // Ends that nobody asked for.
 }
 
+// Ports of instances lie below the range from which the system takes ports for
+// outgoing connections: one of these could hold a port while its instance restarts.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
 func freePorts(n int) (ports []int, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for len(ports) < n {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		switch {
+		case errors.Is(err, syscall.EADDRINUSE):
+			continue
+		case err != nil:
 			return nil, err
 		}
 		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -30,7 +30,7 @@
 	failStore     kind = "fail store"     // The store itself misbehaves.
 	forgetStore   kind = "forget store"   // The store drops its history of changes.
 	crashUpstream kind = "crash upstream"
-	failService   kind = "fail service" // The upstreams of a service refuse, reset, fail or cut half of their answers.
+	failService   kind = "fail service" // The upstreams of a service refuse, reset, fail and cut half of their answers.
 )
 
 var (
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -21,7 +21,6 @@
 	"github.com/gravitational/trace"
 
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
-	"github.com/radishcrank/radishcrank/internal/standin/rcfakeupstream"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
@@ -230,9 +229,9 @@
 	case forgetStore:
 		s.world.store.Forget()
 	case failService:
-		fault := &s.world.faults[a.target%len(s.world.faults)]
-		fault.Store(int32(1 + a.variant%4))
-		later(func() { fault.Store(int32(rcfakeupstream.None)) })
+		faulty := &s.world.faulty[a.target%len(s.world.faulty)]
+		faulty.Add(1)
+		later(func() { faulty.Add(-1) })
 	case crashUpstream:
 		s.world.crash(a.target)
 	}
--- a/internal/eval/rcsoak/world.go
+++ b/internal/eval/rcsoak/world.go
@@ -48,7 +48,7 @@
 	store  *rcfakestore.Store
 	server *httptest.Server
 	ledger *rcfakeupstream.Ledger
-	faults [2]atomic.Int32 // Of every second request to a service, each a rcfakeupstream.Fault.
+	faulty [2]atomic.Int32 // Faults under way, of plain services and of engines.
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -86,15 +86,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.made++
-	fault, asked := &w.faults[0], atomic.Int32{}
+	faulty, asked := &w.faulty[0], atomic.Int32{}
 	if service == "llm" {
-		fault = &w.faults[1]
+		faulty = &w.faulty[1]
 	}
 	cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", w.made), Ledger: w.ledger, Work: serviceWork, Fault: func() rcfakeupstream.Fault {
-		if asked.Add(1)%2 == 0 {
+		n := asked.Add(1)
+		if n%2 == 0 || faulty.Load() == 0 {
 			return rcfakeupstream.None
 		}
-		return rcfakeupstream.Fault(fault.Load())
+		return []rcfakeupstream.Fault{rcfakeupstream.Refuse, rcfakeupstream.Reset, rcfakeupstream.Fail, rcfakeupstream.Cut}[n/2%4]
 	}}
 	if service == "llm" {
 		cfg.Model, cfg.Events, cfg.Work, cfg.LoadFor, cfg.Weights = model, streamEvents, eventPause, loadTime, w.weights
