Handle signals before anything else in an instance

A settings file that changes while a process starts is signalled before the process has read its settings, and SIGHUP without a handler ends it. The handlers are now set first; what remains is the start of the runtime itself, during which no program can handle a signal, so the soak leaves processes younger than 0.5 s alone.

--- a/internal/cli/rcnode/node.go
+++ b/internal/cli/rcnode/node.go
@@ -22,21 +22,22 @@
 
 // Main runs an instance until SIGTERM and returns its exit code.
 func Main(stdout, stderr io.Writer) int {
+	// First of all, since a signal that nobody waits for ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(stderr, "radishcrankd:", err)
 		return 1
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	lines := rclog.New(stdout)
 	defer lines.Close()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(lines).With().Timestamp().Logger()
 	instance := rcinstance.New(settings, log)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		for {
 			select {
--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -59,7 +59,8 @@
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	done      chan struct{} // Closed when cmd has ended.
-	started   int           // Number of starts.
+	startedAt time.Time
+	started   int // Number of starts.
 	stopping  bool
 	disturbed time.Time // End of the last fault that concerned it.
 	exits     []string  // Ends that nobody asked for.
@@ -143,7 +144,7 @@
 		return err
 	}
 	done := make(chan struct{})
-	i.cmd, i.done, i.stopping = cmd, done, false
+	i.cmd, i.done, i.stopping, i.startedAt = cmd, done, false, time.Now()
 	i.started++
 	go func() {
 		defer close(done)
@@ -160,6 +161,17 @@
 
 func (i *instance) logFile() string { return filepath.Join(i.dir, fmt.Sprintf("i%d.log", i.number)) }
 
+// handlersTime is how long a process may take until it handles signals. Before
+// that a signal ends it whatever the program does.
+const handlersTime = 500 * time.Millisecond
+
+// handlesSignals reports whether the process runs for long enough to handle signals.
+func (i *instance) handlesSignals() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.stopping && time.Since(i.startedAt) > handlersTime
+}
+
 // signal sends a signal and returns a channel that is closed when the process has ended.
 func (i *instance) signal(s syscall.Signal, ends bool) <-chan struct{} {
 	i.mu.Lock()
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -193,7 +193,7 @@
 		if err := i.writeSettings(0.3 + float64(a.variant%5)/10); err != nil {
 			s.broken("the soak itself works", "%v", err)
 		}
-		if a.variant%2 == 0 {
+		if a.variant%2 == 0 && i.handlesSignals() {
 			i.signal(syscall.SIGHUP, false)
 		}
 	case changeConfig:
@@ -239,7 +239,7 @@
 
 // stop stops an instance as planned and starts it again once it has ended.
 func (s *soak) stop(ctx context.Context, i *instance) {
-	if !i.running() {
+	if !i.handlesSignals() {
 		return
 	}
 	begun := time.Now()
