--- a/internal/eval/rcsoak/checks.go
+++ b/internal/eval/rcsoak/checks.go
@@ -23,8 +23,8 @@
 			config, since := s.world.current()
 			begun, lifetime := time.Now(), i.lifetime()
 			r := send(client, i, fmt.Sprintf("/new%d/1", config), fmt.Sprintf("p-%d-%d", n, k))
-			if r.status == 0 || lifetime != i.lifetime() {
-				continue
+			if now, _ := s.world.current(); r.status == 0 || lifetime != i.lifetime() || now != config {
+				continue // A newer configuration may have dropped the route meanwhile.
 			}
 			if lifetime != seen[n].lifetime {
 				seen[n] = known{lifetime: lifetime}
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -30,6 +30,9 @@
 }{
 	{seed: 20261204, length: 8 * time.Second},
 	{seed: 111, length: 15 * time.Second, cause: "SIGHUP during a start ended the process, which handled it only after it had read its settings"},
+	{seed: 122, length: 15 * time.Second, cause: "the soak took a route that a newer configuration had dropped for one of an older configuration"},
+	{seed: 133, length: 15 * time.Second, cause: "the stand-in of an engine did not renew its entry after a load, so that instances that started later had only refusals from it"},
+	{seed: 142, length: 15 * time.Second, cause: "as 122"},
 }
 
 // TestSoak guards against promises that break under planned work and faults.
--- a/internal/eval/rcsoak/world.go
+++ b/internal/eval/rcsoak/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	id      string
 	service string
 	link    *proxy
+	born    time.Time
 	leftAt  time.Time // When the store had accepted that it leaves; zero while it does not.
 }
 
@@ -100,6 +102,8 @@
 	if service == "llm" {
 		cfg.Model, cfg.Events, cfg.Work, cfg.LoadFor, cfg.Weights = model, streamEvents, eventPause, loadTime, w.weights
 	}
+	u := &upstream{id: cfg.ID, service: service}
+	cfg.Loaded = func() { w.renew(u) }
 	server, err := rcfakeupstream.Start(cfg)
 	if err != nil {
 		return err
@@ -109,7 +113,7 @@
 		server.Close()
 		return err
 	}
-	u := &upstream{Upstream: server, id: cfg.ID, service: service, link: link}
+	u.Upstream, u.link, u.born = server, link, time.Now()
 	w.upstreams = append(w.upstreams, u)
 	w.writeUpstream(u, "ready")
 	return nil
@@ -117,11 +121,20 @@
 
 func (w *world) writeUpstream(u *upstream, state string) {
 	w.store.Put("servers", u.id, map[string]any{
-		"Service": u.service, "Address": u.link.addr(), "Zone": "z0", "State": state, "Slots": 32, "born": time.Now().UnixMilli(),
+		"Service": u.service, "Address": u.link.addr(), "Zone": "z0", "State": state, "Slots": 32, "born": u.born.UnixMilli(),
 		"Models": []any{map[string]any{"Name": model, "Version": u.Weights()}},
 	})
 }
 
+// renew writes the entry of an upstream that has loaded weights.
+func (w *world) renew(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(w.upstreams, u) {
+		w.writeUpstream(u, "ready")
+	}
+}
+
 // take removes one upstream from those in use, if its service keeps others.
 func (w *world) take(target int) *upstream {
 	w.mu.Lock()
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -57,6 +57,7 @@
 	Events  int           // Events of a stream.
 	LoadFor time.Duration // Time that weights take to load.
 	Weights int64         // Weights at the start; 0 is 1.
+	Loaded  func()        // Called after a load; nil calls nobody.
 }
 
 // Upstream is one running upstream.
@@ -205,8 +206,11 @@
 		u.sequence++
 		time.AfterFunc(u.cfg.LoadFor, func() {
 			u.mu.Lock()
-			defer u.mu.Unlock()
 			u.busy, u.weights = false, order.Version
+			u.mu.Unlock()
+			if u.cfg.Loaded != nil {
+				u.cfg.Loaded()
+			}
 		})
 		w.WriteHeader(http.StatusAccepted)
 	}
