--- /dev/null
+++ b/internal/cli/rctrace/page_test.go
@@ -0,0 +1,71 @@
+package rctrace
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+)
+
+const root = "../../.."
+
+// eventFolders hold all code that writes log lines on the users' platform.
+var eventFolders = []string{
+	"platform", "internal/node/rcinstance", "internal/serving/rcforward", "internal/record/rcrollout",
+	"internal/state/rcfeed", "internal/state/rclog", "internal/cli/rcnode",
+}
+
+// TestPageNamesAllEvents guards against a log event that docs/OPERATIONS.md does
+// not explain, and against one on the page that is no longer written.
+func TestPageNamesAllEvents(t *testing.T) {
+	written := map[string]bool{}
+	event := regexp.MustCompile(`"Event\\?",? ?:?\\?"([A-Za-z]+)\\?"|"Event", "([A-Za-z]+)"`)
+	for _, folder := range eventFolders {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, m := range event.FindAllStringSubmatch(string(text), -1) {
+				written[m[1]+m[2]] = true
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+	page, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	require.NoError(t, err)
+	_, table, _ := strings.Cut(string(page), "| Event |")
+	table, _, _ = strings.Cut(table, "\n\n")
+	explained := map[string]bool{}
+	for row := range strings.Lines(table) {
+		first, _, _ := strings.Cut(strings.TrimPrefix(row, "|"), "|")
+		for _, m := range regexp.MustCompile("`([A-Za-z]+)`").FindAllStringSubmatch(first, -1) {
+			explained[m[1]] = true
+		}
+	}
+	require.Equal(t, written, explained)
+}
+
+// TestPagesNameMetricsThatExist guards against a page that sends an operator to a
+// counter or histogram that is gone.
+func TestPagesNameMetricsThatExist(t *testing.T) {
+	known := map[string]bool{}
+	for _, m := range append(append([]rcmetric.Metric{}, rcmetric.Table...), rcmetric.PlatformTable...) {
+		known[string(m.Name)] = true
+	}
+	for _, m := range rcmetric.TimingTable {
+		known[string(m.Name)] = true
+	}
+	page, err := os.ReadFile(filepath.Join(root, "docs/operators/runbooks.md"))
+	require.NoError(t, err)
+	for _, m := range regexp.MustCompile("(?:counter|histogram) `([A-Za-z0-9]+)`").FindAllStringSubmatch(string(page), -1) {
+		require.True(t, known[m[1]], m[1])
+	}
+}
