Start a fleet with fewer calls to the store

Now few try to make the key, an instance reads the others' rows once all can be there, and nobody competes for the lease before it knows who the relays are.

--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"time"
@@ -47,6 +48,7 @@
 	self   member
 	put    func(m member)
 	drop   func(name string)
+	read   func() // Called when all rows have been read.
 	log    zerolog.Logger
 }
 
@@ -57,14 +59,20 @@
 // sharedSecret returns the key by which instances know each other. The first
 // one that asks makes it.
 func (m *members) sharedSecret(ctx context.Context) (key []byte, err error) {
-	for {
+	for waited := false; ; {
 		rows, err := m.table.Get(ctx, sharedKey)
 		if err == nil && rows[0].Version > 0 {
 			return rows[0].Value, nil
 		}
+		if err == nil && !waited {
+			// Of a fleet that starts at once, few instances try to make the key.
+			waited = true
+			rcwait.For(ctx, rand.N(startSpread))
+			continue
+		}
 		if err == nil {
 			key = make([]byte, sharedKeyBytes)
-			rand.Read(key)
+			cryptorand.Read(key)
 			err = m.table.Commit(ctx, radishcrank.Transaction{
 				Checks: []radishcrank.Check{{Key: sharedKey}},
 				Writes: []radishcrank.Write{{Key: sharedKey, Value: key}},
@@ -111,6 +119,7 @@
 			for _, row := range rows {
 				m.row(row)
 			}
+			m.read()
 		},
 		Change: m.row,
 	})
--- /dev/null
+++ b/internal/node/rcinstance/members_test.go
@@ -0,0 +1,52 @@
+package rcinstance
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/platform"
+)
+
+// TestFewMakeTheKey guards against a fleet that starts at once and of which every
+// instance tries to make the shared key (Riga grown: 57 refused writes), and
+// against instances with different keys.
+func TestFewMakeTheKey(t *testing.T) {
+	const instances = 30
+	fake := rcfakestore.New()
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	store := platform.NewStore(platform.StoreConfig{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	keys := make([]string, instances)
+	var wg sync.WaitGroup
+	for n := range instances {
+		wg.Go(func() {
+			m := &members{table: &platform.Table{Store: store, Name: membersTable}, log: zerolog.Nop()}
+			key, err := m.sharedSecret(t.Context())
+			assert.NoError(t, err)
+			keys[n] = string(key)
+		})
+	}
+	wg.Wait()
+	for _, key := range keys {
+		require.Equal(t, keys[0], key)
+		require.Len(t, key, sharedKeyBytes)
+	}
+	// Two reads each, and a write and another read of those that come first together.
+	require.LessOrEqual(t, fake.Calls(), 2*instances+instances/3)
+}
+
+// TestLeaseWaitsForTheOthers guards against a fleet that starts at once and of
+// which every instance competes for the lease, before it knows who the relays are.
+func TestLeaseWaitsForTheOthers(t *testing.T) {
+	p := fleetOf(3, 1)[0]
+	require.True(t, p.leaseHeld())
+	p.known = true
+	require.False(t, p.leaseHeld())
+}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -33,6 +33,13 @@
 	maxQueuedHolds = 2000
 	// loadsPace is how often instances tell what they have under way.
 	loadsPace = 100 * time.Millisecond
+	// startSpread is how far the starts of a fleet lie apart, with some room. An
+	// instance that reads the others' rows so long after it wrote its own sees a
+	// fleet that starts at once with one call.
+	startSpread = 700 * time.Millisecond
+	// registerPatience is how long an instance waits for its own row to be written
+	// before it reads the others'.
+	registerPatience = 3 * time.Second
 	// crashPace is how often records of crashes are exchanged.
 	crashPace = 500 * time.Millisecond
 )
@@ -76,6 +83,7 @@
 
 	mu        sync.Mutex
 	members   map[string]*peer
+	known     bool // The others' rows have been read.
 	next      news
 	loads     map[radishcrank.InstanceID]toldLoads
 	fromZone  news // What a relay has heard from its zone and tells all others.
@@ -132,8 +140,8 @@
 func (p *peers) leaseHeld() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.relayedLocked() && p.relayOfLocked(p.i.settings.Zone) != nil {
-		return true // Only relays compete.
+	if !p.known || p.relayedLocked() && p.relayOfLocked(p.i.settings.Zone) != nil {
+		return true // Only relays compete, and who they are is not known at first.
 	}
 	return time.Since(p.leaseSeen) < leaseNewsLife
 }
@@ -220,6 +228,11 @@
 			defer p.mu.Unlock()
 			delete(p.members, name)
 		},
+		read: func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.known = true
+		},
 		log: i.log,
 	}
 	listener, err := net.Listen("tcp", i.settings.Peer.String())
@@ -241,11 +254,21 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { _ = rcrpc.NewServer(listener, cfg).Run(ctx) }) // Ends with ctx only.
-	wg.Go(func() { _ = members.follow(ctx) })                     // Ends with ctx only.
 	wg.Go(func() { p.tell(ctx, client) })
+	registered := make(chan struct{})
+	wg.Go(func() {
+		select {
+		case <-registered:
+			rcwait.For(ctx, startSpread)
+		case <-time.After(registerPatience):
+		case <-ctx.Done():
+		}
+		_ = members.follow(ctx) // Ends with ctx only.
+	})
 	if err := members.register(ctx); err != nil {
 		return err
 	}
+	close(registered)
 	<-ctx.Done()
 	return ctx.Err()
 }
