--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -1,10 +1,12 @@
 package rcinstance
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -20,7 +22,10 @@
 func TestFewMakeTheKey(t *testing.T) {
 	const instances = 30
 	fake := rcfakestore.New()
-	server := httptest.NewServer(fake)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(30 * time.Millisecond) // So that all have read before the first one writes.
+		fake.ServeHTTP(w, r)
+	}))
 	defer server.Close()
 	store := platform.NewStore(platform.StoreConfig{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())})
 	keys := make([]string, instances)
