--- a/internal/eval/rcsoak/checks.go
+++ b/internal/eval/rcsoak/checks.go
@@ -9,9 +9,8 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
-// probeConfig asks each instance for the newest route and the one before it, and
-// checks that the answers come from a configuration that is new enough and never
-// from an older one than before.
+// probeConfig asks each instance for the newest route and checks that the answers
+// come from a configuration that is new enough and never from an older one than before.
 func (s *soak) probeConfig(ctx context.Context) {
 	client := &http.Client{Timeout: callerPatience, Transport: &http.Transport{DisableKeepAlives: true}}
 	type known struct {
@@ -49,8 +48,9 @@
 	defer s.world.mu.Unlock()
 	for _, u := range s.world.left {
 		bound := u.leftAt.Add(drainBound)
-		if last := u.LastRun(); last.After(bound) && s.world.faultEnd.Before(u.leftAt.Add(-contactTime)) {
-			s.report.Broken = append(s.report.Broken, fmt.Sprintf("%s got a request %s after it announced that it leaves", u.id, last.Sub(u.leftAt)))
+		if last := u.LastRun(); !u.late && last.After(bound) && s.world.faultEnd.Before(u.leftAt.Add(-contactTime)) {
+			u.late = true
+			s.broken("upstreams that leave are left alone", "%s got a request %s after it announced that it leaves", u.id, last.Sub(u.leftAt))
 		}
 	}
 }
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -214,7 +214,7 @@
 func (p *peers) run(ctx context.Context) (err error) {
 	i := p.i
 	table := &platform.Table{Store: i.store, Name: membersTable}
-	members := &members{
+	roster := &members{
 		table:  table,
 		source: table,
 		self:   p.self.member,
@@ -239,7 +239,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := members.sharedSecret(ctx)
+	key, err := roster.sharedSecret(ctx)
 	if err != nil {
 		listener.Close()
 		return err
@@ -263,9 +263,9 @@
 		case <-time.After(registerPatience):
 		case <-ctx.Done():
 		}
-		_ = members.follow(ctx) // Ends with ctx only.
+		_ = roster.follow(ctx) // Ends with ctx only.
 	})
-	if err := members.register(ctx); err != nil {
+	if err := roster.register(ctx); err != nil {
 		return err
 	}
 	close(registered)
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -31,10 +31,9 @@
 	// crossZoneCost is the round trip between two zones, with something on top
 	// for the price of the bytes.
 	crossZoneCost = 3 * time.Millisecond
-	// strayCost keeps a prompt at its owner while that costs less than the copy
-	// of its shared parts to another engine and the memory that it takes there.
-	strayCost  = 25 * time.Millisecond
-	strayShare = 1.0
+	// strayCost keeps a prompt at its owner while that costs less than a copy of
+	// its shared parts in another engine's memory.
+	strayCost = 25 * time.Millisecond
 	// rankCost is the price of each step down in the order of engines that all
 	// instances agree on for a prompt. Loads that are told are some hundred
 	// milliseconds old, as long as it takes to read one or two long prompts, so a
@@ -165,12 +164,9 @@
 	if req.Model != "" {
 		d = prefillTime(s.Prefilling+s.Others.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
 		if !c.Owner && c.Missing > 0 && sharedTokens > 0 {
-			// What is copied need not be prefilled, so the owner's lead is bounded.
-			d -= min(prefillTime(sharedTokens), prefillTime(c.Missing))
-			// Instances whose pictures are as old as each other's agree on a second
-			// engine for a prompt rather than on the one that is idle at the moment.
-			d += time.Duration(rank) * rankCost
-			d += strayCost + time.Duration(strayShare*float64(prefillTime(min(sharedTokens, c.Missing))))
+			// Parts that could be copied count as if they were read: each copy pushes
+			// other parts out of an engine's memory.
+			d += strayCost + time.Duration(rank)*rankCost
 		}
 		if over := s.Running + s.Others.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
 			d += time.Duration(over) * slotCost
