Do not send to old weights what would wait there past their time

A possible one, found by reading: weights were judged when a request was sent, while the rule counts when it begins, and engines that are full begin it up to two seconds later. The expected wait now counts. The test fails without the change.

--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -125,12 +125,13 @@
 			continue
 		}
 		c := Choice{State: *s, Owner: s.ID == ranks.owner}
+		var age time.Duration // Since newer weights were named.
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
-			age := oldFor(req, c.Weights, now)
-			if c.Weights == "" || req.OldLife > 0 && age >= req.OldLife {
+			if c.Weights == "" {
 				continue
 			}
+			age = oldFor(req, c.Weights, now)
 			c.Salt = req.Salt(c.Weights)
 			c.Missing = total - heldUnder(c.Salt)[s.ID].Tokens
 			if c.Owner {
@@ -138,6 +139,9 @@
 			}
 		}
 		c.Cost = cost(req, s, c, ranks.of[s.ID], sharedTokens, now)
+		if age > 0 && req.OldLife > 0 && age+c.Cost >= req.OldLife {
+			continue // It would begin on the old weights after their time.
+		}
 		if !preferred.has(s.ID) {
 			c.Cost += leaveCost(req.Pauses)
 		}
--- a/internal/routing/rcaffinity/choose_test.go
+++ b/internal/routing/rcaffinity/choose_test.go
@@ -227,3 +227,21 @@
 	})
 	require.Less(t, time.Duration(r.NsPerOp()), maxChoose)
 }
+
+// TestOldWeightsEndBeforeTheQueueDoes guards against a request that is sent to old
+// weights in time and begins there too late, behind what waits at the engine.
+func TestOldWeightsEndBeforeTheQueueDoes(t *testing.T) {
+	states := engines(3)
+	req := request("key")
+	now := time.Now()
+	named, _ := rcweights.History{}.Add("1", now.Add(-time.Minute))
+	named, _ = named.Add("2", now.Add(-7*time.Second))
+	req.Named, req.OldLife = named, 8*time.Second
+	_, ok := Choose(req, states, now)
+	require.True(t, ok)
+	for i := range states {
+		states[i].Others.Prefilling = 60_000 // 1.5 s.
+	}
+	_, ok = Choose(req, states, now)
+	require.False(t, ok)
+}
