--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -248,7 +248,8 @@
 		return
 	}
 	i.named[model] = next
-	i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).Send()
+	i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).
+		Int64("UptimeMS", time.Since(i.born).Milliseconds()).Send()
 }
 
 func (i *Instance) allNamed() (all []rcweights.History) {
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -83,11 +83,13 @@
 
 // Choice is the upstream for an exchange.
 type Choice struct {
-	State    rcfleet.State
-	Weights  radishcrank.WeightsVersion
-	Salt     string
-	KVSource netip.AddrPort // Engine or store that is likely to hold what this one lacks.
-	KVTarget netip.AddrPort // Store that is to get the parts.
+	State   rcfleet.State
+	Weights radishcrank.WeightsVersion
+	// ReplacedFor is how long newer weights have been named; 0 means that there are none.
+	ReplacedFor time.Duration
+	Salt        string
+	KVSource    netip.AddrPort // Engine or store that is likely to hold what this one lacks.
+	KVTarget    netip.AddrPort // Store that is to get the parts.
 	// StoreUsed names the store if the exchange reads parts from it or writes them to it.
 	StoreUsed radishcrank.UpstreamID
 	Cost      time.Duration
@@ -125,13 +127,12 @@
 			continue
 		}
 		c := Choice{State: *s, Owner: s.ID == ranks.owner}
-		var age time.Duration // Since newer weights were named.
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
 			if c.Weights == "" {
 				continue
 			}
-			age = oldFor(req, c.Weights, now)
+			c.ReplacedFor = oldFor(req, c.Weights, now)
 			c.Salt = req.Salt(c.Weights)
 			c.Missing = total - heldUnder(c.Salt)[s.ID].Tokens
 			if c.Owner {
@@ -139,7 +140,7 @@
 			}
 		}
 		c.Cost = cost(req, s, c, ranks.of[s.ID], sharedTokens, now)
-		if age > 0 && req.OldLife > 0 && age+c.Cost >= req.OldLife {
+		if c.ReplacedFor > 0 && req.OldLife > 0 && c.ReplacedFor+c.Cost >= req.OldLife {
 			continue // It would begin on the old weights after their time.
 		}
 		if !preferred.has(s.ID) {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -354,7 +354,8 @@
 		Int64("CostMS", c.Cost.Milliseconds()).Int("Running", s.Running).Int("OthersRunning", s.Others.Running).
 		Int64("AgeMS", time.Since(x.ReceivedAt).Milliseconds()).Int64("LeftMS", time.Until(x.Deadline).Milliseconds())
 	if x.Generates() {
-		e = e.Str("Weights", string(c.Weights)).Bool("Owner", c.Owner).Int("Missing", c.Missing).
+		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
+			Bool("Owner", c.Owner).Int("Missing", c.Missing).
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.Others.Prefilling).Bool("Copied", c.KVSource.IsValid())
 	}
 	if !s.ReportedAt.IsZero() {
