Show that a restart moves the deadline of old weights, known red

TestRestartKeepsDeadlineOfOldWeights fails on this code: an instance that starts 2 s after the naming counts the 4 s from its start and sends to the older weights 4.007 s after the naming. The engine stand-in can now be occupied, so that no order brings it newer weights.

--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -1,6 +1,7 @@
 package rcinstance
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,6 +31,7 @@
 type site struct {
 	t         *testing.T
 	store     *rcfakestore.Store
+	storeAddr netip.AddrPort
 	ledger    *rcfakeupstream.Ledger
 	engines   []*rcfakeupstream.Upstream
 	instances []*Instance
@@ -60,14 +62,28 @@
 	return addrs
 }
 
+// siteOptions vary a site.
+type siteOptions struct {
+	instances int
+	fault     func() rcfakeupstream.Fault
+	// occupied engines carry out no orders.
+	occupied    bool
+	weightsTime time.Duration // 0 is 10 s.
+}
+
 func newSite(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *site {
+	return newSiteWith(t, siteOptions{instances: instances, fault: fault})
+}
+
+func newSiteWith(t *testing.T, o siteOptions) *site {
 	s := &site{t: t, store: rcfakestore.New(), ledger: rcfakeupstream.NewLedger()}
 	front := httptest.NewServer(s.store)
 	t.Cleanup(front.Close)
+	s.storeAddr = netip.MustParseAddrPort(front.Listener.Addr().String())
 	s.configure(1, "")
 	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
 	for i := range 7 {
-		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Ledger: s.ledger, Fault: fault, Work: 2 * time.Millisecond, LoadFor: 300 * time.Millisecond}
+		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Ledger: s.ledger, Fault: o.fault, Work: 2 * time.Millisecond, LoadFor: 300 * time.Millisecond, Occupied: o.occupied}
 		service := "desk"
 		if i < 4 {
 			cfg.Model, cfg.Events, service = "m", 8, "llm"
@@ -83,30 +99,8 @@
 			"Models": []any{map[string]any{"Name": cfg.Model, "Version": 1}},
 		})
 	}
-	for i := range instances {
-		ports := freePorts(t, 4)
-		settings := platform.Settings{
-			Instance: fmt.Sprint("i", i), Zone: "z", Callers: ports[0], Ready: ports[1], Peer: ports[2], Metrics: ports[3],
-			Store:       netip.MustParseAddrPort(front.Listener.Addr().String()),
-			WeightsTime: 10 * time.Second, StopTime: 8 * time.Second, RepeatRatio: 0.5, RepeatSlack: 1000, RepeatWindow: 10 * time.Second,
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		instance := New(settings, zerolog.Nop())
-		s.instances = append(s.instances, instance)
-		go func() {
-			done <- instance.Run(ctx)
-			close(done)
-		}()
-		s.callers, s.stop, s.stopped = append(s.callers, ports[0].String()), append(s.stop, cancel), append(s.stopped, done)
-		require.Eventually(t, func() bool {
-			resp, err := http.Get("http://" + ports[1].String() + "/radishcrank/ready")
-			if err != nil {
-				return false
-			}
-			resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		}, 5*time.Second, 10*time.Millisecond)
+	for range o.instances {
+		s.start(cmp.Or(o.weightsTime, 10*time.Second))
 	}
 	t.Cleanup(func() {
 		for i := range s.stop {
@@ -119,6 +113,33 @@
 	return s
 }
 
+// start starts one more instance and waits until it is ready.
+func (s *site) start(weightsTime time.Duration) {
+	ports := freePorts(s.t, 4)
+	settings := platform.Settings{
+		Instance: fmt.Sprint("i", len(s.instances)), Zone: "z", Callers: ports[0], Ready: ports[1], Peer: ports[2], Metrics: ports[3],
+		Store:       s.storeAddr,
+		WeightsTime: weightsTime, StopTime: 8 * time.Second, RepeatRatio: 0.5, RepeatSlack: 1000, RepeatWindow: 10 * time.Second,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	instance := New(settings, zerolog.Nop())
+	s.instances = append(s.instances, instance)
+	go func() {
+		done <- instance.Run(ctx)
+		close(done)
+	}()
+	s.callers, s.stop, s.stopped = append(s.callers, ports[0].String()), append(s.stop, cancel), append(s.stopped, done)
+	require.Eventually(s.t, func() bool {
+		resp, err := http.Get("http://" + ports[1].String() + "/radishcrank/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 func (s *site) configure(version int, routes string) {
 	s.store.PutBytes("op", "config", fmt.Appendf(nil, siteConfig, version, routes))
 }
@@ -229,6 +250,28 @@
 	require.Positive(t, served)
 }
 
+// TestRestartKeepsDeadlineOfOldWeights guards against an instance that starts
+// after newer weights were named and counts the time that older ones may be used
+// from its start (VERSION on boxflow-riga: 10,170 ms after the naming).
+func TestRestartKeepsDeadlineOfOldWeights(t *testing.T) {
+	const bound = 4 * time.Second
+	s := newSiteWith(t, siteOptions{instances: 1, occupied: true, weightsTime: bound})
+	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 2})
+	named := time.Now()
+	status, _, _ := s.call(0, http.MethodPost, "/advice/1", "before")
+	require.Equal(t, http.StatusOK, status, "older weights serve until their deadline")
+	time.Sleep(bound / 2)
+	s.start(bound)
+	for n := 0; time.Since(named) < bound*5/4; n++ {
+		sent, id := time.Now(), fmt.Sprint("after", n)
+		s.call(1, http.MethodPost, "/advice/1", id)
+		if sent.Sub(named) > bound {
+			require.Zero(t, s.ledger.Runs(id), "a request began on weights 1, %s after weights 2 were named", sent.Sub(named))
+		}
+		time.Sleep(bound / 100)
+	}
+}
+
 // TestConfigurationComesIntoForce guards against routes that are added or removed
 // and not seen within the 2 s that the platform gives.
 func TestConfigurationComesIntoForce(t *testing.T) {
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -58,6 +58,8 @@
 	LoadFor time.Duration // Time that weights take to load.
 	Weights int64         // Weights at the start; 0 is 1.
 	Loaded  func()        // Called after a load; nil calls nobody.
+	// Occupied makes orders fail, as while the engine carries out another one.
+	Occupied bool
 }
 
 // Upstream is one running upstream.
@@ -197,7 +199,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
-	case u.busy || order.Expected != nil && *order.Expected != u.sequence:
+	case u.cfg.Occupied || u.busy || order.Expected != nil && *order.Expected != u.sequence:
 		w.WriteHeader(http.StatusConflict)
 	case order.Version == u.weights:
 		w.WriteHeader(http.StatusOK)
