Count the time of old weights from their naming, across restarts

Cause: an instance took the time at which its process first read the naming for the time of the naming. Each restart began the time anew, and an instance that was cut off from the store counted from its return. Evidence: after the bound only the two instances that had been restarted since the naming sent to weights 1 (19 requests), the other four none.

The class is a bound that is counted from when a process learned of a thing instead of from the thing. Times of namings now count on the store's clock and last in the store: the first instance that sees one records it, those that did not see it as it came go by the record. The feed says of each row since when it counts, so that outages, freezes and silent relays take no time off either.

TestDeadlinesSurviveRestartsAndCuts and TestUnrecordedNamingIsOld fail if an unknown time counts as now.

--- a/internal/node/rcinstance/directory.go
+++ b/internal/node/rcinstance/directory.go
@@ -29,7 +29,7 @@
 	fleet *rcfleet.Fleet
 	// setConfig is called with newer and newer configurations only.
 	setConfig  func(t *rcroute.Table)
-	setWeights func(model radishcrank.ModelID, w radishcrank.WeightsVersion)
+	setWeights func(model radishcrank.ModelID, w radishcrank.WeightsVersion, s rcfeed.Sight)
 	log        zerolog.Logger
 
 	version   int64 // Of the newest configuration.
@@ -41,9 +41,9 @@
 func (d *directory) follow(cfg rcfeed.Config) {
 	operator := cfg
 	operator.Table, operator.Pace = platform.OperatorTable, operatorPace
-	operator.Change, operator.Reset = d.operatorRow, func(rows []rcfeed.Row) {
+	operator.Change, operator.Reset = d.operatorRow, func(rows []rcfeed.Row, s rcfeed.Sight) {
 		for _, row := range rows {
-			d.operatorRow(row)
+			d.operatorRow(row, s)
 		}
 	}
 	d.operator = rcfeed.New(operator)
@@ -71,7 +71,7 @@
 
 func (d *directory) followUpstreams(ctx context.Context) error { return d.upstreams.Run(ctx) }
 
-func (d *directory) operatorRow(row rcfeed.Row) {
+func (d *directory) operatorRow(row rcfeed.Row, s rcfeed.Sight) {
 	if row.Removed {
 		return // What was in force stays in force until something newer is written.
 	}
@@ -83,11 +83,11 @@
 		d.version = r.Config.Version
 		d.setConfig(r.Config)
 	case r.Weights != "":
-		d.setWeights(r.Model, r.Weights)
+		d.setWeights(r.Model, r.Weights, s)
 	}
 }
 
-func (d *directory) resetUpstreams(rows []rcfeed.Row) {
+func (d *directory) resetUpstreams(rows []rcfeed.Row, _ rcfeed.Sight) {
 	var entries []rcfleet.Entry
 	for _, row := range rows {
 		if e, ok := d.entry(row); ok {
@@ -97,7 +97,7 @@
 	d.fleet.Replace(entries)
 }
 
-func (d *directory) upstreamRow(row rcfeed.Row) {
+func (d *directory) upstreamRow(row rcfeed.Row, _ rcfeed.Sight) {
 	if e, ok := d.entry(row); ok {
 		d.fleet.Put(e)
 		return
--- a/internal/node/rcinstance/directory_test.go
+++ b/internal/node/rcinstance/directory_test.go
@@ -20,20 +20,23 @@
 	var weights []radishcrank.WeightsVersion
 	d := &directory{
 		log: zerolog.Nop(), fleet: rcfleet.New(),
-		setConfig:  func(t *rcroute.Table) { versions = append(versions, t.Version) },
-		setWeights: func(_ radishcrank.ModelID, w radishcrank.WeightsVersion) { weights = append(weights, w) },
+		setConfig: func(t *rcroute.Table) { versions = append(versions, t.Version) },
+		setWeights: func(_ radishcrank.ModelID, w radishcrank.WeightsVersion, _ rcfeed.Sight) {
+			weights = append(weights, w)
+		},
 	}
 	row := func(version int) rcfeed.Row {
 		return rcfeed.Row{Key: "config", Value: fmt.Appendf(nil, siteConfig, version, "")}
 	}
-	d.operatorRow(row(7))
-	d.operatorRow(row(9))
-	d.operatorRow(row(7))
-	d.operatorRow(rcfeed.Row{Key: "config", Value: []byte("{")})
-	d.operatorRow(rcfeed.Row{Key: "config", Removed: true})
+	now := rcfeed.Sight{}
+	d.operatorRow(row(7), now)
+	d.operatorRow(row(9), now)
+	d.operatorRow(row(7), now)
+	d.operatorRow(rcfeed.Row{Key: "config", Value: []byte("{")}, now)
+	d.operatorRow(rcfeed.Row{Key: "config", Removed: true}, now)
 	require.Equal(t, []int64{7, 9}, versions)
-	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":2}`)})
-	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":"x"}`)})
+	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":2}`)}, now)
+	d.operatorRow(rcfeed.Row{Key: "version/m", Value: []byte(`{"Model":"m","Version":"x"}`)}, now)
 	require.Equal(t, []radishcrank.WeightsVersion{"2"}, weights)
 }
 
@@ -42,9 +45,9 @@
 func TestRemovedUpstream(t *testing.T) {
 	d := &directory{log: zerolog.Nop(), fleet: rcfleet.New()}
 	good := []byte(`{"Service":"s","Address":"10.0.0.1:80","State":"ready","born":1}`)
-	d.resetUpstreams([]rcfeed.Row{{Key: "a", Value: good}, {Key: "b", Value: good}, {Key: "c", Value: []byte("{")}})
+	d.resetUpstreams([]rcfeed.Row{{Key: "a", Value: good}, {Key: "b", Value: good}, {Key: "c", Value: []byte("{")}}, rcfeed.Sight{})
 	require.Len(t, d.fleet.All(), 2)
-	d.upstreamRow(rcfeed.Row{Key: "a", Removed: true})
-	d.upstreamRow(rcfeed.Row{Key: "b", Value: []byte("[]")})
+	d.upstreamRow(rcfeed.Row{Key: "a", Removed: true}, rcfeed.Sight{})
+	d.upstreamRow(rcfeed.Row{Key: "b", Value: []byte("[]")}, rcfeed.Sight{})
 	require.Empty(t, d.fleet.All())
 }
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +23,7 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcclock"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
@@ -32,6 +32,12 @@
 	"github.com/radishcrank/radishcrank/platform"
 )
 
+// Tables of the store that the instances share, beside membersTable.
+const (
+	leaseTable   = "radishcrank-lease"
+	weightsTable = "radishcrank-weights" // When which weights were named.
+)
+
 const (
 	// leaseDuration is how long a holder of the orders' lease may be silent before
 	// another one takes over. It exceeds the time that two holders' orders must be
@@ -70,9 +76,8 @@
 	born      time.Time
 	table     atomic.Pointer[rcroute.Table]
 	closing   atomic.Bool
-
-	mu    sync.Mutex
-	named map[radishcrank.ModelID]rcweights.History
+	clock     rcclock.Clock // The store's.
+	named     *rcweights.Keeper
 }
 
 // New assembles an instance.
@@ -88,10 +93,15 @@
 		pool:     rcconn.New(rcconn.Config{}),
 		metrics:  &rcmetric.Set{},
 		born:     time.Now(),
-		named:    map[radishcrank.ModelID]rcweights.History{},
 	}
 	i.live.Store(&s)
-	i.store = platform.NewStore(platform.StoreConfig{Addr: s.Store, Timed: func(d time.Duration) { i.metrics.Record(rcmetric.StoreTime, d) }})
+	i.store = platform.NewStore(platform.StoreConfig{
+		Addr: s.Store, Clock: &i.clock,
+		Timed: func(d time.Duration) { i.metrics.Record(rcmetric.StoreTime, d) },
+	})
+	i.named = rcweights.NewKeeper(rcweights.KeeperConfig{
+		Table: &platform.Table{Store: i.store, Name: weightsTable}, Now: i.clock.Now, Log: i.log,
+	})
 	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
 	i.peers = newPeers(i)
 	i.directory = &directory{fleet: i.fleet, setConfig: i.setTable, setWeights: i.setNamed, log: i.log}
@@ -114,6 +124,7 @@
 	add(i.directory.followUpstreams)
 	add(i.peers.run)
 	add(i.guard.Run)
+	add(i.named.Run)
 	add(i.lead)
 
 	callers, err := net.Listen("tcp", i.settings.Callers.String())
@@ -220,7 +231,7 @@
 			Window: i.settings.RepeatWindow, Instances: i.peers.count,
 		}),
 		Guard:    i.guard,
-		Weights:  i.weights,
+		Weights:  i.named.History,
 		OldLife:  func() time.Duration { return i.live.Load().WeightsTime - weightsMargin },
 		Hold:     i.peers.hold,
 		KVStores: i.kvStores,
@@ -238,33 +249,16 @@
 }
 
 // setNamed takes the weights that are wanted for a model.
-func (i *Instance) setNamed(model radishcrank.ModelID, w radishcrank.WeightsVersion) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	h := i.named[model]
-	h.Model = model
-	next, added := h.Add(w, time.Now())
-	if !added {
+func (i *Instance) setNamed(model radishcrank.ModelID, w radishcrank.WeightsVersion, s rcfeed.Sight) {
+	if !i.named.Name(model, w, s) {
 		return
 	}
-	i.named[model] = next
-	i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).
-		Int64("UptimeMS", time.Since(i.born).Milliseconds()).Send()
-}
-
-func (i *Instance) allNamed() (all []rcweights.History) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, h := range i.named {
-		all = append(all, h)
+	e := i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).
+		Int64("UptimeMS", time.Since(i.born).Milliseconds()).Bool("Relayed", s.Relayed)
+	if !s.Since.IsZero() {
+		e = e.Int64("AgeMS", i.clock.Now().Sub(s.Since).Milliseconds())
 	}
-	return all
-}
-
-func (i *Instance) weights(model radishcrank.ModelID) rcweights.History {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.named[model]
+	e.Send()
 }
 
 // kvStores returns the stores of kept KV cache that the configuration names.
@@ -303,13 +297,13 @@
 		Fleet:    i.fleet,
 		Engines:  &platform.Engines{Pool: i.pool, Holder: i.settings.Instance},
 		Mode:     rcrollout.KeepRuns,
-		Named:    i.allNamed,
+		Named:    i.named.All,
 		Service:  i.servicesOf,
 		Announce: i.peers.announce,
 		Log:      i.log,
 	})
 	lease := rclease.New(rclease.Config{
-		Table:    &platform.Table{Store: i.store, Name: "radishcrank-lease"},
+		Table:    &platform.Table{Store: i.store, Name: leaseTable},
 		Name:     "orders",
 		Instance: radishcrank.InstanceID(i.settings.Instance),
 		Duration: leaseDuration,
--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -115,9 +115,9 @@
 func (m *members) follow(ctx context.Context) error {
 	f := rcfeed.New(rcfeed.Config{
 		Source: m.source, Table: membersTable, Pace: membersPace, Patient: true, Log: m.log,
-		Reset: func(rows []rcfeed.Row) {
+		Reset: func(rows []rcfeed.Row, s rcfeed.Sight) {
 			for _, row := range rows {
-				m.row(row)
+				m.row(row, s)
 			}
 			m.read()
 		},
@@ -126,7 +126,7 @@
 	return f.Run(ctx)
 }
 
-func (m *members) row(row rcfeed.Row) {
+func (m *members) row(row rcfeed.Row, _ rcfeed.Sight) {
 	name, ok := strings.CutPrefix(row.Key, memberPrefix)
 	if !ok || name == m.self.Name {
 		return
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -140,7 +140,7 @@
 			}
 		}
 		c.Cost = cost(req, s, c, ranks.of[s.ID], sharedTokens, now)
-		if c.ReplacedFor > 0 && req.OldLife > 0 && c.ReplacedFor+c.Cost >= req.OldLife {
+		if c.ReplacedFor > 0 && req.OldLife > 0 && c.ReplacedFor >= req.OldLife-c.Cost {
 			continue // It would begin on the old weights after their time.
 		}
 		if !preferred.has(s.ID) {
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -52,10 +52,16 @@
 	changed chan struct{}
 	fault   Fault
 	calls   int
+	started time.Time
 }
 
 // New returns an empty Store.
-func New() *Store { return &Store{rows: map[string]Row{}, changed: make(chan struct{})} }
+func New() *Store {
+	return &Store{rows: map[string]Row{}, changed: make(chan struct{}), started: time.Now()}
+}
+
+// Now returns the store's clock.
+func (s *Store) Now() time.Time { return time.UnixMilli(time.Since(s.started).Milliseconds()) }
 
 // SetFault makes the store misbehave, or with None serve again.
 func (s *Store) SetFault(f Fault) {
@@ -165,7 +171,7 @@
 	if limit, err := strconv.Atoi(q.Get("Limit")); err == nil && len(a.Rows) > limit {
 		a.Rows, a.HasMore = a.Rows[:limit], true
 	}
-	reply(w, http.StatusOK, a)
+	s.reply(w, http.StatusOK, a)
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -190,13 +196,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(a.Rows) > 0:
-			reply(w, http.StatusOK, a)
+			s.reply(w, http.StatusOK, a)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, http.StatusOK, a)
+			s.reply(w, http.StatusOK, a)
 			return
 		case <-r.Context().Done():
 			return
@@ -216,7 +222,7 @@
 	defer s.mu.Unlock()
 	for _, e := range tx.Expected {
 		if s.rows[name(e)].Ver != e.Ver {
-			reply(w, http.StatusPreconditionFailed, answer{Rows: []Row{s.rows[name(e)]}, Ver: s.ver})
+			s.reply(w, http.StatusPreconditionFailed, answer{Rows: []Row{s.rows[name(e)]}, Ver: s.ver})
 			return
 		}
 	}
@@ -233,10 +239,11 @@
 	if fault == LoseWrites {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, http.StatusOK, answer{Ver: s.ver})
+	s.reply(w, http.StatusOK, answer{Ver: s.ver})
 }
 
-func reply(w http.ResponseWriter, status int, a answer) {
+func (s *Store) reply(w http.ResponseWriter, status int, a answer) {
+	a.NowMs = s.Now().UnixMilli()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(a) // A caller that is gone needs no answer.
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -67,17 +67,38 @@
 	Table          string
 	After, Version uint64
 	Rows           []Row
+	// At and Since are the answer's time and Sight.Since, in Unix milliseconds of
+	// the store's clock.
+	At, Since int64
+}
+
+// Answer is what the store told of a table.
+type Answer struct {
+	Rows    []Row
+	Version uint64    // Newest of the store.
+	At      time.Time // On the store's clock.
+}
+
+// Sight says how rows were learned.
+type Sight struct {
+	// Since is from when news counts, on the store's clock: the time of the answer
+	// that told it to a follower that was waiting for it, or, where that one may
+	// have missed its arrival, of the last answer before. It is zero for a process
+	// that has just started: then news may be of any age.
+	Since time.Time
+	// Relayed says that another instance read the rows.
+	Relayed bool
 }
 
 // Source reads tables. Implementations are safe for concurrent use.
 type Source interface {
 	// Read returns all rows of a table and the newest version of the store. Changes
 	// since that version may or may not be among the rows.
-	Read(ctx context.Context, table string) (rows []Row, version uint64, err error)
+	Read(ctx context.Context, table string) (Answer, error)
 	// Changes waits for rows that changed after a version, and answers without any
 	// after wait. It fails once that is overdue by margin. ErrHistoryGone asks for
 	// a new Read.
-	Changes(ctx context.Context, table string, after uint64, wait, margin time.Duration) (rows []Row, version uint64, err error)
+	Changes(ctx context.Context, table string, after uint64, wait, margin time.Duration) (Answer, error)
 }
 
 // Config says what is followed and who is told.
@@ -88,9 +109,9 @@
 	// call rather than one each. For startTime after Run begins it is StartPace, if
 	// that is set.
 	Pace, StartPace time.Duration
-	Patient         bool             // News may be late.
-	Reset           func(rows []Row) // Takes in the whole table.
-	Change          func(row Row)
+	Patient         bool                      // News may be late.
+	Reset           func(rows []Row, s Sight) // Takes in the whole table.
+	Change          func(row Row, s Sight)
 	Reached         func(ok bool) // Told whenever a call succeeds or fails. May be nil.
 	// Relaying reports whether other instances rely on what this one reads, and
 	// Publish passes a batch on to them. Both are nil where each reads for itself.
@@ -106,6 +127,8 @@
 	version   uint64
 	known     bool
 	reachable bool
+	answerAt  time.Time // Of the newest answer, on the store's clock.
+	waiting   bool      // The last call succeeded, so that the next one misses nothing.
 	offeredAt time.Time
 	startedAt time.Time
 }
@@ -166,17 +189,18 @@
 	}
 	f.offeredAt = time.Now()
 	f.tell(nil)
-	f.take(b.Rows, b.Version)
+	f.take(Answer{Rows: b.Rows, Version: b.Version, At: time.UnixMilli(b.At)}, Sight{Since: time.UnixMilli(b.Since), Relayed: true})
+	f.waiting = false
 	return true
 }
 
-func (f *Follower) take(rows []Row, version uint64) {
-	for _, row := range rows {
+func (f *Follower) take(a Answer, s Sight) {
+	for _, row := range a.Rows {
 		if row.Version > f.version || row.Version == 0 {
-			f.cfg.Change(row)
+			f.cfg.Change(row, s)
 		}
 	}
-	f.version = max(f.version, version)
+	f.version, f.answerAt = max(f.version, a.Version), a.At
 }
 
 // Offer hands over what a relay has read. It does nothing where there are no relays.
@@ -202,14 +226,14 @@
 func (f *Follower) read(ctx context.Context) {
 	begun := time.Now()
 	if !f.known {
-		rows, newest, err := f.cfg.Source.Read(ctx, f.cfg.Table)
+		a, err := f.cfg.Source.Read(ctx, f.cfg.Table)
 		f.tell(err)
 		if err != nil {
 			rcwait.For(ctx, firstRead)
 			return
 		}
-		f.cfg.Reset(rows)
-		f.version, f.known = max(f.version, newest), true
+		f.cfg.Reset(a.Rows, Sight{Since: f.answerAt})
+		f.version, f.known, f.answerAt, f.waiting = max(f.version, a.Version), true, a.At, true
 	}
 	relaying := f.cfg.Relaying != nil && f.cfg.Relaying()
 	wait, margin := feedWait, feedMargin
@@ -223,11 +247,16 @@
 		wait, margin = relayWait, relayMargin
 	}
 	after := f.version
-	rows, newest, err := f.cfg.Source.Changes(ctx, f.cfg.Table, after, wait, margin)
+	a, err := f.cfg.Source.Changes(ctx, f.cfg.Table, after, wait, margin)
 	if ctx.Err() != nil {
 		return
 	}
 	f.tell(err)
+	since := a.At
+	if !f.waiting {
+		since = f.answerAt
+	}
+	f.waiting = err == nil
 	switch {
 	case errors.Is(err, ErrHistoryGone):
 		f.cfg.Log.Warn().Str("Event", "HistoryGone").Str("Table", f.cfg.Table).Uint64("Version", f.version).Send()
@@ -241,11 +270,14 @@
 		rcwait.For(ctx, retry)
 		return
 	}
-	f.take(rows, newest)
+	f.take(a, Sight{Since: since})
 	if relaying {
-		f.cfg.Publish(Batch{Table: f.cfg.Table, After: after, Version: max(after, newest), Rows: rows})
+		f.cfg.Publish(Batch{
+			Table: f.cfg.Table, After: after, Version: max(after, a.Version), Rows: a.Rows,
+			At: a.At.UnixMilli(), Since: since.UnixMilli(),
+		})
 	}
-	if len(rows) > 0 {
+	if len(a.Rows) > 0 {
 		pace := f.cfg.Pace
 		if f.cfg.StartPace > 0 && time.Since(f.startedAt) < startTime {
 			pace = f.cfg.StartPace
--- a/internal/state/rcfeed/feed_test.go
+++ b/internal/state/rcfeed/feed_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	cfg.Table, cfg.Log = "t", zerolog.Nop()
-	cfg.Reset = func(rows []rcfeed.Row) {
+	cfg.Reset = func(rows []rcfeed.Row, _ rcfeed.Sight) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		clear(c.rows)
@@ -52,7 +52,7 @@
 			set(row)
 		}
 	}
-	cfg.Change = func(row rcfeed.Row) {
+	cfg.Change = func(row rcfeed.Row, _ rcfeed.Sight) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		set(row)
@@ -141,3 +141,80 @@
 	fake.Put("t", "d", 4)
 	require.Never(t, func() bool { return c.has("c", "9") }, 100*time.Millisecond, 10*time.Millisecond)
 }
+
+// sightsOf follows the table "t" and returns what is learned of each row.
+func sightsOf(t *testing.T, cfg rcfeed.Config) (f *rcfeed.Follower, sight func(key string) (rcfeed.Sight, bool)) {
+	t.Helper()
+	var mu sync.Mutex
+	sights := map[string]rcfeed.Sight{}
+	cfg.Table, cfg.Log = "t", zerolog.Nop()
+	cfg.Change = func(row rcfeed.Row, s rcfeed.Sight) {
+		mu.Lock()
+		defer mu.Unlock()
+		sights[row.Key] = s
+	}
+	cfg.Reset = func(rows []rcfeed.Row, s rcfeed.Sight) {
+		for _, row := range rows {
+			cfg.Change(row, s)
+		}
+	}
+	f = rcfeed.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, func(key string) (s rcfeed.Sight, ok bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		s, ok = sights[key]
+		return s, ok
+	}
+}
+
+// TestSinceWhenNewsCounts guards against news that counts from when a process
+// read it, though it started or was without the store while the news was made.
+func TestSinceWhenNewsCounts(t *testing.T) {
+	fake, store := fakeStore(t)
+	fake.Put("t", "old", 1)
+	_, sight := sightsOf(t, rcfeed.Config{Source: store})
+	since := func(key string) time.Time {
+		require.Eventually(t, func() bool { _, ok := sight(key); return ok }, 4*time.Second, time.Millisecond)
+		s, _ := sight(key)
+		return s.Since
+	}
+	require.True(t, since("old").IsZero(), "a row that a process starts with may be of any age")
+	<-time.After(100 * time.Millisecond)
+	made := fake.Now()
+	fake.Put("t", "awaited", 2)
+	require.WithinDuration(t, made, since("awaited"), 50*time.Millisecond)
+	<-time.After(100 * time.Millisecond)
+	fake.SetFault(rcfakestore.Busy)
+	<-time.After(300 * time.Millisecond)
+	away := fake.Now()
+	fake.Put("t", "missed", 3)
+	<-time.After(300 * time.Millisecond)
+	fake.SetFault(rcfakestore.None)
+	require.False(t, since("missed").After(away), "a row may be as old as the last answer before an outage")
+}
+
+// TestSinceAfterARelayStopped guards against news that counts from when an
+// instance turned from its silent relay to the store.
+func TestSinceAfterARelayStopped(t *testing.T) {
+	fake, store := fakeStore(t)
+	f, sight := sightsOf(t, rcfeed.Config{Source: store, Relaying: func() bool { return false }})
+	<-time.After(100 * time.Millisecond)
+	heard := fake.Now()
+	f.Offer(rcfeed.Batch{Table: "t", After: 0, Version: 0, At: heard.UnixMilli(), Since: heard.UnixMilli()})
+	<-time.After(2100 * time.Millisecond) // The first call to the store has ended, and the batch been taken.
+	fake.Put("t", "missed", 1)
+	require.Eventually(t, func() bool { _, ok := sight("missed"); return ok }, 4*time.Second, time.Millisecond)
+	s, _ := sight("missed")
+	require.False(t, s.Relayed)
+	require.False(t, s.Since.After(heard.Add(time.Millisecond)), "%s after the relay's last batch", s.Since.Sub(heard))
+}
--- a/internal/state/rcfeed/pace_test.go
+++ b/internal/state/rcfeed/pace_test.go
@@ -19,14 +19,16 @@
 	fail  bool
 }
 
-func (s *busySource) Read(context.Context, string) ([]rcfeed.Row, uint64, error) { return nil, 1, nil }
+func (s *busySource) Read(context.Context, string) (rcfeed.Answer, error) {
+	return rcfeed.Answer{Version: 1}, nil
+}
 
-func (s *busySource) Changes(_ context.Context, _ string, after uint64, _, _ time.Duration) ([]rcfeed.Row, uint64, error) {
+func (s *busySource) Changes(_ context.Context, _ string, after uint64, _, _ time.Duration) (a rcfeed.Answer, err error) {
 	s.calls++
 	if s.fail {
-		return nil, 0, errors.New("away")
+		return a, errors.New("away")
 	}
-	return []rcfeed.Row{{Key: "k", Version: after + 1}}, after + 1, nil
+	return rcfeed.Answer{Rows: []rcfeed.Row{{Key: "k", Version: after + 1}}, Version: after + 1}, nil
 }
 
 // TestPaceBoundsCalls guards against one call for each change while a whole fleet
@@ -47,7 +49,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				source := &busySource{fail: c.fail}
 				c.cfg.Source, c.cfg.Table, c.cfg.Log = source, "t", zerolog.Nop()
-				c.cfg.Reset, c.cfg.Change = func([]rcfeed.Row) {}, func(rcfeed.Row) {}
+				c.cfg.Reset, c.cfg.Change = func([]rcfeed.Row, rcfeed.Sight) {}, func(rcfeed.Row, rcfeed.Sight) {}
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second-time.Millisecond)
 				defer cancel()
 				require.ErrorIs(t, rcfeed.New(c.cfg).Run(ctx), context.DeadlineExceeded)
--- a/internal/state/rcweights/history.go
+++ b/internal/state/rcweights/history.go
@@ -1,14 +1,16 @@
 // Package rcweights remembers when which weights of a model were named. Each
-// naming has a deadline of its own: later ones do not move it.
+// naming has a deadline of its own: later ones do not move it, and neither does
+// a restart, since the times are recorded in the platform's store.
 package rcweights
 
 import (
+	"slices"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
 )
 
-// naming is one version and when it was first seen.
+// naming is one version and when it was named. A zero time is any time ago.
 type naming struct {
 	weights radishcrank.WeightsVersion
 	at      time.Time
@@ -18,8 +20,8 @@
 // may be used matter, which is far shorter than this many take.
 const maxNamings = 64
 
-// History holds the namings of one model, oldest first. It must not be changed
-// once shared; Add returns a new one.
+// History holds the namings of one model by rising version. It must not be
+// changed once shared; Add returns a new one.
 type History struct {
 	Model   radishcrank.ModelID
 	namings []naming
@@ -30,12 +32,39 @@
 	if !h.Newest().Less(w) {
 		return h, false
 	}
-	old := h.namings
-	if len(old) >= maxNamings {
-		old = old[1:]
+	return h.with(naming{w, at}), true
+}
+
+// with returns the history with a naming, which replaces one of the same weights.
+func (h History) with(n naming) History {
+	i, found := slices.BinarySearchFunc(h.namings, n.weights, func(o naming, w radishcrank.WeightsVersion) int {
+		switch {
+		case o.weights.Less(w):
+			return -1
+		case w.Less(o.weights):
+			return 1
+		}
+		return 0
+	})
+	namings := slices.Clone(h.namings)
+	if found {
+		namings[i] = n
+	} else {
+		namings = slices.Insert(namings, i, n)
+	}
+	h.namings = namings[max(0, len(namings)-maxNamings):]
+	return h
+}
+
+// shift returns the history with all times moved by d.
+func (h History) shift(d time.Duration) History {
+	h.namings = slices.Clone(h.namings)
+	for i := range h.namings {
+		if !h.namings[i].at.IsZero() {
+			h.namings[i].at = h.namings[i].at.Add(d)
+		}
 	}
-	h.namings = append(old[:len(old):len(old)], naming{w, at})
-	return h, true
+	return h
 }
 
 // Newest returns the newest weights, or the empty version.
@@ -47,12 +76,12 @@
 }
 
 // ReplacedAt returns when the first weights newer than w were named. ok is false
-// while w is the newest.
+// while w is the newest. A zero time is any time ago.
 func (h History) ReplacedAt(w radishcrank.WeightsVersion) (at time.Time, ok bool) {
 	for _, n := range h.namings {
-		if w.Less(n.weights) {
-			return n.at, true
+		if w.Less(n.weights) && (!ok || n.at.Before(at)) {
+			at, ok = n.at, true
 		}
 	}
-	return time.Time{}, false
+	return at, ok
 }
--- /dev/null
+++ b/internal/state/rcweights/keeper_test.go
@@ -0,0 +1,177 @@
+package rcweights
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
+	"github.com/radishcrank/radishcrank/internal/testing/rcbubble"
+	_ "github.com/radishcrank/radishcrank/internal/testing/rcseed"
+)
+
+const model = "m"
+
+// process is one keeper with what a restart takes away.
+type process struct {
+	*Keeper
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+	cutAt   time.Time // Since when no news reaches it; zero while it does.
+}
+
+// storeClock stands for the store's clock, which differs from the local one.
+func storeClock() time.Time { return time.Now().Add(-90 * time.Hour) }
+
+func startProcess(ctx context.Context, table radishcrank.TableService) *process {
+	p := &process{Keeper: NewKeeper(KeeperConfig{Table: table, Now: storeClock, Log: zerolog.Nop()})}
+	ctx, p.stop = context.WithCancel(ctx)
+	p.stopped.Go(func() { _ = p.Run(ctx) }) // Ends with ctx only.
+	return p
+}
+
+func (p *process) kill() {
+	p.stop()
+	p.stopped.Wait()
+}
+
+// TestDeadlinesSurviveRestartsAndCuts guards against older weights that get more
+// time because instances are killed, one or all of them at once, or cut off while
+// newer ones are named (VERSION on boxflow-riga: 10,170 ms after the naming).
+func TestDeadlinesSurviveRestartsAndCuts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rcbubble.Run(t, func() {
+			table := rcfaketable.New()
+			namedAt := []time.Time{time.Now()} // By version.
+			newest := func() radishcrank.WeightsVersion { return radishcrank.WeightsVersion(strconv.Itoa(len(namedAt) - 1)) }
+			var processes []*process
+			for range 3 {
+				processes = append(processes, startProcess(context.Background(), table))
+			}
+			defer func() {
+				for _, p := range processes {
+					p.kill()
+				}
+			}()
+			restart := func(some []*process) {
+				for _, p := range some {
+					p.kill()
+				}
+				time.Sleep(time.Duration(rapid.IntRange(300, 2000).Draw(rt, "down")) * time.Millisecond)
+				for i, p := range processes {
+					for _, killed := range some {
+						if p == killed {
+							processes[i] = startProcess(context.Background(), table)
+							processes[i].Name(model, newest(), rcfeed.Sight{})
+						}
+					}
+				}
+			}
+			for range rapid.IntRange(2, 12).Draw(rt, "steps") {
+				p := rapid.SampledFrom(processes).Draw(rt, "process")
+				switch rapid.SampledFrom([]string{"name", "kill", "kill all", "cut", "heal", "lose"}).Draw(rt, "step") {
+				case "name":
+					namedAt = append(namedAt, time.Now())
+					for _, p := range processes {
+						if p.cutAt.IsZero() {
+							p.Name(model, newest(), rcfeed.Sight{Since: storeClock()})
+						}
+					}
+				case "kill":
+					restart([]*process{p})
+				case "kill all":
+					restart(append([]*process(nil), processes...))
+				case "cut":
+					if p.cutAt.IsZero() {
+						p.cutAt = storeClock()
+					}
+				case "heal":
+					if !p.cutAt.IsZero() {
+						p.Name(model, newest(), rcfeed.Sight{Since: p.cutAt})
+						p.cutAt = time.Time{}
+					}
+				case "lose":
+					table.SetFaults(rcfaketable.Faults{LoseAnswers: 1, DropCommits: rapid.IntRange(0, 1).Draw(rt, "dropped")})
+				}
+				time.Sleep(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond)
+				synctest.Wait()
+				for _, p := range processes {
+					if !p.cutAt.IsZero() {
+						continue
+					}
+					for w := 1; w < len(namedAt)-1; w++ {
+						at, ok := p.History(model).ReplacedAt(radishcrank.WeightsVersion(strconv.Itoa(w)))
+						require.True(rt, ok)
+						if namedAt[w+1].Before(at.Add(-time.Millisecond)) && recorded(table) {
+							rt.Fatalf("weights %d are held to have been replaced %s too late", w, at.Sub(namedAt[w+1]))
+						}
+					}
+				}
+			}
+		})
+	})
+}
+
+// recorded reports whether the table holds any naming. The oldest ones have no
+// witness if all processes are killed within recordSpread of the first naming.
+func recorded(table *rcfaketable.Table) bool {
+	rows, err := table.Get(context.Background(), model)
+	return err == nil && rows[0].Version > 0
+}
+
+// TestUnrecordedNamingIsOld guards against older weights that stay in use after a
+// naming that only killed instances saw.
+func TestUnrecordedNamingIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startProcess(t.Context(), rcfaketable.New())
+		defer p.kill()
+		p.Name(model, "2", rcfeed.Sight{})
+		at, ok := p.History(model).ReplacedAt("1")
+		require.True(t, ok)
+		require.True(t, at.IsZero(), "nothing older is used before the record has been read")
+		synctest.Wait()
+		at, _ = p.History(model).ReplacedAt("1")
+		require.Equal(t, unrecordedAge, time.Since(at).Round(time.Millisecond))
+	})
+}
+
+// TestLaterWitnessDoesNotMoveNaming guards against a record that each instance
+// overwrites with the time at which it learned of a naming.
+func TestLaterWitnessDoesNotMoveNaming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := rcfaketable.New()
+		first, second := startProcess(t.Context(), table), startProcess(t.Context(), table)
+		defer first.kill()
+		defer second.kill()
+		start := time.Now()
+		first.Name(model, "2", rcfeed.Sight{Since: storeClock()})
+		time.Sleep(5 * time.Second)
+		second.Name(model, "2", rcfeed.Sight{Since: storeClock()})
+		time.Sleep(time.Second)
+		at, _ := second.History(model).ReplacedAt("1")
+		require.Equal(t, start, at.Round(time.Millisecond))
+		require.Equal(t, rcfaketable.Counts{Commits: 1, Reads: 2}, table.Counts())
+	})
+}
+
+// TestRelayedNamingCostsNoCall guards against a fleet in which each instance
+// reads the record of each naming.
+func TestRelayedNamingCostsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := rcfaketable.New()
+		p := startProcess(t.Context(), table)
+		defer p.kill()
+		p.Name(model, "2", rcfeed.Sight{Since: storeClock(), Relayed: true})
+		time.Sleep(time.Second)
+		require.Zero(t, table.Counts())
+	})
+}
