--- a/internal/cli/rctrace/page_test.go
+++ b/internal/cli/rctrace/page_test.go
@@ -18,7 +18,7 @@
 // eventFolders hold all code that writes log lines on the users' platform.
 var eventFolders = []string{
 	"platform", "internal/node/rcinstance", "internal/serving/rcforward", "internal/record/rcrollout",
-	"internal/state/rcfeed", "internal/state/rclog", "internal/cli/rcnode",
+	"internal/state/rcfeed", "internal/state/rcweights", "internal/state/rclog", "internal/cli/rcnode",
 }
 
 // TestPageNamesAllEvents guards against a log event that docs/OPERATIONS.md does
