Take over the lease of a dead holder sooner

Cause: a lease belongs to one process, so a restarted holder waits for its own earlier lease, and others begin to watch the row only once they have not heard of the holder for 1.6 s, and then look about once a second.

A lease whose holder ran at the same address is now free for its successor, since two processes can't hold one address. The holder tells which version of the row it wrote last, so that others count the row's quiet time from when they first heard of that version, and look again when it ends.

TestRestartedHolderNeedNotWait and TestHeardHolderIsWatched fail without the first and the second part.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -308,9 +308,10 @@
 		Instance: radishcrank.InstanceID(i.settings.Instance),
 		Duration: leaseDuration,
 		Margin:   leaseMargin,
-		Held:     i.peers.leaseHeld,
+		Process:  i.settings.Instance + "@" + i.settings.Peer.String(),
+		Heard:    i.peers.leaseHeard,
 		Lead: func(ctx context.Context, term *rclease.Term) error {
-			defer i.peers.lead()()
+			defer i.peers.lead(term)()
 			return controller.Lead(ctx, term, term.Fence)
 		},
 	})
--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -51,7 +51,9 @@
 // which every instance competes for the lease, before it knows who the relays are.
 func TestLeaseWaitsForTheOthers(t *testing.T) {
 	p := fleetOf(3, 1)[0]
-	require.True(t, p.leaseHeld())
+	_, held := p.leaseHeard()
+	require.True(t, held)
 	p.known = true
-	require.False(t, p.leaseHeld())
+	_, held = p.leaseHeard()
+	require.False(t, held)
 }
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -9,6 +9,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
@@ -54,12 +55,14 @@
 	Feeds   []rcfeed.Batch
 	// Loads is what the sender has under way by upstream; from a relay to its zone
 	// what all instances have, from one relay to another what its zone has. Nil is no news.
-	Loads   map[radishcrank.UpstreamID]rcfleet.Load
-	Leading bool // The holder of the lease of orders has been heard of, or is the sender.
+	Loads map[radishcrank.UpstreamID]rcfleet.Load
+	// Lease is the version of the row of the lease of orders that its holder wrote
+	// last, told by the holder or by a relay that heard it; 0 is no news.
+	Lease uint64
 }
 
 func (n *news) empty() bool {
-	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && n.Loads == nil && !n.Leading
+	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && n.Loads == nil && n.Lease == 0
 }
 
 // peer is another instance.
@@ -89,8 +92,9 @@
 	fromZone  news // What a relay has heard from its zone and tells all others.
 	fromOther news // What it has heard from other relays and tells its zone.
 	self      *peer
-	leading   bool
-	leaseSeen time.Time // When another instance last told that it holds the lease.
+	term      *rclease.Term // Of this instance while it holds the lease.
+	lease     rclease.Heard // Of another instance that holds it.
+	leaseSeen time.Time     // When that was last told.
 }
 
 func newPeers(i *Instance) *peers {
@@ -136,29 +140,40 @@
 	}
 }
 
-// leaseHeld reports whether another instance held the lease of orders a moment ago.
-func (p *peers) leaseHeld() bool {
+// leaseHeard returns what was heard of the holder of the lease of orders, and
+// whether another instance held it a moment ago.
+func (p *peers) leaseHeard() (heard rclease.Heard, lately bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.known || p.relayedLocked() && p.relayOfLocked(p.i.settings.Zone) != nil {
-		return true // Only relays compete, and who they are is not known at first.
+		return p.lease, true // Only relays compete, and who they are is not known at first.
 	}
-	return time.Since(p.leaseSeen) < leaseNewsLife
+	return p.lease, time.Since(p.leaseSeen) < leaseNewsLife
 }
 
 // lead tells that this instance holds the lease until the returned function is called.
-func (p *peers) lead() (end func()) {
-	p.setLeading(true)
-	return func() { p.setLeading(false) }
+func (p *peers) lead(term *rclease.Term) (end func()) {
+	p.setTerm(term)
+	return func() { p.setTerm(nil) }
 }
 
-func (p *peers) setLeading(leading bool) {
+func (p *peers) setTerm(term *rclease.Term) {
 	p.mu.Lock()
-	p.leading = leading
+	p.term = term
 	p.mu.Unlock()
 	p.hurry()
 }
 
+// hearLease takes in that an instance holds the lease.
+func (p *peers) hearLease(version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaseSeen = time.Now()
+	if version > p.lease.Version {
+		p.lease = rclease.Heard{Version: version, At: p.leaseSeen}
+	}
+}
+
 // publish tells the zone what the store said.
 func (p *peers) publish(b rcfeed.Batch) {
 	p.mu.Lock()
@@ -184,10 +199,8 @@
 	if len(n.Crashes) > 0 {
 		p.i.guard.Merge(n.Crashes)
 	}
-	if n.Leading {
-		p.mu.Lock()
-		p.leaseSeen = time.Now()
-		p.mu.Unlock()
+	if n.Lease > 0 {
+		p.hearLease(n.Lease)
 	}
 	return struct{}{}, nil
 }
@@ -207,7 +220,7 @@
 	if len(heard.Holds) < maxQueuedHolds {
 		heard.Holds = append(heard.Holds, n.Holds...)
 	}
-	heard.Leading = heard.Leading || n.Leading
+	heard.Lease = max(heard.Lease, n.Lease)
 }
 
 // run exchanges news until ctx ends.
@@ -294,8 +307,8 @@
 			crashesAt = now
 		}
 		p.mu.Lock()
-		if p.leading && time.Since(leadAt) >= leaseNewsPace {
-			p.next.Leading, leadAt = true, time.Now()
+		if p.term != nil && time.Since(leadAt) >= leaseNewsPace {
+			p.next.Lease, leadAt = p.term.Version(), time.Now()
 		}
 		if now := time.Now(); now.Sub(loadsAt) >= loadsPace {
 			p.next.Loads, loadsAt = p.i.fleet.Loads(), now
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -97,6 +97,6 @@
 		Holds:   slices.Concat(n.Holds, o.Holds),
 		Crashes: n.Crashes, // The records that were heard are part of the own ones.
 		Feeds:   n.Feeds,
-		Leading: n.Leading || o.Leading,
+		Lease:   max(n.Lease, o.Lease),
 	}
 }
--- a/internal/record/rclease/lease.go
+++ b/internal/record/rclease/lease.go
@@ -44,13 +44,23 @@
 	Duration time.Duration // How long a renewal lasts; default 10 s.
 	Margin   time.Duration // How long before its end the holder stops; default 1 s.
 
-	// Held reports that another instance was heard of as the holder a moment ago,
+	// Process names what only one living process can have, such as its address. A
+	// lease whose holder has the same name is one of an earlier process, so it is
+	// free. Empty names nothing.
+	Process string
+	// Heard returns what was heard of the holder, and whether that was a moment ago,
 	// so that the table service need not be asked. Nil is never.
-	Held func() bool
+	Heard func() (Heard, bool)
 	// Lead does the holder's work. It must return soon after ctx ends.
 	Lead func(ctx context.Context, term *Term) error
 }
 
+// Heard is what an instance was told by the holder.
+type Heard struct {
+	Version uint64    // Of the row that the holder wrote last; 0 is unknown.
+	At      time.Time // When that version was first told.
+}
+
 // Lease takes part in the election.
 type Lease struct {
 	cfg    Config
@@ -61,6 +71,7 @@
 // number always rises.
 type row struct {
 	Holder   string // Empty after a release.
+	Process  string // Config.Process of the holder.
 	Fence    uint64
 	Duration time.Duration
 }
@@ -82,8 +93,9 @@
 type Term struct {
 	Fence uint64
 
-	mu    sync.Mutex
-	until instant
+	mu      sync.Mutex
+	until   instant
+	version uint64
 }
 
 // Valid reports whether the lease still holds. A holder asks right before each act.
@@ -95,10 +107,23 @@
 	return -t.until.elapsed()
 }
 
-func (t *Term) extend(until instant) {
+// Version returns the version of the row that the holder wrote last.
+func (t *Term) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+func (t *Term) renewed(until instant, version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.until = until
+	t.until, t.version = until, version
+}
+
+func (t *Term) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = instant{}
 }
 
 // instant is a moment on both clocks of the process. The monotonic clock may
@@ -139,9 +164,12 @@
 }
 
 // sleep waits for one renewal interval, with jitter that keeps takers apart.
-func (l *Lease) sleep(ctx context.Context) bool {
+func (l *Lease) sleep(ctx context.Context) bool { return l.sleepUpTo(ctx, l.cfg.Duration) }
+
+// sleepUpTo waits for one renewal interval, or for a shorter time with jitter.
+func (l *Lease) sleepUpTo(ctx context.Context, most time.Duration) bool {
 	interval := l.cfg.Duration / renewals
-	timer := time.NewTimer(interval*3/4 + mrand.N(interval/4))
+	timer := time.NewTimer(min(interval*3/4, max(0, most)) + mrand.N(interval/4))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -156,37 +184,48 @@
 	var seen uint64      // Version of the row that was seen last.
 	var seenAt time.Time // When it was first seen; the monotonic reading counts.
 	for known := false; ; {
-		if l.cfg.Held != nil && l.cfg.Held() {
-			// The row has been renewed meanwhile, so waiting for it starts anew.
-			known = false
-			if !l.sleep(ctx) {
-				return nil, 0, ctx.Err()
+		if l.cfg.Heard != nil {
+			if heard, lately := l.cfg.Heard(); lately {
+				// The holder had written that version when it told of it, so that the row
+				// has been unchanged since then if it is still the one found later.
+				seen, seenAt, known = heard.Version, heard.At, heard.Version > 0
+				if !l.sleep(ctx) {
+					return nil, 0, ctx.Err()
+				}
+				continue
 			}
-			continue
 		}
+		left := l.cfg.Duration
 		version, current, err := l.read(ctx)
 		if err == nil {
 			if !known || version != seen {
 				seen, seenAt, known = version, time.Now(), true
 			}
 			// A row of its own comes from an acquisition whose outcome was unknown; no term began.
-			free := version == 0 || current.Holder == "" || current.Holder == l.holder
-			if free || time.Since(seenAt) >= max(current.Duration, l.cfg.Duration) {
-				next := row{Holder: l.holder, Fence: current.Fence + 1, Duration: l.cfg.Duration}
+			free := version == 0 || current.Holder == "" || current.Holder == l.holder ||
+				l.cfg.Process != "" && current.Process == l.cfg.Process
+			left = max(current.Duration, l.cfg.Duration) - time.Since(seenAt)
+			if free || left <= 0 {
+				left = l.cfg.Duration // After a write that failed.
+				next := l.row(current.Fence + 1)
 				sent := now()
-				term := &Term{Fence: next.Fence, until: sent.add(l.cfg.Duration - l.cfg.Margin)}
+				term := &Term{Fence: next.Fence, version: version + 1, until: sent.add(l.cfg.Duration - l.cfg.Margin)}
 				// A pause may have used up the term before it began.
 				if l.write(ctx, version, next) == nil && term.Valid() {
 					return term, version + 1, nil
 				}
 			}
 		}
-		if !l.sleep(ctx) {
+		if !l.sleepUpTo(ctx, left) {
 			return nil, 0, ctx.Err()
 		}
 	}
 }
 
+func (l *Lease) row(fence uint64) row {
+	return row{Holder: l.holder, Process: l.cfg.Process, Fence: fence, Duration: l.cfg.Duration}
+}
+
 // hold leads and renews until the term ends, then frees the lease.
 func (l *Lease) hold(ctx context.Context, term *Term, version uint64) {
 	termCtx, cancel := context.WithCancel(ctx)
@@ -210,7 +249,7 @@
 	// Only now can no act of this term follow, so another may begin. A renewal that
 	// succeeded after the term's end must not make it valid again. If ctx has
 	// ended, a fresh one gives the release its time.
-	term.extend(instant{})
+	term.end()
 	if lost {
 		return // The row is another holder's.
 	}
@@ -223,9 +262,9 @@
 // expects, or lost if the row is not the term's any more.
 func (l *Lease) renew(ctx context.Context, term *Term, version uint64) (next uint64, lost bool) {
 	sent := now()
-	err := l.write(ctx, version, row{Holder: l.holder, Fence: term.Fence, Duration: l.cfg.Duration})
+	err := l.write(ctx, version, l.row(term.Fence))
 	if err == nil {
-		term.extend(sent.add(l.cfg.Duration - l.cfg.Margin))
+		term.renewed(sent.add(l.cfg.Duration-l.cfg.Margin), version+1)
 		return version + 1, false
 	}
 	if errors.Is(err, radishcrank.ErrUnavailable) {
--- a/internal/record/rclease/lease_test.go
+++ b/internal/record/rclease/lease_test.go
@@ -210,6 +210,71 @@
 	})
 }
 
+// Guards against a model whose engines wait for the lease of a killed process
+// though that process has started again: the lease was free 6.7 s after its
+// holder's last order on boxflow-riga.
+func TestRestartedHolderNeedNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, all := rcfaketable.New(), &terms{}
+		first, kill := context.WithCancel(t.Context())
+		port := &pausing{TableService: table, cut: true} // Its release does not arrive.
+		go New(Config{Table: port, Name: "orders", Instance: "a", Process: "a@10.0.0.1:7340", Lead: all.lead}).Run(first)
+		synctest.Wait()
+		kill()
+		synctest.Wait()
+		second, stop := context.WithCancel(t.Context())
+		go New(Config{Table: table, Name: "orders", Instance: "a", Process: "a@10.0.0.1:7340", Lead: all.lead}).Run(second)
+		synctest.Wait()
+		require.Equal(t, 2, all.count())
+		_, rising := all.valid()
+		require.True(t, rising)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a taker that begins to watch the row only when it no longer
+// hears of the holder: the lease then stays unused for longer than its duration.
+func TestHeardHolderIsWatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, all := rcfaketable.New(), &terms{}
+		first, kill := context.WithCancel(t.Context())
+		port := &pausing{TableService: table}
+		go New(Config{Table: port, Name: "orders", Instance: "a", Lead: all.lead}).Run(first)
+		synctest.Wait()
+		var heard Heard
+		ticker := func() {
+			if term := all.list[0]; term.Valid() && first.Err() == nil && heard.Version != term.Version() {
+				heard = Heard{Version: term.Version(), At: time.Now()}
+			}
+		}
+		second, stop := context.WithCancel(t.Context())
+		go New(Config{Table: table, Name: "orders", Instance: "b", Lead: all.lead, Heard: func() (Heard, bool) {
+			return heard, time.Since(heard.At) < defaultDuration/2
+		}}).Run(second)
+		for range 40 {
+			ticker()
+			time.Sleep(250 * time.Millisecond)
+		}
+		reads := table.Counts().Reads
+		port.mu.Lock()
+		port.unreachable = true
+		port.mu.Unlock()
+		kill()
+		begun := time.Now()
+		for all.count() == 1 {
+			time.Sleep(100 * time.Millisecond)
+			require.Less(t, time.Since(begun), defaultDuration*5/4, "the lease is not taken")
+		}
+		require.Less(t, reads, 3, "the row is read though the holder is heard of")
+		n, rising := all.valid()
+		require.Equal(t, 1, n)
+		require.True(t, rising)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against a lease that stays blocked after its holder has shut down in order.
 func TestReleaseFreesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
