Load weights on as many engines at once when some are lost

Cause: a sixth of the engines, rounded down, load at once, so that nine engines got one load at a time. The loads' source does not shrink with the engines; the share is rounded up now.

--- a/internal/record/rcrollout/plan.go
+++ b/internal/record/rcrollout/plan.go
@@ -12,9 +12,10 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
-// concurrentShare of the engines of a service load at once: beyond it each load
-// takes longer, so that none is done sooner.
-const concurrentShare = 1.0 / 6
+// enginesPerLoad engines of a service, or a part of so many, allow one load at a
+// time: beyond that each load takes longer, so that none is done sooner. What
+// loads are read from does not shrink with the engines that are lost.
+const enginesPerLoad = 6
 
 // Plan returns the engines that are to begin to load now, in order. It answers
 // weights that are named every few seconds while all engines carry traffic: the
@@ -42,7 +43,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	room := max(1, int(concurrentShare*float64(total))) - loading
+	room := (total+enginesPerLoad-1)/enginesPerLoad - loading
 	if total > 1 {
 		room = min(room, total-1-loading) // One engine stays in service.
 	}
