Tell the loser of a race of operators what changed

Cause: a push reads the head, then what peers have told. If the winner commits in between and its number arrives first, the loser finds a peer ahead of the head it has read and answers that it lags behind.

What peers told is now read before the head. TestRaceHeardOfAfterTheRead brings the order about; it failed before with 'instance has not got the newest revision yet'.

--- a/internal/state/rcrevision/commit.go
+++ b/internal/state/rcrevision/commit.go
@@ -118,6 +118,10 @@
 
 // prepare reads the newest state and returns the conditional write.
 func (k *Keeper) prepare(ctx context.Context, info *Info) (tx radishcrank.Transaction, err error) {
+	// What is heard after the head was read may have been written since.
+	k.mu.Lock()
+	heard := k.newest
+	k.mu.Unlock()
 	h, headVersion, err := k.getHead(ctx)
 	if err != nil {
 		return tx, err
@@ -129,9 +133,6 @@
 		return tx, err
 	}
 	v := k.current.Load()
-	k.mu.Lock()
-	heard := k.newest
-	k.mu.Unlock()
 	newest := max(h.Revision, v.revision())
 	if heard > newest {
 		return tx, ErrBehind
--- a/internal/state/rcrevision/keeper_test.go
+++ b/internal/state/rcrevision/keeper_test.go
@@ -192,6 +192,45 @@
 	})
 }
 
+// newsAfterRead lets something happen right after the head was read.
+type newsAfterRead struct {
+	radishcrank.TableService
+	happen func()
+}
+
+func (n *newsAfterRead) Get(ctx context.Context, keys ...string) ([]radishcrank.Row, error) {
+	rows, err := n.TableService.Get(ctx, keys...)
+	if happen := n.happen; happen != nil && keys[0] == keyHead {
+		n.happen = nil
+		happen()
+	}
+	return rows, err
+}
+
+// Guards against a lost race that is answered as if this instance lagged behind,
+// when the winner's revision is heard of between the read and the write.
+func TestRaceHeardOfAfterTheRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 2, 1)
+		defer f.close()
+		time.Sleep(settle)
+		loser, winner := f.processes[0], f.processes[1]
+		_, err := loser.Push(f.ctx, PushRequest{Text: text(2, 1)})
+		require.NoError(t, err)
+		_, ok := f.wait(1, inForceWithin)
+		require.True(t, ok)
+		loser.cfg.Table = &newsAfterRead{TableService: loser.cfg.Table, happen: func() {
+			info, err := winner.Push(f.ctx, PushRequest{Base: 1, Text: text(2, 2)})
+			require.NoError(t, err)
+			loser.Heard(winner.self.Peer, info.Revision, info.Hash, 0)
+		}}
+		_, err = loser.Push(f.ctx, PushRequest{Base: 1, Text: text(2, 3)})
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.EqualValues(t, 2, conflict.Newest)
+	})
+}
+
 // Guards against a lost answer that commits twice or is reported as a failure.
 func TestLostAnswers(t *testing.T) {
 	for _, faults := range []rcfaketable.Faults{{LoseAnswers: 1}, {DropCommits: 1}, {LoseAnswers: 1, DropCommits: 2}} {
