Answer a body that is too large to callers that send it whole first

Seen by trying the product: a 30 MB body gets a connection reset where a 413 was due. Cause: the server answers and closes while the caller still writes, and the caller's next write is reset before it reads. Up to 64 MiB of such a body are now read and thrown away within the time for reading bodies, then the answer follows. TestLargeBodyGetsItsAnswer failed before with a broken pipe.

--- a/internal/serving/rcfront/body.go
+++ b/internal/serving/rcfront/body.go
@@ -14,6 +14,9 @@
 	"github.com/labstack/echo/v4"
 )
 
+// maxDiscarded bounds what is read, in bytes, of a body that is too large.
+const maxDiscarded = 64 << 20
+
 // readBody reads the whole request body within its size and time limits.
 func readBody(c echo.Context) (body []byte, err error) {
 	k := c.Get(callKey).(*call)
@@ -29,6 +32,9 @@
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
+		// A caller that sends all before it reads gets no answer from a connection
+		// that is closed meanwhile. What it sends too slowly or beyond this is cut off.
+		_, _ = io.CopyN(io.Discard, c.Request().Body, maxDiscarded)
 		return nil, invalid(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the request body exceeds %d bytes", tooLarge.Limit))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, invalid(http.StatusRequestTimeout, "body_too_slow", fmt.Sprintf("the request body did not arrive within %v", k.settings.BodyReadTimeout))
--- a/internal/serving/rcfront/server_test.go
+++ b/internal/serving/rcfront/server_test.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -227,6 +229,30 @@
 	require.Equal(t, string(radishcrank.OutcomeNotRun), resp.Header.Get(radishcrank.HeaderOutcome))
 }
 
+// Guards against a connection that is reset where a caller, which sends its whole
+// body before it reads, was due the answer that the body is too large.
+func TestLargeBodyGetsItsAnswer(t *testing.T) {
+	f := newFixture(t)
+	const size = 30 << 20
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", testKey, size)
+	require.NoError(t, err)
+	_, err = io.CopyN(conn, zeros{}, size)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	require.Equal(t, string(radishcrank.OutcomeNotRun), resp.Header.Get(radishcrank.HeaderOutcome))
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 // Guards against a truncated answer that looks complete to the caller.
 func TestTruncatedStreamHasNoTerminator(t *testing.T) {
 	f := newFixture(t)
