--- a/internal/record/rclease/lease_test.go
+++ b/internal/record/rclease/lease_test.go
@@ -275,6 +275,62 @@
 	})
 }
 
+// Guards against the orders of two holders that follow each other too closely. A
+// holder that is cut off from the table may act until its term ends, and one that
+// shuts down until it gives the lease back.
+func TestActsOfTwoHoldersLieApart(t *testing.T) {
+	const duration, margin, apart = 4 * time.Second, 800 * time.Millisecond, 3 * time.Second
+	for name, end := range map[string]func(port *pausing, stop func()){
+		"cut off": func(port *pausing, _ func()) {
+			port.mu.Lock()
+			port.unreachable, port.cut = true, true
+			port.mu.Unlock()
+		},
+		"shut down": func(_ *pausing, stop func()) { stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := rcfaketable.New()
+				acts := map[string]*acting{"a": {}, "b": {}}
+				config := func(instance string, table radishcrank.TableService) Config {
+					return Config{
+						Table: table, Name: "orders", Instance: radishcrank.InstanceID(instance), Process: instance,
+						Duration: duration, Margin: margin, Lead: acts[instance].lead,
+					}
+				}
+				first, stop := context.WithCancel(t.Context())
+				port := &pausing{TableService: table}
+				go New(config("a", port)).Run(first)
+				synctest.Wait()
+				second, stopAll := context.WithCancel(t.Context())
+				go New(config("b", table)).Run(second)
+				time.Sleep(5*time.Second + 300*time.Millisecond)
+				end(port, stop)
+				time.Sleep(4 * duration)
+				stop()
+				stopAll()
+				time.Sleep(time.Minute) // Nothing of the two holders is left.
+				require.False(t, acts["b"].first.IsZero(), "the lease is not taken")
+				require.GreaterOrEqual(t, acts["b"].first.Sub(acts["a"].last), apart)
+			})
+		})
+	}
+}
+
+// acting notes when a holder could act first and last.
+type acting struct{ first, last time.Time }
+
+func (a *acting) lead(ctx context.Context, term *Term) error {
+	for ctx.Err() == nil && term.Valid() {
+		if a.first.IsZero() {
+			a.first = time.Now()
+		}
+		a.last = time.Now()
+		time.Sleep(10 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
 // Guards against a lease that stays blocked after its holder has shut down in order.
 func TestReleaseFreesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
