Keep the orders of two holders LeaseMs apart

A taker now waits until the predecessor's last possible act lies Apart back: the rest of Apart after an expired lease, all of it after a release. The instances set it to LeaseMs, which until now was read and used nowhere. A process that restarts on the same address still takes its own earlier lease at once, also a released one.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -39,9 +39,9 @@
 )
 
 const (
-	// leaseDuration is how long a holder of the orders' lease may be silent before
-	// another one takes over. It exceeds the time that two holders' orders must be
-	// apart, and weights still reach all engines in time after a takeover.
+	// leaseDuration is how long a renewal of the orders' lease lasts. Another
+	// instance takes over once that and the time that two holders' orders must be
+	// apart have passed, less leaseMargin.
 	leaseDuration = 4 * time.Second
 	leaseMargin   = 800 * time.Millisecond
 	// noticeTime is how long a stopping instance goes on serving while it reports
@@ -308,6 +308,7 @@
 		Instance: radishcrank.InstanceID(i.settings.Instance),
 		Duration: leaseDuration,
 		Margin:   leaseMargin,
+		Apart:    i.settings.LeaseTime,
 		Process:  i.settings.Instance + "@" + i.settings.Peer.String(),
 		Heard:    i.peers.leaseHeard,
 		Lead: func(ctx context.Context, term *rclease.Term) error {
--- a/internal/record/rclease/lease.go
+++ b/internal/record/rclease/lease.go
@@ -3,7 +3,8 @@
 //
 // The holder trusts a renewal only from the moment before it was sent, and
 // stops Margin before its lease ends. A taker takes over only after it has seen
-// the row unchanged for the lease's whole duration on its own clock. As the
+// the row unchanged for the lease's whole duration on its own clock, and for
+// longer where Apart asks for it. As the
 // taker's clock starts after the renewal took effect, the holder has stopped by
 // then, unless it is paused; the fencing number covers a paused holder that
 // goes on without noticing. Clocks need not agree, but over one duration they
@@ -43,6 +44,11 @@
 	Instance radishcrank.InstanceID
 	Duration time.Duration // How long a renewal lasts; default 10 s.
 	Margin   time.Duration // How long before its end the holder stops; default 1 s.
+	// Apart is the least time between the last act of a holder and the first one of
+	// another process's holder, where those who are acted upon do not compare fencing
+	// numbers. A holder may act until Margin before its lease ends, or until it
+	// releases it, so a taker waits for longer. Zero adds no wait.
+	Apart time.Duration
 
 	// Process names what only one living process can have, such as its address. A
 	// lease whose holder has the same name is one of an earlier process, so it is
@@ -71,7 +77,7 @@
 // number always rises.
 type row struct {
 	Holder   string // Empty after a release.
-	Process  string // Config.Process of the holder.
+	Process  string // Config.Process of the holder, also after a release.
 	Fence    uint64
 	Duration time.Duration
 }
@@ -201,11 +207,8 @@
 			if !known || version != seen {
 				seen, seenAt, known = version, time.Now(), true
 			}
-			// A row of its own comes from an acquisition whose outcome was unknown; no term began.
-			free := version == 0 || current.Holder == "" || current.Holder == l.holder ||
-				l.cfg.Process != "" && current.Process == l.cfg.Process
-			left = max(current.Duration, l.cfg.Duration) - time.Since(seenAt)
-			if free || left <= 0 {
+			left = l.unchangedFor(version, current) - time.Since(seenAt)
+			if left <= 0 {
 				left = l.cfg.Duration // After a write that failed.
 				next := l.row(current.Fence + 1)
 				sent := now()
@@ -222,6 +225,22 @@
 	}
 }
 
+// unchangedFor returns how long a row must have been unchanged before this
+// instance may take the lease.
+func (l *Lease) unchangedFor(version uint64, current row) time.Duration {
+	switch {
+	case version == 0:
+		return 0
+	case current.Holder == l.holder:
+		return 0 // It comes from an acquisition whose outcome was unknown; no term began.
+	case l.cfg.Process != "" && current.Process == l.cfg.Process:
+		return 0
+	case current.Holder == "":
+		return l.cfg.Apart
+	}
+	return max(current.Duration, l.cfg.Duration) + max(0, l.cfg.Apart-l.cfg.Margin)
+}
+
 func (l *Lease) row(fence uint64) row {
 	return row{Holder: l.holder, Process: l.cfg.Process, Fence: fence, Duration: l.cfg.Duration}
 }
@@ -255,7 +274,7 @@
 	}
 	release, stop := context.WithTimeout(context.WithoutCancel(ctx), l.cfg.Duration/renewals)
 	defer stop()
-	_ = l.write(release, version, row{Fence: term.Fence, Duration: l.cfg.Duration})
+	_ = l.write(release, version, row{Process: l.cfg.Process, Fence: term.Fence, Duration: l.cfg.Duration})
 }
 
 // renew writes the row once. It returns the version that the next write
