Show that restarts exceed the fleet's retry budget, known red

TestRestartsStayWithinAllowance fails on this code: 8 instances that are killed at once repeat 112 times in one window where 68 are allowed, since each has its share of the constant anew and divides it by 6 until it knows the others. One instance that is killed three times brings the fleet to 86 for 84.

--- a/internal/limits/rcbudget/budget_test.go
+++ b/internal/limits/rcbudget/budget_test.go
@@ -72,3 +72,47 @@
 		require.True(t, b.Repeat(service))
 	})
 }
+
+// TestRestartsStayWithinAllowance guards against instances that are killed, one
+// of them again and again or all at once, and that then spend the constant of a
+// window once more, or a larger part of it while they do not know the others yet.
+func TestRestartsStayWithinAllowance(t *testing.T) {
+	const ratio, slack, window, instances, fewer = 0.2, 52.0, 10 * time.Second, 8, 6
+	for name, c := range map[string]struct{ killed, times int }{"one": {1, 3}, "all": {instances, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				requests, repeats := 0, 0
+				var budgets []*Budget
+				start := func(known int) *Budget {
+					return New(Config{Allowance: allow(ratio, slack), Window: window, Instances: func() int { return known }})
+				}
+				for range instances {
+					budgets = append(budgets, start(instances))
+				}
+				spend := func() {
+					for _, b := range budgets {
+						for range 5 {
+							b.Request(service)
+							requests++
+							for range 4 {
+								if b.Repeat(service) {
+									repeats++
+								}
+							}
+						}
+					}
+				}
+				time.Sleep(2 * window)
+				spend()
+				for range c.times {
+					time.Sleep(time.Second)
+					for i := range c.killed {
+						budgets[i] = start(fewer)
+					}
+					spend()
+				}
+				require.LessOrEqual(t, float64(repeats), ratio*float64(requests)+slack)
+			})
+		})
+	}
+}
