Leave the constant of the retry budget to processes older than a window

A process that starts can't know what an earlier one of its instance has repeated in the last window, nor by how many instances the constant is divided. Until a window has passed it repeats by the ratio of its own requests alone. The windows count on the monotonic clock now: a step of the time of day emptied them. TestBudgetReturns waits for the first window, and checks that nothing of the constant is given before.

--- a/internal/limits/rcbudget/budget.go
+++ b/internal/limits/rcbudget/budget.go
@@ -1,7 +1,8 @@
 // Package rcbudget bounds how often instances send requests once more, without
 // asking each other for each one. A fleet-wide allowance of a share of all
 // requests plus a constant is kept by giving each instance the same share of its
-// own requests and an equal part of the constant.
+// own requests and an equal part of the constant. A process has that part only
+// after its first window, in which an earlier process may have spent it.
 package rcbudget
 
 import (
@@ -31,7 +32,8 @@
 // Budget counts requests and repeats of one service after the other. It is safe
 // for concurrent use.
 type Budget struct {
-	cfg Config
+	cfg  Config
+	born time.Time // Its monotonic reading counts: the time of day may jump.
 
 	mu       sync.Mutex
 	services map[string]*window
@@ -46,7 +48,7 @@
 
 // New returns a Budget.
 func New(cfg Config) *Budget {
-	return &Budget{cfg: cfg, services: map[string]*window{}}
+	return &Budget{cfg: cfg, born: time.Now(), services: map[string]*window{}}
 }
 
 func (b *Budget) bucketLocked(service string) (w *window, i int, span int64) {
@@ -55,7 +57,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	span = time.Now().UnixNano() / int64(b.cfg.Window/buckets)
+	span = int64(time.Since(b.born) / (b.cfg.Window / buckets))
 	i = int(span % buckets)
 	if w.at[i] != span {
 		w.at[i], w.requests[i], w.repeats[i] = span, 0, 0
@@ -78,6 +80,9 @@
 		n = max(1, b.cfg.Instances())
 	}
 	allowed := b.cfg.Allowance()
+	if time.Since(b.born) < b.cfg.Window {
+		allowed.Slack = 0
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i, span := b.bucketLocked(service)
--- a/internal/limits/rcbudget/budget_test.go
+++ b/internal/limits/rcbudget/budget_test.go
@@ -63,6 +63,8 @@
 func TestBudgetReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New(Config{Allowance: allow(0, 10), Window: 10 * time.Second})
+		require.False(t, b.Repeat(service), "an earlier process may have spent the constant")
+		time.Sleep(10 * time.Second)
 		taken := 0
 		for b.Repeat(service) {
 			taken++
