Count news that needed no wait from the last answer before

An answer that comes at once may tell of a row that was written before the call was sent, while the process was frozen, suspended or paused between two calls. It counts from the answer before then, as it does after a call that failed. In a process that runs this is earlier by the pause between two calls, 0.2 s at most.

--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -38,6 +38,10 @@
 	// even an empty one, shows the others that the store can be reached.
 	relayWait   = 700 * time.Millisecond
 	relayMargin = 400 * time.Millisecond
+	// awaitedLeast is how long a call must have waited for its news to be as new as
+	// the answer. The store answers in 4 ms, so a sooner one may tell of what was
+	// written before the call, while the process was frozen or paused.
+	awaitedLeast = 50 * time.Millisecond
 	// patientWait is feedWait of a table whose news may be late by as much.
 	patientWait = 20 * time.Second
 	// startTime is how long the instances of a fleet that starts take to find each
@@ -246,14 +250,14 @@
 	case relaying:
 		wait, margin = relayWait, relayMargin
 	}
-	after := f.version
+	after, asked := f.version, time.Now()
 	a, err := f.cfg.Source.Changes(ctx, f.cfg.Table, after, wait, margin)
 	if ctx.Err() != nil {
 		return
 	}
 	f.tell(err)
 	since := a.At
-	if !f.waiting {
+	if !f.waiting || time.Since(asked) < awaitedLeast {
 		since = f.answerAt
 	}
 	f.waiting = err == nil
