Tell a renewal of the lease at once

The holder told its row's version every 0.7 s, so a renewal that it made less than that before its end was unknown to the others. They then counted from their own first read of the row, 1.6 s or more after the holder's end. The version goes out with the next message after a renewal now. With the old rule TestRenewalIsToldAtOnce fails.

--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -1,18 +1,22 @@
 package rcinstance
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
@@ -57,3 +61,38 @@
 	_, held = p.leaseHeard()
 	require.False(t, held)
 }
+
+// TestRenewalIsToldAtOnce guards against a takeover that starts to wait only when
+// the holder is no longer heard of, since its last renewal had not been told.
+func TestRenewalIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fleetOf(2, 1)[0]
+		ctx, stop := context.WithCancel(t.Context())
+		lease := rclease.New(rclease.Config{
+			Table: rcfaketable.New(), Name: "orders", Instance: "a", Duration: leaseDuration, Margin: leaseMargin,
+			Lead: func(ctx context.Context, term *rclease.Term) error {
+				defer p.lead(term)()
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		})
+		go lease.Run(ctx)
+		synctest.Wait()
+		var told uint64
+		messages := 0
+		for range 100 {
+			p.mu.Lock()
+			if news := p.leaseNewsLocked(); news > 0 {
+				told = news
+				messages++
+			}
+			held := p.term.Version()
+			p.mu.Unlock()
+			require.Equal(t, held, told)
+			time.Sleep(loadsPace)
+		}
+		require.LessOrEqual(t, messages, 30)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -93,6 +93,8 @@
 	fromOther news // What it has heard from other relays and tells its zone.
 	self      *peer
 	term      *rclease.Term // Of this instance while it holds the lease.
+	toldLease uint64        // What it told of the lease last.
+	toldAt    time.Time     // When it told that.
 	lease     rclease.Heard // Of another instance that holds it.
 	leaseSeen time.Time     // When that was last told.
 }
@@ -164,6 +166,21 @@
 	p.hurry()
 }
 
+// leaseNewsLocked returns what is to be told of the lease now; 0 is nothing. A
+// renewal is told at once: an instance that has not heard of the last one counts
+// from its own first read of the row, seconds after the holder's end.
+func (p *peers) leaseNewsLocked() (version uint64) {
+	if p.term == nil {
+		return 0
+	}
+	version = p.term.Version()
+	if version == p.toldLease && time.Since(p.toldAt) < leaseNewsPace {
+		return 0
+	}
+	p.toldLease, p.toldAt = version, time.Now()
+	return version
+}
+
 // hearLease takes in that an instance holds the lease.
 func (p *peers) hearLease(version uint64) {
 	p.mu.Lock()
@@ -288,7 +305,7 @@
 
 // tell sends what has happened to the other instances.
 func (p *peers) tell(ctx context.Context, client *rcrpc.Client) {
-	var crashesAt, leadAt, loadsAt time.Time
+	var crashesAt, loadsAt time.Time
 	ticker := time.NewTicker(loadsPace)
 	defer ticker.Stop()
 	for {
@@ -307,9 +324,7 @@
 			crashesAt = now
 		}
 		p.mu.Lock()
-		if p.term != nil && time.Since(leadAt) >= leaseNewsPace {
-			p.next.Lease, leadAt = p.term.Version(), time.Now()
-		}
+		p.next.Lease = p.leaseNewsLocked()
 		if now := time.Now(); now.Sub(loadsAt) >= loadsPace {
 			p.next.Loads, loadsAt = p.i.fleet.Loads(), now
 		}
