Show that a wait for a turn outlives the placement, known red

TestTurnDoesNotOutliveThePlacement fails on this code: a suspect that continues a stream may wait until its deadline for its turn on an upstream. What the placement had checked before, that the upstream stays and that its weights may be used, is not checked again before the send.

--- /dev/null
+++ b/internal/serving/rcforward/waiting_test.go
@@ -0,0 +1,104 @@
+package rcforward
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
+)
+
+// holding is a Guard that lets the second run wait for its turn, as a suspect
+// does until nothing else runs on its upstream.
+type holding struct {
+	*rcpoison.Tracker
+	turn   time.Duration
+	during func(up radishcrank.UpstreamID)
+	enters int
+}
+
+func (h *holding) Enter(ctx context.Context, req radishcrank.Request, up radishcrank.Upstream) (func(crashed, finished bool), error) {
+	if h.enters++; h.enters == 2 {
+		h.during(up.ID)
+		time.Sleep(h.turn)
+	}
+	return h.Tracker.Enter(ctx, req, up)
+}
+
+// TestTurnDoesNotOutliveThePlacement guards against a stream that waits for its
+// turn on an upstream for seconds and is then sent there though the upstream has
+// been leaving since, or though its weights must no longer be used.
+func TestTurnDoesNotOutliveThePlacement(t *testing.T) {
+	const turn, oldLife = 3 * time.Second, 2 * time.Second
+	for name, during := range map[string]func(fleet *rcfleet.Fleet, named *rcweights.History, e rcfleet.Entry){
+		"leaving": func(fleet *rcfleet.Fleet, _ *rcweights.History, e rcfleet.Entry) {
+			e.Leaving = true
+			fleet.Put(e)
+		},
+		"gone": func(fleet *rcfleet.Fleet, _ *rcweights.History, e rcfleet.Entry) { fleet.Remove(e.ID) },
+		"restarted": func(fleet *rcfleet.Fleet, _ *rcweights.History, e rcfleet.Entry) {
+			e.Incarnation++
+			fleet.Put(e)
+		},
+		"older weights": func(fleet *rcfleet.Fleet, named *rcweights.History, e rcfleet.Entry) {
+			*named, _ = named.Add("2", time.Now())
+			for _, other := range fleet.All() {
+				if other.ID != e.ID {
+					fleet.SetWeights(other.ID, "m", "2")
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet, named := rcfleet.New(), rcweights.History{Model: "m"}
+				entries := map[radishcrank.UpstreamID]rcfleet.Entry{}
+				for i := range 3 {
+					e := rcfleet.Entry{
+						Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Incarnation: 1},
+						Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+					}
+					entries[e.ID] = e
+					fleet.Put(e)
+				}
+				var waitedFor radishcrank.UpstreamID
+				guard := &holding{Tracker: rcpoison.New(rcpoison.Config{Board: rcboard.New()}), turn: turn}
+				guard.during = func(id radishcrank.UpstreamID) {
+					waitedFor = id
+					during(fleet, &named, entries[id])
+				}
+				s := &script{steps: []step{
+					{reply: answer200(), body: broken("id: 1\n\n")},
+					{reply: answer200(), body: strings.NewReader("id: 2\n\n")},
+				}}
+				f := New(Config{
+					Fleet: fleet, Sender: s, Budget: freeBudget{}, Guard: guard,
+					Weights:  func(radishcrank.ModelID) rcweights.History { return named },
+					OldLife:  func() time.Duration { return oldLife },
+					KVStores: func() []rcaffinity.Store { return nil },
+					Hold:     func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
+					Metrics:  &rcmetric.Set{}, Log: zerolog.Nop(),
+				})
+				x := stream(radishcrank.RepeatResume)
+				x.ID, x.Service, x.Model, x.Parts = "r", "s", "m", []radishcrank.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 10}}
+				x.ReceivedAt, x.Deadline = time.Now(), time.Now().Add(time.Minute)
+				require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+				require.Len(t, s.sent, 2)
+				require.NotEqual(t, waitedFor, s.sent[1].up)
+			})
+		})
+	}
+}
