Check a placement again after a wait for its turn

An exchange that waited for its turn on an upstream goes there only if the upstream is still listed, does not leave, has not restarted, and its weights may be used. Else it is placed anew.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -18,6 +18,9 @@
 // maxWholeBody bounds the answers that are read whole before they are passed on.
 const maxWholeBody = 16 << 20
 
+// errMoved says that a placement no longer held when its turn came.
+var errMoved = errors.New("upstream may no longer be used")
+
 // errSilent says that the upstream sent nothing for too long.
 var errSilent = errors.New("upstream is silent")
 
@@ -26,11 +29,17 @@
 func (fl *flight) attempt(choice rcaffinity.Choice) (done bool, err error) {
 	f, x := fl.f, fl.x
 	up := choice.State.Upstream
+	begun := time.Now()
 	end, err := fl.enter(up)
 	if err != nil {
 		fl.cause = err
 		return false, nil
 	}
+	if time.Since(begun) >= heldLeast && !fl.stillHolds(choice) {
+		end(false, false)
+		fl.cause = errMoved
+		return false, nil
+	}
 	fl.logPlacement(choice)
 	if fl.arrivals == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -109,6 +118,21 @@
 	return end, err
 }
 
+// stillHolds reports whether an upstream that was waited for may still get the
+// exchange: it stays, and its weights may be used.
+func (fl *flight) stillHolds(choice rcaffinity.Choice) bool {
+	s, ok := fl.f.cfg.Fleet.Get(choice.State.ID)
+	if !ok || s.Leaving || s.Incarnation != choice.State.Incarnation {
+		return false
+	}
+	if !fl.x.Generates() {
+		return true
+	}
+	at, replaced := fl.f.cfg.Weights(fl.x.Model).ReplacedAt(choice.Weights)
+	life := fl.f.cfg.OldLife()
+	return s.Weights[fl.x.Model] == choice.Weights && (!replaced || life <= 0 || time.Since(at) < life)
+}
+
 // hold tells that the shared parts of the prompt have been read, which the first
 // event shows. Others that heard of it sooner would copy them in vain, and a
 // refused attempt would leave a holder that holds nothing.
