Store verdicts on contents that crash upstreams

Verdicts now go to the store 1.5 s after they are made, and an instance that starts reads them. The delay is a setting of the tracker: 15 s, for the gossip of the own interface, stays its default. TestVerdictsOutliveAllInstances and TestVerdictIsStoredInTime failed before.

--- a/internal/limits/rcpoison/exchange.go
+++ b/internal/limits/rcpoison/exchange.go
@@ -43,7 +43,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	ticker := time.NewTicker(storeInterval)
+	ticker := time.NewTicker(min(storeInterval, t.cfg.StoreDelay))
 	defer ticker.Stop()
 	for {
 		if records, err := t.cfg.Verdicts.Load(ctx); err == nil {
@@ -72,7 +72,7 @@
 	t.mu.Lock()
 	var records []Record
 	for key, since := range t.pending {
-		if time.Since(since) >= storeDelay {
+		if time.Since(since) >= t.cfg.StoreDelay {
 			records = append(records, t.records[key].clone())
 		}
 	}
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -4,6 +4,7 @@
 package rcpoison
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -31,6 +32,9 @@
 	Board    *rcboard.Board
 	Instance radishcrank.InstanceID
 	Verdicts Verdicts // Nil keeps verdicts in memory and with peers only.
+	// StoreDelay is the age at which a verdict is stored, 15 s if it is 0. A record of
+	// another instance may withdraw it until that has had the time to arrive.
+	StoreDelay time.Duration
 }
 
 const (
@@ -41,8 +45,7 @@
 	maxRecords = 4096
 	// storeInterval is the time between rounds of writing and reading verdicts.
 	storeInterval = 5 * time.Second
-	// storeDelay is the age at which a verdict is stored. A record of another
-	// instance may withdraw it within the seconds that it takes to arrive.
+	// storeDelay is Config.StoreDelay where records take seconds to arrive.
 	storeDelay = 15 * time.Second
 )
 
@@ -75,6 +78,7 @@
 
 // New returns a Tracker.
 func New(cfg Config) *Tracker {
+	cfg.StoreDelay = cmp.Or(cfg.StoreDelay, storeDelay)
 	return &Tracker{
 		cfg:       cfg,
 		records:   make(map[Key]*Record),
--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -368,3 +368,25 @@
 		require.Error(t, restarted.Check(req))
 	})
 }
+
+// TestVerdictIsStoredInTime guards against a verdict that is lost because all
+// instances are killed before it is stored.
+func TestVerdictIsStoredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 1500 * time.Millisecond
+		m := &memory{rows: make(map[Key]Record)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		tr := New(Config{Board: rcboard.New(), Verdicts: m, StoreDelay: delay})
+		go tr.Run(ctx)
+		for i := range VerdictAfter {
+			end, err := tr.Enter(ctx, radishcrank.Request{Prompt: "p"}, radishcrank.Upstream{ID: "u", Incarnation: radishcrank.Incarnation(i + 1)})
+			require.NoError(t, err)
+			end(true, false)
+		}
+		time.Sleep(2 * delay)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		require.Len(t, m.rows, 1)
+	})
+}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
@@ -36,6 +37,8 @@
 const (
 	leaseTable   = "radishcrank-lease"
 	weightsTable = "radishcrank-weights" // When which weights were named.
+	// verdictsTable holds the contents that crash upstreams.
+	verdictsTable = "radishcrank-verdicts"
 )
 
 const (
@@ -56,6 +59,12 @@
 	idleTime = 75 * time.Second
 	// weightsMargin stops the use of older weights before it is forbidden.
 	weightsMargin = 1200 * time.Millisecond
+	// verdictDelay exceeds the time that records of crashes take to all instances,
+	// with their relays.
+	verdictDelay = 1500 * time.Millisecond
+	// verdictsInterval leaves the table of verdicts to instances that start. The
+	// others hear of verdicts from each other.
+	verdictsInterval = time.Hour
 	// memoryShare of the process's memory limit makes the garbage collector hurry.
 	memoryShare = 0.7
 )
@@ -102,7 +111,12 @@
 	i.named = rcweights.NewKeeper(rcweights.KeeperConfig{
 		Table: &platform.Table{Store: i.store, Name: weightsTable}, Now: i.clock.Now, Log: i.log,
 	})
-	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
+	i.guard = rcpoison.New(rcpoison.Config{
+		Board: i.board, Instance: radishcrank.InstanceID(s.Instance), StoreDelay: verdictDelay,
+		Verdicts: rcverdict.New(rcverdict.Config{
+			Table: &platform.Table{Store: i.store, Name: verdictsTable}, Interval: verdictsInterval,
+		}),
+	})
 	i.peers = newPeers(i)
 	i.directory = &directory{fleet: i.fleet, setConfig: i.setTable, setWeights: i.setNamed, log: i.log}
 	i.directory.follow(rcfeed.Config{Source: i.store, Relaying: i.peers.relaying, Publish: i.peers.publish, Log: i.log})
--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -20,6 +20,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeupstream"
@@ -272,6 +274,24 @@
 	}
 }
 
+// TestVerdictsOutliveAllInstances guards against a content that crashes upstreams
+// once more after all instances were killed.
+func TestVerdictsOutliveAllInstances(t *testing.T) {
+	s := newSite(t, 1, nil)
+	content := radishcrank.Request{Prompt: "crashes"}
+	for n := range rcpoison.VerdictAfter {
+		end, err := s.instances[0].guard.Enter(t.Context(), content, radishcrank.Upstream{ID: "x", Incarnation: radishcrank.Incarnation(n + 1)})
+		require.NoError(t, err)
+		end(true, false)
+	}
+	require.Error(t, s.instances[0].guard.Check(content))
+	require.Eventually(t, func() bool { return s.store.Rows(verdictsTable) == 1 }, 3*verdictDelay, 10*time.Millisecond)
+	s.stop[0]()
+	<-s.stopped[0]
+	s.start(10 * time.Second)
+	require.Eventually(t, func() bool { return s.instances[1].guard.Check(content) != nil }, time.Second, 10*time.Millisecond)
+}
+
 // TestConfigurationComesIntoForce guards against routes that are added or removed
 // and not seen within the 2 s that the platform gives.
 func TestConfigurationComesIntoForce(t *testing.T) {
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -78,6 +78,18 @@
 	return s.calls
 }
 
+// Rows returns the number of rows of a table.
+func (s *Store) Rows(table string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rows {
+		if r.Table == table {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Store) wakeLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
