Renew the lease of orders more often, so that takeovers stay quick

Orders of two holders now lie LeaseMs (3 s) apart, which made the takeover from a lost holder 6.2 s after its last renewal.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -45,8 +45,8 @@
 	// leaseDuration is how long a renewal of the orders' lease lasts. Another
 	// instance takes over once that and the time that two holders' orders must be
 	// apart have passed, less leaseMargin.
-	leaseDuration = 4 * time.Second
-	leaseMargin   = 800 * time.Millisecond
+	leaseDuration = 2200 * time.Millisecond
+	leaseMargin   = 600 * time.Millisecond
 	// noticeTime is how long a stopping instance goes on serving while it reports
 	// that it is not ready: the balancer needs two readiness checks, a second apart.
 	noticeTime = 2500 * time.Millisecond
