--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -100,10 +100,15 @@
 // Controller gives orders during a term.
 type Controller struct {
 	cfg Config
+
+	mu    sync.Mutex
+	under map[radishcrank.UpstreamID]bool // Engines with an order that is under way.
 }
 
 // New returns a Controller.
-func New(cfg Config) *Controller { return &Controller{cfg: cfg} }
+func New(cfg Config) *Controller {
+	return &Controller{cfg: cfg, under: map[radishcrank.UpstreamID]bool{}}
+}
 
 // Lead gives orders until ctx ends.
 func (c *Controller) Lead(ctx context.Context, term Term, fence uint64) error {
@@ -119,10 +124,14 @@
 			for _, service := range c.cfg.Service(named.Model) {
 				engines = c.cfg.Fleet.View(service, engines)
 			}
-			for _, e := range Plan(named, engines, time.Now()) {
+			for _, e := range Plan(named, c.withOrders(engines), time.Now()) {
 				// Marked before the goroutine starts, so that the next plan counts it.
 				c.announce(e, News{Model: named.Model, LoadingFor: quiesce + expectedLoad})
-				wg.Go(func() { c.load(ctx, term, fence, named, e) })
+				c.setUnder(e.ID, true)
+				wg.Go(func() {
+					defer c.setUnder(e.ID, false)
+					c.load(ctx, term, fence, named, e)
+				})
 			}
 		}
 		select {
@@ -133,6 +142,30 @@
 	return ctx.Err()
 }
 
+func (c *Controller) setUnder(id radishcrank.UpstreamID, under bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if under {
+		c.under[id] = true
+	} else {
+		delete(c.under, id)
+	}
+}
+
+// withOrders marks engines as loading whose order is under way. An order without
+// an answer outlasts the time that a load is expected to take.
+func (c *Controller) withOrders(engines []rcfleet.State) []rcfleet.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := time.Now().Add(interval)
+	for i := range engines {
+		if c.under[engines[i].ID] && engines[i].LoadingUntil.Before(until) {
+			engines[i].LoadingUntil = until
+		}
+	}
+	return engines
+}
+
 func (c *Controller) announce(e rcfleet.State, n News) {
 	n.Upstream, n.Incarnation = e.ID, e.Incarnation
 	Apply(c.cfg.Fleet, n)
--- a/internal/record/rcrollout/rollout_test.go
+++ b/internal/record/rcrollout/rollout_test.go
@@ -203,6 +203,47 @@
 	})
 }
 
+// deafEngines take no orders: each one is unanswered and shows nowhere.
+type deafEngines struct{}
+
+func (deafEngines) Load(context.Context, radishcrank.Upstream, Order) error {
+	time.Sleep(400 * time.Millisecond)
+	return errors.New("no answer")
+}
+
+func (deafEngines) Report(context.Context, radishcrank.Upstream) (Report, error) {
+	return Report{Weights: map[radishcrank.ModelID]radishcrank.WeightsVersion{model: "1"}}, nil
+}
+
+// TestUnansweredOrderIsWaitedFor guards against an engine that gets a second order
+// while the first one has no answer yet, and may carry out both.
+func TestUnansweredOrderIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines, history := deafEngines{}, named("1", "2")
+		fleet := rcfleet.New()
+		fleet.Replace(entries(1))
+		var begun []time.Time
+		c := New(Config{
+			Fleet: fleet, Engines: engines, Mode: KeepRuns,
+			Named:   func() []rcweights.History { return []rcweights.History{history} },
+			Service: func(radishcrank.ModelID) []string { return []string{"s"} },
+			Announce: func(n News) {
+				if n.LoadingFor > 0 {
+					begun = append(begun, time.Now())
+				}
+			},
+			Log: zerolog.Nop(),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		c.Lead(ctx, newTerm(), 7)
+		require.Greater(t, len(begun), 2)
+		for i := 1; i < len(begun); i++ {
+			require.GreaterOrEqual(t, begun[i].Sub(begun[i-1]), 400*time.Millisecond+unansweredWait)
+		}
+	})
+}
+
 // TestNewestWeightsAreLoaded guards against loads of weights that were replaced
 // before the engine's turn came.
 func TestNewestWeightsAreLoaded(t *testing.T) {
