Know the instances from the platform's list, without heartbeats

The platform keeps a list of live and leaving instances, and rcwatch reads it each second.

Instances that are no configuration readers ask one of their zone's two readers each second. A reader that cannot reach the table service asks its own and another zone, and an instance that no peer helps for 3 s reads it itself.

--- a/internal/eval/rccapacity/deployment.go
+++ b/internal/eval/rccapacity/deployment.go
@@ -14,17 +14,17 @@
 
 // Constants of other packages that they do not export.
 const (
-	listReads        = 1 + 0.1 // A second: rcwatch each second, rcmember every 10 s.
-	reportInterval   = 0.25    // rcwatch, seconds.
-	watchBytes       = 2000    // rcwatch, B/s above observeAll engines.
-	watchAll         = 64      // rcwatch, observeAll.
-	reportEstimate   = 700     // rcwatch, reportBytes.
-	observers        = 2       // rcwatch, of each engine.
-	observedWeight   = 4       // rcwatch.
-	usagePeers       = 15      // rcdaemon, maxUsagePeers.
-	usageInterval    = 2       // rcdaemon, seconds.
-	capacitySums     = 4.0     // rcdaemon, a second at most.
-	configReaders    = 2       // Of an availability zone; rcrevision reads each second.
+	listReads        = 1.0  // rcwatch, a second.
+	reportInterval   = 0.25 // rcwatch, seconds.
+	watchBytes       = 2000 // rcwatch, B/s above observeAll engines.
+	watchAll         = 64   // rcwatch, observeAll.
+	reportEstimate   = 700  // rcwatch, reportBytes.
+	observers        = 2    // rcwatch, of each engine.
+	observedWeight   = 4    // rcwatch.
+	usagePeers       = 15   // rcdaemon, maxUsagePeers.
+	usageInterval    = 2    // rcdaemon, seconds.
+	capacitySums     = 4.0  // rcdaemon, a second at most.
+	configReaders    = 2    // Of an availability zone; rcrevision reads each second.
 	leaseInterval    = 10.0 / 4 * 7 / 8
 	verdictInterval  = 300.0 // rcdaemon, seconds.
 	snapshotInterval = 120.0 // rcsnapshot, seconds.
@@ -41,6 +41,13 @@
 	herdConfigReads  = 10       // Of a zone, as TestBoundInForce of rcrevision allows.
 )
 
+// B/s that rcrevision sends to peers with 374 instances, as TestBoundInForce
+// logged it on 2026-12-04: each instance in the mean, and the busiest reader.
+const (
+	configAskBytes    = 155.0
+	configReaderBytes = 1215.0
+)
+
 // Assumptions that the design page does not state.
 const (
 	bookingShare  = 0.01 // Of the requests.
--- a/internal/eval/rccapacity/page.go
+++ b/internal/eval/rccapacity/page.go
@@ -54,7 +54,7 @@
 	}
 	row("control roles of an ordinary instance, which is not leader, pusher or configuration reader", ordinary(m, &Target))
 	row("all control roles on one instance, the first of its availability zone", control(m, &Target))
-	b.WriteString("\nMessages of the member are those that it sends, of the reader of the instance list and the watcher those of both directions.\n\n")
+	b.WriteString("\nMessages between instances of the configuration reader and asker are those that they send; they are not of the run above, but what `TestBoundInForce` of `rcrevision` logged on 2026-12-04 with 374 instances. Messages of the reader of the instance list and the watcher those of both directions.\n\n")
 }
 
 func writeToday(b *bytes.Buffer, m *Measurements) {
--- a/internal/eval/rccapacity/role.go
+++ b/internal/eval/rccapacity/role.go
@@ -47,12 +47,12 @@
 		"processor time of the sum, which grows with the engines", false, false, false, limiterLoad},
 	{"watcher of upstreams", "`rcwatch`: load reports within 2,000 B/s, events of no engine at this size", "Upstreams table",
 		"age of load reports", false, false, false, watcherLoad},
-	{"reader of the instance list", "`rcwatch` and `rcmember`: the whole list 1.1 times a second", "none",
+	{"reader of the instance list", "`rcwatch` reads the whole list each second, also for `rcmember`", "370 members",
 		"bytes and decoding of the list", false, false, false, listLoad},
-	{"member", "`rcmember`: two heartbeats a second with up to 8 rumors", "370 members",
-		"messages: two heartbeats a second and their answers", false, false, false, memberLoad},
-	{"configuration reader", "`rcrevision`, `rcconfig`: two readers of each availability zone, deltas, a full parse for each change", "one parsed document",
+	{"configuration reader", "`rcrevision`, `rcconfig`: two readers of each availability zone, which answer the others, deltas, a full parse for each change", "one parsed document",
 		"parsing, which grows with accounts times changes", false, false, true, configLoad},
+	{"asker of the configuration", "`rcrevision`: one question a second to a reader of the zone", "none",
+		"answers of the two readers, which grow with the zone", false, false, false, askLoad},
 	{"order leader", "`rclease`, `rcorder`: one lease row, intent rows", "intents",
 		"nothing at this size: one row is renewed", false, true, false, leaderLoad},
 	{"snapshot pusher", "`rcsnapshot`: one pusher of each availability zone, every two minutes", "one encoded snapshot",
@@ -120,19 +120,24 @@
 	}
 }
 
-func memberLoad(m *Measurements, d *Deployment) load {
-	return load{
-		CPU:     m.series("HeartbeatRound").at(d.perZone()) / 1e3,
-		Traffic: m.series("HeartbeatBytes").at(d.perZone()),
-	}
-}
-
 func configLoad(m *Measurements, d *Deployment) load {
 	return load{
 		CPU:     d.ConfigChanges / daySeconds * m.series("ConfigParse").at(d.Accounts) / 1e3,
 		Memory:  (m.series("ConfigMemory").at(d.Accounts) + m.series("ConfigBytes").at(d.Accounts)) / megabyte,
-		Traffic: m.series("ReadBytes").at(headRow),
+		Traffic: m.series("ReadBytes").at(headRow) + askTraffic(d, configReaderBytes),
+	}
+}
+
+func askLoad(_ *Measurements, d *Deployment) load {
+	return load{Traffic: askTraffic(d, configAskBytes)}
+}
+
+// askTraffic returns bytes unless all instances are readers, which ask nobody.
+func askTraffic(d *Deployment, bytes float64) float64 {
+	if d.perZone() <= configReaders {
+		return 0
 	}
+	return bytes
 }
 
 func leaderLoad(m *Measurements, _ *Deployment) load {
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -126,6 +126,8 @@
 		Index:    d.chooser.Index(),
 		Moves:    d.chooser.Moves,
 		Log:      cfg.Log,
+
+		OnInstances: d.members.Merge,
 	})
 	d.calls = rcidem.New(d.callsConfig())
 	d.callers = d.newCallersServer()
--- a/internal/node/rcdaemon/peers.go
+++ b/internal/node/rcdaemon/peers.go
@@ -1,7 +1,7 @@
 package rcdaemon
 
 import (
-	"context"
+	"net/netip"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
@@ -27,14 +27,14 @@
 	d.client = rcrpc.NewClient(rpc)
 	d.peers = rcrpc.NewServer(d.cfg.Listeners.Peers, rpc)
 	d.keeper = rcrevision.New(rcrevision.Config{
-		Self:      boot.ID,
-		Table:     d.cfg.Table,
-		Caller:    d.client,
-		Handlers:  d.handlers,
-		Log:       d.cfg.Log,
-		Reader:    func() bool { return d.members.First(readersPerZone) },
-		Advertise: func(ctx context.Context) { d.members.Advertise(ctx) },
-		OnChange:  d.applyDocument,
+		Self:     boot.ID,
+		Table:    d.cfg.Table,
+		Caller:   d.client,
+		Handlers: d.handlers,
+		Log:      d.cfg.Log,
+		Reader:   func() bool { return d.members.First(readersPerZone) },
+		Sources:  func() []netip.AddrPort { return d.members.Sources(readersPerZone) },
+		OnChange: d.applyDocument,
 	})
 	d.members = rcmember.New(rcmember.Config{
 		Self: radishcrank.Instance{
@@ -47,11 +47,9 @@
 		Board:     d.board,
 		Caller:    d.client,
 		Handlers:  d.handlers,
-		Lister:    d.cfg.Lister,
 		Bootstrap: boot.Bootstrap,
 		Keep:      d.client.Keep,
-		Config:    d.keeper.Advert,
-		OnConfig:  d.keeper.Heard,
+		Log:       d.cfg.Log,
 	})
 }
 
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -109,7 +109,7 @@
 	d.draining.Store(true)
 	ctx, cancel := context.WithTimeout(abort, d.settings().ShutdownTimeout)
 	defer cancel()
-	d.members.Leave(ctx)
+	d.members.Leave()
 	rcwait.For(ctx, d.cfg.NoticeDelay)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.logCut(err)
--- a/internal/peer/rcfakepeer/network.go
+++ b/internal/peer/rcfakepeer/network.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,22 +27,19 @@
 // Link is the state of the path between two hosts.
 type Link struct {
 	Down    bool          // Everything is lost.
-	Loss    float64       // Share of messages that are lost.
 	Latency time.Duration // Of one message.
 }
 
 // Network connects hosts.
 type Network struct {
 	mu    sync.Mutex
-	rand  *rand.Rand
 	hosts map[netip.AddrPort]*Host
 	link  func(from, to *Host) Link
 }
 
-// New returns a network without hosts whose losses follow from a seed.
-func New(seed uint64) *Network {
+// New returns a network without hosts.
+func New() *Network {
 	return &Network{
-		rand:  rand.New(rand.NewPCG(seed, seed)),
 		hosts: make(map[netip.AddrPort]*Host),
 		link:  func(*Host, *Host) Link { return Link{} },
 	}
@@ -64,14 +60,11 @@
 	net      *Network
 	handlers *rcrpc.Handlers
 	sent     int
-	received int
-	calls    map[string]int
-	resume   chan struct{} // Closed when a pause ends; nil while the host runs.
 }
 
 // NewHost returns a host that can make calls and serves them after Listen.
 func (n *Network) NewHost(id rcrpc.Identity, addr netip.AddrPort, handlers *rcrpc.Handlers) *Host {
-	return &Host{Identity: id, Addr: addr, net: n, handlers: handlers, calls: make(map[string]int)}
+	return &Host{Identity: id, Addr: addr, net: n, handlers: handlers}
 }
 
 // Listen makes the host reachable, once all handlers are registered. It
@@ -91,47 +84,16 @@
 	}
 }
 
-// Pause stops all calls from and to the host until Resume.
-func (h *Host) Pause() {
+// SentBytes returns how much the host has sent since it was made.
+func (h *Host) SentBytes() int {
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
-	if h.resume == nil {
-		h.resume = make(chan struct{})
-	}
-}
-
-// Resume ends a pause.
-func (h *Host) Resume() {
-	h.net.mu.Lock()
-	defer h.net.mu.Unlock()
-	if h.resume != nil {
-		close(h.resume)
-		h.resume = nil
-	}
-}
-
-// Traffic counts what a host has sent and received since it was made.
-type Traffic struct {
-	SentBytes     int
-	ReceivedBytes int
-	Calls         map[string]int // Calls made, by method.
-}
-
-// Traffic returns the counts.
-func (h *Host) Traffic() Traffic {
-	h.net.mu.Lock()
-	defer h.net.mu.Unlock()
-	t := Traffic{SentBytes: h.sent, ReceivedBytes: h.received, Calls: make(map[string]int)}
-	for method, calls := range h.calls {
-		t.Calls[method] = calls
-	}
-	return t
+	return h.sent
 }
 
 // Call implements rcrpc.Caller. A lost message makes the call last until its deadline.
 func (h *Host) Call(ctx context.Context, to netip.AddrPort, method string, question, answer any) error {
 	h.net.mu.Lock()
-	h.calls[method]++
 	peer := h.net.hosts[to]
 	h.net.mu.Unlock()
 	if peer == nil {
@@ -174,45 +136,22 @@
 	if err != nil {
 		return err
 	}
-	if err := h.waitResumed(ctx); err != nil {
-		return err
-	}
 	h.net.mu.Lock()
 	link := h.net.link(h, to)
-	lost := link.Down || h.net.rand.Float64() < link.Loss
 	h.sent += len(frame)
 	h.net.mu.Unlock()
-	if lost {
+	if link.Down {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	if !rcwait.For(ctx, link.Latency) {
 		return ctx.Err()
 	}
-	if err := to.waitResumed(ctx); err != nil {
-		return err
-	}
 	h.net.mu.Lock()
 	attached := h.net.hosts[to.Addr] == to
-	to.received += len(frame)
 	h.net.mu.Unlock()
 	if !attached {
 		return ErrUnreachable
 	}
 	return rcrpc.Decode(bytes.NewReader(frame), rcrpc.MaxMessageBytes, arrived)
 }
-
-func (h *Host) waitResumed(ctx context.Context) error {
-	h.net.mu.Lock()
-	resume := h.resume
-	h.net.mu.Unlock()
-	if resume == nil {
-		return nil
-	}
-	select {
-	case <-resume:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/state/rcrevision/keeper.go
+++ b/internal/state/rcrevision/keeper.go
@@ -1,8 +1,8 @@
 // Package rcrevision keeps the newest revision of the configuration in force.
 // Revisions are committed to the table service by compare-and-set. Two
-// instances of each availability zone poll the newest number; the others learn
-// it from heartbeats and fetch the document from whoever advertised it. An
-// instance moves to higher revisions only.
+// instances of each availability zone poll the newest number; the others ask
+// one of them, as do those that cannot reach the table service. An instance
+// moves to higher revisions only.
 package rcrevision
 
 import (
@@ -30,18 +30,22 @@
 	readTimeout = 3 * time.Second
 	// pushTimeout covers several tries while answers are lost.
 	pushTimeout = 20 * time.Second
-	// firstPoll lets peers answer first when instances restart in herds.
-	firstPoll = 2 * time.Second
+	// firstPoll spreads the first questions of instances that restart in herds.
+	firstPoll = 500 * time.Millisecond
 	// orphanPoll is when an instance without a document asks the table itself.
 	// By then its zone's readers have the document, if they can reach the table: a
 	// restart of all instances would otherwise read it 370 times, 150 MB in all.
 	orphanPoll = 4 * time.Second
 	// rejectPause keeps an instance from fetching a document again and again that it cannot apply.
 	rejectPause = 30 * time.Second
+	// staleAfter is when an instance that learns from peers asks the table itself,
+	// because the peers that it asks are gone or cut off.
+	staleAfter = 3 * time.Second
+	// stalePoll is how often it does so. While the table service is down, 370
+	// instances then make fewer than a tenth of the 2,000 reads/s that it allows.
+	stalePoll = 2 * time.Second
 	// keptTexts bounds the older documents that deltas can start from.
 	keptTexts = 8
-	// maxSources bounds the advertisers that are remembered for one fetch.
-	maxSources = 8
 )
 
 // Config holds the parts that a Keeper works with.
@@ -54,11 +58,10 @@
 
 	// Reader reports whether this instance polls the table service for its zone.
 	Reader func() bool
-	// Advertise spreads this instance's revision at once. It may block for as
-	// long as calls to peers take.
-	Advertise func(ctx context.Context)
+	// Sources returns peers to ask for the newest revision.
+	Sources func() []netip.AddrPort
 	// OnChange is called with each document that comes into force, one call at
-	// a time and in order. Of the keeper it may use only Current and Advert.
+	// a time and in order. Of the keeper it may use only Current.
 	OnChange func(doc *rcconfig.Document)
 }
 
@@ -81,12 +84,11 @@
 	cfg       Config
 	current   atomic.Pointer[version]
 	confirmed atomic.Pointer[time.Time] // When the current revision was last known to be the newest one.
-	wake      chan struct{}
-	changed   chan struct{} // Has an element while the current revision is not advertised yet.
+	reached   atomic.Bool               // The last read of the table service succeeded.
+	readAt    time.Time                 // When an instance that is no reader reads it next; of readTable alone.
 
 	mu        sync.Mutex
 	older     []*version // Newest first.
-	sources   []source   // Advertisers of a higher revision.
 	newest    uint64     // Highest revision heard of.
 	rejected  map[string]time.Time
 	problem   string
@@ -95,22 +97,15 @@
 	objects   map[string]*rcrpc.Object
 }
 
-// source is a peer that advertised a revision.
-type source struct {
-	addr     netip.AddrPort
-	revision uint64
-	hash     string
-}
-
 // New returns a keeper without a document.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
 		cfg:      cfg,
-		wake:     make(chan struct{}, 1),
-		changed:  make(chan struct{}, 1),
+		readAt:   time.Now().Add(jitter(orphanPoll)),
 		rejected: make(map[string]time.Time),
 		objects:  make(map[string]*rcrpc.Object),
 	}
+	rcrpc.Handle(cfg.Handlers, methodNewest, k.answerNewest)
 	rcrpc.Handle(cfg.Handlers, methodFetch, k.answerFetch)
 	return k
 }
@@ -138,12 +133,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := Status{Problem: k.problem, Conflicts: k.conflicts}
-	s.Revision, s.Hash, s.Age = k.Advert()
+	s.Revision, s.Hash, s.Age = k.inForce()
 	return s
 }
 
-// Advert returns what heartbeats say of the configuration in force. It takes no lock.
-func (k *Keeper) Advert() (revision uint64, hash string, age time.Duration) {
+// inForce describes the configuration in force. It takes no lock.
+func (k *Keeper) inForce() (revision uint64, hash string, age time.Duration) {
 	age = -1
 	if at := k.confirmed.Load(); at != nil {
 		age = time.Since(*at)
@@ -162,33 +157,13 @@
 	}
 }
 
-// Heard takes in what a peer advertises: its revision, and how long ago that
-// was known to be the newest one; a negative age says that it never was. It
-// does not block.
-func (k *Keeper) Heard(from netip.AddrPort, revision uint64, hash string, age time.Duration) {
-	v := k.current.Load()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.newest = max(k.newest, revision)
-	switch {
-	case revision == 0 || revision < v.revision():
-	case v != nil && revision == v.doc.Revision:
-		k.compare(v, hash, from.String())
-		if hash == v.hash && age >= 0 {
-			k.confirm(time.Now().Add(-age))
-		}
-	default:
-		k.addSource(source{addr: from, revision: revision, hash: hash})
-	}
-}
-
 // compare reports another document under the number of the one in force. The caller holds the lock.
 func (k *Keeper) compare(v *version, hash, where string) {
 	if hash == v.hash {
 		return
 	}
 	k.conflicts++
-	// Without the place, or two peers would be reported in turn with each heartbeat.
+	// Without the place, or two peers would be reported in turn with each answer.
 	problem := fmt.Sprintf("revision %d has hash %s here and %s elsewhere", v.doc.Revision, v.hash, hash)
 	if k.problem != problem {
 		k.problem = problem
@@ -196,51 +171,6 @@
 	}
 }
 
-func (k *Keeper) addSource(s source) {
-	if until, ok := k.rejected[s.hash]; ok && time.Now().Before(until) {
-		return
-	}
-	for i := range k.sources {
-		if k.sources[i].addr == s.addr {
-			k.sources[i] = s
-			return
-		}
-	}
-	if len(k.sources) < maxSources {
-		k.sources = append(k.sources, s)
-	}
-	notify(k.wake)
-}
-
-// Run keeps the configuration up to date until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
-	var running sync.WaitGroup
-	defer running.Wait()
-	running.Go(func() { k.poll(ctx) })
-	running.Go(func() { serve(ctx, k.changed, k.cfg.Advertise) })
-	serve(ctx, k.wake, k.fetchNewest)
-	return ctx.Err()
-}
-
-// serve calls f for each signal until ctx ends.
-func serve(ctx context.Context, signal <-chan struct{}, f func(context.Context)) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signal:
-			f(ctx)
-		}
-	}
-}
-
-func notify(signal chan<- struct{}) {
-	select {
-	case signal <- struct{}{}:
-	default:
-	}
-}
-
 // adopt brings a document into force if its revision is higher than the
 // current one. It reports whether the instance holds this revision or a higher one.
 func (k *Keeper) adopt(ctx context.Context, revision uint64, text string) bool {
@@ -257,7 +187,6 @@
 		return true
 	}
 	k.clearReport(ctx)
-	notify(k.changed)
 	return true
 }
 
--- a/internal/state/rcrevision/poll.go
+++ b/internal/state/rcrevision/poll.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -9,12 +11,21 @@
 	"github.com/radishcrank/radishcrank"
 )
 
-// poll reads the newest revision from the table service while this instance is
-// a reader, and now and then while it has no document at all.
-func (k *Keeper) poll(ctx context.Context) {
-	timer := time.NewTimer(jitter(firstPoll))
+// Run keeps the configuration up to date until ctx ends. Peers are asked first,
+// which spares the table service a document of 400 KB for each restart, and on
+// their own, so that a table service that does not answer delays nothing.
+func (k *Keeper) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	running.Go(func() { every(ctx, rand.N(firstPoll), k.askPeers) })
+	running.Go(func() { every(ctx, firstPoll+rand.N(firstPoll), k.readTable) })
+	running.Wait()
+	return ctx.Err()
+}
+
+// every calls f each pollInterval from first on, until ctx ends.
+func every(ctx context.Context, first time.Duration, f func(context.Context)) {
+	timer := time.NewTimer(first)
 	defer timer.Stop()
-	orphan := time.Now().Add(jitter(orphanPoll))
 	for {
 		select {
 		case <-ctx.Done():
@@ -22,19 +33,60 @@
 		case <-timer.C:
 		}
 		begin := time.Now()
-		alone := k.current.Load() == nil && begin.After(orphan)
-		if alone {
-			orphan = begin.Add(jitter(orphanPoll))
-		}
-		if alone || k.cfg.Reader() {
-			if err := k.readHead(ctx); err != nil {
-				k.cfg.Log.Debug().Err(err).Msg("configuration poll failed")
-			}
-		}
+		f(ctx)
 		timer.Reset(max(0, pollInterval-time.Since(begin)))
 	}
 }
 
+// askPeers asks peers for the newest revision, unless this instance reads it itself.
+func (k *Keeper) askPeers(ctx context.Context) {
+	if k.reached.Load() && k.cfg.Reader() {
+		return
+	}
+	var running sync.WaitGroup
+	for _, addr := range k.cfg.Sources() {
+		running.Go(func() {
+			if err := k.askPeer(ctx, addr); err != nil {
+				k.cfg.Log.Debug().Err(err).Msg("no configuration from a peer")
+			}
+		})
+	}
+	running.Wait()
+}
+
+// readTable reads the newest revision from the table service if this instance
+// is a reader, and now and then while peers do not help.
+func (k *Keeper) readTable(ctx context.Context) {
+	overdue := k.isStale() && time.Now().After(k.readAt)
+	if overdue {
+		k.readAt = time.Now().Add(jitter(k.aloneInterval()))
+	}
+	if !overdue && !k.cfg.Reader() {
+		return
+	}
+	err := k.readHead(ctx)
+	if err != nil {
+		k.cfg.Log.Debug().Err(err).Msg("configuration poll failed")
+	}
+	k.reached.Store(err == nil)
+}
+
+// isStale reports whether the configuration in force was not known to be the
+// newest one for a while.
+func (k *Keeper) isStale() bool {
+	_, _, age := k.inForce()
+	return age < 0 || age >= staleAfter
+}
+
+// aloneInterval returns the time between two reads of the table service by an
+// instance that no peer helps.
+func (k *Keeper) aloneInterval() time.Duration {
+	if k.Current() == nil {
+		return orphanPoll
+	}
+	return stalePoll
+}
+
 // readHead compares the table's newest revision with the one in force.
 func (k *Keeper) readHead(ctx context.Context) (err error) {
 	defer func() {
--- a/internal/state/rcrevision/row.go
+++ b/internal/state/rcrevision/row.go
@@ -84,7 +84,7 @@
 	Error    string
 }
 
-// hashOf returns 64 bits of BLAKE3. Heartbeats carry it to find documents that
+// hashOf returns 64 bits of BLAKE3. Answers of peers carry it to find documents that
 // differ by accident under one number; peers are trusted.
 func hashOf(text string) string {
 	const hashBytes = 8
--- a/internal/upstream/rcwatch/watch.go
+++ b/internal/upstream/rcwatch/watch.go
@@ -50,10 +50,13 @@
 	// nil: nothing is exported.
 	Moves func(leaving radishcrank.UpstreamID, maxBlocks int) []rcdecision.Move
 
+	// OnInstances is told the router instances of each listing. It may be nil.
+	OnInstances func([]radishcrank.Instance)
+
 	// BytesPerSecond bounds the reports and events that are read, beyond the
 	// first report of each engine; 0 is unlimited. nil: unlimited up to 64
 	// engines, 2,000 B/s above, which leaves a third of an instance's 3 KB/s of
-	// control traffic to heartbeats and configuration.
+	// control traffic to configuration.
 	BytesPerSecond func() int
 
 	Log zerolog.Logger
@@ -121,5 +124,8 @@
 		w.cfg.Log.Debug().Err(err).Msg("instance list unavailable, keeping the last one")
 		return
 	}
+	if w.cfg.OnInstances != nil {
+		w.cfg.OnInstances(listing.Instances)
+	}
 	w.merge(ctx, listing)
 }
