--- a/internal/eval/rccapacity/page.go
+++ b/internal/eval/rccapacity/page.go
@@ -140,9 +140,6 @@
 		usagePeers+1, number(369*usage.at(100)/usageInterval/1e3), number(369*usage.at(3000)/usageInterval/1e6), number((maxFrame-usage.Intercept)/usage.Slope))
 	fmt.Fprintf(b, "- **Retention of records.** One round in 5 s looks at 200 rows, so the sweep keeps up with fewer than %s bookings/s. The assumed %s bookings/s would grow the table without end.\n",
 		number(maxSweep), number(Target.bookings()))
-	pusher := snapshotLoad(m, &Target)
-	fmt.Fprintf(b, "- **Snapshot.** One of %s KB each two minutes is %s B/s of the pusher's 3,000; the usage of 3,000 accounts is %s KB of it.\n",
-		number(pusher.Traffic*snapshotInterval/1e3), number(pusher.Traffic), number(m.series("SnapshotUsageBytes").at(Target.Accounts)/1e3))
 	few, all := ordinary(m, &Target), control(m, &Target)
 	fmt.Fprintf(b, "- **Sum of the control roles.** Without the instance list an ordinary instance takes %s ms CPU/s, %s MB and %s B/s, and the first of its availability zone %s ms, %s MB and %s B/s, against 28, 256 and 3,000. Messages alone still miss the budget.\n\n",
 		number(few.CPU-list.CPU), number(few.Memory), number(few.Traffic-list.Traffic), number(all.CPU-list.CPU), number(all.Memory), number(all.Traffic-list.Traffic))
--- a/internal/eval/rccapacity/role.go
+++ b/internal/eval/rccapacity/role.go
@@ -146,7 +146,7 @@
 
 func snapshotLoad(m *Measurements, d *Deployment) load {
 	entries := min(snapshotEntries, d.entries())
-	size := m.series("SnapshotBytes").at(entries) + m.series("SnapshotUsageBytes").at(d.Accounts)
+	size := m.series("SnapshotBytes").at(entries)
 	return load{
 		CPU:     (m.series("HotEntries").at(d.entries()) + m.series("SnapshotEncode").at(entries)) / snapshotInterval / 1e3,
 		Memory:  size / megabyte,
--- a/internal/eval/rccapacity/state.go
+++ b/internal/eval/rccapacity/state.go
@@ -24,9 +24,7 @@
 		{"SnapshotEncode", "encode a snapshot", "index entry", "µs", entries, encodeTime},
 		{"SnapshotDecode", "decode a snapshot", "index entry", "µs", entries, decodeTime},
 		{"SnapshotBytes", "encoded snapshot", "index entry", "B", entries,
-			func(t *testing.T, n int) Point { return Point{Value: float64(len(encoded(t, snapshotOf(n, 0))))} }},
-		{"SnapshotUsageBytes", "encoded snapshot without entries", "account", "B", accounts,
-			func(t *testing.T, n int) Point { return Point{Value: float64(len(encoded(t, snapshotOf(0, n))))} }},
+			func(t *testing.T, n int) Point { return Point{Value: float64(len(encoded(t, snapshotOf(n))))} }},
 	}
 }
 
@@ -74,7 +72,7 @@
 }
 
 // snapshotOf returns a snapshot of a zone of 500 engines.
-func snapshotOf(entries, accounts int) rcsnapshot.Snapshot {
+func snapshotOf(entries int) rcsnapshot.Snapshot {
 	r := rand.New(rand.NewPCG(seed, seed))
 	s := rcsnapshot.Snapshot{Instance: "eu-north-1-router-17", Zone: zoneName, TakenAt: time.Now()}
 	for i := range entries {
@@ -86,9 +84,6 @@
 		binary.LittleEndian.PutUint64(e.Block[8:], r.Uint64())
 		s.Prefixes = append(s.Prefixes, e)
 	}
-	for i := range accounts {
-		s.Usage = append(s.Usage, rcsnapshot.Usage{Account: accountName(i), TokensPerSecond: 1000 * r.Float64()})
-	}
 	return s
 }
 
@@ -99,12 +94,12 @@
 }
 
 func encodeTime(t *testing.T, entries int) Point {
-	s := snapshotOf(entries, 0)
+	s := snapshotOf(entries)
 	return best(func() { encoded(t, s) })
 }
 
 func decodeTime(t *testing.T, entries int) Point {
-	data := encoded(t, snapshotOf(entries, 0))
+	data := encoded(t, snapshotOf(entries))
 	return best(func() {
 		_, err := rcsnapshot.Decode(data, zoneName, time.Now(), time.Hour)
 		check(t, err)
--- a/internal/state/rcsnapshot/codec.go
+++ b/internal/state/rcsnapshot/codec.go
@@ -23,13 +23,13 @@
 )
 
 const (
-	// MaxBytes bounds a snapshot that is read. One with all entries, 3,000
-	// accounts and 5,500 breakers takes under 1 MB.
+	// MaxBytes bounds a snapshot that is read. One with all entries and 5,500
+	// breakers takes under 1 MB.
 	MaxBytes = 4 << 20
 	// MaxEntries bounds the prefix entries: 8,000 take about 230 KB, which an
 	// instance can push every two minutes at 2 KB/s.
 	MaxEntries = 8000
-	// maxItems is above the 5,500 upstreams and 3,000 accounts of a fleet.
+	// maxItems is above the 5,500 upstreams of a fleet.
 	maxItems = 20000
 	// maxSkew is how far the clocks of two instances may differ.
 	maxSkew = time.Minute
@@ -66,19 +66,11 @@
 	ChangedAt time.Time
 }
 
-// Usage is the recent demand of one client account. What was running or queued
-// is not part of it, because a restarted instance runs nothing.
-type Usage struct {
-	Account         radishcrank.ClientAccountID
-	TokensPerSecond float64
-}
-
 // Content is what an instance needs to serve as if it had not restarted.
 type Content struct {
 	Prefixes []rcindex.Entry // Those worth most first.
 	Suspects []Suspect
 	Breakers []Breaker
-	Usage    []Usage
 }
 
 // Snapshot is the content of one instance at one time.
@@ -105,7 +97,6 @@
 	Rows      []byte // As of appendRow, because field names would take two thirds of the snapshot.
 	Suspects  []Suspect
 	Breakers  []Breaker
-	Usage     []Usage
 }
 
 // Encode returns the encoded snapshot. Entries beyond MaxEntries are left out.
@@ -117,7 +108,7 @@
 	}()
 	b := body{
 		Instance: s.Instance, Zone: s.Zone, TakenAt: s.TakenAt.UnixMilli(),
-		Suspects: s.Suspects, Breakers: s.Breakers, Usage: s.Usage,
+		Suspects: s.Suspects, Breakers: s.Breakers,
 	}
 	index := make(map[process]int)
 	for _, e := range s.Prefixes[:min(len(s.Prefixes), MaxEntries)] {
@@ -192,7 +183,7 @@
 
 func (b *body) snapshot(taken time.Time) (Snapshot, error) {
 	s := Snapshot{Instance: b.Instance, Zone: b.Zone, TakenAt: taken}
-	s.Suspects, s.Breakers, s.Usage = b.Suspects, b.Breakers, b.Usage
+	s.Suspects, s.Breakers = b.Suspects, b.Breakers
 	for rest := b.Rows; len(rest) > 0; {
 		e, at, n := readRow(rest, taken)
 		if n <= 0 || at >= uint64(len(b.Processes)) || len(s.Prefixes) == MaxEntries {
