--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
@@ -36,12 +37,14 @@
 const (
 	leaseTable   = "radishcrank-lease"
 	weightsTable = "radishcrank-weights" // When which weights were named.
+	// verdictsTable holds the contents that crash upstreams.
+	verdictsTable = "radishcrank-verdicts"
 )
 
 const (
-	// leaseDuration is how long a holder of the orders' lease may be silent before
-	// another one takes over. It exceeds the time that two holders' orders must be
-	// apart, and weights still reach all engines in time after a takeover.
+	// leaseDuration is how long a renewal of the orders' lease lasts. Another
+	// instance takes over once that and the time that two holders' orders must be
+	// apart have passed, less leaseMargin.
 	leaseDuration = 4 * time.Second
 	leaseMargin   = 800 * time.Millisecond
 	// noticeTime is how long a stopping instance goes on serving while it reports
@@ -56,6 +59,12 @@
 	idleTime = 75 * time.Second
 	// weightsMargin stops the use of older weights before it is forbidden.
 	weightsMargin = 1200 * time.Millisecond
+	// verdictDelay exceeds the time that records of crashes take to all instances,
+	// with their relays.
+	verdictDelay = 1500 * time.Millisecond
+	// verdictsInterval leaves the table of verdicts to instances that start. The
+	// others hear of verdicts from each other.
+	verdictsInterval = time.Hour
 	// memoryShare of the process's memory limit makes the garbage collector hurry.
 	memoryShare = 0.7
 )
@@ -102,7 +111,12 @@
 	i.named = rcweights.NewKeeper(rcweights.KeeperConfig{
 		Table: &platform.Table{Store: i.store, Name: weightsTable}, Now: i.clock.Now, Log: i.log,
 	})
-	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
+	i.guard = rcpoison.New(rcpoison.Config{
+		Board: i.board, Instance: radishcrank.InstanceID(s.Instance), StoreDelay: verdictDelay,
+		Verdicts: rcverdict.New(rcverdict.Config{
+			Table: &platform.Table{Store: i.store, Name: verdictsTable}, Interval: verdictsInterval,
+		}),
+	})
 	i.peers = newPeers(i)
 	i.directory = &directory{fleet: i.fleet, setConfig: i.setTable, setWeights: i.setNamed, log: i.log}
 	i.directory.follow(rcfeed.Config{Source: i.store, Relaying: i.peers.relaying, Publish: i.peers.publish, Log: i.log})
@@ -308,6 +322,7 @@
 		Instance: radishcrank.InstanceID(i.settings.Instance),
 		Duration: leaseDuration,
 		Margin:   leaseMargin,
+		Apart:    i.settings.LeaseTime,
 		Process:  i.settings.Instance + "@" + i.settings.Peer.String(),
 		Heard:    i.peers.leaseHeard,
 		Lead: func(ctx context.Context, term *rclease.Term) error {
