Stop the loser's own loops before TestRaceHeardOfAfterTheRead swaps its table

Seen: a data race between the swap and the read loop of the same process, once in a run of all tests with -race.

--- a/internal/state/rcrevision/keeper_test.go
+++ b/internal/state/rcrevision/keeper_test.go
@@ -219,6 +219,9 @@
 		require.NoError(t, err)
 		_, ok := f.wait(1, inForceWithin)
 		require.True(t, ok)
+		// Its own loops would read the table, too.
+		loser.cancel()
+		synctest.Wait()
 		loser.cfg.Table = &newsAfterRead{TableService: loser.cfg.Table, happen: func() {
 			info, err := winner.Push(f.ctx, PushRequest{Base: 1, Text: text(2, 2)})
 			require.NoError(t, err)
