Let the stand-ins of the platform show and do more

An upstream tells on which weights a request began and when it accepts an order, and can be occupied for a while. The store can answer late, with the time at which it read, and rewrite rows. Callers can use another key.

--- a/internal/standin/rcfakecaller/caller.go
+++ b/internal/standin/rcfakecaller/caller.go
@@ -2,6 +2,7 @@
 package rcfakecaller
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	ID       string
 	Patience time.Duration // Time that the caller states.
 	Model    string        // Empty for plain services.
+	Key      string        // Empty is k1.
 }
 
 // Result is what a caller saw of a request.
@@ -35,7 +37,7 @@
 	r.Host = "a.example"
 	r.Header.Set("Radishcrank-Attempt-Id", q.ID)
 	r.Header.Set("Radishcrank-Deadline-Ms", fmt.Sprint(q.Patience.Milliseconds()))
-	r.Header.Set("X-Api-Key", "k1")
+	r.Header.Set("X-Api-Key", cmp.Or(q.Key, "k1"))
 	if q.Model != "" {
 		r.Header.Set("Radishcrank-Model", q.Model)
 		r.Header.Set("Radishcrank-Prefix-Hash", fmt.Sprintf("aa:2500,b%d:3000,%x:900", len(q.ID)%4, q.ID))
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,10 +42,18 @@
 	Busy             // Every call gets 503.
 	Silent           // No call gets an answer.
 	LoseWrites       // Writes are done, and their answers are lost.
+	Slow             // Answers are slowBy late, and so is the time in them.
 )
 
+// slowBy is well below the time after which callers give a call up.
+const slowBy = 300 * time.Millisecond
+
 // Store holds rows. It implements http.Handler.
 type Store struct {
+	// Rewrite replaces the value of each row that callers write; nil keeps all.
+	// It must be set before the first call.
+	Rewrite func(table, key string, value []byte) []byte
+
 	mu      sync.Mutex
 	ver     uint64
 	rows    map[string]Row
@@ -103,6 +113,13 @@
 	s.wakeLocked()
 }
 
+// Value returns the value of a row, or nil if there is none.
+func (s *Store) Value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[name(Row{Table: table, Key: key})].Value
+}
+
 // Drop removes a row.
 func (s *Store) Drop(table, key string) {
 	s.mu.Lock()
@@ -144,7 +161,19 @@
 		io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case fault == Slow:
+		late := httptest.NewRecorder()
+		s.route(late, r, fault)
+		time.Sleep(slowBy)
+		maps.Copy(w.Header(), late.Header())
+		w.WriteHeader(late.Code)
+		w.Write(late.Body.Bytes()) // A caller that is gone needs no answer.
+	default:
+		s.route(w, r, fault)
 	}
+}
+
+func (s *Store) route(w http.ResponseWriter, r *http.Request, fault Fault) {
 	switch r.URL.Path {
 	case "/radishcrank/rows-get":
 		s.get(w, r)
@@ -229,6 +258,9 @@
 	s.ver++
 	for _, p := range tx.Puts {
 		p.Ver = s.ver
+		if s.Rewrite != nil {
+			p.Value = s.Rewrite(p.Table, p.Key, p.Value)
+		}
 		s.setLocked(p)
 	}
 	for _, d := range tx.Delete {
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -58,6 +58,9 @@
 	LoadFor time.Duration // Time that weights take to load.
 	Weights int64         // Weights at the start; 0 is 1.
 	Loaded  func()        // Called after a load; nil calls nobody.
+	Ordered func()        // Called when an order is accepted; nil calls nobody.
+	// Began is called when a request begins, with the weights in force; nil calls nobody.
+	Began func(id string, weights int64)
 	// Occupied makes orders fail, as while the engine carries out another one.
 	Occupied bool
 }
@@ -72,6 +75,7 @@
 	weights  int64
 	sequence int64
 	busy     bool
+	occupied bool
 	lastRun  time.Time
 }
 
@@ -81,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights)}
+	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), occupied: cfg.Occupied}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l) // Ends with Close only.
 	return u, nil
@@ -90,6 +94,13 @@
 // Close ends the upstream as a crash does.
 func (u *Upstream) Close() { u.server.Close() }
 
+// SetOccupied changes whether orders fail.
+func (u *Upstream) SetOccupied(occupied bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.occupied = occupied
+}
+
 // Weights returns the weights in force.
 func (u *Upstream) Weights() int64 {
 	u.mu.Lock()
@@ -142,6 +153,9 @@
 	u.mu.Lock()
 	u.lastRun = time.Now()
 	u.mu.Unlock()
+	if u.cfg.Began != nil {
+		u.cfg.Began(id, weights)
+	}
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
 	switch {
 	case fault == Reset:
@@ -199,13 +213,16 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
-	case u.cfg.Occupied || u.busy || order.Expected != nil && *order.Expected != u.sequence:
+	case u.occupied || u.busy || order.Expected != nil && *order.Expected != u.sequence:
 		w.WriteHeader(http.StatusConflict)
 	case order.Version == u.weights:
 		w.WriteHeader(http.StatusOK)
 	default:
 		u.busy = true
 		u.sequence++
+		if u.cfg.Ordered != nil {
+			u.cfg.Ordered()
+		}
 		time.AfterFunc(u.cfg.LoadFor, func() {
 			u.mu.Lock()
 			u.busy, u.weights = false, order.Version
