Judge in the soak on which weights requests begin, and strike while work is under way

Engines are now occupied for a while, the bound is 5 s, and each beginning is compared with the time at which newer weights were named.

Half of the steps are followed by strikes: the holder of the lease, the instance started last, a random one or all are killed, stopped or paused milliseconds after the step begins or ends, after an engine accepts an order, half way through a load, or after a process started. Keys are revoked and client accounts come, and probes check both. Messages between instances pass links that misbehave: the store names these in the instances' rows. A run has a subset of the kinds of faults, so that some runs have a quiet store.

--- a/internal/cli/rccli/soak.go
+++ b/internal/cli/rccli/soak.go
@@ -13,10 +13,12 @@
 )
 
 type soakCommand struct {
-	Seed    uint64        `help:"Seed of the schedule." default:"1"`
-	For     time.Duration `help:"Length of the schedule; checks of the recovery follow." default:"20s"`
-	Program string        `help:"Instance to play; by default radishcrankd beside this program." type:"path"`
-	Dir     string        `help:"Directory for settings and logs; by default a temporary one, which is kept if a promise breaks." type:"path"`
+	Seed      uint64        `help:"Seed of the schedule." default:"1"`
+	For       time.Duration `help:"Length of the schedule; checks of the recovery follow." default:"20s"`
+	Instances int           `help:"Number of instances, at most 200. Beyond 12 they have relays." default:"3"`
+	Plain     bool          `help:"Play the schedule of the first version of the soak."`
+	Program   string        `help:"Instance to play; by default radishcrankd beside this program." type:"path"`
+	Dir       string        `help:"Directory for settings and logs; by default a temporary one, which is kept if a promise breaks." type:"path"`
 }
 
 // Run implements the soak command.
@@ -35,7 +37,7 @@
 		}
 	}
 	report, err := rcsoak.Run(s.ctx, rcsoak.Config{
-		Seed: c.Seed, Length: c.For, Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: s.out,
+		Seed: c.Seed, Length: c.For, Instances: c.Instances, Plain: c.Plain, Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: s.out,
 	})
 	if err != nil {
 		return err
--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -67,23 +69,27 @@
 	}
 }
 
-// run is one caller. It keeps a connection to each instance for as long as that
-// lasts, and opens new ones only to instances that are in rotation.
+// errOutOfRotation says that the balancer would send a new connection elsewhere.
+var errOutOfRotation = errors.New("instance is out of rotation")
+
+// run is one caller. It uses a connection to each instance until that ends, and
+// opens new ones only to instances that are in rotation.
 func (c *callers) run(ctx context.Context, number int, rng *rand.Rand) {
 	clients := make([]*http.Client, len(c.s.instances))
 	for n := range clients {
-		transport := &http.Transport{MaxIdleConnsPerHost: 1}
+		transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if c.misses[n].Load() >= readyMisses {
+				return nil, errOutOfRotation
+			}
+			return new(net.Dialer).DialContext(ctx, network, addr)
+		}}
 		defer transport.CloseIdleConnections()
 		clients[n] = &http.Client{Transport: transport, Timeout: callerPatience + 500*time.Millisecond}
 	}
 	for k := 0; rcwait.For(ctx, time.Duration(rng.Int64N(int64(2*callerPause)))); k++ {
 		n := rng.IntN(len(clients))
-		if c.misses[n].Load() >= readyMisses {
-			clients[n].CloseIdleConnections()
-			continue
-		}
 		path := []string{"/book/1", "/look/1", "/advice/1"}[rng.IntN(3)]
-		c.request(clients[n], c.s.instances[n], path, fmt.Sprintf("r-%d-%d", number, k))
+		c.request(clients[n], c.s.instances[n], path, fmt.Sprintf("i%d-%d-%d", n, number, k))
 	}
 }
 
@@ -98,8 +104,11 @@
 // request sends one request and judges what comes back.
 func (c *callers) request(client *http.Client, i *instance, path, id string) {
 	begun := time.Now()
-	c.sent.Add(1)
 	r := send(client, i, path, id)
+	if errors.Is(r.Err, errOutOfRotation) {
+		return
+	}
+	c.sent.Add(1)
 	once := path == "/book/1"
 	if n := c.s.world.ledger.Runs(id); once && n > 1 {
 		c.s.broken("at most once", "%s ran %d times", id, n)
--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -20,7 +20,8 @@
 const stopBound = 8 * time.Second
 
 // settingsText is the platform's settings file of one instance. The bounds are
-// those of the standard deployments.
+// those of the standard deployments, except that older weights may be used for
+// weightsBound, which fits several times into a run.
 const settingsText = `
 NodeName = "i%d"
 Ip = "127.0.0.1"
@@ -36,7 +37,7 @@
 [Bounds]
 DrainMs = 2000
 GraceS = 8
-VersionMs = 10000
+VersionMs = 5000
 LeaseMs = 3000
 RetryBudgetRatio = %.2f
 RetryBudgetSlack = 1000
@@ -46,9 +47,14 @@
 RowBytes = 65536
 `
 
+// zones is the number of availability zones.
+const zones = 2
+
 // instance is one router process and its link to the store.
 type instance struct {
-	faultTime // Of the faults that concern it.
+	faultTime           // Of the faults that concern it.
+	paused    faultTime // Of pauses among them.
+	cut       faultTime // Of cuts of its link to the store among them.
 
 	number  int
 	program []string
@@ -57,6 +63,7 @@
 	ready   string
 	peer    int
 	store   *proxy
+	peers   *proxy // From the other instances.
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -104,13 +111,20 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := newProxy(fmt.Sprintf("127.0.0.1:%d", ports[2]))
+	if err != nil {
+		link.close()
+		return nil, err
+	}
 	i = &instance{
-		number: number, program: program, dir: dir, store: link, peer: ports[2],
+		number: number, program: program, dir: dir, store: link, peer: ports[2], peers: peers,
 		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", ports[1]),
 	}
 	return i, i.writeSettings(0.5)
 }
 
+func (i *instance) name() string { return fmt.Sprint("i", i.number) }
+
 func (i *instance) settings() string { return filepath.Join(i.dir, fmt.Sprintf("i%d.toml", i.number)) }
 
 func (i *instance) writeSettings(ratio float64) error {
@@ -125,7 +139,7 @@
 	if _, err := fmt.Sscanf(i.ready, "http://127.0.0.1:%d/", &readyPort); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, i.number, i.number%2, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
+	text := fmt.Sprintf(settingsText, i.number, i.number%zones, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
 	return os.WriteFile(i.settings(), []byte(text), 0o600)
 }
 
@@ -188,6 +202,13 @@
 	return !i.stopping
 }
 
+// lastStart returns when the process was last started.
+func (i *instance) lastStart() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.startedAt
+}
+
 func (i *instance) lifetime() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -207,4 +228,5 @@
 func (i *instance) end() {
 	<-i.signal(syscall.SIGKILL, true)
 	i.store.close()
+	i.peers.close()
 }
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -18,6 +18,8 @@
 	changeConfig   kind = "change config"   // A route comes and another one goes.
 	nameWeights    kind = "name weights"    // New weights for the engines.
 	drainUpstream  kind = "drain upstream"  // An upstream leaves and another one comes.
+	revokeKey      kind = "revoke key"      // A key goes, and a client account comes.
+	occupyEngines  kind = "occupy engines"  // Some engines carry out no orders.
 )
 
 // Faults.
@@ -27,6 +29,7 @@
 	pauseInstance kind = "pause instance" // SIGSTOP, and SIGCONT after a while.
 	cutStore      kind = "cut store"      // One instance's link to the store misbehaves.
 	cutUpstream   kind = "cut upstream"   // All links to one upstream misbehave.
+	cutPeers      kind = "cut peers"      // The links from the others to one instance misbehave.
 	failStore     kind = "fail store"     // The store itself misbehaves.
 	forgetStore   kind = "forget store"   // The store drops its history of changes.
 	crashUpstream kind = "crash upstream"
@@ -34,8 +37,33 @@
 )
 
 var (
-	plannedKinds = []kind{stopInstance, changeSettings, changeConfig, nameWeights, drainUpstream}
-	faultKinds   = []kind{killInstance, killAll, pauseInstance, cutStore, cutUpstream, failStore, forgetStore, crashUpstream, failService}
+	plannedKinds = []kind{stopInstance, changeSettings, changeConfig, nameWeights, drainUpstream, revokeKey, occupyEngines}
+	faultKinds   = []kind{killInstance, killAll, pauseInstance, cutStore, cutUpstream, failStore, forgetStore, crashUpstream, failService, cutPeers}
+	// plainPlannedKinds and plainFaultKinds are those of plain schedules.
+	plainPlannedKinds = plannedKinds[:5]
+	plainFaultKinds   = faultKinds[:9]
+	// strikeKinds are what strikes do.
+	strikeKinds = []kind{stopInstance, killInstance, pauseInstance}
+)
+
+// whom says which instances an action concerns.
+type whom string
+
+const (
+	byNumber    whom = "numbered"
+	holder      whom = "holder of the lease"
+	lastStarted whom = "last started"
+	everyone    whom = "all"
+)
+
+// moment says what an action waits for at its time.
+type moment string
+
+const (
+	atOnce     moment = ""
+	whenOrder  moment = "order accepted"
+	whenLoaded moment = "load half done"
+	whenStart  moment = "process started"
 )
 
 // action is one step of a schedule.
@@ -45,12 +73,22 @@
 	target  int           // Which instance or upstream, modulo their number.
 	variant int           // Which way, modulo the number of ways.
 	length  time.Duration // Of faults that end.
+	whom    whom          // Empty is byNumber.
+	after   moment        // Waited for from at on.
+	delay   time.Duration // From that moment.
 }
 
 func (a action) planned() bool { return slices.Contains(plannedKinds, a.kind) }
 
 func (a action) String() string {
-	return fmt.Sprintf("%6.2f s  %s (target %d, variant %d, %d ms)", a.at.Seconds(), a.kind, a.target, a.variant, a.length.Milliseconds())
+	text := fmt.Sprintf("%6.2f s  %s (target %d, variant %d, %d ms)", a.at.Seconds(), a.kind, a.target, a.variant, a.length.Milliseconds())
+	if a.whom != "" {
+		text += fmt.Sprintf(", %s", a.whom)
+	}
+	if a.after != atOnce {
+		text += fmt.Sprintf(", %d ms after: %s", a.delay.Milliseconds(), a.after)
+	}
+	return text
 }
 
 const (
@@ -59,28 +97,86 @@
 	plannedPart = 0.4
 	// longestFault bounds a fault; it exceeds the time after which a lease passes on.
 	longestFault = 5 * time.Second
-	shortestGap  = 50 * time.Millisecond
-	longestGap   = 900 * time.Millisecond
+	// shortestOccupied and longestOccupied are about the time for which older
+	// weights may be used, so that some engines stay on them for longer.
+	shortestOccupied = 3 * time.Second
+	longestOccupied  = 12 * time.Second
+	shortestGap      = 50 * time.Millisecond
+	longestGap       = 900 * time.Millisecond
+	// longestStrike is how long after a step a strike may come. Most steps are done
+	// by then.
+	longestStrike = 600 * time.Millisecond
+	// strikeChance of the steps have a strike.
+	strikeChance = 0.5
+	// kindChance of the faults occur in a run. Without it hardly any run would have
+	// a quiet store or sound links for long enough to judge the bounds that need them.
+	kindChance = 0.5
 )
 
 // newSchedule returns the actions that a seed stands for. Actions come in series
-// and overlap: the gaps between them are shorter than most faults.
-func newSchedule(seed uint64, length time.Duration) (schedule []action) {
+// and overlap: the gaps between them are shorter than most faults. Plain schedules
+// have no strikes and only the kinds that the first version of the soak had.
+func newSchedule(seed uint64, length time.Duration, plain bool) (schedule []action) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	planned, faults := plannedKinds, []kind{}
+	if plain {
+		planned, faults = plainPlannedKinds, plainFaultKinds
+	}
+	for len(faults) == 0 {
+		for _, k := range faultKinds {
+			if rng.Float64() < kindChance {
+				faults = append(faults, k)
+			}
+		}
+	}
 	for at := between(shortestGap, longestGap); at < length; at += between(shortestGap, longestGap) {
-		kinds := plannedKinds
-		if at > time.Duration(plannedPart*float64(length)) && rng.IntN(4) > 0 {
-			kinds = faultKinds
+		kinds := planned
+		faulty := at > time.Duration(plannedPart*float64(length))
+		if faulty && rng.IntN(4) > 0 {
+			kinds = faults
 		}
-		schedule = append(schedule, action{
+		a := action{
 			at: at, kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10),
 			length: between(100*time.Millisecond, longestFault),
-		})
+		}
+		if a.kind == occupyEngines {
+			a.length = between(shortestOccupied, longestOccupied)
+		}
+		schedule = append(schedule, a)
+		if !plain && rng.Float64() < strikeChance {
+			schedule = append(schedule, newStrike(rng, a, faulty))
+		}
 	}
+	slices.SortStableFunc(schedule, func(a, b action) int { return int(a.at - b.at) })
 	return schedule
 }
 
+// newStrike returns an action that hits instances while another one is under way
+// or as it ends.
+func newStrike(rng *rand.Rand, a action, faulty bool) action {
+	s := action{
+		at: a.at, kind: stopInstance, target: rng.IntN(1 << 10),
+		whom: []whom{byNumber, holder, lastStarted, everyone}[rng.IntN(4)],
+	}
+	s.length = 100*time.Millisecond + time.Duration(rng.Int64N(int64(longestFault)))
+	if faulty {
+		s.kind = strikeKinds[rng.IntN(len(strikeKinds))]
+	}
+	// Short delays are as likely as long ones: what instances do at first takes milliseconds.
+	s.delay = longestStrike >> rng.IntN(10)
+	switch s.after = []moment{atOnce, atOnce, whenOrder, whenLoaded, whenStart}[rng.IntN(5)]; s.after {
+	case atOnce:
+		s.at += s.delay
+		if ends := a.kind == failStore || a.kind == cutStore || a.kind == pauseInstance; ends && rng.IntN(2) == 0 {
+			s.at += a.length
+		}
+	case whenLoaded:
+		s.delay = loadTime / 2
+	}
+	return s
+}
+
 func scheduleText(schedule []action) string {
 	var b strings.Builder
 	for _, a := range schedule {
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -3,8 +3,7 @@
 // their links and makes the store misbehave. It judges the promises of the
 // platform's pages by what callers and upstreams see.
 //
-// Clocks are not stepped: that takes rights that the soak does not have. The
-// instances' messages to each other pass no proxy.
+// Clocks are not stepped: that takes rights that the soak does not have.
 package rcsoak
 
 import (
@@ -14,6 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,14 +25,19 @@
 )
 
 const (
-	instanceCount = 3
-	startBound    = 10 * time.Second
+	// DefaultInstances is the usual number of instances.
+	DefaultInstances = 3
+	// MaxInstances keeps the processes and their connections within the usual limits of a user.
+	MaxInstances = 200
+	startBound   = 10 * time.Second
 	// configBound is the platform's ConfigApplyMs, with the time of a probe.
 	configBound = 2200 * time.Millisecond
 	// drainBound is the platform's DrainMs; an arrival then may still be on its way.
 	drainBound = 2200 * time.Millisecond
-	// weightsBound is the platform's VersionMs.
-	weightsBound = 10 * time.Second
+	// weightsBound is the VersionMs of the settings.
+	weightsBound = 5 * time.Second
+	// loadsBound is the platform's VersionAllMs.
+	loadsBound = 10 * time.Second
 	// recoverBound is the platform's RecoveryS.
 	recoverBound = 12 * time.Second
 	restartPause = 300 * time.Millisecond
@@ -41,20 +46,29 @@
 
 // Config says what to play.
 type Config struct {
-	Seed    uint64
-	Length  time.Duration // Of the schedule; checks of the recovery follow.
-	Program []string      // Command line of an instance.
-	Dir     string        // For settings and logs.
-	Out     io.Writer     // Gets the schedule and what broke.
+	Seed      uint64
+	Length    time.Duration // Of the schedule; checks of the recovery follow.
+	Instances int           // 0 is DefaultInstances.
+	Plain     bool          // Plays the schedule of the first version of the soak.
+	Program   []string      // Command line of an instance.
+	Dir       string        // For settings and logs.
+	Out       io.Writer     // Gets the schedule and what broke.
 }
 
 // Report is what a run saw.
 type Report struct {
 	Sent, Answered int64
 	Actions        map[string]int
+	Stalls         []Stall
 	Broken         []string // Promises that were broken, in order.
 }
 
+// Stall is a time in which the soak itself stood still.
+type Stall struct {
+	End    time.Time
+	Length time.Duration
+}
+
 type soak struct {
 	cfg       Config
 	begun     time.Time
@@ -64,10 +78,19 @@
 
 	mu     sync.Mutex
 	report Report
+	armed  map[moment][]action // What waits for a moment.
+	judged map[weightsUse]bool // Uses of older weights that were reported.
 }
 
 func (s *soak) clock(t time.Time) string { return fmt.Sprintf("%.2f s", t.Sub(s.begun).Seconds()) }
 
+// say writes one line of the report.
+func (s *soak) say(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(s.cfg.Out, format+"\n", args...)
+}
+
 func (s *soak) broken(promise, format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,8 +109,21 @@
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
 		return report, err
 	}
-	s := &soak{cfg: cfg, begun: time.Now(), report: Report{Actions: map[string]int{}}}
-	if s.world, err = newWorld(); err != nil {
+	if cfg.Instances == 0 {
+		cfg.Instances = DefaultInstances
+	}
+	if cfg.Instances < 0 || cfg.Instances > MaxInstances {
+		return report, trace.BadParameter("%d instances, at most %d can be played", cfg.Instances, MaxInstances)
+	}
+	s := &soak{
+		cfg: cfg, begun: time.Now(), report: Report{Actions: map[string]int{}},
+		armed: map[moment][]action{}, judged: map[weightsUse]bool{},
+	}
+	ordered := func() {
+		s.reach(ctx, whenOrder)
+		s.reach(ctx, whenLoaded)
+	}
+	if s.world, err = newWorld(ordered, s.judgeWeights); err != nil {
 		return report, err
 	}
 	defer s.world.close()
@@ -96,20 +132,23 @@
 			i.end()
 		}
 	}()
-	for n := range instanceCount {
+	for n := range cfg.Instances {
 		i, err := newInstance(n, cfg.Program, cfg.Dir, s.world.storeAddr())
 		if err != nil {
 			return report, err
 		}
+		s.instances = append(s.instances, i)
+		s.world.peers[fmt.Sprintf("127.0.0.1:%d", i.peer)] = i.peers.addr()
+	}
+	for _, i := range s.instances {
 		if err := i.start(); err != nil {
 			return report, err
 		}
-		s.instances = append(s.instances, i)
 	}
 	if err := s.awaitReady(ctx, startBound); err != nil {
 		return report, err
 	}
-	s.play(ctx, newSchedule(cfg.Seed, cfg.Length))
+	s.play(ctx, newSchedule(cfg.Seed, cfg.Length, cfg.Plain))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.report, ctx.Err()
@@ -143,7 +182,11 @@
 	c := newCallers(s)
 	var wg sync.WaitGroup
 	wg.Go(func() { c.watch(traffic) })
-	wg.Go(func() { s.probeConfig(traffic) })
+	wg.Go(func() { s.watchDrains(traffic) })
+	wg.Go(func() { s.watchStalls(traffic) })
+	for _, i := range s.instances {
+		wg.Go(func() { s.probeConfig(traffic, i) })
+	}
 	for n := range callerCount {
 		wg.Go(func() { c.run(traffic, n, rand.New(rand.NewPCG(s.cfg.Seed, uint64(n)+1))) })
 	}
@@ -151,8 +194,17 @@
 		if !rcwait.For(ctx, time.Until(s.begun.Add(a.at))) {
 			break
 		}
-		s.act(ctx, a)
+		if a.after == atOnce {
+			s.act(ctx, a)
+			continue
+		}
+		s.mu.Lock()
+		s.armed[a.after] = append(s.armed[a.after], a)
+		s.mu.Unlock()
 	}
+	s.mu.Lock()
+	clear(s.armed)
+	s.mu.Unlock()
 	s.work.Wait()
 	s.checkRecovery(ctx, c)
 	stop()
@@ -170,14 +222,48 @@
 	s.report.Sent, s.report.Answered = c.sent.Load(), c.answered.Load()
 }
 
+// reach carries out an action that waits for a moment.
+func (s *soak) reach(ctx context.Context, m moment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := s.armed[m]
+	if len(waiting) == 0 {
+		return
+	}
+	s.armed[m] = waiting[1:]
+	s.work.Go(func() {
+		if rcwait.For(ctx, waiting[0].delay) {
+			s.act(ctx, waiting[0])
+		}
+	})
+}
+
+// targets returns the instances that an action concerns.
+func (s *soak) targets(a action) []*instance {
+	found := s.instances[a.target%len(s.instances)]
+	switch a.whom {
+	case everyone:
+		return s.instances
+	case lastStarted:
+		found = slices.MaxFunc(s.instances, func(a, b *instance) int { return a.lastStart().Compare(b.lastStart()) })
+	case holder:
+		name := s.world.leaseHolder()
+		for _, i := range s.instances {
+			if i.name() == name {
+				found = i
+			}
+		}
+	}
+	return []*instance{found}
+}
+
 // act carries out one action. What ends it later runs in the background.
 func (s *soak) act(ctx context.Context, a action) {
 	s.mu.Lock()
 	s.report.Actions[string(a.kind)]++
 	s.mu.Unlock()
-	i := s.instances[a.target%len(s.instances)]
 	end := time.Now().Add(a.length)
-	if !a.planned() {
+	if !a.planned() && a.kind != cutPeers { // Requests do not pass the links between instances.
 		s.world.disturb(end)
 	}
 	later := func(f func()) {
@@ -187,44 +273,37 @@
 		})
 	}
 	switch a.kind {
-	case stopInstance:
-		s.stop(ctx, i)
-	case changeSettings:
-		if err := i.writeSettings(0.3 + float64(a.variant%5)/10); err != nil {
-			s.broken("the soak itself works", "%v", err)
-		}
-		if a.variant%2 == 0 && i.handlesSignals() {
-			i.signal(syscall.SIGHUP, false)
-		}
 	case changeConfig:
-		s.world.changeConfig()
+		s.world.changeConfig(true, false)
+	case revokeKey:
+		s.world.changeConfig(false, true)
 	case nameWeights:
 		s.world.nameWeights()
+	case occupyEngines:
+		for _, u := range s.world.occupy(a.target, a.variant) {
+			later(func() { u.SetOccupied(false) })
+		}
 	case drainUpstream:
 		s.world.drain(a.target)
-	case killInstance:
-		s.kill(ctx, i)
 	case killAll:
 		for _, i := range s.instances {
 			s.kill(ctx, i)
 		}
-	case pauseInstance:
-		i.disturb(end)
-		i.signal(syscall.SIGSTOP, false)
-		later(func() { i.signal(syscall.SIGCONT, false) })
-	case cutStore:
-		i.disturb(end)
-		i.store.set(linkFault(1 + a.variant%int(linkFaults-1)))
-		later(func() { i.store.set(linkSound) })
 	case cutUpstream:
-		link := s.world.upstream(a.target).link
-		link.set(linkFault(1 + a.variant%int(linkFaults-1)))
-		later(func() { link.set(linkSound) })
+		u := s.world.upstream(a.target)
+		u.held.disturb(end)
+		u.link.set(linkFault(1 + a.variant%int(linkFaults-1)))
+		later(func() { u.link.set(linkSound) })
 	case failStore:
 		for _, i := range s.instances {
 			i.disturb(end)
 		}
-		s.world.store.SetFault([]rcfakestore.Fault{rcfakestore.Busy, rcfakestore.Silent, rcfakestore.LoseWrites}[a.variant%3])
+		faults := []rcfakestore.Fault{rcfakestore.Busy, rcfakestore.Silent, rcfakestore.LoseWrites, rcfakestore.Slow}
+		if s.cfg.Plain {
+			faults = faults[:3]
+		}
+		s.world.held.disturb(end)
+		s.world.store.SetFault(faults[a.variant%len(faults)])
 		later(func() { s.world.store.SetFault(rcfakestore.None) })
 	case forgetStore:
 		s.world.store.Forget()
@@ -234,6 +313,42 @@
 		later(func() { faulty.Add(-1) })
 	case crashUpstream:
 		s.world.crash(a.target)
+	default:
+		for _, i := range s.targets(a) {
+			s.actOn(ctx, a, i, end, later)
+		}
+	}
+}
+
+// actOn carries out an action that concerns one instance.
+func (s *soak) actOn(ctx context.Context, a action, i *instance, end time.Time, later func(func())) {
+	switch a.kind {
+	case stopInstance:
+		s.stop(ctx, i)
+	case changeSettings:
+		if err := i.writeSettings(0.3 + float64(a.variant%5)/10); err != nil {
+			s.broken("the soak itself works", "%v", err)
+		}
+		if a.variant%2 == 0 && i.handlesSignals() {
+			i.signal(syscall.SIGHUP, false)
+		}
+	case killInstance:
+		s.kill(ctx, i)
+	case pauseInstance:
+		i.disturb(end)
+		i.paused.disturb(end)
+		i.signal(syscall.SIGSTOP, false)
+		later(func() { i.signal(syscall.SIGCONT, false) })
+	case cutStore, cutPeers:
+		link := i.store
+		if a.kind == cutPeers {
+			link = i.peers
+		} else {
+			i.disturb(end)
+			i.cut.disturb(end)
+		}
+		link.set(linkFault(1 + a.variant%int(linkFaults-1)))
+		later(func() { link.set(linkSound) })
 	}
 }
 
@@ -258,11 +373,13 @@
 }
 
 func (s *soak) kill(ctx context.Context, i *instance) {
-	if !i.running() {
-		return
-	}
 	i.disturb(time.Now().Add(restartPause))
+	s.world.disturb(time.Now().Add(restartPause))
+	stopped := !i.running()
 	done := i.signal(syscall.SIGKILL, true)
+	if stopped {
+		return // What stopped it starts it again.
+	}
 	s.work.Go(func() {
 		<-done
 		s.restart(ctx, i)
@@ -275,4 +392,5 @@
 	if err := i.start(); err != nil {
 		s.broken("the soak itself works", "start of i%d: %v", i.number, err)
 	}
+	s.reach(ctx, whenStart)
 }
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -26,13 +26,14 @@
 var runs = []struct {
 	seed   uint64
 	length time.Duration
+	plain  bool
 	cause  string // Of the failure.
 }{
 	{seed: 20261204, length: 8 * time.Second},
-	{seed: 111, length: 15 * time.Second, cause: "SIGHUP during a start ended the process, which handled it only after it had read its settings"},
-	{seed: 122, length: 15 * time.Second, cause: "the soak took a route that a newer configuration had dropped for one of an older configuration"},
-	{seed: 133, length: 15 * time.Second, cause: "the stand-in of an engine did not renew its entry after a load, so that instances that started later had only refusals from it"},
-	{seed: 142, length: 15 * time.Second, cause: "as 122"},
+	{seed: 111, length: 15 * time.Second, plain: true, cause: "SIGHUP during a start ended the process, which handled it only after it had read its settings"},
+	{seed: 122, length: 15 * time.Second, plain: true, cause: "the soak took a route that a newer configuration had dropped for one of an older configuration"},
+	{seed: 133, length: 15 * time.Second, plain: true, cause: "the stand-in of an engine did not renew its entry after a load, so that instances that started later had only refusals from it"},
+	{seed: 142, length: 15 * time.Second, plain: true, cause: "as 122"},
 }
 
 // TestSoak guards against promises that break under planned work and faults.
@@ -40,7 +41,7 @@
 	for _, r := range runs {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			report, err := Run(t.Context(), Config{Seed: r.seed, Length: r.length, Program: []string{os.Args[0]}, Dir: t.TempDir(), Out: t.Output()})
+			report, err := Run(t.Context(), Config{Seed: r.seed, Length: r.length, Plain: r.plain, Program: []string{os.Args[0]}, Dir: t.TempDir(), Out: t.Output()})
 			require.NoError(t, err)
 			require.Empty(t, report.Broken, r.cause)
 			require.Greater(t, report.Answered, report.Sent/3)
@@ -50,12 +51,19 @@
 
 // TestScheduleFollowsSeed guards against runs that can't be repeated.
 func TestScheduleFollowsSeed(t *testing.T) {
-	require.Equal(t, newSchedule(7, time.Minute), newSchedule(7, time.Minute))
-	require.NotEqual(t, newSchedule(7, time.Minute), newSchedule(8, time.Minute))
-	seen := map[kind]bool{}
-	for _, a := range newSchedule(7, 3*time.Minute) {
-		require.True(t, a.planned() || a.at > 72*time.Second)
-		seen[a.kind] = true
+	require.Equal(t, newSchedule(7, time.Minute, false), newSchedule(7, time.Minute, false))
+	require.NotEqual(t, newSchedule(7, time.Minute, false), newSchedule(8, time.Minute, false))
+	plain, all := map[kind]bool{}, map[kind]bool{}
+	collect := func(seen map[kind]bool, schedule []action) {
+		for _, a := range schedule {
+			require.True(t, a.planned() || a.at > 72*time.Second, a)
+			seen[a.kind] = true
+		}
 	}
-	require.Len(t, seen, len(plannedKinds)+len(faultKinds))
+	collect(plain, newSchedule(7, 3*time.Minute, true))
+	require.Len(t, plain, len(plainPlannedKinds)+len(plainFaultKinds))
+	for seed := range uint64(20) {
+		collect(all, newSchedule(seed, 3*time.Minute, false))
+	}
+	require.Len(t, all, len(plannedKinds)+len(faultKinds))
 }
--- a/internal/eval/rcsoak/world.go
+++ b/internal/eval/rcsoak/world.go
@@ -1,6 +1,7 @@
 package rcsoak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"slices"
@@ -24,16 +25,18 @@
 	// drainTime is how long a leaving upstream goes on serving. It exceeds the
 	// platform's DrainMs, as it does there.
 	drainTime = 4 * time.Second
+	// clockSkew is within the platform's MaxSkewMs.
+	clockSkew = 2 * time.Second
 	model     = "m"
 )
 
-const configText = `{"Version":%d,"Routes":[
+const configText = `{"Version":%[1]d,"Routes":[
  {"Name":"advice","Hostname":"a.example","Prefix":"/advice/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":3},
  {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":1},
  {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2},
- {"Name":"new","Hostname":"a.example","Prefix":"/new%d/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2}],
+ {"Name":"new","Hostname":"a.example","Prefix":"/new%[2]d/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2}],
 "Services":[{"Name":"llm","Engine":{"Slots":32,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
-"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]}]}`
+"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]},{"Name":"t%[3]d","ApiKeys":["n%[3]d"]}]}`
 
 // upstream is one stand-in of an upstream behind its link.
 type upstream struct {
@@ -41,6 +44,7 @@
 	id      string
 	service string
 	link    *proxy
+	held    faultTime // Of its link.
 	born    time.Time
 	leftAt  time.Time // When the store had accepted that it leaves; zero while it does not.
 	late    bool      // It got a request long after that.
@@ -48,7 +52,14 @@
 
 // world is what surrounds the instances.
 type world struct {
-	faultTime // Of all faults.
+	faultTime           // Of all faults.
+	held      faultTime // Of the store.
+	ordered   func()    // Called when an engine accepts an order.
+	began     func(u *upstream, id string, weights int64)
+
+	// peers holds the addresses by which instances reach each other, by those that
+	// they announce. It is complete before the first one starts.
+	peers map[string]string
 
 	store  *rcfakestore.Store
 	server *httptest.Server
@@ -59,15 +70,32 @@
 	upstreams []*upstream
 	left      []*upstream // Those that have announced that they leave.
 	made      int
-	config    int // Number of the newest configuration.
-	configAt  time.Time
-	weights   int64
+	config    desired
+	named     []time.Time // When each version of the weights was named.
+}
+
+// desired is the newest configuration. Each has one route and one key that those
+// before and after it lack.
+type desired struct {
+	version    int
+	route, key int
+	routeAt    time.Time // When the store had accepted the route.
+	keyAt      time.Time
 }
 
-func newWorld() (w *world, err error) {
-	w = &world{store: rcfakestore.New(), ledger: rcfakeupstream.NewLedger()}
+// Where instances keep their addresses and the lease of orders.
+const (
+	membersTable = "radishcrank-instances"
+	peerField    = "Peer"
+	leaseTable   = "radishcrank-lease"
+	leaseKey     = "lease/orders"
+)
+
+func newWorld(ordered func(), began func(u *upstream, id string, weights int64)) (w *world, err error) {
+	w = &world{store: rcfakestore.New(), ledger: rcfakeupstream.NewLedger(), ordered: ordered, began: began, peers: map[string]string{}}
+	w.store.Rewrite = w.redirect
 	w.server = httptest.NewServer(w.store)
-	w.changeConfig()
+	w.changeConfig(true, true)
 	w.nameWeights()
 	for range engineCount {
 		if err := w.addUpstream("llm"); err != nil {
@@ -84,6 +112,23 @@
 
 func (w *world) storeAddr() string { return strings.TrimPrefix(w.server.URL, "http://") }
 
+// redirect makes the rows of instances name the links to them, so that their
+// messages to each other pass these.
+func (w *world) redirect(table, _ string, value []byte) []byte {
+	var row map[string]any
+	if table != membersTable || json.Unmarshal(value, &row) != nil {
+		return value // Also of the key that instances share.
+	}
+	if peer, ok := row[peerField].(string); ok {
+		row[peerField] = w.peers[peer]
+	}
+	changed, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // It was read from JSON.
+	}
+	return changed
+}
+
 // addUpstream starts an upstream with the newest weights, as a new server has them.
 func (w *world) addUpstream(service string) error {
 	w.mu.Lock()
@@ -101,10 +146,13 @@
 		return []rcfakeupstream.Fault{rcfakeupstream.Refuse, rcfakeupstream.Reset, rcfakeupstream.Fail, rcfakeupstream.Cut}[n/2%4]
 	}}
 	if service == "llm" {
-		cfg.Model, cfg.Events, cfg.Work, cfg.LoadFor, cfg.Weights = model, streamEvents, eventPause, loadTime, w.weights
+		cfg.Model, cfg.Events, cfg.Work, cfg.LoadFor, cfg.Weights = model, streamEvents, eventPause, loadTime, int64(len(w.named))
 	}
 	u := &upstream{id: cfg.ID, service: service}
-	cfg.Loaded = func() { w.renew(u) }
+	cfg.Loaded, cfg.Ordered = func() { w.renew(u) }, w.ordered
+	if service == "llm" {
+		cfg.Began = func(id string, weights int64) { w.began(u, id, weights) }
+	}
 	server, err := rcfakeupstream.Start(cfg)
 	if err != nil {
 		return err
@@ -116,6 +164,8 @@
 	}
 	u.Upstream, u.link, u.born = server, link, time.Now()
 	w.upstreams = append(w.upstreams, u)
+	// The time of day differs between machines.
+	u.born = u.born.Add(time.Duration(w.made%3-1) * clockSkew)
 	w.writeUpstream(u, "ready")
 	return nil
 }
@@ -199,25 +249,73 @@
 	})
 }
 
-func (w *world) changeConfig() {
+// changeConfig replaces the route, the key or both.
+func (w *world) changeConfig(route, key bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.config++
-	w.store.PutBytes("op", "config", fmt.Appendf(nil, configText, w.config*3, w.config))
-	w.configAt = time.Now()
+	next := w.config
+	next.version += 3 // Versions rise, but need not follow on.
+	if route {
+		next.route++
+	}
+	if key {
+		next.key++
+	}
+	w.store.PutBytes("op", "config", fmt.Appendf(nil, configText, next.version, next.route, next.key))
+	if route {
+		next.routeAt = time.Now()
+	}
+	if key {
+		next.keyAt = time.Now()
+	}
+	w.config = next
 }
 
 func (w *world) nameWeights() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.weights++
-	w.store.Put("op", "version/"+model, map[string]any{"Model": model, "Version": w.weights})
+	w.store.Put("op", "version/"+model, map[string]any{"Model": model, "Version": len(w.named) + 1})
+	w.named = append(w.named, time.Now())
+}
+
+// replacedAt returns when the first weights newer than some were named. ok is
+// false while these are the newest.
+func (w *world) replacedAt(weights int64) (at time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if weights >= int64(len(w.named)) {
+		return at, false
+	}
+	return w.named[weights], true
+}
+
+func (w *world) current() desired {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config
 }
 
-func (w *world) current() (config int, since time.Time) {
+// occupy returns some engines that carry out no orders until they are told to.
+func (w *world) occupy(target, variant int) (engines []*upstream) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.config, w.configAt
+	for n := range w.upstreams {
+		if u := w.upstreams[(target+n)%len(w.upstreams)]; u.service == "llm" && len(engines) <= variant%engineCount {
+			u.SetOccupied(true)
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
+
+// leaseHolder returns the instance that gives orders, or "" if none does.
+func (w *world) leaseHolder() string {
+	var row struct{ Holder string }
+	if err := json.Unmarshal(w.store.Value(leaseTable, leaseKey), &row); err != nil {
+		return "" // No instance has held it yet.
+	}
+	name, _, _ := strings.Cut(row.Holder, "/")
+	return name
 }
 
 // outdated returns the engines in use that do not have the newest weights.
@@ -225,7 +323,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, u := range w.upstreams {
-		if u.service == "llm" && u.Weights() != w.weights {
+		if u.service == "llm" && u.Weights() != int64(len(w.named)) {
 			ids = append(ids, u.id)
 		}
 	}
