Mend three faults of the soak, and keep their seeds

Seeds 102 and 105 of 20 s, played at once, shared port 25823: an instance could not start while the other soak's held it. A listener now reserves the ports of each instance. Seed 110: an instance started while its settings were written and ended with "NodeName is missing"; the file is now replaced at once. Seeds 103 and 105: the soak stood still for up to 6.9 s at a load of 65, as its report shows; stalls now prolong what the soak waits for.

--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -123,7 +123,10 @@
 		c.judgeRefusals(id)
 	case r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized:
 		c.s.broken("proper requests are not denied", "%s to %s: status %d", id, path, r.Status)
-	case r.Status == 0 && c.s.world.ledger.Runs(id) > 0 && c.s.world.calmSince(begun.Add(-contactTime)):
+	case r.Status == 0 && c.s.world.ledger.Runs(id) > 0:
+		if c.s.noticeStalls(); !c.s.world.calmSince(begun.Add(-contactTime)) {
+			return
+		}
 		c.s.broken("planned work cuts nothing", "%s to i%d, sent at %s: %v", id, i.number, c.s.clock(begun), r.Err)
 	}
 }
--- a/internal/eval/rcsoak/checks.go
+++ b/internal/eval/rcsoak/checks.go
@@ -64,6 +64,9 @@
 		return // A newer configuration may have changed the answer meanwhile.
 	}
 	old := p.old(r, s.world.ledger.Runs(id))
+	if old {
+		s.noticeStalls()
+	}
 	switch {
 	case !old && refusals[r.Status]:
 		// Of an instance that knows no configuration yet, or of a service that has no room.
@@ -145,19 +148,14 @@
 		s.broken("instances recover", "%v", err)
 		return
 	}
-	for len(s.world.outdated()) > 0 && time.Since(ended) < loadsBound+contactTime {
+	for len(s.world.outdated()) > 0 && time.Since(ended) < loadsBound+contactTime+s.stalledSince(ended) {
 		rcwait.For(ctx, probePause)
 	}
 	if late := s.world.outdated(); len(late) > 0 {
 		s.broken("weights reach all engines", "%v are outdated %s after the last fault", late, time.Since(ended))
 	}
 	rcwait.For(ctx, contactTime)
-	begun := time.Now()
 	failed := s.serveAll()
-	for n := 1; len(failed) > 0 && !s.world.calmSince(begun) && n < recoveryAttempts; n++ {
-		begun = time.Now() // The soak itself stood still.
-		failed = s.serveAll()
-	}
 	if len(failed) > 0 {
 		s.broken("service recovers", "%d of %d requests failed after the last fault; the first: %s", len(failed), recoveryProbes, failed[0])
 	}
@@ -168,20 +166,28 @@
 
 const (
 	recoveryProbes = 60
-	// recoveryAttempts bounds how often requests are sent anew after stalls of the soak.
-	recoveryAttempts = 3
+	// recoveryAttempts bounds how often a request is sent anew because the soak
+	// itself stood still.
+	recoveryAttempts = 10
 )
 
 // serveAll sends some requests of each kind and returns those that failed.
 func (s *soak) serveAll() (failed []string) {
 	client := &http.Client{Timeout: callerPatience}
-	begun := time.Now().UnixMilli()
 	for k := range recoveryProbes {
 		path := []string{"/book/1", "/look/1", "/advice/1"}[k%3]
 		i := s.instances[k%len(s.instances)]
-		id := fmt.Sprintf("i%d-end-%d-%d", i.number, begun, k)
-		if r := send(client, i, path, id); r.Status != http.StatusOK || r.Err != nil {
-			failed = append(failed, fmt.Sprintf("%s: status %d, %v", id, r.Status, r.Err))
+		for attempt := range recoveryAttempts {
+			begun, id := time.Now(), fmt.Sprintf("i%d-end-%d-%d", i.number, k, attempt)
+			r := send(client, i, path, id)
+			if r.Status == http.StatusOK && r.Err == nil {
+				break
+			}
+			s.noticeStalls()
+			if s.stalledSince(begun) == 0 || attempt == recoveryAttempts-1 {
+				failed = append(failed, fmt.Sprintf("%s: status %d, %v", id, r.Status, r.Err))
+				break
+			}
 		}
 	}
 	return failed
--- a/internal/eval/rcsoak/faults.go
+++ b/internal/eval/rcsoak/faults.go
@@ -75,3 +75,6 @@
 	}
 	return sum
 }
+
+// noticeStalls waits until a stall that has just ended is known.
+func (s *soak) noticeStalls() { time.Sleep(2 * stallTick) }
--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -64,6 +64,8 @@
 	peer    int
 	store   *proxy
 	peers   *proxy // From the other instances.
+	// reservation keeps the ports for this instance.
+	reservation net.Listener
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -79,22 +81,22 @@
 const (
 	firstPort = 12_000
 	lastPort  = 30_000
+	// portsEach is the ports of an instance: the reservation, the two of PortRange
+	// and two listeners.
+	portsEach = 5
 )
 
-func freePorts(n int) (ports []int, err error) {
-	for len(ports) < n {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		switch {
-		case errors.Is(err, syscall.EADDRINUSE):
+// reservePorts finds ports for one instance. The listener on the first one keeps
+// other soaks away from the rest, which are free while the instance restarts.
+func reservePorts() (reservation net.Listener, first int, err error) {
+	for {
+		first := firstPort + portsEach*rand.IntN((lastPort-firstPort)/portsEach)
+		reservation, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
-		case err != nil:
-			return nil, err
 		}
-		defer l.Close()
-		ports = append(ports, port)
+		return reservation, first, err
 	}
-	return ports, nil
 }
 
 func newInstance(number int, program []string, dir, store string) (i *instance, err error) {
@@ -103,22 +105,24 @@
 			err = trace.Wrap(err, "instance %d", number)
 		}
 	}()
-	ports, err := freePorts(3)
+	reservation, port, err := reservePorts()
 	if err != nil {
 		return nil, err
 	}
 	link, err := newProxy(store)
 	if err != nil {
+		reservation.Close()
 		return nil, err
 	}
-	peers, err := newProxy(fmt.Sprintf("127.0.0.1:%d", ports[2]))
+	peers, err := newProxy(fmt.Sprintf("127.0.0.1:%d", port+1))
 	if err != nil {
+		reservation.Close()
 		link.close()
 		return nil, err
 	}
 	i = &instance{
-		number: number, program: program, dir: dir, store: link, peer: ports[2], peers: peers,
-		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", ports[1]),
+		number: number, program: program, dir: dir, store: link, peer: port + 1, peers: peers, reservation: reservation,
+		front: fmt.Sprintf("127.0.0.1:%d", port+3), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", port+4),
 	}
 	return i, i.writeSettings(0.5)
 }
@@ -140,7 +144,12 @@
 		return err
 	}
 	text := fmt.Sprintf(settingsText, i.number, i.number%zones, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
-	return os.WriteFile(i.settings(), []byte(text), 0o600)
+	// A process that starts meanwhile must not read half a file.
+	next := i.settings() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, i.settings())
 }
 
 // start starts the process. Its log goes to a file beside the settings.
@@ -229,4 +238,5 @@
 	<-i.signal(syscall.SIGKILL, true)
 	i.store.close()
 	i.peers.close()
+	i.reservation.Close()
 }
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -156,7 +156,8 @@
 
 func (s *soak) awaitReady(ctx context.Context, bound time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for deadline := time.Now().Add(bound); ; {
+	begun := time.Now()
+	for deadline := begun.Add(bound); ; {
 		ready := 0
 		for _, i := range s.instances {
 			if i.isReady(client) {
@@ -166,7 +167,7 @@
 		switch {
 		case ready == len(s.instances):
 			return nil
-		case time.Now().After(deadline):
+		case time.Now().After(deadline.Add(s.stalledSince(begun))):
 			return trace.LimitExceeded("%d of %d instances are ready after %s", ready, len(s.instances), bound)
 		case !rcwait.For(ctx, probePause):
 			return ctx.Err()
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -30,6 +30,12 @@
 	cause  string // Of the failure.
 }{
 	{seed: 20261204, length: 8 * time.Second},
+	{seed: 1, length: 20 * time.Second, cause: "before its fix: an instance used older weights past their bound, counted from its start"},
+	{seed: 5, length: 20 * time.Second, cause: "the soak stood still on a machine with too much to do, and took its silence for the instances'"},
+	{seed: 102, length: 20 * time.Second, cause: "two soaks chose the same port, since neither held it while its instance restarted"},
+	{seed: 103, length: 20 * time.Second, cause: "as 5"},
+	{seed: 105, length: 20 * time.Second, cause: "as 102, and as 5 while engines were to load weights"},
+	{seed: 110, length: 20 * time.Second, cause: "the soak wrote settings in place, and an instance that started read half of them"},
 	{seed: 111, length: 15 * time.Second, plain: true, cause: "SIGHUP during a start ended the process, which handled it only after it had read its settings"},
 	{seed: 122, length: 15 * time.Second, plain: true, cause: "the soak took a route that a newer configuration had dropped for one of an older configuration"},
 	{seed: 133, length: 15 * time.Second, plain: true, cause: "the stand-in of an engine did not renew its entry after a load, so that instances that started later had only refusals from it"},
