Cut instances off from their relays in the soak

Fleets with relays also have cuts between instances beside planned work, each longer than a configuration may take, with a change right after it begins.

--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -103,6 +103,11 @@
 	longestOccupied  = 12 * time.Second
 	shortestGap      = 50 * time.Millisecond
 	longestGap       = 900 * time.Millisecond
+	// shortestCut between instances is longer than a configuration may take to come
+	// into force, and a probe.
+	shortestCut = 4 * time.Second
+	// directPeers is the number of instances up to which there are no relays.
+	directPeers = 12
 	// longestStrike is how long after a step a strike may come. Most steps are done
 	// by then.
 	longestStrike = 600 * time.Millisecond
@@ -115,13 +120,19 @@
 
 // newSchedule returns the actions that a seed stands for. Actions come in series
 // and overlap: the gaps between them are shorter than most faults. Plain schedules
-// have no strikes and only the kinds that the first version of the soak had.
-func newSchedule(seed uint64, length time.Duration, plain bool) (schedule []action) {
-	rng := rand.New(rand.NewPCG(seed, 0))
+// have no strikes and only the kinds that the first version of the soak had. Fleets
+// with relays also have cuts between instances beside planned work: relays pass on
+// what they read of the store, and the others must do without them in time.
+func newSchedule(cfg Config) (schedule []action) {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
+	length, plain, relays := cfg.Length, cfg.Plain, cfg.Instances > directPeers
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
 	planned, faults := plannedKinds, []kind{}
-	if plain {
+	switch {
+	case plain:
 		planned, faults = plainPlannedKinds, plainFaultKinds
+	case relays:
+		planned = append(slices.Clone(planned), cutPeers)
 	}
 	for len(faults) == 0 {
 		for _, k := range faultKinds {
@@ -144,6 +155,11 @@
 			a.length = between(shortestOccupied, longestOccupied)
 		}
 		schedule = append(schedule, a)
+		if relays && a.kind == cutPeers {
+			cut := &schedule[len(schedule)-1]
+			cut.whom, cut.length = []whom{byNumber, everyone}[rng.IntN(2)], between(shortestCut, longestFault)
+			schedule = append(schedule, action{at: a.at + shortestGap, kind: []kind{changeConfig, revokeKey}[rng.IntN(2)]})
+		}
 		if !plain && rng.Float64() < strikeChance {
 			schedule = append(schedule, newStrike(rng, a, faulty))
 		}
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -148,7 +148,7 @@
 	if err := s.awaitReady(ctx, startBound); err != nil {
 		return report, err
 	}
-	s.play(ctx, newSchedule(cfg.Seed, cfg.Length, cfg.Plain))
+	s.play(ctx, newSchedule(cfg))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.report, ctx.Err()
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -57,8 +57,11 @@
 
 // TestScheduleFollowsSeed guards against runs that can't be repeated.
 func TestScheduleFollowsSeed(t *testing.T) {
-	require.Equal(t, newSchedule(7, time.Minute, false), newSchedule(7, time.Minute, false))
-	require.NotEqual(t, newSchedule(7, time.Minute, false), newSchedule(8, time.Minute, false))
+	cfg := func(seed uint64) Config {
+		return Config{Seed: seed, Length: 3 * time.Minute, Instances: DefaultInstances}
+	}
+	require.Equal(t, newSchedule(cfg(7)), newSchedule(cfg(7)))
+	require.NotEqual(t, newSchedule(cfg(7)), newSchedule(cfg(8)))
 	plain, all := map[kind]bool{}, map[kind]bool{}
 	collect := func(seen map[kind]bool, schedule []action) {
 		for _, a := range schedule {
@@ -66,10 +69,10 @@
 			seen[a.kind] = true
 		}
 	}
-	collect(plain, newSchedule(7, 3*time.Minute, true))
+	collect(plain, newSchedule(Config{Seed: 7, Length: 3 * time.Minute, Plain: true}))
 	require.Len(t, plain, len(plainPlannedKinds)+len(plainFaultKinds))
 	for seed := range uint64(20) {
-		collect(all, newSchedule(seed, 3*time.Minute, false))
+		collect(all, newSchedule(cfg(seed)))
 	}
 	require.Len(t, all, len(plannedKinds)+len(faultKinds))
 }
