--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -20,7 +20,8 @@
 const stopBound = 8 * time.Second
 
 // settingsText is the platform's settings file of one instance. The bounds are
-// those of the standard deployments.
+// those of the standard deployments, except that older weights may be used for
+// weightsBound, which fits several times into a run.
 const settingsText = `
 NodeName = "i%d"
 Ip = "127.0.0.1"
@@ -36,7 +37,7 @@
 [Bounds]
 DrainMs = 2000
 GraceS = 8
-VersionMs = 10000
+VersionMs = 5000
 LeaseMs = 3000
 RetryBudgetRatio = %.2f
 RetryBudgetSlack = 1000
@@ -46,9 +47,14 @@
 RowBytes = 65536
 `
 
+// zones is the number of availability zones.
+const zones = 2
+
 // instance is one router process and its link to the store.
 type instance struct {
-	faultTime // Of the faults that concern it.
+	faultTime           // Of the faults that concern it.
+	paused    faultTime // Of pauses among them.
+	cut       faultTime // Of cuts of its link to the store among them.
 
 	number  int
 	program []string
@@ -57,6 +63,9 @@
 	ready   string
 	peer    int
 	store   *proxy
+	peers   *proxy // From the other instances.
+	// reservation keeps the ports for this instance.
+	reservation net.Listener
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -72,22 +81,22 @@
 const (
 	firstPort = 12_000
 	lastPort  = 30_000
+	// portsEach is the ports of an instance: the reservation, the two of PortRange
+	// and two listeners.
+	portsEach = 5
 )
 
-func freePorts(n int) (ports []int, err error) {
-	for len(ports) < n {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		switch {
-		case errors.Is(err, syscall.EADDRINUSE):
+// reservePorts finds ports for one instance. The listener on the first one keeps
+// other soaks away from the rest, which are free while the instance restarts.
+func reservePorts() (reservation net.Listener, first int, err error) {
+	for {
+		first := firstPort + portsEach*rand.IntN((lastPort-firstPort)/portsEach)
+		reservation, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
-		case err != nil:
-			return nil, err
 		}
-		defer l.Close()
-		ports = append(ports, port)
+		return reservation, first, err
 	}
-	return ports, nil
 }
 
 func newInstance(number int, program []string, dir, store string) (i *instance, err error) {
@@ -96,21 +105,30 @@
 			err = trace.Wrap(err, "instance %d", number)
 		}
 	}()
-	ports, err := freePorts(3)
+	reservation, port, err := reservePorts()
 	if err != nil {
 		return nil, err
 	}
 	link, err := newProxy(store)
 	if err != nil {
+		reservation.Close()
+		return nil, err
+	}
+	peers, err := newProxy(fmt.Sprintf("127.0.0.1:%d", port+1))
+	if err != nil {
+		reservation.Close()
+		link.close()
 		return nil, err
 	}
 	i = &instance{
-		number: number, program: program, dir: dir, store: link, peer: ports[2],
-		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", ports[1]),
+		number: number, program: program, dir: dir, store: link, peer: port + 1, peers: peers, reservation: reservation,
+		front: fmt.Sprintf("127.0.0.1:%d", port+3), ready: fmt.Sprintf("http://127.0.0.1:%d/radishcrank/ready", port+4),
 	}
 	return i, i.writeSettings(0.5)
 }
 
+func (i *instance) name() string { return fmt.Sprint("i", i.number) }
+
 func (i *instance) settings() string { return filepath.Join(i.dir, fmt.Sprintf("i%d.toml", i.number)) }
 
 func (i *instance) writeSettings(ratio float64) error {
@@ -125,8 +143,13 @@
 	if _, err := fmt.Sscanf(i.ready, "http://127.0.0.1:%d/", &readyPort); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, i.number, i.number%2, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
-	return os.WriteFile(i.settings(), []byte(text), 0o600)
+	text := fmt.Sprintf(settingsText, i.number, i.number%zones, i.peer, i.peer+1, frontPort, readyPort, ratio, i.store.addr())
+	// A process that starts meanwhile must not read half a file.
+	next := i.settings() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, i.settings())
 }
 
 // start starts the process. Its log goes to a file beside the settings.
@@ -188,6 +211,13 @@
 	return !i.stopping
 }
 
+// lastStart returns when the process was last started.
+func (i *instance) lastStart() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.startedAt
+}
+
 func (i *instance) lifetime() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -207,4 +237,6 @@
 func (i *instance) end() {
 	<-i.signal(syscall.SIGKILL, true)
 	i.store.close()
+	i.peers.close()
+	i.reservation.Close()
 }
