Leave a silent store of kept KV cache alone

A store that crashed or fell silent was not noticed: prompts were still to be copied from it, waited for some hundred milliseconds and were then read in full. Each instance now waits for the events of each store.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcclock"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
@@ -78,6 +79,7 @@
 	closing   atomic.Bool
 	clock     rcclock.Clock // The store's.
 	named     *rcweights.Keeper
+	kvWatch   *rckvstore.Watch
 }
 
 // New assembles an instance.
@@ -102,6 +104,9 @@
 	i.named = rcweights.NewKeeper(rcweights.KeeperConfig{
 		Table: &platform.Table{Store: i.store, Name: weightsTable}, Now: i.clock.Now, Log: i.log,
 	})
+	i.kvWatch = rckvstore.New(rckvstore.Config{
+		Events: &platform.KVStores{Pool: i.pool}, Stores: i.listedKVStores, Emptied: i.fleet.Forget, Log: i.log,
+	})
 	i.guard = rcpoison.New(rcpoison.Config{Board: i.board, Instance: radishcrank.InstanceID(s.Instance)})
 	i.peers = newPeers(i)
 	i.directory = &directory{fleet: i.fleet, setConfig: i.setTable, setWeights: i.setNamed, log: i.log}
@@ -125,6 +130,7 @@
 	add(i.peers.run)
 	add(i.guard.Run)
 	add(i.named.Run)
+	add(i.kvWatch.Run)
 	add(i.lead)
 
 	callers, err := net.Listen("tcp", i.settings.Callers.String())
@@ -261,15 +267,25 @@
 	e.Send()
 }
 
-// kvStores returns the stores of kept KV cache that the configuration names.
-func (i *Instance) kvStores() (stores []rcaffinity.Store) {
+// listedKVStores returns the stores of kept KV cache that the configuration names.
+func (i *Instance) listedKVStores() (stores []rckvstore.Store) {
 	t := i.table.Load()
 	if t == nil {
 		return nil
 	}
 	for _, s := range t.Services {
 		if s.KVStore.IsValid() {
-			stores = append(stores, rcaffinity.Store{ID: radishcrank.UpstreamID("store/" + s.Name), Addr: s.KVStore})
+			stores = append(stores, rckvstore.Store{ID: radishcrank.UpstreamID("store/" + s.Name), Addr: s.KVStore})
+		}
+	}
+	return stores
+}
+
+// kvStores returns the stores of kept KV cache that answer.
+func (i *Instance) kvStores() (stores []rcaffinity.Store) {
+	for _, s := range i.listedKVStores() {
+		if i.kvWatch.Up(s) {
+			stores = append(stores, rcaffinity.Store{ID: s.ID, Addr: s.Addr})
 		}
 	}
 	return stores
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
+	"time"
 )
 
 // Errors of the platform's services. Implementations wrap them.
@@ -13,6 +15,8 @@
 	ErrUnavailable = errors.New("platform service unavailable")
 	// ErrUnknownOutcome says that a write may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("outcome of the write is unknown")
+	// ErrTooManyCalls says that a store of kept KV cache holds as many calls as it may.
+	ErrTooManyCalls = errors.New("too many calls wait for events")
 	// ErrNotFound says that an object does not exist.
 	ErrNotFound = errors.New("not found")
 )
@@ -71,3 +75,15 @@
 type InstanceLister interface {
 	List(ctx context.Context) (Listing, error)
 }
+
+// KVSequence is how far a store of kept KV cache is with its events.
+type KVSequence struct {
+	Boot uint64 // Changes when the store has started anew and lost what it kept.
+	Next uint64 // Number of the next event.
+}
+
+// KVEvents reads the events of stores of kept KV cache.
+type KVEvents interface {
+	// Await returns once the store has an event from since on, or after wait.
+	Await(ctx context.Context, store netip.AddrPort, since uint64, wait time.Duration) (KVSequence, error)
+}
