Refuse at once what would begin after its caller has left

Under more load than the engines can serve, everything waited, callers left after 2.4 s, and engines worked for callers who were about to leave: more than half of those that met an expected wait over 1.2 s got nothing, and cached parts were dropped meanwhile, so that the load outlasted the burst.

An exchange that has run nowhere is refused where no engine is expected to begin it within three quarters of its caller's patience. Callers that are refused together, for this or because no upstream takes them, are told different times, spread over the time in which the engines serve what waits. An engine with room goes before one without, unless it has just failed.

--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -73,6 +73,9 @@
 	// OldLife is how long weights may be used after newer ones were named; 0 is for ever.
 	OldLife time.Duration
 	Pauses  float64 // Share of the latest streams that paused for too long.
+	// Within is the longest wait that serves the caller; sound upstreams with a
+	// longer one are chosen only if all have one. 0 is any wait.
+	Within time.Duration
 }
 
 // Store is a store of kept KV cache.
@@ -93,8 +96,10 @@
 	// StoreUsed names the store if the exchange reads parts from it or writes them to it.
 	StoreUsed radishcrank.UpstreamID
 	Cost      time.Duration
-	Owner     bool // The upstream owns the shared part.
-	Missing   int  // Prompt tokens to prefill, if this instance's picture is right.
+	Ahead     time.Duration // Expected wait for what stands before the exchange there.
+	Least     time.Duration // The shortest such wait at any upstream that has not just failed.
+	Owner     bool          // The upstream owns the shared part.
+	Missing   int           // Prompt tokens to prefill, if this instance's picture is right.
 }
 
 // Usable reports whether new work may go to an upstream at all.
@@ -121,6 +126,9 @@
 		}
 		return h
 	}
+	var bestInTime Choice
+	var least time.Duration
+	anyInTime, anySound := false, false
 	for i := range states {
 		s := &states[i]
 		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
@@ -139,6 +147,7 @@
 				c.Missing = min(c.Missing, total-sharedTokens)
 			}
 		}
+		c.Ahead = ahead(req, s)
 		c.Cost = cost(req, s, c, ranks.of[s.ID], sharedTokens, now)
 		if c.ReplacedFor > 0 && req.OldLife > 0 && c.ReplacedFor >= req.OldLife-c.Cost {
 			continue // It would begin on the old weights after their time.
@@ -149,6 +158,23 @@
 		if !ok || c.Cost < best.Cost {
 			best, ok = c, true
 		}
+		if c.State.Probing {
+			// A fleet whose other engines are full must not send all that it has to one
+			// that has just failed.
+			continue
+		}
+		if !anySound || c.Ahead < least {
+			least, anySound = c.Ahead, true
+		}
+		if c.Ahead <= req.Within && (!anyInTime || c.Cost < bestInTime.Cost) {
+			bestInTime, anyInTime = c, true
+		}
+	}
+	if req.Within > 0 && best.Ahead > req.Within && anyInTime {
+		best = bestInTime
+	}
+	if best.Least = best.Ahead; anySound {
+		best.Least = least
 	}
 	if ok && req.Model != "" && sharedTokens > 0 {
 		best = withSource(best, states, heldUnder(best.Salt), sharedTokens, req, ranks.owner, now)
@@ -156,6 +182,19 @@
 	return best, ok
 }
 
+// ahead is the expected wait for what an engine has to do before it begins an
+// exchange. Plain services refuse what they have no room for.
+func ahead(req Request, s *rcfleet.State) (d time.Duration) {
+	if req.Model == "" {
+		return 0
+	}
+	d = prefillTime(s.Prefilling+s.Others.Prefilling) + time.Duration(s.Reported.Waiting)*waitingCost
+	if over := s.Running + s.Others.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
+		d += time.Duration(over) * slotCost
+	}
+	return d
+}
+
 // oldFor returns how long newer weights have been named; 0 means that there are none.
 func oldFor(req Request, w radishcrank.WeightsVersion, now time.Time) time.Duration {
 	if at, ok := req.Named.ReplacedAt(w); ok {
@@ -167,15 +206,12 @@
 func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = prefillTime(s.Prefilling+s.Others.Prefilling+c.Missing) + time.Duration(s.Reported.Waiting)*waitingCost
+		d = c.Ahead + prefillTime(c.Missing)
 		if !c.Owner && c.Missing > 0 && sharedTokens > 0 {
 			// Parts that could be copied count as if they were read: each copy pushes
 			// other parts out of an engine's memory.
 			d += strayCost + time.Duration(rank)*rankCost
 		}
-		if over := s.Running + s.Others.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
-			d += time.Duration(over) * slotCost
-		}
 		if oldFor(req, c.Weights, now) >= staleAfter {
 			d += staleCost
 		}
--- a/internal/routing/rcaffinity/choose_test.go
+++ b/internal/routing/rcaffinity/choose_test.go
@@ -245,3 +245,37 @@
 	_, ok = Choose(req, states, now)
 	require.False(t, ok)
 }
+
+// TestRoomElsewhereIsUsed guards against an exchange that is refused at its owner
+// though another engine would begin it in time.
+func TestRoomElsewhereIsUsed(t *testing.T) {
+	states := engines(4)
+	req := request("k")
+	owner := choose(t, req, states).State.ID
+	for i := range states {
+		states[i].Prefilling = 46_000 // 1.15 s.
+		if states[i].ID == owner {
+			states[i].Prefilling = 50_000 // 1.25 s, and cheaper than to stray.
+		}
+	}
+	require.Equal(t, owner, choose(t, req, states).State.ID)
+	req.Within = 1200 * time.Millisecond
+	c := choose(t, req, states)
+	require.NotEqual(t, owner, c.State.ID)
+	require.LessOrEqual(t, c.Ahead, req.Within)
+}
+
+// TestFullFleetSparesTheEngineThatFailed guards against a fleet of full engines
+// that sends everything to the one that has just come back from a fault.
+func TestFullFleetSparesTheEngineThatFailed(t *testing.T) {
+	states := engines(4)
+	for i := range states {
+		states[i].Prefilling = 60_000 // 1.5 s.
+	}
+	states[0].Prefilling, states[0].Probing, states[0].Running = 0, true, 40
+	req := request("k")
+	req.Within = 1200 * time.Millisecond
+	c := choose(t, req, states)
+	require.NotEqual(t, states[0].ID, c.State.ID)
+	require.Greater(t, c.Least, req.Within, "not told to be late")
+}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
@@ -25,8 +28,8 @@
 	maxArrivals = 4
 	// minSendTime is the least time left for which a dispatch makes sense.
 	minSendTime = 15 * time.Millisecond
-	// retryAfter is what a refused caller is told where nothing better is known.
-	retryAfter = 400 * time.Millisecond
+	// noUpstream is the wait that is expected where a service has no upstream.
+	noUpstream = time.Second
 	// silentStream times a stream's longest pause is silence: the upstream has
 	// stopped, not slowed, and another one can still continue before callers leave.
 	silentStream = 4
@@ -126,6 +129,10 @@
 		if !ok {
 			return fl.giveUp()
 		}
+		if c := fl.admission(choice.Least); fl.mayRefuse() && c.Refuse() {
+			fl.cause = fmt.Errorf("expected wait %v is over %v", c.Ahead, c.Longest())
+			return fl.refuse("it would begin too late", c.ReturnAfter(rand.Float64()))
+		}
 		if fl.arrivals > 0 && !fl.f.cfg.Budget.Repeat(fl.x.Service) {
 			fl.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return fl.giveUp()
@@ -142,6 +149,20 @@
 	}
 }
 
+// mayRefuse reports whether a refusal would be true and the caller has nothing yet.
+func (fl *flight) mayRefuse() bool { return fl.runs == 0 && !fl.answer.begun && fl.last == nil }
+
+// admission is the case of this exchange at an upstream with a wait.
+func (fl *flight) admission(ahead time.Duration) rcadmission.Case {
+	x := fl.x
+	c := rcadmission.Case{Ahead: ahead, Left: time.Until(x.Deadline)}
+	c.Patience = c.Left
+	if x.Route.Patience > 0 {
+		c.Patience = min(c.Patience, time.Until(x.ReceivedAt.Add(x.Route.Patience)))
+	}
+	return c
+}
+
 // mayTryAgain reports whether another upstream may get the exchange.
 func (fl *flight) mayTryAgain() bool {
 	x := fl.x
@@ -241,6 +262,7 @@
 			return false
 		},
 		Pauses: f.pauses.value(),
+		Within: fl.admission(0).Longest(),
 	}
 }
 
@@ -283,14 +305,14 @@
 
 const maxRetryAfter = 5 * time.Second
 
-// comeBack estimates when a refused caller finds room.
+// comeBack estimates when a refused caller finds an upstream. Callers that are
+// refused together are told different times.
 func (fl *flight) comeBack() time.Duration {
-	now := time.Now()
-	states := fl.f.cfg.Fleet.View(fl.x.Service, nil)
-	if len(states) == 0 {
-		return time.Second
+	wait := noUpstream
+	if states := fl.f.cfg.Fleet.View(fl.x.Service, nil); len(states) > 0 {
+		wait = min(nextUsable(states, time.Now()), maxRetryAfter)
 	}
-	return min(max(retryAfter/2, nextUsable(states, now)), maxRetryAfter)
+	return rcadmission.Case{Ahead: wait, Left: time.Until(fl.x.Deadline)}.ReturnAfter(rand.Float64())
 }
 
 // refuse answers that the request has not run and never will.
