--- a/internal/state/rckvstore/watch.go
+++ b/internal/state/rckvstore/watch.go
@@ -138,7 +138,7 @@
 				continue
 			}
 		default:
-			failures, next = 0, pause
+			failures, next = 0, max(pause, next*9/10) // A fleet that shares the store finds its pace.
 			if seen.Boot != 0 && got.Boot != seen.Boot {
 				w.cfg.Emptied(s.ID)
 			}
--- a/internal/state/rckvstore/watch_test.go
+++ b/internal/state/rckvstore/watch_test.go
@@ -132,3 +132,51 @@
 		require.True(t, w.Up(s))
 	})
 }
+
+// limited is a store that holds a number of calls at once.
+type limited struct {
+	mu                   sync.Mutex
+	held, turned, served int
+}
+
+const limitedCalls = 12
+
+func (s *limited) Await(ctx context.Context, _ netip.AddrPort, _ uint64, wait time.Duration) (seq radishcrank.KVSequence, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held >= limitedCalls {
+		s.turned++
+		return seq, radishcrank.ErrTooManyCalls
+	}
+	s.served++
+	s.held++
+	s.mu.Unlock()
+	sleep(ctx, wait)
+	s.mu.Lock()
+	s.held--
+	return radishcrank.KVSequence{Boot: 1}, ctx.Err()
+}
+
+// TestLargeFleetTakesTurns guards against a fleet of 58 instances of which each
+// comes back at once when it was served, so that most calls are turned away.
+func TestLargeFleetTakesTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &limited{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i := range 58 {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			w := New(Config{
+				Events: store, Stores: func() []Store { return []Store{{ID: "store/kv"}} },
+				Emptied: func(radishcrank.UpstreamID) {}, Log: zerolog.Nop(),
+			})
+			wg.Go(func() { w.Run(ctx) })
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		wg.Wait()
+		t.Logf("%d calls served, %d turned away", store.served, store.turned)
+		require.Less(t, store.turned, store.served/3)
+		require.Greater(t, store.served, 58*60/5, "instances ask too seldom")
+	})
+}
