Let instances tell each other of upstreams that do not answer

Cause: each instance found a silent upstream by an exchange of its own.

Two claims of instances that hear other upstreams of the zone make a verdict, and whoever hears the upstream contradicts it.

--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -59,6 +59,7 @@
 	p.next, p.fromZone, p.fromOther = news{}, news{}, news{}
 	round := map[*peer]*news{}
 	if !p.relayedLocked() {
+		own.Findings.Verdicts = nil // Each instance judges by itself.
 		for _, m := range p.members {
 			round[m] = &own
 		}
@@ -66,13 +67,14 @@
 	}
 	zone := p.i.settings.Zone
 	if relay := p.relayOfLocked(zone); relay != nil {
-		own.Feeds = nil
+		own.Feeds, own.Findings.Verdicts = nil, nil
 		round[relay] = &own
 		return round
 	}
 	outward := own.join(fromZone)
 	all := outward.join(fromOther)
-	outward.Feeds = nil // Each zone's relay reads the store itself.
+	outward.Feeds, outward.Findings.Verdicts = nil, nil // Each zone's relay reads the store and judges itself.
+	all.Findings.Claims = nil
 	if own.Loads != nil {
 		all.Loads = p.withOwn(p.sumLocked(""))
 		outward.Loads = p.withOwn(p.sumLocked(zone))
@@ -98,5 +100,7 @@
 		Crashes: n.Crashes, // The records that were heard are part of the own ones.
 		Feeds:   n.Feeds,
 		Lease:   max(n.Lease, o.Lease),
+
+		Findings: n.Findings.join(o.Findings),
 	}
 }
