--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -30,6 +30,9 @@
 	// registerRetry is the pause between attempts to write the own row.
 	registerRetry  = 500 * time.Millisecond
 	sharedKeyBytes = 32
+	// maxReplaced bounds the rows that wait for their removal; the others are found
+	// again when the table is next read.
+	maxReplaced = 16
 )
 
 // member is an instance as it describes itself in the store.
@@ -50,6 +53,16 @@
 	drop   func(name string)
 	read   func() // Called when all rows have been read.
 	log    zerolog.Logger
+
+	known    map[string]bool // Names whose rows were put.
+	removed  chan struct{}   // Told when the own row is gone.
+	replaced chan member     // Instances at whose address this one listens.
+}
+
+// newMembers returns a members that has room for what follow finds.
+func newMembers(m members) *members {
+	m.known, m.removed, m.replaced = map[string]bool{}, make(chan struct{}, 1), make(chan member, maxReplaced)
+	return &m
 }
 
 func (m *members) logUnreachable(err error) {
@@ -116,9 +129,7 @@
 	f := rcfeed.New(rcfeed.Config{
 		Source: m.source, Table: membersTable, Pace: membersPace, Patient: true, Log: m.log,
 		Reset: func(rows []rcfeed.Row, s rcfeed.Sight) {
-			for _, row := range rows {
-				m.row(row, s)
-			}
+			m.reset(rows, s)
 			m.read()
 		},
 		Change: m.row,
@@ -126,20 +137,70 @@
 	return f.Run(ctx)
 }
 
+// reset takes in the whole table. Rows that were removed while the history of
+// changes was lost are missing from it.
+func (m *members) reset(rows []rcfeed.Row, s rcfeed.Sight) {
+	gone := m.known
+	m.known = map[string]bool{}
+	self := false
+	for _, row := range rows {
+		m.row(row, s)
+		self = self || row.Key == memberPrefix+m.self.Name
+	}
+	for name := range gone {
+		if !m.known[name] {
+			m.drop(name)
+		}
+	}
+	if !self {
+		m.lost()
+	}
+}
+
+// lost asks for the own row to be written again.
+func (m *members) lost() {
+	select {
+	case m.removed <- struct{}{}:
+	default:
+	}
+}
+
 func (m *members) row(row rcfeed.Row, _ rcfeed.Sight) {
 	name, ok := strings.CutPrefix(row.Key, memberPrefix)
-	if !ok || name == m.self.Name {
+	if !ok {
+		return
+	}
+	if name == m.self.Name {
+		if row.Removed {
+			m.lost()
+		}
 		return
 	}
 	if row.Removed {
-		m.drop(name)
+		m.forget(name)
 		return
 	}
 	var other member
 	if err := json.Unmarshal(row.Value, &other); err != nil || !other.Peer.IsValid() {
 		m.log.Warn().Str("Event", "InstanceRowRefused").Str("Key", row.Key).Uint64("Row", row.Version).AnErr("Cause", err).Send()
-		m.drop(name)
+		m.forget(name)
 		return
 	}
+	if other.Peer == m.self.Peer {
+		// It can't listen there any more. Its row would get the calls meant for it
+		// answered here.
+		m.forget(name)
+		select {
+		case m.replaced <- other:
+		default:
+		}
+		return
+	}
+	m.known[name] = true
 	m.put(other)
 }
+
+func (m *members) forget(name string) {
+	delete(m.known, name)
+	m.drop(name)
+}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -69,7 +69,10 @@
 // peer is another instance.
 type peer struct {
 	member
-	failedAt time.Time // Of the last call that failed; zero after one that succeeded.
+	failedAt     time.Time // Of the last call that failed; zero after one that succeeded.
+	failingSince time.Time // Of the first call that failed since then.
+	failures     int
+	reachedAt    time.Time // Of the last call that succeeded.
 }
 
 // hold tells that an upstream reads shared parts under a salt.
@@ -230,7 +233,7 @@
 func (p *peers) run(ctx context.Context) (err error) {
 	i := p.i
 	table := &platform.Table{Store: i.store, Name: membersTable}
-	roster := &members{
+	roster := newMembers(members{
 		table:  table,
 		source: table,
 		self:   p.self.member,
@@ -250,7 +253,7 @@
 			p.known = true
 		},
 		log: i.log,
-	}
+	})
 	listener, err := net.Listen("tcp", i.settings.Peer.String())
 	if err != nil {
 		return err
@@ -285,8 +288,21 @@
 		return err
 	}
 	close(registered)
-	<-ctx.Done()
-	return ctx.Err()
+	select {
+	case <-roster.removed: // The table was read before the row was written.
+	default:
+	}
+	wg.Go(func() { p.removeGone(ctx, roster) })
+	for {
+		select {
+		case <-roster.removed:
+			if err := roster.register(ctx); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // tell sends what has happened to the other instances.
@@ -341,9 +357,8 @@
 	_, err := rcrpc.Call(ctx, client, to.Peer, methodNews, *n)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	to.failedAt = time.Time{}
+	to.reached(err, time.Now())
 	if err != nil {
-		to.failedAt = time.Now()
 		p.i.metrics.Add(rcmetric.NewsLost, 1)
 	}
 }
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -14,8 +14,12 @@
 	directPeers = 12
 	// relayPace collects news where there are relays.
 	relayPace = 120 * time.Millisecond
-	// relayRetry is how long an instance that could not be reached is no relay.
-	relayRetry = 3 * time.Second
+	// relayRetry is how long an instance that could not be reached is no relay. It
+	// grows with the time for which that has been so, up to maxRelayRetry: with a
+	// constant pause, seven stronger instances that are gone hide all others of their
+	// zone, since the first of them is tried again before the last one has failed.
+	relayRetry    = 3 * time.Second
+	maxRelayRetry = 10 * time.Second
 )
 
 // relayed reports whether there are relays.
@@ -39,7 +43,7 @@
 func (p *peers) relayOfLocked(zone string) *peer {
 	var best *peer
 	for _, m := range p.members {
-		if m.Zone == zone && time.Since(m.failedAt) >= relayRetry && (best == nil || comparePeers(m, best) < 0) {
+		if m.Zone == zone && m.mayRelay(time.Now()) && (best == nil || comparePeers(m, best) < 0) {
 			best = m
 		}
 	}
@@ -49,6 +53,12 @@
 	return best
 }
 
+// mayRelay reports whether an instance is tried as a relay.
+func (m *peer) mayRelay(now time.Time) bool {
+	pause := min(max(relayRetry, m.failedAt.Sub(m.failingSince)), maxRelayRetry)
+	return m.failedAt.IsZero() || now.Sub(m.failedAt) >= pause
+}
+
 func comparePeers(a, b *peer) int {
 	return cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -105,9 +105,9 @@
 		p = all[3]
 		first = p.relayOfLocked(p.self.Zone)
 	}
-	first.failedAt = time.Now()
+	first.failingSince, first.failedAt = time.Now(), time.Now()
 	second := p.relayOfLocked(p.self.Zone)
 	require.NotEqual(t, first, second)
-	first.failedAt = time.Now().Add(-relayRetry)
+	first.failingSince, first.failedAt = time.Now().Add(-relayRetry), time.Now().Add(-relayRetry)
 	require.Equal(t, first, p.relayOfLocked(p.self.Zone))
 }
