--- a/internal/eval/rccapacity/page.go
+++ b/internal/eval/rccapacity/page.go
@@ -34,6 +34,7 @@
 	writeMissed(&b, m)
 	writeSeries(&b, m)
 	b.WriteString(unmeasured)
+	b.WriteString(onPlatform)
 	return b.Bytes()
 }
 
