Let streams wait longer for their first event

Cause: a stream left an engine after 2.2 objectives. Dead upstreams show sooner by their connections, so that ended mostly waits at full engines, whose reading was lost.

TestPatienceGrowsWithTheExpectedWait names the new constant's times.

--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -31,9 +31,11 @@
 	// stopped, not slowed, and another one can still continue before callers leave.
 	silentStream = 4
 	// firstEventPatience times the objective, or the expected time to the first
-	// event if that is longer, is the wait for the first event of a
-	// stream that another upstream may run instead.
-	firstEventPatience = 2.2
+	// event if that is longer, is the wait for the first event of a stream that
+	// another upstream may run instead. A dead upstream shows sooner by its
+	// connection, so what this ends is mostly a wait at a full engine, which has to
+	// be begun anew elsewhere. Callers leave after four objectives.
+	firstEventPatience = 3
 	// replyPatience times the objective is the wait for an answer that another
 	// upstream may give instead.
 	replyPatience = 2.2
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -36,7 +36,8 @@
 	reply radishcrank.Reply
 	body  io.Reader
 	err   error
-	hang  bool // Nothing comes until the send is cancelled.
+	hang  bool          // Nothing comes until the send is cancelled.
+	after time.Duration // How long the answer takes.
 }
 
 type sent struct {
@@ -57,6 +58,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	select {
+	case <-time.After(st.after):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if st.err != nil {
 		return nil, st.err
 	}
@@ -359,14 +365,43 @@
 	require.Equal(t, []radishcrank.UpstreamID{s.sent[1].up}, held)
 }
 
+// TestFullEngineIsWaitedFor guards against streams that leave an engine which is
+// only full and take what it has read with them, on top of the load of the next
+// one (Riga grown scale-1), and against those that stay at one that hangs until
+// their caller leaves.
+func TestFullEngineIsWaitedFor(t *testing.T) {
+	for _, c := range []struct {
+		wait time.Duration
+		hang bool
+		sent int
+	}{
+		{wait: 1050 * time.Millisecond, sent: 1},
+		{hang: true, sent: 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			answer := func(wait time.Duration, hang bool) step {
+				return step{after: wait, hang: hang, reply: answer200(), body: strings.NewReader("id: 1\ndata: x\n\n")}
+			}
+			s := &script{steps: []step{answer(c.wait, c.hang), answer(300*time.Millisecond, false)}}
+			x := stream(radishcrank.RepeatResume)
+			x.Route.Objective = 400 * time.Millisecond
+			begun := time.Now()
+			got := serve(s, 3, freeBudget{}, x)
+			require.Equal(t, http.StatusOK, got.Code)
+			require.Len(t, s.sent, c.sent)
+			require.Less(t, time.Since(begun), 4*x.Route.Objective, "callers have left")
+		})
+	}
+}
+
 // TestPatienceGrowsWithTheExpectedWait guards against streams that leave a full
 // engine just before their turn and have all of it read again elsewhere (Riga
 // grown scale-1: a thousand of 7,000 attempts).
 func TestPatienceGrowsWithTheExpectedWait(t *testing.T) {
 	x := stream(radishcrank.RepeatResume)
 	fl := &flight{x: &x}
-	require.Equal(t, 1320*time.Millisecond, fl.firstWait(50*time.Millisecond))
-	require.Equal(t, 3300*time.Millisecond, fl.firstWait(1500*time.Millisecond))
+	require.Equal(t, 1800*time.Millisecond, fl.firstWait(50*time.Millisecond))
+	require.Equal(t, 4500*time.Millisecond, fl.firstWait(1500*time.Millisecond))
 	fl.runs = 1
 	require.Zero(t, fl.firstWait(0), "the last attempt has until the deadline")
 }
