Take back the news of silent upstreams

Its tests go with the code that they are about.

TestBytesOfNews counts without its entries, and a smaller empty message.

--- a/internal/eval/rccapacity/onplatform.go
+++ b/internal/eval/rccapacity/onplatform.go
@@ -25,10 +25,9 @@
 | teller of loads | ` + "`rcinstance`" + `: each instance tells its relay, every 120 ms, what it has under way | one entry for each upstream in use | 49 B an entry | 130 kB/s of an instance: **43 times the budget** |
 | relay of loads | the relay adds up and tells the 33 others of its zone the sums | the sums of 11 zones | 49 B for each of 5,500 upstreams | 2.2 MB/s to each instance, 74 MB/s of a relay: **breaks first** |
 | holders of prompt parts | told to all when the first event shows that a part was read, again after 7.5 s | 50,000 parts at most | 122 B for a prompt of two shared parts | up to 1.7 MB/s to each instance if every prompt were news; the bound of 2,000 a message does not help |
-| findings on silent upstreams | claims to the relays, verdicts to the zones, one contradiction an upstream | one claim an instance and upstream, for 1.5 s | claim 109 B, verdict 87 B, contradiction 65 B | a silent upstream costs each instance 87 B in 1 to 8 s; 30 at once fit into the budget |
 | follower of the store | the relay reads the tables and passes on what changed | one entry for each upstream | what changed, an empty batch each 0.7 s otherwise | 11 readers instead of 370 |
 | members | one row an instance, removed 90 minutes after it was last reached | 370 rows, and about 18 of gone instances if each relay lives for some hours | about 150 B a row | 1,700 restarts a day are 3 B/s to each instance |
 | holder of the lease of orders | ` + "`rclease`" + `: one row, told every 0.7 s so that others need not read it | one row | an entry of 8 B or so | as today |
 
-What would have to change for the target: loads as differences instead of sums, only of the upstreams that a zone's prompts can go to, and at a pace that a budget of bytes sets. None of that is built. The findings are not part of the sweep's run, which is older than they are.
+What would have to change for the target: loads as differences instead of sums, only of the upstreams that a zone's prompts can go to, and at a pace that a budget of bytes sets. None of that is built.
 `
--- a/internal/node/rcinstance/bytes_test.go
+++ b/internal/node/rcinstance/bytes_test.go
@@ -15,8 +15,7 @@
 // that docs/CAPACITY.md counts with.
 func TestBytesOfNews(t *testing.T) {
 	const (
-		id  = "i-993fe1b7b8"
-		now = 1_786_355_194_116
+		id = "i-993fe1b7b8"
 	)
 	size := func(n news) int {
 		text, err := json.Marshal(n)
@@ -34,12 +33,9 @@
 		n    news
 		most int
 	}{
-		{"empty message", news{}, 150},
+		{"empty message", news{}, 100},
 		{"100 loads", news{Loads: loads}, 5000},
 		{"hold", news{Holds: []hold{{Upstream: id, Salt: "daka510000/12", Parts: parts}}}, 150},
-		{"claim", news{Findings: findings{Claims: []claim{{Upstream: id, Born: now, By: "edge-riga-a-15", Begun: now, At: now}}}}, 130},
-		{"verdict", news{Findings: findings{Verdicts: []verdict{{Upstream: id, Born: now, Begun: now, At: now}}}}, 110},
-		{"refutation", news{Findings: findings{Refutations: []refutation{{Upstream: id, Born: now, At: now}}}}, 90},
 	} {
 		n := size(c.n)
 		if c.name != "empty message" {
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -58,12 +58,11 @@
 	Loads map[radishcrank.UpstreamID]rcfleet.Load
 	// Lease is the version of the row of the lease of orders that its holder wrote
 	// last, told by the holder or by a relay that heard it; 0 is no news.
-	Lease    uint64
-	Findings findings
+	Lease uint64
 }
 
 func (n *news) empty() bool {
-	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && n.Loads == nil && n.Lease == 0 && n.Findings.empty()
+	return len(n.Engines) == 0 && len(n.Holds) == 0 && len(n.Crashes) == 0 && len(n.Feeds) == 0 && n.Loads == nil && n.Lease == 0
 }
 
 // peer is another instance.
@@ -193,7 +192,6 @@
 	if n.Loads != nil {
 		p.takeLoads(from, n.Loads)
 	}
-	n.Findings = p.takeFindings(n.Findings, string(from.Zone) == p.i.settings.Zone)
 	p.passOn(string(from.Zone), n)
 	for _, e := range n.Engines {
 		rcrollout.Apply(p.i.fleet, e)
@@ -226,7 +224,6 @@
 		heard.Holds = append(heard.Holds, n.Holds...)
 	}
 	heard.Lease = max(heard.Lease, n.Lease)
-	heard.Findings = heard.Findings.join(n.Findings)
 }
 
 // run exchanges news until ctx ends.
@@ -325,9 +322,7 @@
 			}
 			crashesAt = now
 		}
-		found := p.collectFindings()
 		p.mu.Lock()
-		p.next.Findings = p.next.Findings.join(found)
 		if p.term != nil && time.Since(leadAt) >= leaseNewsPace {
 			p.next.Lease, leadAt = p.term.Version(), time.Now()
 		}
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -69,7 +69,6 @@
 	p.next, p.fromZone, p.fromOther = news{}, news{}, news{}
 	round := map[*peer]*news{}
 	if !p.relayedLocked() {
-		own.Findings.Verdicts = nil // Each instance judges by itself.
 		for _, m := range p.members {
 			round[m] = &own
 		}
@@ -77,14 +76,13 @@
 	}
 	zone := p.i.settings.Zone
 	if relay := p.relayOfLocked(zone); relay != nil {
-		own.Feeds, own.Findings.Verdicts = nil, nil
+		own.Feeds = nil
 		round[relay] = &own
 		return round
 	}
 	outward := own.join(fromZone)
 	all := outward.join(fromOther)
-	outward.Feeds, outward.Findings.Verdicts = nil, nil // Each zone's relay reads the store and judges itself.
-	all.Findings.Claims = nil
+	outward.Feeds = nil // Each zone's relay reads the store itself.
 	if own.Loads != nil {
 		all.Loads = p.withOwn(p.sumLocked(""))
 		outward.Loads = p.withOwn(p.sumLocked(zone))
@@ -110,7 +108,5 @@
 		Crashes: n.Crashes, // The records that were heard are part of the own ones.
 		Feeds:   n.Feeds,
 		Lease:   max(n.Lease, o.Lease),
-
-		Findings: n.Findings.join(o.Findings),
 	}
 }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -64,7 +64,6 @@
 		return false, nil
 	}
 	defer reply.Body.Close()
-	run.Heard()
 	fl.learn(up, choice, reply)
 	switch reply.Verdict {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
@@ -153,11 +152,9 @@
 		fl.logAttempt(up, rcmetric.AttemptAbandoned, 0, err)
 		return rcfleet.Abandoned, false
 	}
+	silent := errors.Is(context.Cause(ctx), errSilent)
 	fl.logAttempt(up, rcmetric.AttemptBroken, 0, err)
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return rcfleet.Silent, false
-	}
-	return rcfleet.Broken, !errors.Is(err, radishcrank.ErrNotSent)
+	return rcfleet.Broken, !silent && !errors.Is(err, radishcrank.ErrNotSent)
 }
 
 // learn takes in what a reply says of its upstream.
@@ -244,7 +241,6 @@
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
 			pause.event(time.Now())
-			run.Heard()
 			if first {
 				first = false
 				run.Started()
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -47,7 +47,7 @@
 	Running      int       // Exchanges of this instance that are under way there.
 	Prefilling   int       // Prompt tokens of those that have no first event yet.
 	Others       Load      // What other instances have under way there, as far as they told lately.
-	Suspect      bool      // Left alone after a fault, or on the word of others.
+	Suspect      bool      // Left alone after a fault.
 	Probing      bool      // The suspicion has ended, but nothing has succeeded since.
 	FaultRate    float64   // Moving average of failed exchanges.
 	LoadingUntil time.Time // End of the weights load that is expected or under way.
@@ -71,8 +71,6 @@
 	suspectUntil time.Time
 	removedAt    time.Time
 	othersAt     time.Time // When Others was told.
-	heardAt      time.Time // When something last arrived from it.
-	word         word
 }
 
 // Fleet holds the members. It is safe for concurrent use.
@@ -85,10 +83,6 @@
 	backAt    time.Time
 	changed   chan struct{} // Closed and replaced when an upstream may have become usable.
 	holders   *holders
-
-	findings   Findings // To be told.
-	findingsAt time.Time
-	awakeSince time.Time // End of the last stall of this process.
 }
 
 // New returns an empty Fleet.
@@ -236,22 +230,13 @@
 	}
 }
 
-// View appends the states of a service's upstreams to buf. The word of others
-// counts only while it leaves an upstream of the service.
+// View appends the states of a service's upstreams to buf.
 func (f *Fleet) View(service string, buf []State) []State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	first, left := len(buf), false
 	for _, m := range f.services[service] {
-		s := m.stateAt(now)
-		left = left || !s.Suspect && !s.Leaving
-		buf = append(buf, s)
-	}
-	if !left {
-		for i, m := range f.services[service] {
-			buf[first+i].Suspect = m.suspectAt(now)
-		}
+		buf = append(buf, m.stateAt(now))
 	}
 	return buf
 }
@@ -281,8 +266,8 @@
 
 func (m *member) stateAt(now time.Time) State {
 	s := m.State
-	s.Suspect = m.suspectAt(now) || now.Before(m.word.until)
-	s.Probing = (m.faults > 0 || m.word.verdicts > 0) && !s.Suspect
+	s.Suspect = now.Before(m.suspectUntil)
+	s.Probing = m.faults > 0 && !s.Suspect
 	if now.Sub(m.othersAt) > othersLife {
 		s.Others = Load{}
 	}
@@ -337,12 +322,8 @@
 	}
 }
 
-// suspectAt reports whether an upstream is left alone after a fault that this
-// instance met itself.
-func (m *member) suspectAt(now time.Time) bool { return now.Before(m.suspectUntil) }
-
 func (m *member) fault(now time.Time) {
-	if m.suspectAt(now) {
+	if now.Before(m.suspectUntil) {
 		return // Exchanges that fail together are one fault.
 	}
 	m.faults++
--- a/internal/state/rcfleet/run.go
+++ b/internal/state/rcfleet/run.go
@@ -19,9 +19,6 @@
 	Refused
 	// Broken means that the connection failed or the answer was not valid.
 	Broken
-	// Silent means that nothing came for longer than the exchange could wait, over
-	// a connection that stands: the upstream may only be full.
-	Silent
 	// Abandoned means that the caller left or the deadline passed.
 	Abandoned
 )
@@ -31,7 +28,6 @@
 	fleet  *Fleet
 	id     radishcrank.UpstreamID
 	born   radishcrank.Incarnation
-	begun  time.Time
 	tokens int // Prompt tokens that count as prefilling until the first event.
 }
 
@@ -39,7 +35,7 @@
 func (f *Fleet) Begin(id radishcrank.UpstreamID, tokens int) *Run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &Run{fleet: f, id: id, begun: time.Now(), tokens: tokens}
+	r := &Run{fleet: f, id: id, tokens: tokens}
 	if m, ok := f.members[id]; ok {
 		m.Running++
 		m.Prefilling += tokens
@@ -56,15 +52,6 @@
 	return m
 }
 
-// Heard tells that something has arrived from the upstream.
-func (r *Run) Heard() {
-	r.fleet.mu.Lock()
-	defer r.fleet.mu.Unlock()
-	if m := r.memberLocked(); m != nil {
-		r.fleet.hearLocked(m)
-	}
-}
-
 // Started tells that the first event has arrived.
 func (r *Run) Started() {
 	r.fleet.mu.Lock()
@@ -72,7 +59,6 @@
 	if m := r.memberLocked(); m != nil {
 		m.Prefilling -= r.tokens
 		m.succeed()
-		r.fleet.hearLocked(m)
 	}
 	r.tokens = 0
 }
@@ -95,17 +81,12 @@
 	switch o {
 	case Succeeded:
 		m.succeed()
-		r.fleet.hearLocked(m)
 		m.FaultRate *= 1 - faultDecay
 	case Failed:
 		m.succeed()
-		r.fleet.hearLocked(m)
 		m.FaultRate += faultDecay * (1 - m.FaultRate)
-	case Broken, Silent:
+	case Broken:
 		m.fault(time.Now())
-		if o == Broken {
-			r.fleet.unreachedLocked(m, r.begun)
-		}
 		m.FaultRate += faultDecay * (1 - m.FaultRate)
 	}
 }
