--- a/internal/cli/rccli/trace.go
+++ b/internal/cli/rccli/trace.go
@@ -1,34 +1,72 @@
 package rccli
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/radishcrank/radishcrank/internal/cli/rctrace"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
 type traceCommand struct {
-	ID    string   `arg:"" help:"Request, upstream, instance or configuration version."`
-	Files []string `arg:"" optional:"" type:"existingfile" help:"Log files of the instances; standard input if there are none."`
+	ID      traceIDCommand      `cmd:"" name:"id" default:"withargs" help:"Print the lines that name a request, upstream, instance or configuration version, in the order of time."`
+	Summary traceSummaryCommand `cmd:"" help:"Group failed requests and attempts by cause, availability zones, upstream and second."`
 }
 
-// Run implements the trace command.
-func (c *traceCommand) Run(s *streams) (err error) {
+type traceIDCommand struct {
+	ID     string        `arg:"" help:"Request, upstream, instance or configuration version."`
+	Files  []string      `arg:"" optional:"" type:"existingfile" help:"Log files of the instances; standard input if there are none."`
+	Around time.Duration `help:"Also print what all instances did with the upstreams of a request's service from this long before it to this long after, for instance 500ms."`
+}
+
+// Run implements trace id.
+func (c *traceIDCommand) Run(s *streams) error {
+	return withLogs(c.Files, func(inputs []io.Reader) error {
+		if c.Around <= 0 {
+			return rctrace.Print(s.out, c.ID, inputs...)
+		}
+		text, err := io.ReadAll(io.MultiReader(inputs...)) // Standard input can be read only once.
+		if err != nil {
+			return err
+		}
+		if err := rctrace.Print(s.out, c.ID, bytes.NewReader(text)); err != nil {
+			return err
+		}
+		return rctrace.Around(s.out, rctrace.AroundConfig{Request: c.ID, Margin: c.Around}, bytes.NewReader(text))
+	})
+}
+
+type traceSummaryCommand struct {
+	Files []string  `arg:"" optional:"" type:"existingfile" help:"Log files of the instances; standard input if there are none."`
+	Top   int       `default:"10" help:"Groups that each table shows."`
+	From  time.Time `help:"Leave out earlier lines, RFC 3339."`
+	To    time.Time `help:"Leave out later lines, RFC 3339."`
+}
+
+// Run implements trace summary.
+func (c *traceSummaryCommand) Run(s *streams) error {
+	cfg := rctrace.SummaryConfig{Top: c.Top, From: c.From, To: c.To}
+	return withLogs(c.Files, func(inputs []io.Reader) error { return rctrace.Summarize(s.out, cfg, inputs...) })
+}
+
+// withLogs calls f with the files, or with standard input if there are none.
+func withLogs(names []string, f func([]io.Reader) error) error {
 	inputs := []io.Reader{os.Stdin}
-	if len(c.Files) > 0 {
+	if len(names) > 0 {
 		inputs = nil
 	}
-	for _, name := range c.Files {
-		f, err := os.Open(name)
+	for _, name := range names {
+		file, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		defer f.Close()
-		inputs = append(inputs, f)
+		defer file.Close()
+		inputs = append(inputs, file)
 	}
-	return rctrace.Print(s.out, c.ID, inputs...)
+	return f(inputs)
 }
 
 type settingsCommand struct {
--- a/internal/cli/rctrace/trace.go
+++ b/internal/cli/rctrace/trace.go
@@ -45,7 +45,7 @@
 	if len(found) == 0 {
 		return trace.NotFound("no log line names %q", id)
 	}
-	slices.SortStableFunc(found, func(a, b line) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(found, byTime)
 	for _, l := range found {
 		if err := l.print(w); err != nil {
 			return err
@@ -55,6 +55,17 @@
 }
 
 func read(in io.Reader, id string) (lines []line, err error) {
+	err = scan(in, func(l line) {
+		if names(l.fields, id) {
+			lines = append(lines, l)
+		}
+	})
+	return lines, err
+}
+
+// scan calls f with each log line of the input. Text that is no line of an
+// instance is skipped, since other programs write to the same logs.
+func scan(in io.Reader, f func(line)) error {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
@@ -63,20 +74,28 @@
 			continue
 		}
 		fields := map[string]any{}
-		if json.Unmarshal(append([]byte("{"), object...), &fields) != nil || !names(fields, id) {
-			continue // Other programs write to the same logs.
+		if json.Unmarshal(append([]byte("{"), object...), &fields) != nil {
+			continue
 		}
 		l := line{fields: fields}
-		l.instance, _ = fields["Instance"].(string)
-		l.event, _ = fields["Event"].(string)
-		if text, ok := fields["time"].(string); ok {
-			l.at, _ = time.Parse(time.RFC3339Nano, text) // Lines without a time come first.
+		l.instance, l.event = l.text("Instance"), l.text("Event")
+		if l.event == "" {
+			continue
 		}
-		lines = append(lines, l)
+		l.at, _ = time.Parse(time.RFC3339Nano, l.text("time")) // Lines without a time come first.
+		f(l)
 	}
-	return lines, scanner.Err()
+	return scanner.Err()
+}
+
+// text returns a field that is text, or "".
+func (l line) text(field string) string {
+	s, _ := l.fields[field].(string)
+	return s
 }
 
+func byTime(a, b line) int { return a.at.Compare(b.at) }
+
 // names reports whether a field other than the free text of a cause is the id.
 func names(fields map[string]any, id string) bool {
 	for _, key := range []string{"Request", "Upstream", "Version", "Instance"} {
