--- a/internal/cli/rctrace/summary.go
+++ b/internal/cli/rctrace/summary.go
@@ -184,8 +184,11 @@
 }
 
 func (g *group) percent() string {
-	if g.share() == 0 {
+	switch {
+	case g.share() == 0:
 		return "-"
+	case len(g.failed) > g.placed: // Some were placed before the first line.
+		return ">100%"
 	}
 	return fmt.Sprintf("%.0f%%", 100*g.share())
 }
