Check the platform's settings file and the deploy file

radishcrank config check reports each bad value with its line, what was expected and what is used instead. The generic part is internal/state/rctoml, so that platform/ holds tables of fields only.

--- a/internal/cli/rccli/cli_test.go
+++ b/internal/cli/rccli/cli_test.go
@@ -173,3 +173,25 @@
 	require.Equal(t, 1, bytes.Count([]byte(errOut), []byte("\n")), errOut)
 	require.Contains(t, errOut, "address already in use")
 }
+
+// TestCheckTOML guards against a file of the platform that is checked as a
+// document, and against faults that leave the exit code at success.
+func TestCheckTOML(t *testing.T) {
+	f := newFixture(t)
+	code, out, errOut := f.run(t, "", "config", "check", "../../../deploy/system.toml")
+	require.Equal(t, ExitOK, code, errOut)
+	require.Contains(t, out, "deploy, no faults")
+
+	settings := filepath.Join(t.TempDir(), "settings.toml")
+	text := "NodeName = \"e\"\nZone = \"z\"\nIp = \"10.1.0.1\"\nPortRange = [1,2]\nNew = 1\n" +
+		"[Listen]\nFront = \"10.1.0.1:3\"\nReady = \"10.1.0.1:4\"\n[Provider]\nAddress = \"10.2.0.1:5\"\nRowBytes = 0\n"
+	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
+	code, out, errOut = f.run(t, "", "config", "check", settings)
+	require.Equal(t, ExitError, code)
+	require.Equal(t, settings+":11: Provider.RowBytes: expected a number above 0; used instead: 65536\n", out)
+	require.Contains(t, errOut, "has 1 faults")
+
+	code, _, errOut = f.run(t, "", "config", "check", "--kind", "settings", writeFile(t, "NodeName = "))
+	require.Equal(t, ExitError, code)
+	require.Contains(t, errOut, "line 1")
+}
--- a/internal/cli/rccli/config.go
+++ b/internal/cli/rccli/config.go
@@ -5,15 +5,19 @@
 	"fmt"
 	"io"
 	"os/user"
+	"path/filepath"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
+	"github.com/radishcrank/radishcrank/internal/state/rctoml"
+	"github.com/radishcrank/radishcrank/platform"
 )
 
 type configCommand struct {
-	Check   checkCommand   `cmd:"" help:"Check a configuration document without an instance. Exits with 1 if it has faults."`
+	Check   checkCommand   `cmd:"" help:"Check a configuration document, a settings file of the users' platform or deploy/system.toml without an instance. Exits with 1 if it has faults."`
 	Diff    diffCommand    `cmd:"" help:"Print what changes between a document and the one in force, or another document."`
 	Push    pushCommand    `cmd:"" help:"Commit a document, which is then in force on every reachable instance within 5 s."`
 	Show    showCommand    `cmd:"" help:"Print the document in force or an earlier revision."`
@@ -21,16 +25,63 @@
 }
 
 type checkCommand struct {
-	File string `arg:"" type:"existingfile" help:"Document, or - for standard input."`
+	File string `arg:"" type:"existingfile" help:"File, or - for standard input."`
+	Kind string `enum:"auto,document,settings,deploy" default:"auto" help:"What the file is: document, settings or deploy. By default a TOML file with roles is a deploy file, another TOML file holds settings, and all else is a document."`
 	JSON bool   `name:"json" help:"Print the faults as JSON."`
 }
 
+// kind returns what the file is.
+func (c *checkCommand) kind(text string) string {
+	switch {
+	case c.Kind != "auto":
+		return c.Kind
+	case filepath.Ext(c.File) != ".toml":
+		return "document"
+	case strings.Contains(text, "[roles"):
+		return "deploy"
+	}
+	return "settings"
+}
+
+// checkTOML prints the faults of a settings file or a deploy file.
+func (c *checkCommand) checkTOML(s *streams, kind, text string) error {
+	var faults []rctoml.Fault
+	var err error
+	if kind == "deploy" {
+		faults, err = platform.CheckDeploy(text)
+	} else {
+		_, faults, err = platform.CheckSettings(text)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	switch {
+	case c.JSON:
+		if err := printJSON(s.out, append([]rctoml.Fault{}, faults...)); err != nil {
+			return err
+		}
+	case len(faults) == 0:
+		fmt.Fprintf(s.out, "%s: %s, no faults\n", c.File, kind)
+	default:
+		for _, f := range faults {
+			fmt.Fprintf(s.out, "%s:%d: %s\n", c.File, f.Line, f)
+		}
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%s has %d faults", c.File, len(faults))
+	}
+	return nil
+}
+
 // Run implements config check.
 func (c *checkCommand) Run(s *streams) error {
 	text, err := readInput(c.File)
 	if err != nil {
 		return err
 	}
+	if kind := c.kind(string(text)); kind != "document" {
+		return c.checkTOML(s, kind, string(text))
+	}
 	doc, err := rcconfig.Parse(text)
 	if err == nil {
 		if c.JSON {
--- /dev/null
+++ b/internal/state/rctoml/check_test.go
@@ -0,0 +1,56 @@
+package rctoml
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCheck guards against a bad value that is taken, that is reported for the
+// field of the same name in another table, or that hides the faults after it.
+func TestCheck(t *testing.T) {
+	got := map[string]any{}
+	field := func(path string, required bool) Field {
+		return Field{Path: path, Want: "a number above 0", Instead: "5", Required: required, Read: func(v any) bool {
+			n, ok := Number(v)
+			if ok && n > 0 {
+				got[path] = n
+				return true
+			}
+			return false
+		}}
+	}
+	fields := []Field{field("Top", true), field("A.Size", false), field("B.Size", false), field("B.Absent", false), field("B.Needed", true), field("C.Size", false)}
+	faults, err := Check("Top = 1\nC = 3\nUnknown = true\n[A]\nSize = 2.5\n\n[B]\n  Size = \"big\" # Size = 1\n", fields)
+	require.NoError(t, err)
+	require.Equal(t, map[string]any{"Top": 1.0, "A.Size": 2.5}, got)
+	require.Equal(t, []Fault{
+		{Line: 8, Field: "B.Size", Want: "a number above 0", Instead: "5"},
+		{Field: "B.Needed", Want: "a number above 0", Required: true, Missing: true},
+		{Line: 2, Field: "C", Want: "a table", Instead: "5"},
+	}, faults)
+	require.Equal(t, "B.Size: expected a number above 0; used instead: 5", faults[0].String())
+	require.Equal(t, "B.Needed is missing: expected a number above 0; the file is refused", faults[1].String())
+	_, err = Check("Top = 1\nA = ", fields)
+	require.ErrorContains(t, err, "line 2")
+}
+
+// TestUnknown guards against a misspelt field of an own file that nobody notices.
+func TestUnknown(t *testing.T) {
+	faults, err := Unknown("Top = 1\n[A]\nSize = 1\nSiez = 2\n[A.Env]\nX = 1\n[D]\nE = 1\n", []string{"Top", "A.Size", "A.Env"})
+	require.NoError(t, err)
+	require.Equal(t, []Fault{
+		{Line: 4, Field: "A.Siez", Required: true},
+		{Line: 7, Field: "D", Required: true},
+	}, faults)
+	require.Equal(t, "A.Siez is unknown; the file is refused", faults[0].String())
+}
+
+// TestNumber guards against times and limits without end.
+func TestNumber(t *testing.T) {
+	for _, text := range []string{"inf", "-inf", "nan", `"1"`, "true"} {
+		faults, err := Check("N = "+text, []Field{{Path: "N", Read: func(v any) bool { _, ok := Number(v); return ok }}})
+		require.NoError(t, err)
+		require.Len(t, faults, 1, text)
+	}
+}
