--- a/internal/cli/rcnode/node.go
+++ b/internal/cli/rcnode/node.go
@@ -33,9 +33,9 @@
 		fmt.Fprintln(stderr, "radishcrankd:", err)
 		return 1
 	}
-	lines := rclog.New(stdout)
+	zerolog.TimeFieldFormat = time.RFC3339Nano // Before the first logger, which may write from another goroutine.
+	lines := rclog.New(rclog.Config{Out: stdout, Instance: settings.Instance})
 	defer lines.Close()
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(lines).With().Timestamp().Logger()
 	instance := rcinstance.New(settings, log)
 	go func() {
--- a/internal/cli/rctrace/summary.go
+++ b/internal/cli/rctrace/summary.go
@@ -86,15 +86,14 @@
 			}
 		}
 	}
-	if l.event == "LinesLeftOut" {
-		n, _ := l.fields["Lines"].(float64)
-		s.leftOut += int(n)
-	}
 	if !cfg.From.IsZero() && l.at.Before(cfg.From) || !cfg.To.IsZero() && l.at.After(cfg.To) {
 		return
 	}
 	s.lines++
 	switch {
+	case l.event == "LinesLeftOut":
+		n, _ := l.fields["Lines"].(float64)
+		s.leftOut += int(n)
 	case l.event == "Placed":
 		s.placed = append(s.placed, l)
 	case l.event == "RequestEnded" && l.text("Outcome") != callerGone:
--- a/internal/cli/rctrace/summary_test.go
+++ b/internal/cli/rctrace/summary_test.go
@@ -35,7 +35,7 @@
 	b.WriteString(logLine(8, "b-1", "Placed", `"Request":"fine","Upstream":"u1"`))
 	b.WriteString(logLine(8, "b-1", "AttemptEnded", `"Request":"gone","Upstream":"u1","Outcome":"CallerGone","Status":0`))
 	b.WriteString(logLine(7, "a-1", "RequestEnded", `"Request":"cut0","Outcome":"Failed","Status":502,"Cause":"upstream 10.2.64.1:90: read tcp 10.1.0.6:3000->10.2.64.1:90: read: connection timed out"`))
-	b.WriteString(`{"level":"warn","Event":"LinesLeftOut","Lines":12}` + "\n")
+	b.WriteString(logLine(7, "a-1", "LinesLeftOut", `"Lines":12`))
 	return b.String()
 }
 
@@ -84,6 +84,7 @@
 	var out strings.Builder
 	cfg := SummaryConfig{Top: 1, From: at(8), To: at(10)}
 	require.NoError(t, Summarize(&out, cfg, strings.NewReader(failedDay())))
+	require.NotContains(t, out.String(), "left out")
 	require.Equal(t, []string{
 		"za -> zb 1 1 - za 04:41:09.000 04:41:09.000 1 at 04:41:09 1 not sent: connection refused dead0",
 		"and 1 more",
--- a/internal/state/rclog/writer.go
+++ b/internal/state/rclog/writer.go
@@ -4,11 +4,11 @@
 package rclog
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 )
 
@@ -23,9 +23,17 @@
 	reportEvery = 5 * time.Second
 )
 
+// Config configures a Writer.
+type Config struct {
+	Out io.Writer
+	// Instance is named in the lines about lines that were left out.
+	Instance string
+}
+
 // Writer is a bounded log output. Its methods are safe for concurrent use.
 type Writer struct {
 	out   io.Writer
+	log   zerolog.Logger // Writes to out directly, beyond all bounds.
 	lines chan []byte
 	limit *rate.Limiter
 	done  chan struct{}
@@ -35,9 +43,15 @@
 	closed bool
 }
 
-// New returns a Writer on an output. Close must be called to write what waits.
-func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queued), limit: rate.NewLimiter(linesPerSecond, burst), done: make(chan struct{})}
+// New returns a Writer. Close must be called to write what waits.
+func New(cfg Config) *Writer {
+	w := &Writer{
+		out:   cfg.Out,
+		log:   zerolog.New(cfg.Out).With().Timestamp().Str("Instance", cfg.Instance).Logger(),
+		lines: make(chan []byte, queued),
+		limit: rate.NewLimiter(linesPerSecond, burst),
+		done:  make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -85,7 +99,7 @@
 	w.left = 0
 	w.mu.Unlock()
 	if left > 0 {
-		fmt.Fprintf(w.out, "{\"level\":\"warn\",\"Event\":\"LinesLeftOut\",\"Lines\":%d}\n", left)
+		w.log.Warn().Str("Event", "LinesLeftOut").Int("Lines", left).Send()
 	}
 }
 
