--- a/internal/cli/rcnode/node.go
+++ b/internal/cli/rcnode/node.go
@@ -37,6 +37,7 @@
 	lines := rclog.New(rclog.Config{Out: stdout, Instance: settings.Instance})
 	defer lines.Close()
 	log := zerolog.New(lines).With().Timestamp().Logger()
+	logFaults(path, log.With().Str("Instance", settings.Instance).Logger())
 	instance := rcinstance.New(settings, log)
 	go func() {
 		for {
@@ -55,3 +56,20 @@
 	}
 	return 0
 }
+
+// logFaults writes a line for each value of the settings file that is not used.
+func logFaults(path string, log zerolog.Logger) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		log.Warn().Str("Event", "SettingRefused").Err(err).Send()
+		return
+	}
+	_, faults, err := platform.CheckSettings(string(text))
+	if err != nil {
+		log.Warn().Str("Event", "SettingRefused").Err(err).Send()
+	}
+	for _, f := range faults {
+		log.Warn().Str("Event", "SettingRefused").Str("Field", f.Field).Int("Line", f.Line).
+			Str("Expected", f.Want).Str("UsedInstead", f.Instead).Send()
+	}
+}
