--- a/internal/record/rclease/lease_test.go
+++ b/internal/record/rclease/lease_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -242,14 +243,17 @@
 		port := &pausing{TableService: table}
 		go New(Config{Table: port, Name: "orders", Instance: "a", Lead: all.lead}).Run(first)
 		synctest.Wait()
-		var heard Heard
+		var told atomic.Pointer[Heard]
+		told.Store(&Heard{})
+		holder := all.list[0]
 		ticker := func() {
-			if term := all.list[0]; term.Valid() && first.Err() == nil && heard.Version != term.Version() {
-				heard = Heard{Version: term.Version(), At: time.Now()}
+			if holder.Valid() && first.Err() == nil && told.Load().Version != holder.Version() {
+				told.Store(&Heard{Version: holder.Version(), At: time.Now()})
 			}
 		}
 		second, stop := context.WithCancel(t.Context())
 		go New(Config{Table: table, Name: "orders", Instance: "b", Lead: all.lead, Heard: func() (Heard, bool) {
+			heard := *told.Load()
 			return heard, time.Since(heard.At) < defaultDuration/2
 		}}).Run(second)
 		for range 40 {
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -233,6 +233,9 @@
 		case fault == Silent:
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
+		case fault == Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
