--- a/internal/cli/rctrace/summary.go
+++ b/internal/cli/rctrace/summary.go
@@ -19,7 +19,7 @@
 // taken to have when a log line names no zone of its upstream.
 const zoneBits = 16
 
-// callerGone is the outcome of attempts that the caller ended, which are no failures.
+// callerGone is the outcome of what the caller ended, which is no failure.
 const callerGone = "CallerGone"
 
 // SummaryConfig bounds what a summary tells.
@@ -53,7 +53,7 @@
 type summary struct {
 	lines    int
 	leftOut  int
-	gone     int // Attempts that callers ended.
+	gone     struct{ requests, attempts int } // What callers ended.
 	requests []line
 	failures []line
 	placed   []line
@@ -96,10 +96,12 @@
 		s.leftOut += int(n)
 	case l.event == "Placed":
 		s.placed = append(s.placed, l)
-	case l.event == "RequestEnded" && l.text("Outcome") != callerGone:
+	case l.event == "RequestEnded" && l.text("Outcome") == callerGone:
+		s.gone.requests++
+	case l.event == "RequestEnded":
 		s.requests = append(s.requests, l)
 	case l.event == "AttemptEnded" && l.text("Outcome") == callerGone:
-		s.gone++
+		s.gone.attempts++
 	case l.event == "AttemptEnded":
 		s.failures = append(s.failures, l)
 	}
@@ -127,8 +129,8 @@
 func (s *summary) print(w io.Writer, top int) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "%d lines, %d requests and %d attempts failed", s.lines, len(s.requests), len(s.failures))
-	if s.gone > 0 {
-		fmt.Fprintf(tw, "; %d attempts ended by callers are not counted", s.gone)
+	if s.gone.requests+s.gone.attempts > 0 {
+		fmt.Fprintf(tw, "; %d requests and %d attempts that callers ended are not counted", s.gone.requests, s.gone.attempts)
 	}
 	if s.leftOut > 0 {
 		fmt.Fprintf(tw, "; %d lines were left out under load", s.leftOut)
--- a/internal/cli/rctrace/summary_test.go
+++ b/internal/cli/rctrace/summary_test.go
@@ -34,6 +34,7 @@
 	}
 	b.WriteString(logLine(8, "b-1", "Placed", `"Request":"fine","Upstream":"u1"`))
 	b.WriteString(logLine(8, "b-1", "AttemptEnded", `"Request":"gone","Upstream":"u1","Outcome":"CallerGone","Status":0`))
+	b.WriteString(logLine(8, "b-1", "RequestEnded", `"Request":"gone","Outcome":"CallerGone","Status":0`))
 	b.WriteString(logLine(7, "a-1", "RequestEnded", `"Request":"cut0","Outcome":"Failed","Status":502,"Cause":"upstream 10.2.64.1:90: read tcp 10.1.0.6:3000->10.2.64.1:90: read: connection timed out"`))
 	b.WriteString(logLine(7, "a-1", "LinesLeftOut", `"Lines":12`))
 	return b.String()
@@ -58,7 +59,7 @@
 	var out strings.Builder
 	require.NoError(t, Summarize(&out, SummaryConfig{Top: 10}, strings.NewReader(failedDay())))
 	text := out.String()
-	require.Contains(t, text, "1 requests and 7 attempts failed; 1 attempts ended by callers are not counted; 12 lines were left out")
+	require.Contains(t, text, "1 requests and 7 attempts failed; 1 requests and 1 attempts that callers ended are not counted; 12 lines were left out")
 	require.Equal(t, []string{"Failed 502: read: connection timed out 1 04:41:07.000 04:41:07.000 cut0"}, rows(t, text, "requests by outcome and cause"))
 	require.Equal(t, []string{
 		"read: connection timed out 4 a-1 2 04:41:07.000 04:41:07.000 4 at 04:41:07 cut0",
