Read each stream of the process tests with one reader

Each call of readTokens made a reader of its own, so events that had arrived together with the last one that it returned were lost to the next call. The checks are as they were.

--- a/internal/cli/rcserve/failure_test.go
+++ b/internal/cli/rcserve/failure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakeengine"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
@@ -177,14 +178,15 @@
 	stream, err := s.post(b, "/v1/chat/completions", chat, nil)
 	require.NoError(t, err)
 	defer stream.Body.Close()
-	head, _, _ := readTokens(t, stream, 1)
+	events := rcsse.NewReader(stream.Body)
+	head, _, _ := readTokens(t, events, 1)
 	shown, err := a.ops().Show(t.Context(), 0)
 	require.NoError(t, err)
 	text := strings.Replace(shown.Text, "Weights = w1", "Weights = w2", 1)
 	require.NotEqual(t, shown.Text, text)
 	_, err = a.ops().Push(t.Context(), rcops.PushRequest{Base: 1, Author: "op", Note: "new weights", Text: text})
 	require.NoError(t, err)
-	tail, _, complete := readTokens(t, stream, 2*answerTokens)
+	tail, _, complete := readTokens(t, events, 2*answerTokens)
 	require.True(t, complete)
 	require.Equal(t, expectedAnswer(), head+tail)
 	require.Eventually(t, func() bool {
@@ -229,7 +231,8 @@
 	stream, err := s.post(a, "/v1/chat/completions", chat, nil)
 	require.NoError(t, err)
 	defer stream.Body.Close()
-	head, _, _ := readTokens(t, stream, 1)
+	events := rcsse.NewReader(stream.Body)
+	head, _, _ := readTokens(t, events, 1)
 	accepted := map[string]string{radishcrank.HeaderIdempotencyKey: "accepted"}
 	require.Equal(t, http.StatusOK, s.ask(a, "/services/booking/releases", "{}", accepted).status)
 	shown, err := a.ops().Show(t.Context(), 0)
@@ -247,7 +250,7 @@
 	booking := s.ask(a, "/services/booking/releases", "{}", map[string]string{radishcrank.HeaderIdempotencyKey: "late"})
 	require.Equal(t, http.StatusForbidden, booking.status, booking.body)
 	require.Equal(t, 1, s.fleet.Ledger.Total())
-	tail, _, complete := readTokens(t, stream, 2*answerTokens)
+	tail, _, complete := readTokens(t, events, 2*answerTokens)
 	require.True(t, complete)
 	require.Equal(t, expectedAnswer(), head+tail)
 }
--- a/internal/cli/rcserve/system_test.go
+++ b/internal/cli/rcserve/system_test.go
@@ -189,9 +189,10 @@
 
 const chat = `{"model":"advice","stream":true,"messages":[{"role":"user","content":"Where do empties go?"}]}`
 
-// readTokens reads up to limit tokens, or to the end; complete says that the terminator came.
-func readTokens(t *testing.T, resp *http.Response, limit int) (text, lastID string, complete bool) {
-	r := rcsse.NewReader(resp.Body)
+// readTokens reads up to limit tokens, or to the end; complete says that the
+// terminator came. All of a stream is read by one Reader, which may hold events
+// that have arrived with those that it returned.
+func readTokens(t *testing.T, r *rcsse.Reader, limit int) (text, lastID string, complete bool) {
 	for limit > 0 {
 		e, err := r.Next()
 		if err != nil {
@@ -236,7 +237,8 @@
 	stream, err := s.post(a, "/v1/chat/completions", chat, nil)
 	require.NoError(t, err)
 	defer stream.Body.Close()
-	head, lastID, _ := readTokens(t, stream, 10)
+	events := rcsse.NewReader(stream.Body)
+	head, lastID, _ := readTokens(t, events, 10)
 
 	s.fleet.Ledger.SetFaults(rcfakeservice.Faults{HoldAnswers: 1})
 	key := map[string]string{radishcrank.HeaderIdempotencyKey: "release-1"}
@@ -253,7 +255,7 @@
 	require.NoError(t, a.cmd.Process.Kill())
 	<-a.exited
 	require.Error(t, <-booked, "the booking's first answer is lost with its instance")
-	rest, restID, complete := readTokens(t, stream, answerTokens)
+	rest, restID, complete := readTokens(t, events, answerTokens)
 	require.False(t, complete)
 	if restID != "" {
 		head, lastID = head+rest, restID
@@ -262,7 +264,8 @@
 	resumed, err := s.post(b, "/v1/chat/completions", chat, map[string]string{radishcrank.HeaderLastEventID: lastID})
 	require.NoError(t, err)
 	defer resumed.Body.Close()
-	tail, _, complete := readTokens(t, resumed, 2*answerTokens)
+	resumedEvents := rcsse.NewReader(resumed.Body)
+	tail, _, complete := readTokens(t, resumedEvents, 2*answerTokens)
 	require.True(t, complete)
 	require.Equal(t, expectedAnswer(), head+tail)
 
@@ -300,9 +303,10 @@
 	stream, err := s.post(a, "/v1/chat/completions", chat, nil)
 	require.NoError(t, err)
 	defer stream.Body.Close()
-	head, _, _ := readTokens(t, stream, 1)
+	events := rcsse.NewReader(stream.Body)
+	head, _, _ := readTokens(t, events, 1)
 	require.NoError(t, a.cmd.Process.Signal(syscall.SIGTERM))
-	tail, _, complete := readTokens(t, stream, 2*answerTokens)
+	tail, _, complete := readTokens(t, events, 2*answerTokens)
 	require.True(t, complete)
 	require.Equal(t, expectedAnswer(), head+tail)
 	select {
