--- a/internal/state/rcrevision/keeper_test.go
+++ b/internal/state/rcrevision/keeper_test.go
@@ -17,7 +17,6 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcfakepeer"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
-	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
 const (
