--- a/internal/state/rckvstore/watch.go
+++ b/internal/state/rckvstore/watch.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 const (
@@ -106,7 +107,7 @@
 				delete(watched, s)
 			}
 		}
-		if !sleep(ctx, listPause) {
+		if !rcwait.For(ctx, listPause) {
 			return nil
 		}
 	}
@@ -145,20 +146,8 @@
 			seen = got
 			w.set(s, false)
 		}
-		if !sleep(ctx, next) {
+		if !rcwait.For(ctx, next) {
 			return
 		}
 	}
 }
-
-// sleep reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/state/rckvstore/watch_test.go
+++ b/internal/state/rckvstore/watch_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
 // noticed is when a change must have been seen: after the call that was under way,
@@ -56,7 +57,7 @@
 		<-ctx.Done()
 		return radishcrank.KVSequence{}, ctx.Err()
 	}
-	sleep(ctx, wait)
+	rcwait.For(ctx, wait)
 	return radishcrank.KVSequence{Boot: boot}, ctx.Err()
 }
 
@@ -151,7 +152,7 @@
 	s.served++
 	s.held++
 	s.mu.Unlock()
-	sleep(ctx, wait)
+	rcwait.For(ctx, wait)
 	s.mu.Lock()
 	s.held--
 	return radishcrank.KVSequence{Boot: 1}, ctx.Err()
