Show when an answer begins on replaced weights

Evidence lacking: Placed shows the age of the weights at placement, and a request that succeeds writes nothing else, so that a beginning past the bound left no trace.

Change: the histogram ReplacedWeightsAge records the age at the first event, whatever the log drops. BegunLate names each answer that begins later than its placement allows, with both ages, the expected cost and the time waited. Warnings have a rate limit of their own.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -59,6 +59,7 @@
 	watchdogTimer := newWatchdog(d.responseTimeout(choice.Cost), func() { cancel(errUpstreamIdle) })
 	defer watchdogTimer.stop()
 
+	d.sentAt = time.Now()
 	reply, err := f.cfg.Sender.Send(ctx, up, x, radishcrank.SendOptions{
 		Weights:     choice.Weights,
 		CacheSalt:   choice.Salt,
@@ -279,6 +280,7 @@
 			if first {
 				first = false
 				run.FirstEventReceived()
+				d.recordBeginning(choice, reply)
 				d.recordCachedParts(choice)
 			}
 			watchdogTimer.reset(d.idleTimeout())
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -100,8 +100,9 @@
 	ctx          context.Context // Done when the client disconnects or the deadline passes.
 	guardRequest radishcrank.Request
 
-	attempts    int // Upstreams that the exchange was sent to.
-	runs        int // Attempts that may have executed the exchange.
+	attempts    int       // Upstreams that the exchange was sent to.
+	runs        int       // Attempts that may have executed the exchange.
+	sentAt      time.Time // When the current attempt was sent.
 	tried       map[radishcrank.UpstreamID]bool
 	response    clientResponse // What the client has received.
 	failure     *radishcrank.Reply
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -109,14 +109,20 @@
 	fleet := rcfleet.New()
 	var entries []rcfleet.Entry
 	for i := range upstreams {
-		entries = append(entries, rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s"}})
+		e := rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s"}}
+		if x.Generates() {
+			e.Weights = map[radishcrank.ModelID]radishcrank.WeightsVersion{x.Model: "1"}
+		}
+		entries = append(entries, e)
 	}
 	fleet.Replace(entries)
+	history, _ := rcweights.History{Model: x.Model}.Add("2", time.Now())
 	f := New(Config{
 		Fleet: fleet, Sender: sender, Budget: budget,
 		Guard:         guard,
-		Weights:       func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
+		Weights:       func(radishcrank.ModelID) rcweights.History { return history },
 		OldWeightsTTL: func() time.Duration { return 0 },
+		RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
 		KVStores:      func() []rcaffinity.KVStore { return nil },
 		Metrics:       metrics, Log: zerolog.Nop(),
 	})
@@ -145,6 +151,14 @@
 	}}
 }
 
+// generating returns a stream whose upstreams all have weights that have just been
+// replaced.
+func generating() radishcrank.Exchange {
+	x := streaming(radishcrank.RetryResume)
+	x.Model = "m"
+	return x
+}
+
 func okReply() radishcrank.Reply {
 	return radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}}
 }
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -47,6 +47,10 @@
 			steps: []step{{reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: streaming(radishcrank.RetryResume),
 			counters: []rcmetric.CounterName{rcmetric.Answered}, timings: []rcmetric.HistogramName{rcmetric.FirstEventTime, rcmetric.LongestPause},
 		},
+		{
+			steps: []step{{reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: generating(),
+			timings: []rcmetric.HistogramName{rcmetric.ReplacedWeightsAge},
+		},
 		{
 			steps: []step{{reply: busy}}, x: nonIdempotent(), budget: stubBudget{empty: true},
 			counters: []rcmetric.CounterName{rcmetric.Refused, rcmetric.AttemptRefused, rcmetric.RepeatsDenied}, timings: []rcmetric.HistogramName{rcmetric.RefusalTime},
--- a/internal/state/rclog/writer.go
+++ b/internal/state/rclog/writer.go
@@ -14,9 +14,14 @@
 
 const (
 	// linesPerSecond and burstLines limit the log volume: at 300 bytes per line an
-	// instance writes at most 60 KB/s in the long run, whatever the load.
+	// instance writes at most 60 KB/s in the long run, whatever the load, and 6 KB/s
+	// of warnings.
 	linesPerSecond = 200
 	burstLines     = 1000
+	// warningsPerSecond and burstWarnings limit warnings and errors apart, so that
+	// lines about ordinary requests cannot displace them.
+	warningsPerSecond = 20
+	burstWarnings     = 200
 	// queueLength is the maximum number of lines waiting for the output.
 	queueLength = 1000
 	// reportInterval is the interval at which the number of dropped lines is logged.
@@ -33,11 +38,12 @@
 // Writer is a rate-limited, non-blocking log output. Its methods are safe for
 // concurrent use.
 type Writer struct {
-	out     io.Writer
-	direct  zerolog.Logger // Writes to out without the queue and the rate limit.
-	queue   chan []byte
-	limiter *rate.Limiter
-	done    chan struct{}
+	out            io.Writer
+	direct         zerolog.Logger // Writes to out without the queue and the rate limit.
+	queue          chan []byte
+	limiter        *rate.Limiter
+	warningLimiter *rate.Limiter
+	done           chan struct{}
 
 	mu      sync.Mutex
 	dropped int // Lines dropped since the last report.
@@ -47,24 +53,35 @@
 // New returns a Writer. Close must be called to write the queued lines.
 func New(cfg Config) *Writer {
 	w := &Writer{
-		out:     cfg.Out,
-		direct:  zerolog.New(cfg.Out).With().Timestamp().Str("Instance", cfg.Instance).Logger(),
-		queue:   make(chan []byte, queueLength),
-		limiter: rate.NewLimiter(linesPerSecond, burstLines),
-		done:    make(chan struct{}),
+		out:            cfg.Out,
+		direct:         zerolog.New(cfg.Out).With().Timestamp().Str("Instance", cfg.Instance).Logger(),
+		queue:          make(chan []byte, queueLength),
+		limiter:        rate.NewLimiter(linesPerSecond, burstLines),
+		warningLimiter: rate.NewLimiter(warningsPerSecond, burstWarnings),
+		done:           make(chan struct{}),
 	}
 	go w.run()
 	return w
 }
 
 // Write implements io.Writer for one line at a time. It never blocks and never fails.
-func (w *Writer) Write(line []byte) (int, error) {
+func (w *Writer) Write(line []byte) (int, error) { return w.write(line, w.limiter) }
+
+// WriteLevel implements zerolog.LevelWriter.
+func (w *Writer) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	if level >= zerolog.WarnLevel {
+		return w.write(line, w.warningLimiter)
+	}
+	return w.write(line, w.limiter)
+}
+
+func (w *Writer) write(line []byte, limiter *rate.Limiter) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
 		return len(line), nil
 	}
-	if !w.limiter.Allow() {
+	if !limiter.Allow() {
 		w.dropped++
 		return len(line), nil
 	}
--- a/internal/state/rclog/writer_test.go
+++ b/internal/state/rclog/writer_test.go
@@ -63,6 +63,28 @@
 	})
 }
 
+// TestWarningsSurviveRequestLines guards against a warning that is dropped because
+// lines about ordinary requests have used up the rate limit.
+func TestWarningsSurviveRequestLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := New(Config{Out: &out})
+		log := zerolog.New(w)
+		for range 2 * burstLines {
+			log.Info().Str("Event", "Placed").Send()
+			synctest.Wait()
+		}
+		log.Warn().Str("Event", "BegunLate").Send()
+		for range 2 * burstWarnings {
+			log.Warn().Str("Event", "Dependency").Send()
+			synctest.Wait()
+		}
+		require.NoError(t, w.Close())
+		require.Contains(t, out.String(), "BegunLate")
+		require.LessOrEqual(t, strings.Count(out.String(), "Dependency"), burstWarnings)
+	})
+}
+
 // BenchmarkLine measures the cost of one Placed line: formatting, queueing and a
 // write to the null device. The rate limit is disabled, because it would drop most
 // lines.
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -58,6 +58,8 @@
 	LongestPause   HistogramName = "LongestPause"
 	RefusalTime    HistogramName = "RefusalTime"
 	StoreTime      HistogramName = "StoreTime"
+	// ReplacedWeightsAge is the age of replaced weights when an answer begins.
+	ReplacedWeightsAge HistogramName = "ReplacedWeightsAge"
 )
 
 // CounterInfo describes a counter for the operator documentation.
@@ -117,6 +119,7 @@
 	{AnswerTime, "From the receipt of a request to the end of its response, without streams.", "Compare with the route's objective."},
 	{LongestPause, "The longest pause within each complete stream.", "Above the route's bound, long prompts interrupt the streams of the engines."},
 	{RefusalTime, "From the receipt of a request to its refusal.", "Requests should be refused early; late refusals waited for an upstream that did not become available."},
+	{ReplacedWeightsAge, "From the request for newer weights to the first event of an answer on older ones.", "Its maximum must stay below `Bounds.VersionMs`; `BegunLate` lines name the requests that come close."},
 	{StoreTime, "Response times of the store, except for calls that wait for changes.", "Above about ten milliseconds, the store is slow."},
 }
 
