Expire replaced weights while a request waits at its engine

Cause: the age of the weights was checked when a request was placed, against a predicted wait. An engine begins a request with its first token. From placement to there nothing enforced the bound, and a wait that exceeded the prediction by more than the margin of 1.2 s began the request past it. The class: a bound on when something happens that is only checked when it is asked for.

Evidence: TestOldWeightsExpireDuringWait failed on the code before (4.7 s after a deadline of 4 s, 1.5 s for weights that were replaced during the wait).

Change: an attempt that has not begun 0.3 s before its weights expire is canceled, and the exchange goes to another engine if it may. A waiting attempt also notices weights that are named meanwhile. Placement is as before. A bound shorter than the margins no longer means no bound.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -60,8 +60,6 @@
 	// idleTimeout closes idle client connections somewhat later than any configuration
 	// asks for. Closing one that a client is about to use would fail its request.
 	idleTimeout = 75 * time.Second
-	// oldWeightsMargin stops the use of older weights this long before their deadline.
-	oldWeightsMargin = 1200 * time.Millisecond
 	// crashRecordDelay is longer than crash records take to reach all instances, relays
 	// included.
 	crashRecordDelay = 1500 * time.Millisecond
@@ -255,7 +253,7 @@
 		}),
 		Guard:         i.poisonTracker,
 		Weights:       i.weights.History,
-		OldWeightsTTL: func() time.Duration { return i.liveSettings.Load().OldWeightsTTL - oldWeightsMargin },
+		OldWeightsTTL: func() time.Duration { return i.liveSettings.Load().OldWeightsTTL },
 		RecordCached:  i.peers.recordCached,
 		KVStores:      i.reachableKVStores,
 		Log:           i.log,
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -58,6 +58,8 @@
 	defer cancel(nil)
 	watchdogTimer := newWatchdog(d.responseTimeout(choice.Cost), func() { cancel(errUpstreamIdle) })
 	defer watchdogTimer.stop()
+	weights := d.watchWeights(choice.Weights, cancel)
+	defer weights.stop()
 
 	d.sentAt = time.Now()
 	reply, err := f.cfg.Sender.Send(ctx, up, x, radishcrank.SendOptions{
@@ -91,12 +93,13 @@
 	}
 	d.runs++
 	if x.Route.Stream && reply.Status == http.StatusOK {
-		done, outcome, crashed = d.forwardStream(ctx, reply, run, watchdogTimer, choice)
+		done, outcome, crashed = d.forwardStream(ctx, reply, run, watchdogTimer, weights, choice)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
 		return done, nil
 	}
+	weights.stop()
 	done, outcome, crashed = d.forwardBuffered(ctx, reply, up)
 	return done, nil
 }
@@ -136,8 +139,8 @@
 		return true
 	}
 	at, replaced := d.f.cfg.Weights(d.x.Model).ReplacedAt(choice.Weights)
-	ttl := d.f.cfg.OldWeightsTTL()
-	return s.Weights[d.x.Model] == choice.Weights && (!replaced || ttl <= 0 || time.Since(at) < ttl)
+	limit := d.oldWeightsLimit(oldWeightsMargin)
+	return s.Weights[d.x.Model] == choice.Weights && (!replaced || limit <= 0 || time.Since(at) < limit)
 }
 
 // recordCachedParts records that the upstream caches the shared parts of the
@@ -187,6 +190,11 @@
 		d.logAttempt(up, rcmetric.AttemptAbandoned, 0, err)
 		return rcfleet.Canceled, false
 	}
+	if errors.Is(context.Cause(ctx), errWeightsExpired) {
+		d.cause = errWeightsExpired
+		d.logAttempt(up, rcmetric.AttemptExpired, 0, errWeightsExpired)
+		return rcfleet.Canceled, false
+	}
 	idle := errors.Is(context.Cause(ctx), errUpstreamIdle)
 	d.logAttempt(up, rcmetric.AttemptBroken, 0, err)
 	return rcfleet.Broken, !idle && !errors.Is(err, radishcrank.ErrNotSent)
@@ -260,7 +268,7 @@
 
 // forwardStream forwards events as they arrive. For a resumable stream it
 // forwards only complete events, so that another upstream can continue it.
-func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Exchange, watchdogTimer *watchdog, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
+func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Exchange, watchdogTimer *watchdog, weights *weightsWatch, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
 	up := choice.Upstream.Upstream
 	resumable := d.x.Route.Retry == radishcrank.RetryResume
 	flusher := http.NewResponseController(d.w)
@@ -279,6 +287,7 @@
 			gaps.event(time.Now())
 			if first {
 				first = false
+				weights.stop()
 				run.FirstEventReceived()
 				d.recordBeginning(choice, reply)
 				d.recordCachedParts(choice)
@@ -405,6 +414,7 @@
 var attemptOutcomes = map[rcmetric.CounterName]string{
 	rcmetric.AttemptRefused: "Refused", rcmetric.AttemptBroken: "Broken", rcmetric.AttemptInvalid: "Invalid",
 	rcmetric.AttemptAbandoned: "Abandoned", rcmetric.AttemptUpstreamFailure: "UpstreamFailure", rcmetric.AttemptCallerGone: "CallerGone",
+	rcmetric.AttemptExpired: "Expired",
 }
 
 // logAttempt logs and counts an attempt that did not succeed.
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -68,13 +68,15 @@
 
 // Config holds the dependencies of a Forwarder.
 type Config struct {
-	Zone          radishcrank.AvailabilityZone
-	Fleet         *rcfleet.Fleet
-	Sender        radishcrank.Sender
-	Budget        RetryBudget
-	Guard         Guard
-	Weights       func(model radishcrank.ModelID) rcweights.History
-	OldWeightsTTL func() time.Duration // How long weights may be used after newer ones were requested.
+	Zone    radishcrank.AvailabilityZone
+	Fleet   *rcfleet.Fleet
+	Sender  radishcrank.Sender
+	Budget  RetryBudget
+	Guard   Guard
+	Weights func(model radishcrank.ModelID) rcweights.History
+	// OldWeightsTTL returns how long exchanges may begin on weights after newer
+	// ones were requested; 0 means no limit.
+	OldWeightsTTL func() time.Duration
 	// KVStores returns the available KV cache stores.
 	KVStores func() []rcaffinity.KVStore
 	// RecordCached records that an upstream caches shared prompt parts under a
@@ -264,7 +266,7 @@
 		},
 		KVStores:       f.cfg.KVStores(),
 		TargetHistory:  f.cfg.Weights(x.Model),
-		MaxReplacedAge: f.cfg.OldWeightsTTL(),
+		MaxReplacedAge: d.oldWeightsLimit(oldWeightsMargin),
 		Exclude: func(id radishcrank.UpstreamID) bool {
 			if d.tried[id] {
 				return true
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -121,7 +121,7 @@
 		Fleet: fleet, Sender: sender, Budget: budget,
 		Guard:         guard,
 		Weights:       func(radishcrank.ModelID) rcweights.History { return history },
-		OldWeightsTTL: func() time.Duration { return 0 },
+		OldWeightsTTL: func() time.Duration { return 1500 * time.Millisecond },
 		RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
 		KVStores:      func() []rcaffinity.KVStore { return nil },
 		Metrics:       metrics, Log: zerolog.Nop(),
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -51,6 +51,7 @@
 			steps: []step{{reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: generating(),
 			timings: []rcmetric.HistogramName{rcmetric.ReplacedWeightsAge},
 		},
+		{steps: []step{{hang: true}}, x: generating(), counters: []rcmetric.CounterName{rcmetric.AttemptExpired}},
 		{
 			steps: []step{{reply: busy}}, x: nonIdempotent(), budget: stubBudget{empty: true},
 			counters: []rcmetric.CounterName{rcmetric.Refused, rcmetric.AttemptRefused, rcmetric.RepeatsDenied}, timings: []rcmetric.HistogramName{rcmetric.RefusalTime},
--- a/internal/serving/rcforward/weights_test.go
+++ b/internal/serving/rcforward/weights_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,7 +91,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet, history := rcfleet.New(), rcweights.History{Model: "m"}
+				fleet := rcfleet.New()
+				var history atomic.Value
+				history.Store(rcweights.History{Model: "m"})
 				for _, id := range []radishcrank.UpstreamID{"u0", "u1"} {
 					fleet.Put(rcfleet.Entry{
 						Upstream: radishcrank.Upstream{ID: id, Service: "s"},
@@ -98,7 +101,10 @@
 					})
 				}
 				replacedAt := time.Now()
-				name := func() { history, _ = history.Add("2", time.Now()) }
+				name := func() {
+					h, _ := rcweights.History{Model: "m"}.Add("2", time.Now())
+					history.Store(h)
+				}
 				if c.namedLater {
 					replacedAt = replacedAt.Add(500 * time.Millisecond)
 					time.AfterFunc(500*time.Millisecond, name)
@@ -128,7 +134,7 @@
 				}
 				f := New(Config{
 					Fleet: fleet, Sender: s, Budget: stubBudget{}, Guard: rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
-					Weights:       func(radishcrank.ModelID) rcweights.History { return history },
+					Weights:       func(radishcrank.ModelID) rcweights.History { return history.Load().(rcweights.History) },
 					OldWeightsTTL: func() time.Duration { return ttl },
 					KVStores:      func() []rcaffinity.KVStore { return nil },
 					RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -42,6 +42,7 @@
 	AttemptAbandoned       CounterName = "AttemptAbandoned"
 	AttemptUpstreamFailure CounterName = "AttemptUpstreamFailure"
 	AttemptCallerGone      CounterName = "AttemptCallerGone"
+	AttemptExpired         CounterName = "AttemptExpired"
 	RepeatsDenied          CounterName = "RepeatsDenied"
 	SuspectsHeld           CounterName = "SuspectsHeld"
 	NewsLost               CounterName = "NewsLost"
@@ -100,6 +101,7 @@
 	{AttemptAbandoned, "attempts", "Attempts cancelled because the caller disconnected or the deadline passed.", "None."},
 	{AttemptUpstreamFailure, "attempts", "Attempts that the upstream answered with an error of its own.", "Check the upstream."},
 	{AttemptCallerGone, "attempts", "Streams whose caller disconnected before the end.", "None."},
+	{AttemptExpired, "attempts", "Attempts cancelled because the upstream had not begun them when its weights were about to expire.", "Find out why engines load the newer weights so late, or why they are slow."},
 	{RepeatsDenied, "attempts", "Retries that the fleet's retry budget did not allow.", "Find out why attempts fail; retries would add load."},
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
