Let the stand-in of the store come back from an older copy

The users' pages say that in a drill the store may return from a copy some seconds old: what the system wrote since is gone, versions go back and are given out again, a read from one that it doesn't have gets 410, and Store-Era rises in all answers.

--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -1,6 +1,6 @@
 // Package rcfakestore implements a fake of the platform's row store, with
-// conditional transactions, a change feed and injection of the outages that the
-// platform documents.
+// conditional transactions, a change feed and injection of the outages and
+// restores that the platform documents.
 package rcfakestore
 
 import (
@@ -54,6 +54,8 @@
 	// the HTTP API. It must be set before the first call.
 	Rewrite func(table, key string, value []byte) []byte
 
+	restoring sync.Mutex // Held during a restore.
+
 	mu           sync.Mutex
 	ver          uint64
 	rows         map[string]Row
@@ -63,11 +65,21 @@
 	fault        Fault
 	calls        int
 	started      time.Time
+	era          uint64
+	away         bool // Between the loss of the store and its return from a copy.
+	copies       copyLog
+	externalEras map[string]uint64 // Era of the last write of an operator or upstream, by row.
 }
 
+// eraHeader is in all responses.
+const eraHeader = "Store-Era"
+
 // New returns an empty Store.
 func New() *Store {
-	return &Store{rows: map[string]Row{}, changed: make(chan struct{}), started: time.Now()}
+	return &Store{
+		rows: map[string]Row{}, changed: make(chan struct{}), started: time.Now(), era: 1,
+		copies: copyLog{base: map[string]Row{}}, externalEras: map[string]uint64{},
+	}
 }
 
 // Now returns the current time of the store's clock, which starts at the Unix epoch.
@@ -100,6 +112,15 @@
 	return n
 }
 
+// faultLocked returns the fault that applies to a call. A store that is away does
+// not answer.
+func (s *Store) faultLocked() Fault {
+	if s.away {
+		return Unresponsive
+	}
+	return s.fault
+}
+
 func (s *Store) notifyLocked() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -120,8 +141,7 @@
 func (s *Store) PutBytes(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ver++
-	s.setLocked(Row{Table: table, Key: key, Value: value, Ver: s.ver})
+	s.writeLocked(Row{Table: table, Key: key, Value: value}, true)
 	s.notifyLocked()
 }
 
@@ -136,8 +156,7 @@
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ver++
-	s.setLocked(Row{Table: table, Key: key, Ver: s.ver, Tombstone: true})
+	s.writeLocked(Row{Table: table, Key: key, Tombstone: true}, true)
 	s.notifyLocked()
 }
 
@@ -150,20 +169,28 @@
 	s.notifyLocked()
 }
 
-func (s *Store) setLocked(r Row) {
-	if r.Tombstone {
-		delete(s.rows, rowKey(r))
-	} else {
-		s.rows[rowKey(r)] = r
-	}
+// writeLocked writes a row in a transaction of its own.
+func (s *Store) writeLocked(r Row, external bool) {
+	s.ver++
+	r.Ver = s.ver
+	s.setLocked(r, external)
+}
+
+func (s *Store) setLocked(r Row, external bool) {
+	applyTo(s.rows, r)
 	s.history = append(s.history, r)
+	s.copies.add(write{row: r, at: time.Now(), external: external})
+	if external {
+		s.externalEras[rowKey(r)] = s.era
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	fault := s.fault
+	fault := s.faultLocked()
+	s.setEraLocked(w)
 	s.mu.Unlock()
 	switch {
 	case fault == Unavailable:
@@ -204,6 +231,10 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
+	s.setEraLocked(w)
 	a := response{Ver: s.ver}
 	for _, row := range s.rows {
 		if row.Table == q.Get("Table") && row.Part == q.Get("part") && row.Key >= q.Get("From") && (q.Get("To") == "" || row.Key < q.Get("To")) {
@@ -224,7 +255,9 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		a, changed, gone, fault := response{Ver: s.ver}, s.changed, after < s.discardedVer, s.fault
+		a, changed, fault := response{Ver: s.ver}, s.changed, s.faultLocked()
+		s.setEraLocked(w)
+		gone := after < s.discardedVer || after > s.ver
 		for _, row := range s.history {
 			if row.Table == q.Get("Table") && row.Ver > after {
 				a.Rows = append(a.Rows, row)
@@ -266,6 +299,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
+	s.setEraLocked(w)
 	for _, e := range tx.Expected {
 		if s.rows[rowKey(e)].Ver != e.Ver {
 			s.respond(w, http.StatusPreconditionFailed, response{Rows: []Row{s.rows[rowKey(e)]}, Ver: s.ver})
@@ -278,11 +315,11 @@
 		if s.Rewrite != nil {
 			p.Value = s.Rewrite(p.Table, p.Key, p.Value)
 		}
-		s.setLocked(p)
+		s.setLocked(p, false)
 	}
 	for _, d := range tx.Delete {
 		d.Ver, d.Tombstone = s.ver, true
-		s.setLocked(d)
+		s.setLocked(d, false)
 	}
 	s.notifyLocked()
 	if fault == LoseWriteResponses {
@@ -291,6 +328,11 @@
 	s.respond(w, http.StatusOK, response{Ver: s.ver})
 }
 
+// setEraLocked sets the era of a response, which must be that of its content.
+func (s *Store) setEraLocked(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) respond(w http.ResponseWriter, status int, a response) {
 	a.NowMs = s.Now().UnixMilli()
 	w.Header().Set("Content-Type", "application/json")
