Read tables again when the store comes back from an older copy

They would have met configurations, upstreams and weights that an instance never learned of.

Cause: a follower asked for changes since the highest version that it had ever seen. After a restore a row may get a version below that, and is never read. While the store's versions are behind, each call got 410 and the table was read again, without a pause, from the same version.

Change: the store's client passes the era of each answer on and refuses answers of an earlier one. A follower reads its table again once any answer or relay has shown a newer era, ends the call that waits, and starts at the version that it reads. A relay sends the table that it has read, so that its zone does not read it too, and an instance that is cut off from the store learns of it. Rows that arrive up to 2 s later may have been written before, and count from the last answer before the restore.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcclock"
+	"github.com/radishcrank/radishcrank/internal/state/rcera"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
@@ -88,6 +89,7 @@
 	routes        atomic.Pointer[rcroute.Table]
 	draining      atomic.Bool
 	storeClock    rcclock.Clock
+	storeEras     rcera.Tracker
 	weights       *rcweights.Tracker
 	kvWatcher     *rckvstore.Watcher
 }
@@ -108,7 +110,7 @@
 	}
 	i.liveSettings.Store(&s)
 	i.store = platform.NewStore(platform.StoreConfig{
-		Addr: s.StoreAddr, Clock: &i.storeClock,
+		Addr: s.StoreAddr, Clock: &i.storeClock, Eras: &i.storeEras,
 		ObserveLatency: func(d time.Duration) { i.metrics.Record(rcmetric.StoreTime, d) },
 	})
 	i.weights = rcweights.NewTracker(rcweights.TrackerConfig{
@@ -125,7 +127,9 @@
 	})
 	i.peers = newPeerGroup(i)
 	i.directory = &directory{fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log}
-	i.directory.initFollowers(rcfeed.Config{Source: i.store, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, Log: i.log})
+	i.directory.initFollowers(rcfeed.Config{
+		Source: i.store, Eras: &i.storeEras, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, Log: i.log,
+	})
 	return i
 }
 
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -1,5 +1,5 @@
 // Package rcfeed keeps copies of the tables of a versioned store up to date
-// across outages, lost history and slow responses. In large fleets one instance
+// across outages, lost history, slow responses and restores from an older copy. In large fleets one instance
 // of a zone reads the store and relays what it reads, and the others use the
 // relayed batches as long as these arrive.
 package rcfeed
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/radishcrank/radishcrank/internal/state/rcera"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
@@ -52,6 +53,10 @@
 	// startupPeriod is how long the instances of a starting fleet need to find
 	// each other and their relays.
 	startupPeriod = 5 * time.Second
+	// rewritePeriod is how long after a restore of the store rows may arrive that
+	// were written before it and are written again. The platform's upstreams need
+	// about two seconds.
+	rewritePeriod = 2 * time.Second
 	// tolerantRetryDelay is retryDelay for a delay-tolerant table.
 	tolerantRetryDelay = 2 * time.Second
 	// maxOffers is the number of batches that may wait to be applied. Further
@@ -72,9 +77,11 @@
 }
 
 // Batch is the result of one call to the store for a table: all changes after
-// one version up to another.
+// one version up to another, or the whole table.
 type Batch struct {
 	Table          string
+	Era            uint64 // Of the store. Versions of different eras cannot be compared.
+	Full           bool   // Rows is the whole table.
 	After, Version uint64
 	Rows           []Row
 	// At and Since are the time of the response and Provenance.Since, in Unix
@@ -87,6 +94,7 @@
 	Rows    []Row
 	Version uint64    // Newest version of the store.
 	At      time.Time // On the clock of the store.
+	Era     uint64    // Era of the store; 0 if it has none.
 }
 
 // Provenance describes when and from where rows were learned.
@@ -94,11 +102,19 @@
 	// Since is the time from which the rows count as changed, on the clock of
 	// the store. For a follower that was waiting for the changes, it is the
 	// time of the response that contained them. For a follower that may have
-	// missed their arrival, it is the time of the previous response. It is zero
-	// for a process that has just started, whose rows may be of any age.
+	// missed their arrival, it is the time of the previous response. While rows
+	// may be written again after a restore, it is the time of the last response
+	// before that. It is zero for a process that has just started, whose rows may
+	// be of any age.
 	Since time.Time
+	// Awaited reports whether the follower was waiting for the changes, so that
+	// Since is when they were written and not an earlier bound.
+	Awaited bool
 	// Relayed reports whether another instance read the rows.
 	Relayed bool
+	// Restored reports whether the store has come back from a copy that may be
+	// older than what was known.
+	Restored bool
 }
 
 // Source reads tables. Implementations are safe for concurrent use.
@@ -121,6 +137,7 @@
 	// set, it applies instead for startupPeriod after the start of Run.
 	MinInterval, StartupMinInterval time.Duration
 	DelayTolerant                   bool                           // Changes may arrive late.
+	Eras                            *rcera.Tracker                 // Shared with the other users of the store; may be nil.
 	OnReset                         func(rows []Row, p Provenance) // Replaces the whole table.
 	OnChange                        func(row Row, p Provenance)
 	OnReachability                  func(ok bool) // Called after each call that succeeds or fails. May be nil.
@@ -137,16 +154,24 @@
 	cfg         Config
 	offered     chan Batch // Batches from a relay. Nil if there are no relays.
 	version     uint64
+	era         uint64 // Era of version.
 	synced      bool
 	reachable   bool
 	responseAt  time.Time // Time of the newest response, on the clock of the store.
 	contiguous  bool      // The last call succeeded, so the next one misses no changes.
 	lastOfferAt time.Time
 	startedAt   time.Time
+	// rewrittenUntil is when the rows have been written again that a restore has
+	// lost, and beforeRestore is the time of the last response before it.
+	rewrittenUntil time.Time
+	beforeRestore  time.Time
 }
 
 // New returns a Follower that is started by Run.
 func New(cfg Config) *Follower {
+	if cfg.Eras == nil {
+		cfg.Eras = &rcera.Tracker{}
+	}
 	f := &Follower{cfg: cfg}
 	if cfg.IsRelay != nil {
 		f.offered = make(chan Batch, maxOffers)
@@ -167,12 +192,16 @@
 }
 
 // awaitOffer waits for a batch from a relay. It reports false if the store must
-// be read instead: relayTimeout has passed since the last batch, or a batch
-// leaves a gap after the known version.
+// be read instead: relayTimeout has passed since the last batch, a batch leaves a
+// gap after the known version, or the store is known to have been restored.
 func (f *Follower) awaitOffer(ctx context.Context) bool {
 	if f.offered == nil || f.cfg.IsRelay() {
 		return false
 	}
+	era, restored := f.cfg.Eras.Current()
+	if era != f.era {
+		return false
+	}
 	wait := relayTimeout - time.Since(f.lastOfferAt)
 	if wait <= 0 {
 		// A batch that has arrived in the meantime shows that the relay is
@@ -189,6 +218,8 @@
 	select {
 	case b := <-f.offered:
 		return f.apply(b)
+	case <-restored:
+		return false
 	case <-timer.C:
 		return false
 	case <-ctx.Done():
@@ -196,19 +227,66 @@
 	}
 }
 
-// apply applies a batch from a relay. It reports false if the batch leaves a
-// gap after the known version.
+// apply applies a batch from a relay. It reports false if the store must be read
+// instead, because changes are missing before the batch.
 func (f *Follower) apply(b Batch) bool {
-	if b.After > f.version {
+	resp := Response{Rows: b.Rows, Version: b.Version, At: time.UnixMilli(b.At), Era: b.Era}
+	f.observeEra(&resp)
+	switch {
+	case resp.Era < f.era:
+		return true // The relay does not know yet that the store has been restored.
+	case b.Full && resp.Era > f.era:
+		f.reset(resp, true)
+	case resp.Era > f.era || b.After > f.version:
 		return false
+	default:
+		f.applyRows(resp, Provenance{Since: time.UnixMilli(b.Since), Awaited: b.Since == b.At, Relayed: true})
 	}
 	f.lastOfferAt = time.Now()
 	f.reportReachability(nil)
-	f.applyRows(Response{Rows: b.Rows, Version: b.Version, At: time.UnixMilli(b.At)}, Provenance{Since: time.UnixMilli(b.Since), Relayed: true})
 	f.contiguous = false
 	return true
 }
 
+// reset replaces the whole table.
+func (f *Follower) reset(resp Response, relayed bool) (restored bool) {
+	f.observeEra(&resp)
+	restored = f.version > 0 && (resp.Era != f.era || resp.Version < f.version)
+	if restored {
+		f.cfg.Log.Warn().Str("Event", "StoreRestored").Str("Table", f.cfg.Table).Uint64("Era", resp.Era).Uint64("EraBefore", f.era).
+			Uint64("Version", resp.Version).Uint64("VersionBefore", f.version).Bool("Relayed", relayed).Send()
+		now := time.Now()
+		if !now.Before(f.rewrittenUntil) {
+			f.beforeRestore = f.responseAt
+		}
+		f.rewrittenUntil = now.Add(rewritePeriod)
+	}
+	f.cfg.OnReset(resp.Rows, Provenance{Since: f.responseAt, Relayed: relayed, Restored: restored})
+	f.version, f.era, f.synced, f.responseAt, f.contiguous = resp.Version, resp.Era, true, resp.At, true
+	return restored
+}
+
+// observeEra records the era of a response or batch. One without an era, as other
+// releases and platforms send it, counts as of the newest known one.
+func (f *Follower) observeEra(resp *Response) {
+	f.cfg.Eras.Observe(resp.Era)
+	if resp.Era == 0 {
+		resp.Era, _ = f.cfg.Eras.Current()
+	}
+}
+
+// changedSince returns from when rows count as changed that arrived with a response
+// of the given time, after the follower had been waiting for them or not.
+func (f *Follower) changedSince(at time.Time, waited bool) (p Provenance) {
+	switch {
+	case time.Now().Before(f.rewrittenUntil):
+		return Provenance{Since: f.beforeRestore}
+	case waited:
+		return Provenance{Since: at, Awaited: true}
+	}
+	return Provenance{Since: f.responseAt}
+}
+
 // applyRows passes on the rows that are newer than the known version.
 func (f *Follower) applyRows(resp Response, p Provenance) {
 	for _, row := range resp.Rows {
@@ -241,21 +319,77 @@
 	}
 }
 
+// readTable reads the whole table, or takes it from a relay that has already read
+// it. It reports false if neither is possible.
+func (f *Follower) readTable(ctx context.Context) bool {
+	if f.takeFullOffer() {
+		return true
+	}
+	resp, err := f.cfg.Source.Read(ctx, f.cfg.Table)
+	f.reportReachability(err)
+	if err != nil {
+		return false
+	}
+	if restored := f.reset(resp, false); restored && f.isRelay() {
+		f.cfg.Publish(Batch{
+			Table: f.cfg.Table, Era: resp.Era, Full: true, Version: resp.Version, Rows: resp.Rows,
+			At: resp.At.UnixMilli(), Since: resp.At.UnixMilli(),
+		})
+	}
+	return true
+}
+
+// takeFullOffer applies the first offered batch with the whole table, if there is
+// one. An instance that does not reach the store itself depends on it.
+func (f *Follower) takeFullOffer() bool {
+	for {
+		select {
+		case b := <-f.offered:
+			if b.Full && b.Era > f.era {
+				f.apply(b)
+				return f.synced
+			}
+		default:
+			return false
+		}
+	}
+}
+
+func (f *Follower) isRelay() bool { return f.cfg.IsRelay != nil && f.cfg.IsRelay() }
+
+// untilRestored returns a context that also ends when the store is known to have
+// been restored. A call that waits for changes since a version of an earlier era
+// would miss those that got a lower version.
+func (f *Follower) untilRestored(ctx context.Context, restored <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-restored:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // poll makes one call for changes, preceded by a read of the whole table if
 // necessary.
 func (f *Follower) poll(ctx context.Context) {
 	start := time.Now()
+	era, restored := f.cfg.Eras.Current()
+	if era != f.era {
+		f.synced = false
+	}
 	if !f.synced {
-		resp, err := f.cfg.Source.Read(ctx, f.cfg.Table)
-		f.reportReachability(err)
-		if err != nil {
+		if !f.readTable(ctx) {
 			rcwait.Sleep(ctx, readRetryDelay)
 			return
 		}
-		f.cfg.OnReset(resp.Rows, Provenance{Since: f.responseAt})
-		f.version, f.synced, f.responseAt, f.contiguous = max(f.version, resp.Version), true, resp.At, true
+		if era, restored = f.cfg.Eras.Current(); era != f.era {
+			return // Restored again.
+		}
 	}
-	isRelay := f.cfg.IsRelay != nil && f.cfg.IsRelay()
+	isRelay := f.isRelay()
 	wait, margin := pollWait, pollMargin
 	if f.cfg.DelayTolerant {
 		wait = tolerantPollWait
@@ -267,15 +401,22 @@
 		wait, margin = relayPollWait, relayPollMargin
 	}
 	after, calledAt := f.version, time.Now()
-	resp, err := f.cfg.Source.Changes(ctx, f.cfg.Table, after, wait, margin)
+	callCtx, cancel := f.untilRestored(ctx, restored)
+	resp, err := f.cfg.Source.Changes(callCtx, f.cfg.Table, after, wait, margin)
+	interrupted := callCtx.Err() != nil
+	cancel()
 	if ctx.Err() != nil {
 		return
 	}
-	f.reportReachability(err)
-	since := resp.At
-	if !f.contiguous || time.Since(calledAt) < minAwaitedDelay {
-		since = f.responseAt
+	if err == nil {
+		f.observeEra(&resp)
 	}
+	if interrupted || err == nil && resp.Era != f.era {
+		f.synced, f.contiguous = false, false
+		return
+	}
+	f.reportReachability(err)
+	p := f.changedSince(resp.At, f.contiguous && time.Since(calledAt) >= minAwaitedDelay)
 	f.contiguous = err == nil
 	switch {
 	case errors.Is(err, ErrHistoryGone):
@@ -290,11 +431,11 @@
 		rcwait.Sleep(ctx, retry)
 		return
 	}
-	f.applyRows(resp, Provenance{Since: since})
+	f.applyRows(resp, p)
 	if isRelay {
 		f.cfg.Publish(Batch{
-			Table: f.cfg.Table, After: after, Version: max(after, resp.Version), Rows: resp.Rows,
-			At: resp.At.UnixMilli(), Since: since.UnixMilli(),
+			Table: f.cfg.Table, Era: f.era, After: after, Version: max(after, resp.Version), Rows: resp.Rows,
+			At: resp.At.UnixMilli(), Since: p.Since.UnixMilli(),
 		})
 	}
 	if len(resp.Rows) > 0 {
