Keep one holder of the lease when the store loses its row

Callers would have seen: engines ordered by two instances at a time, with one fencing number.

Cause: the row alone said who holds the lease and which fencing numbers are used. In an older copy it may be missing, name a former holder, belong to an earlier process at the same address or count fewer terms than there were. Each of these let an instance take the lease at once, while another one acted on a row that was lost; and the next fencing number had been used.

Without the era, a version that is given out again looks like a row that was never renewed (TestVersionGivenOutAgainIsNotUnchanged).

Change: the row says in which era it was written. A candidate waits for the whole takeover delay after a row of an earlier era, or none, as if it had just been written; no holder of lost writes can act for that long. Fencing numbers and the positions that candidates compare rise with the era.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -268,6 +268,12 @@
 	}
 }
 
+// storeEra returns the newest known era of the store.
+func (i *Instance) storeEra() uint64 {
+	era, _ := i.storeEras.Current()
+	return era
+}
+
 func (i *Instance) setRoutes(t *rcroute.Table) {
 	i.routes.Store(t)
 	i.log.Info().Str("Event", "Config").Int64("Version", t.Version).Int("Routes", len(t.Routes)).Int("Accounts", len(t.Accounts)).Send()
@@ -345,6 +351,7 @@
 		Duration:       leaseDuration,
 		Margin:         leaseMargin,
 		MinHandoverGap: i.settings.LeaseGap,
+		Era:            i.storeEra,
 		Process:        i.settings.Instance + "@" + i.settings.PeerAddr.String(),
 		HolderReport:   i.peers.leaseHolderReport,
 		Lead: func(ctx context.Context, term *rclease.Term) error {
--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -86,7 +86,7 @@
 				reported = version
 				messages++
 			}
-			held := p.term.Version()
+			held := p.term.Position()
 			p.mu.Unlock()
 			require.Equal(t, held, reported)
 			time.Sleep(loadReportInterval)
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -58,8 +58,8 @@
 	// the loads of all instances, and other relays those of its zone. Nil means no
 	// report.
 	Loads map[radishcrank.UpstreamID]rcfleet.Load
-	// Lease is the version of the order lease's row that its holder wrote last. It is
-	// sent by the holder, or by a relay that received it; 0 means no report.
+	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
+	// holder, or by a relay that received it; 0 means no report.
 	Lease uint64
 }
 
@@ -99,10 +99,10 @@
 	fromOtherZones   peerUpdate // Received by a relay from other relays, to be sent to its zone.
 	self             *peer
 	term             *rclease.Term        // Term of this instance while it holds the lease.
-	sentLeaseVersion uint64               // Row version of the last lease report sent.
+	sentLease        uint64               // Position in the last lease report sent.
 	leaseSentAt      time.Time            // Time of that report.
 	holderReport     rclease.HolderReport // Last report of another holder of the lease.
-	holderReportedAt time.Time            // Time of the last report, even if its version is unchanged.
+	holderReportedAt time.Time            // Time of the last report, even if its position is unchanged.
 }
 
 func newPeerGroup(i *Instance) *peerGroup {
@@ -175,29 +175,29 @@
 	p.wakeSender()
 }
 
-// leaseReportLocked returns the row version that is to be reported now, or 0 for none.
+// leaseReportLocked returns the position that is to be reported now, or 0 for none.
 // A renewal is reported immediately: an instance that missed the report of the last
 // renewal would measure the takeover delay from its own first read of the row, seconds
 // after the holder's end.
-func (p *peerGroup) leaseReportLocked() (version uint64) {
+func (p *peerGroup) leaseReportLocked() (position uint64) {
 	if p.term == nil {
 		return 0
 	}
-	version = p.term.Version()
-	if version == p.sentLeaseVersion && time.Since(p.leaseSentAt) < leaseReportInterval {
+	position = p.term.Position()
+	if position == p.sentLease && time.Since(p.leaseSentAt) < leaseReportInterval {
 		return 0
 	}
-	p.sentLeaseVersion, p.leaseSentAt = version, time.Now()
-	return version
+	p.sentLease, p.leaseSentAt = position, time.Now()
+	return position
 }
 
 // applyLeaseReport records that another instance holds the lease.
-func (p *peerGroup) applyLeaseReport(version uint64) {
+func (p *peerGroup) applyLeaseReport(position uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holderReportedAt = time.Now()
-	if version > p.holderReport.Version {
-		p.holderReport = rclease.HolderReport{Version: version, ReceivedAt: p.holderReportedAt}
+	if position > p.holderReport.Position {
+		p.holderReport = rclease.HolderReport{Position: position, ReceivedAt: p.holderReportedAt}
 	}
 }
 
--- a/internal/record/rclease/handover_test.go
+++ b/internal/record/rclease/handover_test.go
@@ -16,12 +16,21 @@
 )
 
 // connection is one process's connection to the table. Disconnecting or killing it can
-// also fall between a call's effect and its answer.
+// also fall between a call's effect and its answer. Like the platform's table, it knows
+// the era of the last answer, and refuses to write what was read in an earlier one.
 type connection struct {
-	radishcrank.TableService
+	*rcfaketable.Table
 	mu           sync.Mutex
 	disconnected bool
 	killed       bool
+	era          uint64 // Of the last answer; 0 before it.
+	readEra      uint64 // Era in which the row was last read or written.
+}
+
+func (conn *connection) knownEra() uint64 {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.era
 }
 
 func (conn *connection) available() bool {
@@ -40,10 +49,21 @@
 	if !conn.available() {
 		return radishcrank.ErrUnavailable
 	}
-	err := conn.TableService.Commit(ctx, tx)
+	conn.mu.Lock()
+	sentEra, readEra := conn.era, conn.readEra
+	conn.mu.Unlock()
+	if readEra != sentEra {
+		return radishcrank.ErrConflict
+	}
+	err := conn.Table.Commit(ctx, tx)
 	if !conn.available() {
 		return radishcrank.ErrUnknownOutcome
 	}
+	era := conn.Table.Era()
+	conn.update(func(conn *connection) { conn.era = era })
+	if err == nil && sentEra != 0 && era != sentEra {
+		return radishcrank.ErrUnknownOutcome
+	}
 	return err
 }
 
@@ -51,7 +71,15 @@
 	if !conn.available() {
 		return nil, radishcrank.ErrUnavailable
 	}
-	return conn.TableService.Get(ctx, keys...)
+	era := conn.Table.Era()
+	rows, err := conn.Table.Get(ctx, keys...)
+	if err == nil && conn.Table.Era() != era {
+		return nil, radishcrank.ErrUnavailable // The answer may be of either era.
+	}
+	if err == nil {
+		conn.update(func(conn *connection) { conn.era, conn.readEra = era, era })
+	}
+	return rows, err
 }
 
 // actionLog holds the latest action of any process, and the first violation found.
@@ -92,6 +120,18 @@
 // receive reports of the holder and are killed, stopped, restarted and disconnected
 // from the table.
 func TestHandoverGapUnderFaults(t *testing.T) {
+	checkHandovers(t, "kill", "stop", "cut", "lose", "drop", "slow")
+}
+
+// TestHandoverGapUnderRestores guards against the same while the table comes back from
+// older copies: ones that lack the row, name a former holder or hold fencing numbers
+// that have been used.
+func TestHandoverGapUnderRestores(t *testing.T) {
+	checkHandovers(t, "restore", "restore", "kill", "stop", "cut", "lose", "slow")
+}
+
+// checkHandovers plays random events of the given kinds.
+func checkHandovers(t *testing.T, kinds ...string) {
 	const (
 		duration, margin, minGap     = 4 * time.Second, 800 * time.Millisecond, 3 * time.Second
 		reportInterval, reportMaxAge = 100 * time.Millisecond, 1600 * time.Millisecond
@@ -105,7 +145,7 @@
 			return event{
 				At: rapid.IntRange(0, 300).Draw(rt, "At"), Instance: rapid.IntRange(0, 2).Draw(rt, "Instance"),
 				Length: rapid.IntRange(1, 60).Draw(rt, "Length"),
-				Kind:   rapid.SampledFrom([]string{"kill", "stop", "cut", "lose", "drop", "slow"}).Draw(rt, "Kind"),
+				Kind:   rapid.SampledFrom(kinds).Draw(rt, "Kind"),
 			}
 		}), 0, 16).Draw(rt, "Events")
 		var actions actionLog
@@ -116,12 +156,12 @@
 			start := func(c *candidate) {
 				var ctx context.Context
 				ctx, c.stop = context.WithCancel(context.Background())
-				conn := &connection{TableService: table}
+				conn := &connection{Table: table}
 				mu.Lock()
 				c.conn, c.report, c.reportedAt = conn, HolderReport{}, time.Time{}
 				mu.Unlock()
 				go New(Config{
-					Table: conn, Name: "orders", Instance: radishcrank.InstanceID(c.name), Process: c.name,
+					Table: conn, Name: "orders", Instance: radishcrank.InstanceID(c.name), Process: c.name, Era: conn.knownEra,
 					Duration: duration, Margin: margin, MinHandoverGap: minGap,
 					HolderReport: func() (HolderReport, bool) {
 						mu.Lock()
@@ -148,7 +188,9 @@
 				start(candidates[i])
 			}
 			recoveries := map[int][]func(){}
+			var copies []map[string]radishcrank.Row // By tick.
 			for tick := range 400 {
+				copies = append(copies, table.Copy())
 				for _, f := range recoveries[tick] {
 					f()
 				}
@@ -174,6 +216,14 @@
 						table.SetFaults(rcfaketable.Faults{LoseResponses: 1 + e.Length/20})
 					case "drop":
 						table.SetFaults(rcfaketable.Faults{DropCommits: 1 + e.Length/20})
+					case "restore":
+						old := copies[max(0, tick-e.Length)]
+						table.SetFaults(rcfaketable.Faults{Down: true})
+						end := tick + e.Length%10 + 1
+						recoveries[end] = append(recoveries[end], func() {
+							table.Restore(old)
+							table.SetFaults(rcfaketable.Faults{})
+						})
 					case "slow":
 						table.SetFaults(rcfaketable.Faults{Delay: time.Duration(e.Length) * 10 * time.Millisecond})
 						recoveries[end] = append(recoveries[end], func() { table.SetFaults(rcfaketable.Faults{}) })
@@ -187,8 +237,8 @@
 							continue
 						}
 						o.reportedAt = time.Now()
-						if v := c.term.Version(); v > o.report.Version {
-							o.report = HolderReport{Version: v, ReceivedAt: o.reportedAt}
+						if v := c.term.Position(); v > o.report.Position {
+							o.report = HolderReport{Position: v, ReceivedAt: o.reportedAt}
 						}
 					}
 				}
@@ -203,3 +253,38 @@
 		require.NotEmpty(rt, actions.process)
 	})
 }
+
+// TestVersionGivenOutAgainIsNotUnchanged guards against a candidate that takes the lease
+// from a live holder, because the row has the version again that it had before the table
+// came back from an older copy.
+func TestVersionGivenOutAgainIsNotUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table, terms := rcfaketable.New(), &termLog{}
+		holderConn, conn := &connection{Table: table}, &connection{Table: table}
+		holder := New(Config{Table: holderConn, Name: "orders", Instance: "holder", Era: holderConn.knownEra})
+		renew := func() {
+			era, version, _, err := holder.read(ctx)
+			require.NoError(t, err)
+			require.NoError(t, holder.write(ctx, version, holder.newRow(era, 1)))
+		}
+		renew()
+		old := table.Copy()
+		renew()
+		go New(Config{Table: conn, Name: "orders", Instance: "candidate", Era: conn.knownEra, Lead: terms.lead}).Run(ctx)
+		time.Sleep(time.Second)
+		conn.update(func(conn *connection) { conn.disconnected = true })
+		time.Sleep(2 * defaultDuration)
+		table.Restore(old)
+		_, _, _, err := holder.read(ctx)
+		require.ErrorIs(t, err, errRestored)
+		renew()
+		conn.update(func(conn *connection) { conn.disconnected = false })
+		time.Sleep(defaultDuration)
+		require.Zero(t, terms.count())
+		time.Sleep(defaultDuration)
+		require.Equal(t, 1, terms.count())
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/record/rclease/lease.go
+++ b/internal/record/rclease/lease.go
@@ -9,6 +9,11 @@
 // fencing number protects against a paused holder that resumes without noticing.
 // Clocks need not be synchronized, but their drift over one lease duration must not
 // exceed Margin.
+//
+// The table may come back from an older copy, which may lack the row, name a former
+// holder or hold fencing numbers that have been used. A row says in which era of the
+// table it was written. One of an earlier era says nothing about who holds the lease:
+// the holder may renew it, but a candidate waits as if it had just been written.
 package rclease
 
 import (
@@ -32,6 +37,12 @@
 	rowPrefix       = "lease/"
 	nonceBytes      = 8
 
+	// positionEraShift leaves room for the writes of the row in one era, and
+	// fenceEraShift for its terms. Engines read fencing numbers as numbers of JSON,
+	// which are exact up to 2^53.
+	positionEraShift = 40
+	fenceEraShift    = 20
+
 	// renewalsPerDuration is the number of renewals per lease duration. With more
 	// than one, a single lost renewal does not end the term.
 	renewalsPerDuration = 4
@@ -51,6 +62,11 @@
 	// Zero adds no delay.
 	MinHandoverGap time.Duration
 
+	// Era returns the newest known era of the table, which rises by one when the table
+	// comes back from an older copy. It covers all answers that Table has returned. Nil
+	// means that the table never loses a write.
+	Era func() uint64
+
 	// Process identifies a resource that only one running process can own, such as a
 	// listening address. A lease held under the same value belongs to an earlier
 	// process that has ended, and can be taken immediately. Empty disables this.
@@ -65,14 +81,15 @@
 
 // HolderReport is what the lease holder last reported to this instance.
 type HolderReport struct {
-	Version    uint64    // Version of the row that the holder wrote last; 0 if unknown.
-	ReceivedAt time.Time // When that version was first reported.
+	Position   uint64    // Term.Position of the holder; 0 if unknown.
+	ReceivedAt time.Time // When that position was first reported.
 }
 
 // Lease is one candidate in the election.
 type Lease struct {
-	cfg    Config
-	holder string // Unique to this Lease, even if an instance ID is used twice.
+	cfg          Config
+	holder       string // Unique to this Lease, even if an instance ID is used twice.
+	highestFence uint64 // Highest fencing number that was seen in the row.
 }
 
 // row is the value of the lease row. The row is never deleted, so that the fencing
@@ -82,6 +99,7 @@
 	Process  string // Config.Process of the holder; kept after a release.
 	Fence    uint64
 	Duration time.Duration
+	Era      uint64 // Era of the table in which the row was written.
 }
 
 // New returns a Lease, which competes once Run is called.
@@ -92,6 +110,9 @@
 	if cfg.Margin <= 0 {
 		cfg.Margin = defaultMargin
 	}
+	if cfg.Era == nil {
+		cfg.Era = func() uint64 { return 0 }
+	}
 	nonce := make([]byte, nonceBytes)
 	rand.Read(nonce)
 	return &Lease{cfg: cfg, holder: string(cfg.Instance) + "/" + hex.EncodeToString(nonce)}
@@ -103,7 +124,7 @@
 
 	mu        sync.Mutex
 	expiresAt clockReading
-	version   uint64
+	position  uint64
 }
 
 // Valid reports whether the lease is still held. The holder must check it
@@ -116,19 +137,23 @@
 	return -t.expiresAt.elapsed()
 }
 
-// Version returns the version of the row as the holder last wrote it.
-func (t *Term) Version() uint64 {
+// Position returns the position of the row as the holder last wrote it. Positions
+// increase with each write, across restores of the table too.
+func (t *Term) Position() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version
+	return t.position
 }
 
-func (t *Term) extend(expiresAt clockReading, version uint64) {
+func (t *Term) extend(expiresAt clockReading, position uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expiresAt, t.version = expiresAt, version
+	t.expiresAt, t.position = expiresAt, position
 }
 
+// position orders the versions of the row of all eras.
+func position(era, version uint64) uint64 { return era<<positionEraShift | version }
+
 func (t *Term) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,14 +216,14 @@
 
 // acquire waits until the lease is free and acquires it.
 func (l *Lease) acquire(ctx context.Context) (term *Term, version uint64, err error) {
-	var lastVersion uint64    // Row version at the last read or report.
+	var lastPosition uint64   // Position of the row at the last read or report.
 	var firstSeenAt time.Time // When it was first seen, compared by the monotonic clock.
 	for observed := false; ; {
 		if l.cfg.HolderReport != nil {
 			if report, fresh := l.cfg.HolderReport(); fresh {
-				// The holder reports a version only after writing it. If a later read finds
-				// the same version, the row has been unchanged since the report.
-				lastVersion, firstSeenAt, observed = report.Version, report.ReceivedAt, report.Version > 0
+				// The holder reports a position only after writing it. If a later read finds
+				// the same one, the row has been unchanged since the report.
+				lastPosition, firstSeenAt, observed = report.Position, report.ReceivedAt, report.Position > 0
 				if !l.sleep(ctx) {
 					return nil, 0, ctx.Err()
 				}
@@ -206,19 +231,21 @@
 			}
 		}
 		wait := l.cfg.Duration
-		version, current, err := l.read(ctx)
+		era, version, current, err := l.read(ctx)
 		if err == nil {
-			if !observed || version != lastVersion {
-				lastVersion, firstSeenAt, observed = version, time.Now(), true
+			if at := position(era, version); !observed || at != lastPosition {
+				lastPosition, firstSeenAt, observed = at, time.Now(), true
 			}
-			wait = l.takeoverDelay(version, current) - time.Since(firstSeenAt)
+			wait = l.takeoverDelay(era, version, current) - time.Since(firstSeenAt)
 			if wait <= 0 {
 				wait = l.cfg.Duration // Wait this long if the write fails.
-				next := l.newRow(current.Fence + 1)
+				next := l.newRow(era, l.nextFence(era, current))
 				sent := readClocks()
-				term := &Term{Fence: next.Fence, version: version + 1, expiresAt: sent.add(l.cfg.Duration - l.cfg.Margin)}
-				// If the process was paused, the term may already have expired.
-				if l.write(ctx, version, next) == nil && term.Valid() {
+				term := &Term{Fence: next.Fence, position: position(era, version+1), expiresAt: sent.add(l.cfg.Duration - l.cfg.Margin)}
+				err := l.write(ctx, version, next)
+				// If the process was paused, the term may already have expired. If the table
+				// was restored meanwhile, the write may be lost.
+				if err == nil && l.cfg.Era() == era && term.Valid() {
 					return term, version + 1, nil
 				}
 			}
@@ -231,8 +258,11 @@
 
 // takeoverDelay returns how long the row must have been unchanged before this
 // instance may take the lease.
-func (l *Lease) takeoverDelay(version uint64, current row) time.Duration {
+func (l *Lease) takeoverDelay(era, version uint64, current row) time.Duration {
+	unknownHolder := max(current.Duration, l.cfg.Duration) + max(0, l.cfg.MinHandoverGap-l.cfg.Margin)
 	switch {
+	case current.Era != era:
+		return unknownHolder // Another instance may have taken the lease in writes that were lost.
 	case version == 0:
 		return 0
 	case current.Holder == l.holder:
@@ -242,11 +272,18 @@
 	case current.Holder == "":
 		return l.cfg.MinHandoverGap
 	}
-	return max(current.Duration, l.cfg.Duration) + max(0, l.cfg.MinHandoverGap-l.cfg.Margin)
+	return unknownHolder
 }
 
-func (l *Lease) newRow(fence uint64) row {
-	return row{Holder: l.holder, Process: l.cfg.Process, Fence: fence, Duration: l.cfg.Duration}
+// nextFence returns a fencing number above all that have been used. Numbers that a
+// restore of the table has lost belong to an earlier era.
+func (l *Lease) nextFence(era uint64, current row) uint64 {
+	l.highestFence = max(l.highestFence, current.Fence)
+	return max(l.highestFence, era<<fenceEraShift) + 1
+}
+
+func (l *Lease) newRow(era, fence uint64) row {
+	return row{Holder: l.holder, Process: l.cfg.Process, Fence: fence, Duration: l.cfg.Duration, Era: era}
 }
 
 // runTerm calls Lead and renews the lease until the term ends, then releases it.
@@ -278,16 +315,18 @@
 	}
 	releaseCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), l.cfg.Duration/renewalsPerDuration)
 	defer stop()
-	_ = l.write(releaseCtx, version, row{Process: l.cfg.Process, Fence: term.Fence, Duration: l.cfg.Duration})
+	released := l.newRow(l.cfg.Era(), term.Fence)
+	released.Holder = ""
+	_ = l.write(releaseCtx, version, released)
 }
 
 // renew writes the row once. It returns the version that the next write must expect,
 // or lost if the row no longer belongs to the term.
 func (l *Lease) renew(ctx context.Context, term *Term, version uint64) (next uint64, lost bool) {
-	sent := readClocks()
-	err := l.write(ctx, version, l.newRow(term.Fence))
+	sent, era := readClocks(), l.cfg.Era()
+	err := l.write(ctx, version, l.newRow(era, term.Fence))
 	if err == nil {
-		term.extend(sent.add(l.cfg.Duration-l.cfg.Margin), version+1)
+		term.extend(sent.add(l.cfg.Duration-l.cfg.Margin), position(era, version+1))
 		return version + 1, false
 	}
 	if errors.Is(err, radishcrank.ErrUnavailable) {
@@ -295,7 +334,7 @@
 	}
 	// After a conflict or an unknown outcome, read the row to find out whether the term
 	// continues. Only the next successful renewal extends it.
-	found, current, err := l.read(ctx)
+	_, found, current, err := l.read(ctx)
 	if err != nil {
 		return version, false
 	}
@@ -305,17 +344,25 @@
 	return found, false
 }
 
-func (l *Lease) read(ctx context.Context) (version uint64, current row, err error) {
+// errRestored reports that the table was restored while it was read.
+var errRestored = errors.New("the table was restored during the read")
+
+// read returns the row, its version and the era to which both belong.
+func (l *Lease) read(ctx context.Context) (era, version uint64, current row, err error) {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Duration/renewalsPerDuration)
 	defer cancel()
+	before := l.cfg.Era()
 	rows, err := l.cfg.Table.Get(ctx, rowPrefix+l.cfg.Name)
+	if era = l.cfg.Era(); err == nil && before != 0 && era != before {
+		err = errRestored
+	}
 	if err != nil {
-		return 0, current, err
+		return 0, 0, current, err
 	}
 	if rows[0].Version > 0 {
 		err = msgpack.Unmarshal(rows[0].Value, &current)
 	}
-	return rows[0].Version, current, err
+	return era, rows[0].Version, current, err
 }
 
 func (l *Lease) write(ctx context.Context, version uint64, next row) error {
--- a/internal/record/rclease/lease_test.go
+++ b/internal/record/rclease/lease_test.go
@@ -249,8 +249,8 @@
 		latestReport.Store(&HolderReport{})
 		holder := terms.list[0]
 		reportHolder := func() {
-			if holder.Valid() && first.Err() == nil && latestReport.Load().Version != holder.Version() {
-				latestReport.Store(&HolderReport{Version: holder.Version(), ReceivedAt: time.Now()})
+			if holder.Valid() && first.Err() == nil && latestReport.Load().Position != holder.Position() {
+				latestReport.Store(&HolderReport{Position: holder.Position(), ReceivedAt: time.Now()})
 			}
 		}
 		second, stop := context.WithCancel(t.Context())
--- a/internal/standin/rcfaketable/table.go
+++ b/internal/standin/rcfaketable/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -32,12 +33,34 @@
 type Table struct {
 	mu     sync.Mutex
 	rows   map[string]radishcrank.Row
+	era    uint64
 	faults Faults
 	counts Counts
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{rows: make(map[string]radishcrank.Row)} }
+func New() *Table { return &Table{rows: make(map[string]radishcrank.Row), era: 1} }
+
+// Copy returns a copy of all rows.
+func (t *Table) Copy() map[string]radishcrank.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.rows)
+}
+
+// Restore replaces all rows by an earlier copy and starts a new era.
+func (t *Table) Restore(rows map[string]radishcrank.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.era = maps.Clone(rows), t.era+1
+}
+
+// Era returns the number of the era, which starts at 1 and rises with each restore.
+func (t *Table) Era() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
 
 // SetFaults replaces the injected faults.
 func (t *Table) SetFaults(f Faults) {
