Store verdicts on crashing contents again when the store loses them

Callers would have seen: servers that crash again for a content on which there is a verdict, sent by an instance that was restarted.

Cause: a verdict is stored once, and only instances that start read the table. After a restore that lost the row nobody writes it again.

Evidence: TestVerdictIsStoredAgainAfterLoss; without StoreAgain the restarted instance admits the content.

Change: all verdicts become pending again when the store has been restored.

--- a/internal/limits/rcpoison/sync.go
+++ b/internal/limits/rcpoison/sync.go
@@ -69,12 +69,26 @@
 	}
 }
 
+// StoreAgain stores all verdicts again. It must be called when the store may have lost
+// some, since instances that restart know of no others.
+func (t *Tracker) StoreAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, r := range t.records {
+		if r.Verdict {
+			t.pending[key] = time.Now().Add(-t.cfg.StoreDelay)
+		}
+	}
+}
+
 // storePending stores the pending verdicts that are older than Config.StoreDelay.
 func (t *Tracker) storePending(ctx context.Context) {
 	t.mu.Lock()
+	due := map[Key]time.Time{}
 	var records []Record
 	for key, since := range t.pending {
 		if time.Since(since) >= t.cfg.StoreDelay {
+			due[key] = since
 			records = append(records, t.records[key].clone())
 		}
 	}
@@ -84,7 +98,9 @@
 			continue
 		}
 		t.mu.Lock()
-		delete(t.pending, r.Key)
+		if t.pending[r.Key].Equal(due[r.Key]) { // Otherwise it has become pending again.
+			delete(t.pending, r.Key)
+		}
 		t.mu.Unlock()
 	}
 }
--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -391,3 +391,33 @@
 		require.Len(t, m.rows, 1)
 	})
 }
+
+// TestVerdictIsStoredAgainAfterLoss guards against crashing content that reaches
+// upstreams again through a restarted instance, because the store came back from a copy
+// without its verdict.
+func TestVerdictIsStoredAgainAfterLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memoryStore{rows: make(map[Key]Record)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		tr := New(Config{Board: rcboard.New(), VerdictStore: m})
+		go tr.Run(ctx)
+		req := radishcrank.Request{Prompt: "p"}
+		for i := range VerdictThreshold {
+			end, err := tr.StartRun(ctx, req, radishcrank.Upstream{ID: "u", Incarnation: radishcrank.Incarnation(i + 1)})
+			require.NoError(t, err)
+			end(true, false)
+		}
+		time.Sleep(time.Minute)
+		m.mu.Lock()
+		require.Len(t, m.rows, 1)
+		clear(m.rows)
+		m.mu.Unlock()
+		tr.StoreAgain()
+		time.Sleep(storeInterval)
+		restarted := New(Config{Board: rcboard.New(), VerdictStore: m})
+		go restarted.Run(ctx)
+		synctest.Wait()
+		require.Error(t, restarted.Check(req))
+	})
+}
--- a/internal/node/rcinstance/restore.go
+++ b/internal/node/rcinstance/restore.go
@@ -27,4 +27,5 @@
 		return
 	}
 	i.weights.Resync()
+	i.poisonTracker.StoreAgain()
 }
