Don't believe an older copy of the list of upstreams

Callers would have seen: requests to servers that have announced that they leave or are gone, and none to those that registered last.

Cause: what the list says replaces what is known. After a restore it says what was known some seconds ago: a draining server is ready again, one that has left is listed until the platform removes it again, a restarted one has its earlier incarnation, and a new one is missing.

Evidence: TestRestoredListDoesNotBringBackUpstreams and TestRestoredRowDoesNotTakeBackDeparture; with Replace in place of Restore both fail.

Change: what is known goes before a restored list.

--- a/internal/node/rcinstance/directory.go
+++ b/internal/node/rcinstance/directory.go
@@ -24,11 +24,19 @@
 	// Upstreams then start too, and each instance of a large fleet would read each of
 	// their changes.
 	upstreamsStartupReadInterval = 1500 * time.Millisecond
+	// missedHeartbeats is after how many heartbeat intervals of silence the platform
+	// removes the entry of an upstream.
+	missedHeartbeats = 3
+	// restoredHeartbeatDelay is how late upstreams reach a store that has just returned.
+	restoredHeartbeatDelay = 2 * time.Second
 )
 
 // directory applies what the operator and the upstreams write to the store.
 type directory struct {
 	fleet *rcfleet.Fleet
+	// confirmTime is how long the store may list upstreams that are gone after it has
+	// come back from an older copy.
+	confirmTime time.Duration
 	// setConfig is called only with configurations newer than all earlier ones.
 	setConfig  func(t *rcroute.Table)
 	setWeights func(model radishcrank.ModelID, w radishcrank.WeightsVersion, s rcfeed.Provenance)
@@ -90,18 +98,26 @@
 	}
 }
 
-func (d *directory) resetUpstreams(rows []rcfeed.Row, _ rcfeed.Provenance) {
+func (d *directory) resetUpstreams(rows []rcfeed.Row, p rcfeed.Provenance) {
 	var entries []rcfleet.Entry
 	for _, row := range rows {
 		if e, ok := d.parseEntry(row); ok {
 			entries = append(entries, e)
 		}
 	}
-	d.fleet.Replace(entries)
+	if p.Restored {
+		d.fleet.Restore(entries, d.confirmTime)
+	} else {
+		d.fleet.Replace(entries)
+	}
 }
 
-func (d *directory) applyUpstreamRow(row rcfeed.Row, _ rcfeed.Provenance) {
-	if e, ok := d.parseEntry(row); ok {
+func (d *directory) applyUpstreamRow(row rcfeed.Row, p rcfeed.Provenance) {
+	switch e, ok := d.parseEntry(row); {
+	case ok && p.Restored:
+		d.fleet.PutRestored(e)
+		return
+	case ok:
 		d.fleet.Put(e)
 		return
 	}
--- a/internal/node/rcinstance/directory_test.go
+++ b/internal/node/rcinstance/directory_test.go
@@ -51,3 +51,24 @@
 	d.applyUpstreamRow(rcfeed.Row{Key: "b", Value: []byte("[]")}, rcfeed.Provenance{})
 	require.Empty(t, d.fleet.All())
 }
+
+// TestRestoredRowDoesNotTakeBackDeparture guards against requests to an upstream that has
+// announced that it leaves, because a store that came back from an older copy lists it
+// as ready.
+func TestRestoredRowDoesNotTakeBackDeparture(t *testing.T) {
+	d := &directory{log: zerolog.Nop(), fleet: rcfleet.New()}
+	row := func(state string) rcfeed.Row {
+		return rcfeed.Row{Key: "a", Value: fmt.Appendf(nil, `{"Service":"s","Address":"10.0.0.1:80","State":%q,"born":1}`, state)}
+	}
+	d.resetUpstreams([]rcfeed.Row{row("ready")}, rcfeed.Provenance{})
+	d.applyUpstreamRow(row("draining"), rcfeed.Provenance{})
+	for name, apply := range map[string]func(){
+		"whole table": func() { d.resetUpstreams([]rcfeed.Row{row("ready")}, rcfeed.Provenance{Restored: true}) },
+		"one row":     func() { d.applyUpstreamRow(row("ready"), rcfeed.Provenance{Restored: true}) },
+	} {
+		apply()
+		s, ok := d.fleet.Get("a")
+		require.True(t, ok)
+		require.True(t, s.Leaving, name)
+	}
+}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -126,7 +126,10 @@
 		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts, Log: i.log,
 	})
 	i.peers = newPeerGroup(i)
-	i.directory = &directory{fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log}
+	i.directory = &directory{
+		fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log,
+		confirmTime: missedHeartbeats*s.UpstreamHeartbeat + restoredHeartbeatDelay,
+	}
 	i.directory.initFollowers(rcfeed.Config{
 		Source: i.store, Eras: &i.storeEras, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, Log: i.log,
 	})
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -112,8 +112,8 @@
 	Awaited bool
 	// Relayed reports whether another instance read the rows.
 	Relayed bool
-	// Restored reports whether the store has come back from a copy that may be
-	// older than what was known.
+	// Restored reports whether the rows may be older than what was known, because
+	// the store has come back from a copy.
 	Restored bool
 }
 
@@ -289,6 +289,7 @@
 
 // applyRows passes on the rows that are newer than the known version.
 func (f *Follower) applyRows(resp Response, p Provenance) {
+	p.Restored = time.Now().Before(f.rewrittenUntil)
 	for _, row := range resp.Rows {
 		if row.Version > f.version || row.Version == 0 {
 			f.cfg.OnChange(row, p)
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -24,6 +24,9 @@
 	// list was unreachable: upstreams whose entries expired in the meantime are
 	// listed again within two seconds.
 	removalGrace = 2 * time.Second
+	// departureRetention is how long an upstream that is gone is remembered. A copy
+	// from which the store comes back is some seconds old.
+	departureRetention = time.Minute
 	// failureRateWeight is the weight of the newest outcome in the moving
 	// average of failures.
 	failureRateWeight = 0.15
@@ -73,8 +76,18 @@
 	State
 	failures     int
 	suspectUntil time.Time
-	removedAt    time.Time
-	peerLoadAt   time.Time // When PeerLoad was set.
+	// unconfirmedUntil ends the time in which the entry may be that of an upstream
+	// that is gone.
+	unconfirmedUntil time.Time
+	removedAt        time.Time
+	peerLoadAt       time.Time // When PeerLoad was set.
+}
+
+// departure is what remains known of an upstream that is gone.
+type departure struct {
+	incarnation radishcrank.Incarnation
+	leaving     bool // It had announced that it leaves.
+	at          time.Time
 }
 
 // Fleet tracks all upstreams. It is safe for concurrent use.
@@ -82,6 +95,7 @@
 	mu               sync.Mutex
 	members          map[radishcrank.UpstreamID]*member
 	services         map[string][]*member
+	departed         map[radishcrank.UpstreamID]departure
 	synced           bool // A first complete list has arrived.
 	unreachableSince time.Time
 	reachableSince   time.Time
@@ -94,6 +108,7 @@
 	return &Fleet{
 		members:     map[radishcrank.UpstreamID]*member{},
 		services:    map[string][]*member{},
+		departed:    map[radishcrank.UpstreamID]departure{},
 		changed:     make(chan struct{}),
 		cachedParts: newCachedParts(),
 	}
@@ -141,7 +156,7 @@
 	weights := m.Weights
 	m.Entry = e
 	m.Weights = newestWeights(weights, e.Weights)
-	m.Listed, m.removedAt = true, time.Time{}
+	m.Listed, m.removedAt, m.unconfirmedUntil = true, time.Time{}, time.Time{}
 	m.WarmupUntil = time.Now().Add(e.WarmupTime)
 }
 
@@ -160,10 +175,66 @@
 	return merged
 }
 
+// PutRestored adds or updates an entry that may be older than what is known, because
+// the list has been restored from a copy.
+func (f *Fleet) PutRestored(e Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.Leaving = e.Leaving || f.knownLeavingLocked(e)
+	f.putLocked(e)
+	f.signalLocked()
+}
+
+// knownLeavingLocked reports whether the upstream of an entry has announced that it
+// leaves. An incarnation never takes that back.
+func (f *Fleet) knownLeavingLocked(e Entry) bool {
+	if m, ok := f.members[e.ID]; ok {
+		return m.Leaving && m.Incarnation == e.Incarnation
+	}
+	d, ok := f.departed[e.ID]
+	return ok && d.leaving && d.incarnation == e.Incarnation
+}
+
 // Replace applies a complete list.
 func (f *Fleet) Replace(entries []Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.replaceLocked(entries)
+}
+
+// Restore applies a complete list that the platform has restored from a copy which is
+// some seconds old. What is known is newer than the copy: upstreams that were leaving
+// still are, and an earlier incarnation is ignored. An entry of an upstream that was
+// gone gets no work for confirmTime, within which the platform removes it again or the
+// upstream writes it anew. An upstream that is missing may have registered after the
+// copy was made, and stays for a while.
+func (f *Fleet) Restore(entries []Entry, confirmTime time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.reachableSince = now
+	var current []Entry
+	for _, e := range entries {
+		if m, ok := f.members[e.ID]; ok && e.Incarnation < m.Incarnation {
+			e = m.Entry
+		}
+		e.Leaving = e.Leaving || f.knownLeavingLocked(e)
+		current = append(current, e)
+	}
+	var unconfirmed []radishcrank.UpstreamID
+	for _, e := range current {
+		_, known := f.members[e.ID]
+		if d, ok := f.departed[e.ID]; ok && !known && e.Incarnation <= d.incarnation {
+			unconfirmed = append(unconfirmed, e.ID)
+		}
+	}
+	f.replaceLocked(current)
+	for _, id := range unconfirmed {
+		f.members[id].unconfirmedUntil = now.Add(confirmTime)
+	}
+}
+
+func (f *Fleet) replaceLocked(entries []Entry) {
 	listed := map[radishcrank.UpstreamID]bool{}
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -206,6 +277,13 @@
 	delete(f.members, m.ID)
 	f.services[m.Service] = slices.DeleteFunc(f.services[m.Service], func(o *member) bool { return o == m })
 	f.cachedParts.forget(m.ID)
+	now := time.Now()
+	for id, d := range f.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(f.departed, id)
+		}
+	}
+	f.departed[m.ID] = departure{incarnation: m.Incarnation, leaving: m.Leaving, at: now}
 }
 
 // SetReachable records whether the list can be read.
@@ -272,7 +350,7 @@
 // stateAt returns the state of the upstream without reports that have expired.
 func (m *member) stateAt(now time.Time) State {
 	s := m.State
-	s.Suspect = now.Before(m.suspectUntil)
+	s.Suspect = now.Before(m.suspectUntil) || now.Before(m.unconfirmedUntil)
 	s.Probing = m.failures > 0 && !s.Suspect
 	if now.Sub(m.peerLoadAt) > peerLoadTTL {
 		s.PeerLoad = Load{}
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -133,3 +133,65 @@
 	require.Zero(t, cached["b"].Tokens)
 	require.Empty(t, f.CachedPrefixes("y", []radishcrank.PromptPart{first}), "parts of another cache scope")
 }
+
+// TestRestoredListDoesNotBringBackUpstreams guards against requests to an upstream that
+// has left or is about to, against one that is taken for its earlier incarnation, and
+// against a fleet without the upstreams that registered last, because the platform
+// restored its list from a copy.
+func TestRestoredListDoesNotBringBackUpstreams(t *testing.T) {
+	const confirmTime = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		leaving := func(e Entry) Entry {
+			e.Leaving = true
+			return e
+		}
+		f := New()
+		f.Replace([]Entry{entry("kept", 1), entry("leaving", 1), entry("left", 1), entry("removed", 1), entry("removed and back", 1), entry("restarted", 1)})
+		old := []Entry{entry("kept", 1), entry("leaving", 1), entry("left", 1), entry("removed", 1), entry("removed and back", 1), entry("restarted", 1)}
+		f.Put(leaving(entry("leaving", 1)))
+		f.Put(leaving(entry("left", 1)))
+		f.Remove("left")
+		f.Remove("removed")
+		f.Remove("removed and back")
+		f.Put(entry("restarted", 2))
+		f.SetWeights("restarted", model, "2")
+		f.Put(entry("new", 1))
+		time.Sleep(time.Second)
+
+		f.Restore(old, confirmTime)
+		usable := func() (ids []radishcrank.UpstreamID) {
+			for _, s := range f.AppendStates("s", nil) {
+				if !s.Leaving && !s.Suspect {
+					ids = append(ids, s.ID)
+				}
+			}
+			return ids
+		}
+		require.ElementsMatch(t, []radishcrank.UpstreamID{"kept", "restarted", "new"}, usable())
+		require.EqualValues(t, 2, get(t, f, "restarted").Incarnation)
+		require.EqualValues(t, "2", get(t, f, "restarted").Weights[model])
+
+		f.PutRestored(entry("removed and back", 1))
+		f.PutRestored(entry("leaving", 1))
+		f.PutRestored(entry("new", 1))
+		require.ElementsMatch(t, []radishcrank.UpstreamID{"kept", "restarted", "new", "removed and back"}, usable())
+		f.Remove("removed")
+		time.Sleep(removalGrace + time.Millisecond)
+		f.Expire()
+		require.ElementsMatch(t, []radishcrank.UpstreamID{"kept", "restarted", "new", "removed and back"}, usable())
+	})
+}
+
+// TestRestoredEntryIsConfirmedByTime guards against an upstream that is never used again,
+// since the store does not tell heartbeats that change nothing.
+func TestRestoredEntryIsConfirmedByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New()
+		f.Replace([]Entry{entry("a", 1)})
+		f.Remove("a")
+		f.Restore([]Entry{entry("a", 1)}, 5*time.Second)
+		require.True(t, get(t, f, "a").Suspect)
+		time.Sleep(5 * time.Second)
+		require.False(t, get(t, f, "a").Suspect)
+	})
+}
