Let instances know each other when the store loses their rows

Callers would have seen: more retries than the fleet's budget allows, and loads and weights that instances do not hear of from each other.

Cause: an instance whose row is missing in a restored table was forgotten at once by the others, so that each took a larger part of the retry budget; one that had moved was called at its earlier address. Its own row was written again only when its feed, which waits for 20 s, showed a removal. The key with which instances authenticate each other was never written again, so that one that started after the loss made another and was refused by all.

Evidence: TestInstancesKnowEachOtherAfterRestore and TestSharedKeySurvivesRestore.

Change: rows that are missing after a restore count as lost for 30 s, and the newer of two rows of one instance is believed. Each instance writes its row again if it is missing or that of an earlier process. The key is written again by those that know it; if another one has been made meanwhile, both are used.

--- a/internal/node/rcdaemon/peers.go
+++ b/internal/node/rcdaemon/peers.go
@@ -21,7 +21,7 @@
 	d.handlers = rcrpc.NewHandlers()
 	rpc := rcrpc.Config{
 		Identity: rcrpc.Identity{Instance: boot.ID, Zone: boot.Zone},
-		Keys:     rcrpc.Keys{Current: boot.PeerKey, Old: boot.OldPeerKey},
+		Keys:     rcrpc.FixedKeys(rcrpc.Keys{Current: boot.PeerKey, Old: boot.OldPeerKey}),
 		Handlers: d.handlers,
 	}
 	d.peerClient = rcrpc.NewClient(rpc)
--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -8,11 +8,13 @@
 	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcera"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
@@ -30,6 +32,9 @@
 	// registerRetryDelay is the wait between attempts to write this instance's row.
 	registerRetryDelay = 500 * time.Millisecond
 	sharedKeyBytes     = 32
+	// reregistrationTime is how long an instance whose row was lost with writes of the
+	// store has to write it again. It notices the loss within 20 s at most.
+	reregistrationTime = 30 * time.Second
 	// maxReplaced bounds the queue of rows that are to be removed. Others are found
 	// again at the next read of the whole table.
 	maxReplaced = 16
@@ -53,17 +58,23 @@
 	onPut    func(m member)
 	onRemove func(name string)
 	onReset  func() // Called when the whole table has been read.
+	eras     *rcera.Tracker
 	log      zerolog.Logger
 
-	knownNames    map[string]bool // Names of the instances passed to onPut.
-	ownRowRemoved chan struct{}   // Signaled when this instance's row was removed.
-	replaced      chan member     // Instances whose address this instance now has.
+	ownRowRemoved chan struct{} // Signaled when this instance's row was removed.
+	restored      chan struct{} // Signaled when the store came back from an older copy.
+	replaced      chan member   // Instances whose address this instance now has.
+
+	mu      sync.Mutex
+	known   map[string]member    // Instances passed to onPut, by name.
+	missing map[string]time.Time // Since when the rows of known instances are lost.
 }
 
 // newMemberRegistry returns m with its internal fields initialized.
-func newMemberRegistry(m memberRegistry) *memberRegistry {
-	m.knownNames, m.ownRowRemoved, m.replaced = map[string]bool{}, make(chan struct{}, 1), make(chan member, maxReplaced)
-	return &m
+func newMemberRegistry(m *memberRegistry) *memberRegistry {
+	m.known, m.missing = map[string]member{}, map[string]time.Time{}
+	m.ownRowRemoved, m.restored, m.replaced = make(chan struct{}, 1), make(chan struct{}, 1), make(chan member, maxReplaced)
+	return m
 }
 
 func (m *memberRegistry) logTableError(err error) {
@@ -71,9 +82,9 @@
 }
 
 // sharedSecret returns the key with which instances authenticate each other. The first
-// instance that asks for it creates it.
-func (m *memberRegistry) sharedSecret(ctx context.Context) (key []byte, err error) {
-	for delayed := false; ; {
+// instance that asks for it creates it, or writes the one that it knows already.
+func (m *memberRegistry) sharedSecret(ctx context.Context, known []byte) (key []byte, err error) {
+	for delayed := known != nil; ; {
 		rows, err := m.table.Get(ctx, sharedKey)
 		if err == nil && rows[0].Version > 0 {
 			return rows[0].Value, nil
@@ -86,8 +97,10 @@
 			continue
 		}
 		if err == nil {
-			key = make([]byte, sharedKeyBytes)
-			cryptorand.Read(key)
+			if key = known; key == nil {
+				key = make([]byte, sharedKeyBytes)
+				cryptorand.Read(key)
+			}
 			err = m.table.Commit(ctx, radishcrank.Transaction{
 				Checks: []radishcrank.Check{{Key: sharedKey}},
 				Writes: []radishcrank.Write{{Key: sharedKey, Value: key}},
@@ -129,7 +142,7 @@
 // follow follows the rows of the other instances until ctx is done.
 func (m *memberRegistry) follow(ctx context.Context) error {
 	f := rcfeed.New(rcfeed.Config{
-		Source: m.source, Table: membersTable, MinInterval: membersReadInterval, DelayTolerant: true, Log: m.log,
+		Source: m.source, Table: membersTable, MinInterval: membersReadInterval, DelayTolerant: true, Eras: m.eras, Log: m.log,
 		OnReset: func(rows []rcfeed.Row, s rcfeed.Provenance) {
 			m.applyReset(rows, s)
 			m.onReset()
@@ -140,69 +153,114 @@
 }
 
 // applyReset applies a read of the whole table. It drops instances whose rows were
-// removed while the change history was lost, since these are missing from rows.
-func (m *memberRegistry) applyReset(rows []rcfeed.Row, s rcfeed.Provenance) {
-	previous := m.knownNames
-	m.knownNames = map[string]bool{}
-	selfSeen := false
+// removed while the change history was lost, since these are missing from rows. If the
+// store came back from an older copy, missing rows are rather lost, and their instances
+// write them again.
+func (m *memberRegistry) applyReset(rows []rcfeed.Row, p rcfeed.Provenance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := map[string]bool{}
+	ownRowSeen := false
 	for _, row := range rows {
-		m.applyRow(row, s)
-		selfSeen = selfSeen || row.Key == memberPrefix+m.self.Name
+		ownRowSeen = ownRowSeen || row.Key == memberPrefix+m.self.Name
+		if name, ok := m.applyRowLocked(row, p); ok {
+			listed[name] = true
+		}
 	}
-	for name := range previous {
-		if !m.knownNames[name] {
-			m.onRemove(name)
+	clear(m.missing)
+	for name := range m.known {
+		switch {
+		case listed[name]:
+		case p.Restored:
+			m.missing[name] = time.Now()
+		default:
+			m.dropLocked(name)
 		}
 	}
-	if !selfSeen {
-		m.requestRegistration()
+	if !ownRowSeen {
+		signal(m.ownRowRemoved)
+	}
+	if p.Restored {
+		signal(m.restored)
 	}
 }
 
-// requestRegistration asks peerGroup.run to write this instance's row again.
-func (m *memberRegistry) requestRegistration() {
+// signal wakes the receiver of c, which has room for one signal.
+func signal(c chan struct{}) {
 	select {
-	case m.ownRowRemoved <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-func (m *memberRegistry) applyRow(row rcfeed.Row, _ rcfeed.Provenance) {
-	name, ok := strings.CutPrefix(row.Key, memberPrefix)
+func (m *memberRegistry) applyRow(row rcfeed.Row, p rcfeed.Provenance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applyRowLocked(row, p)
+}
+
+// applyRowLocked applies a row. It returns the name of the other instance that the row
+// describes, if there is one.
+func (m *memberRegistry) applyRowLocked(row rcfeed.Row, p rcfeed.Provenance) (name string, ok bool) {
+	name, ok = strings.CutPrefix(row.Key, memberPrefix)
 	if !ok {
-		return
+		return "", false
 	}
 	if name == m.self.Name {
-		if row.Removed {
-			m.requestRegistration()
-		}
-		return
+		m.applyOwnRow(row)
+		return "", false
 	}
 	if row.Removed {
-		m.dropMember(name)
-		return
+		m.dropLocked(name)
+		return "", false
 	}
 	var other member
 	if err := json.Unmarshal(row.Value, &other); err != nil || !other.Peer.IsValid() {
 		m.log.Warn().Str("Event", "InstanceRowRefused").Str("Key", row.Key).Uint64("Row", row.Version).AnErr("Cause", err).Send()
-		m.dropMember(name)
-		return
+		m.dropLocked(name)
+		return "", false
 	}
 	if other.Peer == m.self.Peer {
 		// The other instance can no longer listen on this address. Calls to it would be
 		// answered by this instance.
-		m.dropMember(name)
+		m.dropLocked(name)
 		select {
 		case m.replaced <- other:
 		default:
 		}
-		return
+		return "", false
 	}
-	m.knownNames[name] = true
+	if known, ok := m.known[name]; ok && p.Restored && other.Born < known.Born {
+		return name, true // The copy is older than the instance, which writes its row again.
+	}
+	delete(m.missing, name)
+	m.known[name] = other
 	m.onPut(other)
+	return name, true
+}
+
+// applyOwnRow requests a registration if this instance's row is gone or is that of an
+// earlier process.
+func (m *memberRegistry) applyOwnRow(row rcfeed.Row) {
+	var own member
+	if row.Removed || json.Unmarshal(row.Value, &own) != nil || own.Born != m.self.Born {
+		signal(m.ownRowRemoved)
+	}
+}
+
+// dropMissing drops the instances that have not written their lost rows again.
+func (m *memberRegistry) dropMissing(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, since := range m.missing {
+		if now.Sub(since) >= reregistrationTime {
+			m.dropLocked(name)
+		}
+	}
 }
 
-func (m *memberRegistry) dropMember(name string) {
-	delete(m.knownNames, name)
+func (m *memberRegistry) dropLocked(name string) {
+	delete(m.known, name)
+	delete(m.missing, name)
 	m.onRemove(name)
 }
--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -37,7 +37,7 @@
 	for n := range instances {
 		wg.Go(func() {
 			m := &memberRegistry{table: &platform.Table{Store: store, Name: membersTable}, log: zerolog.Nop()}
-			key, err := m.sharedSecret(t.Context())
+			key, err := m.sharedSecret(t.Context(), nil)
 			assert.NoError(t, err)
 			keys[n] = string(key)
 		})
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -1,9 +1,11 @@
 package rcinstance
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -256,7 +258,7 @@
 func (p *peerGroup) run(ctx context.Context) (err error) {
 	i := p.instance
 	table := &platform.Table{Store: i.store, Name: membersTable}
-	registry := newMemberRegistry(memberRegistry{
+	registry := newMemberRegistry(&memberRegistry{
 		table:  table,
 		source: table,
 		self:   p.self.member,
@@ -275,20 +277,23 @@
 			defer p.mu.Unlock()
 			p.membersRead = true
 		},
-		log: i.log,
+		eras: &i.storeEras,
+		log:  i.log,
 	})
 	listener, err := net.Listen("tcp", i.settings.PeerAddr.String())
 	if err != nil {
 		return err
 	}
-	key, err := registry.sharedSecret(ctx)
+	key, err := registry.sharedSecret(ctx, nil)
 	if err != nil {
 		listener.Close()
 		return err
 	}
+	var keys atomic.Pointer[rcrpc.Keys]
+	keys.Store(&rcrpc.Keys{Current: key})
 	cfg := rcrpc.Config{
 		Identity: rcrpc.Identity{Instance: radishcrank.InstanceID(i.settings.Instance), Zone: radishcrank.AvailabilityZone(i.settings.Zone)},
-		Keys:     rcrpc.Keys{Current: key},
+		Keys:     func() rcrpc.Keys { return *keys.Load() },
 		Handlers: p.handlers,
 	}
 	client := rcrpc.NewClient(cfg)
@@ -322,6 +327,16 @@
 			if err := registry.register(ctx); err != nil {
 				return err
 			}
+		case <-registry.restored:
+			known := keys.Load().Current
+			stored, err := registry.sharedSecret(ctx, known)
+			if err != nil {
+				return err
+			}
+			if !bytes.Equal(stored, known) {
+				// An instance that started meanwhile did not find the key and made another.
+				keys.Store(&rcrpc.Keys{Current: stored, Old: known})
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/node/rcinstance/removal.go
+++ b/internal/node/rcinstance/removal.go
@@ -61,6 +61,7 @@
 // removeDeadMembers removes the rows of dead and replaced instances until ctx is done.
 func (p *peerGroup) removeDeadMembers(ctx context.Context, registry *memberRegistry) {
 	for rcwait.Sleep(ctx, removalInterval) {
+		registry.dropMissing(time.Now())
 		p.mu.Lock()
 		dead, ok := p.deadMemberLocked(time.Now())
 		p.mu.Unlock()
--- a/internal/node/rcinstance/removal_test.go
+++ b/internal/node/rcinstance/removal_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/internal/state/rcera"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/platform"
 )
@@ -22,13 +23,14 @@
 // newTestRegistry returns one instance's member registry on a fake store, and the set
 // of names that it knows.
 func newTestRegistry(t *testing.T, storeAddr netip.AddrPort, self member) (*memberRegistry, map[string]bool) {
-	table := &platform.Table{Store: platform.NewStore(platform.StoreConfig{Addr: storeAddr}), Name: membersTable}
+	eras := &rcera.Tracker{}
+	table := &platform.Table{Store: platform.NewStore(platform.StoreConfig{Addr: storeAddr, Eras: eras}), Name: membersTable}
 	known := map[string]bool{}
-	return newMemberRegistry(memberRegistry{
+	return newMemberRegistry(&memberRegistry{
 		table: table, source: table, self: self,
 		onPut:    func(m member) { known[m.Name] = true },
 		onRemove: func(name string) { delete(known, name) },
-		onReset:  func() {}, log: zerolog.Nop(),
+		onReset:  func() {}, eras: eras, log: zerolog.Nop(),
 	}), known
 }
 
@@ -187,3 +189,81 @@
 		})
 	}
 }
+
+// TestInstancesKnowEachOtherAfterRestore guards against instances that forget each other,
+// or believe an earlier address, because the store came back from a copy without their
+// rows: each would take the whole fleet's retry budget.
+func TestInstancesKnowEachOtherAfterRestore(t *testing.T) {
+	fake, store := startStore(t)
+	earlier, _ := newTestRegistry(t, store, testMember("moved", 3, 1))
+	require.NoError(t, earlier.register(t.Context()))
+	time.Sleep(20 * time.Millisecond)
+	copiedAt := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	mine, known := newTestRegistry(t, store, testMember("a", 1, 1))
+	other, _ := newTestRegistry(t, store, testMember("b", 2, 1))
+	moved, _ := newTestRegistry(t, store, testMember("moved", 4, 2))
+	for _, m := range []*memberRegistry{mine, other, moved} {
+		require.NoError(t, m.register(t.Context()))
+	}
+	readAll(t, mine)
+	require.Equal(t, map[string]bool{"b": true, "moved": true}, known)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- other.follow(ctx) }()
+	require.Eventually(t, func() bool { return fake.Calls() >= 6 }, time.Second, time.Millisecond)
+
+	fake.Restore(time.Since(copiedAt), 50*time.Millisecond)
+	a, err := mine.source.Read(t.Context(), membersTable)
+	require.NoError(t, err)
+	require.Len(t, a.Rows, 1)
+	mine.applyReset(a.Rows, rcfeed.Provenance{Restored: true})
+	require.Equal(t, map[string]bool{"b": true, "moved": true}, known)
+	require.EqualValues(t, 4, mine.known["moved"].Peer.Port())
+	<-mine.ownRowRemoved
+	<-mine.restored
+	other.eras.Observe(a.Era) // As an answer to any other call shows it.
+	select {
+	case <-other.ownRowRemoved:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the instance did not notice that its row was lost")
+	}
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+
+	mine.applyRow(rcfeed.Row{Key: memberPrefix + "b", Value: []byte(`{"Name":"b","Peer":"127.0.0.1:2","Born":1}`)}, rcfeed.Provenance{})
+	mine.dropMissing(time.Now().Add(reregistrationTime))
+	require.Equal(t, map[string]bool{"b": true, "moved": true}, known, "both are listed again")
+	mine.applyReset(nil, rcfeed.Provenance{Restored: true})
+	mine.dropMissing(time.Now().Add(reregistrationTime))
+	require.Empty(t, known, "instances that do not come back are dropped")
+}
+
+// TestSharedKeySurvivesRestore guards against instances that refuse each other for ever,
+// because the store came back without their key and one that starts makes another.
+func TestSharedKeySurvivesRestore(t *testing.T) {
+	fake, store := startStore(t)
+	copiedAt := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	running, _ := newTestRegistry(t, store, testMember("a", 1, 1))
+	key, err := running.sharedSecret(t.Context(), nil)
+	require.NoError(t, err)
+
+	fake.Restore(time.Since(copiedAt), 10*time.Millisecond)
+	stored, err := running.sharedSecret(t.Context(), key)
+	require.NoError(t, err)
+	require.Equal(t, key, stored)
+	started, _ := newTestRegistry(t, store, testMember("b", 2, 1))
+	stored, err = started.sharedSecret(t.Context(), nil)
+	require.NoError(t, err)
+	require.Equal(t, key, stored)
+
+	fake.Restore(time.Since(copiedAt), 10*time.Millisecond)
+	started, _ = newTestRegistry(t, store, testMember("c", 3, 1))
+	other, err := started.sharedSecret(t.Context(), nil)
+	require.NoError(t, err)
+	require.NotEqual(t, key, other)
+	stored, err = running.sharedSecret(t.Context(), key)
+	require.NoError(t, err)
+	require.Equal(t, other, stored, "the key that is stored now is used beside the former one")
+}
--- a/internal/peer/rcrpc/client.go
+++ b/internal/peer/rcrpc/client.go
@@ -36,8 +36,8 @@
 // Config configures clients and servers.
 type Config struct {
 	Identity Identity
-	Keys     Keys
-	Handlers *Handlers // Serves calls received on incoming and outgoing connections.
+	Keys     func() Keys // Returns the keys for the next connection.
+	Handlers *Handlers   // Serves calls received on incoming and outgoing connections.
 
 	// Dial opens connections; the default uses net.Dialer. Tests replace it.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
@@ -239,7 +239,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { rawConn.Close() })
-	peer, err := handshake(rawConn, c.cfg.Identity, c.cfg.Keys, true, c.cfg.DialTimeout)
+	peer, err := handshake(rawConn, c.cfg.Identity, c.cfg.Keys(), true, c.cfg.DialTimeout)
 	if err != nil || !stop() {
 		rawConn.Close()
 		return nil, errors.Join(err, ctx.Err())
--- a/internal/peer/rcrpc/handshake.go
+++ b/internal/peer/rcrpc/handshake.go
@@ -61,6 +61,9 @@
 	Old     []byte // Empty except during a rotation.
 }
 
+// FixedKeys returns a Config.Keys for keys that never change.
+func FixedKeys(k Keys) func() Keys { return func() Keys { return k } }
+
 func (k Keys) list() [][]byte {
 	if len(k.Old) == 0 {
 		return [][]byte{k.Current}
--- a/internal/peer/rcrpc/rcrpc_test.go
+++ b/internal/peer/rcrpc/rcrpc_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
-	s := NewServer(listener, Config{Identity: Identity{Instance: "server"}, Keys: keys, Handlers: newHandlers(object)})
+	s := NewServer(listener, Config{Identity: Identity{Instance: "server"}, Keys: FixedKeys(keys), Handlers: newHandlers(object)})
 	go func() { done <- s.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -69,7 +69,7 @@
 }
 
 func newClient(t *testing.T, keys Keys) *Client {
-	c := NewClient(Config{Identity: Identity{Instance: "client"}, Keys: keys})
+	c := NewClient(Config{Identity: Identity{Instance: "client"}, Keys: FixedKeys(keys)})
 	t.Cleanup(c.Close)
 	return c
 }
@@ -223,7 +223,7 @@
 func TestUnresponsiveConnectionIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dials := 0
-		c := NewClient(Config{Keys: keysOld, Dial: pipeDialer(func(conn net.Conn) {
+		c := NewClient(Config{Keys: FixedKeys(keysOld), Dial: pipeDialer(func(conn net.Conn) {
 			defer conn.Close()
 			if _, err := handshake(conn, Identity{}, keysOld, false, time.Second); err == nil {
 				io.Copy(io.Discard, conn)
@@ -253,7 +253,7 @@
 func TestReconnectBacksOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dials := 0
-		c := NewClient(Config{Keys: keysOld, Dial: pipeDialer(nil, &dials)})
+		c := NewClient(Config{Keys: FixedKeys(keysOld), Dial: pipeDialer(nil, &dials)})
 		defer c.Close()
 		for range 600 {
 			_, err := Call(t.Context(), c, netip.AddrPort{}, echo, testParams{})
@@ -264,7 +264,7 @@
 		require.Less(t, dials, 60)
 		require.Greater(t, dials, 5)
 		c.cfg.Dial = pipeDialer(func(conn net.Conn) {
-			s := NewServer(nil, Config{Keys: keysOld, Handlers: newHandlers(nil)})
+			s := NewServer(nil, Config{Keys: FixedKeys(keysOld), Handlers: newHandlers(nil)})
 			s.slots <- struct{}{}
 			s.serve(t.Context(), conn)
 		}, &dials)
--- a/internal/peer/rcrpc/server.go
+++ b/internal/peer/rcrpc/server.go
@@ -76,7 +76,7 @@
 	defer func() { <-s.slots }()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	peer, err := handshake(conn, s.cfg.Identity, s.cfg.Keys, false, s.cfg.DialTimeout)
+	peer, err := handshake(conn, s.cfg.Identity, s.cfg.Keys(), false, s.cfg.DialTimeout)
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/state/rcrevision/tcp_test.go
+++ b/internal/state/rcrevision/tcp_test.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	table, unreachable := rcfaketable.New(), rcfaketable.New()
 	unreachable.SetFaults(rcfaketable.Faults{Down: true})
-	keys := rcrpc.Keys{Current: []byte("0123456789abcdef0123456789abcdef")}
+	keys := rcrpc.FixedKeys(rcrpc.Keys{Current: []byte("0123456789abcdef0123456789abcdef")})
 	inForce := make(chan radishcrank.InstanceID, 3)
 	var bootstrap []netip.AddrPort
 	var first *Syncer
