Let engines that cannot be reached wait while others load weights

Cause: the engines with the fewest running requests load first, and a failed order was repeated after 0.4 s. An engine that is listed and cannot be reached runs nothing, so it was tried again and again, and the few slots for concurrent loads were always taken.

Evidence: the holder of the lease logged one failed WeightsLoad on u1 (connection refused) every 0.44 s for 20 s and no other. TestUnreachableEnginesDoNotStallRollout failed before: of 4 engines with one unreachable, the others kept weights 1.

Change: an engine whose order failed is left alone for 0.4 s, doubling up to 1.6 s, and does not keep its slot meanwhile.

--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -30,8 +30,11 @@
 	// unansweredOrderTimeout is how long an order without an answer may take to appear
 	// in the engine's reports, which lag by a few hundred milliseconds.
 	unansweredOrderTimeout = 600 * time.Millisecond
-	// retryDelay is the wait after an order that failed.
-	retryDelay = 400 * time.Millisecond
+	// retryDelay is how long an engine is left alone after an order that failed. It
+	// doubles with each further failure up to maxRetryDelay, so that engines that cannot
+	// be reached do not keep the others from loading.
+	retryDelay    = 400 * time.Millisecond
+	maxRetryDelay = 1600 * time.Millisecond
 )
 
 // ErrBusy reports that the engine is executing another order, or has accepted one since
@@ -101,18 +104,28 @@
 type Controller struct {
 	cfg Config
 
-	mu      sync.Mutex
-	pending map[radishcrank.UpstreamID]bool // Engines with an order in progress.
+	mu       sync.Mutex
+	pending  map[radishcrank.UpstreamID]bool         // Engines with an order in progress.
+	failures map[radishcrank.UpstreamID]orderFailure // Engines whose last order failed.
+}
+
+// orderFailure describes the failed orders to an engine since the last one that succeeded.
+type orderFailure struct {
+	count   int
+	retryAt time.Time
 }
 
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, pending: map[radishcrank.UpstreamID]bool{}}
+	return &Controller{cfg: cfg, pending: map[radishcrank.UpstreamID]bool{}, failures: map[radishcrank.UpstreamID]orderFailure{}}
 }
 
 // Lead sends orders until ctx is done or the term ends.
 func (c *Controller) Lead(ctx context.Context, term Term, fence uint64) error {
 	c.cfg.Log.Info().Str("Event", "LeaseGained").Uint64("Fence", fence).Send()
 	defer c.cfg.Log.Info().Str("Event", "LeaseLost").Uint64("Fence", fence).Send()
+	c.mu.Lock()
+	clear(c.failures) // They may be long ago.
+	c.mu.Unlock()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	ticker := time.NewTicker(planInterval)
@@ -123,7 +136,7 @@
 			for _, service := range c.cfg.ServicesOf(desired.Model) {
 				engines = c.cfg.Fleet.AppendStates(service, engines)
 			}
-			for _, e := range Plan(desired, c.markPending(engines), time.Now()) {
+			for _, e := range Plan(desired, c.applyOrders(engines), time.Now()) {
 				// Mark the engine before the goroutine starts, so that the next plan counts it.
 				c.announce(e, EngineUpdate{Model: desired.Model, LoadingFor: quiescePeriod + expectedLoadTime})
 				c.setPending(e.ID, true)
@@ -151,20 +164,37 @@
 	}
 }
 
-// markPending marks engines with an order in progress as loading. This matters for an
-// unanswered order, which can take longer than the expected load time.
-func (c *Controller) markPending(engines []rcfleet.State) []rcfleet.State {
+// applyOrders marks engines with an order in progress as loading. This matters for an
+// unanswered order, which can take longer than the expected load time. Engines whose last
+// order has just failed are marked as suspect.
+func (c *Controller) applyOrders(engines []rcfleet.State) []rcfleet.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	until := time.Now().Add(planInterval)
+	now := time.Now()
+	until := now.Add(planInterval)
 	for i := range engines {
 		if c.pending[engines[i].ID] && engines[i].LoadingUntil.Before(until) {
 			engines[i].LoadingUntil = until
 		}
+		engines[i].Suspect = engines[i].Suspect || now.Before(c.failures[engines[i].ID].retryAt)
 	}
 	return engines
 }
 
+// recordOrder records whether an order succeeded.
+func (c *Controller) recordOrder(id radishcrank.UpstreamID, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.failures, id)
+		return
+	}
+	f := c.failures[id]
+	f.retryAt = time.Now().Add(min(retryDelay<<min(f.count, 8), maxRetryDelay))
+	f.count++
+	c.failures[id] = f
+}
+
 // announce applies an update to this instance's fleet and sends it to the others.
 func (c *Controller) announce(e rcfleet.State, update EngineUpdate) {
 	update.Upstream, update.Incarnation = e.ID, e.Incarnation
@@ -194,12 +224,12 @@
 	if err == nil {
 		report, err = c.awaitWeights(ctx, desired, e)
 	}
+	c.recordOrder(e.ID, err)
 	log := c.cfg.Log.Info().Str("Event", "WeightsLoad").Str("Upstream", string(e.ID)).Str("Model", string(desired.Model)).
 		Str("Weights", string(desired.Newest())).Str("Before", string(e.Weights[desired.Model])).Uint64("Fence", fence).
 		Int64("ReplacedAgeMS", started.Sub(replacedAt).Milliseconds()).Int64("TookMS", time.Since(started).Milliseconds())
 	if err != nil {
 		log.Str("Outcome", "Failed").Str("Cause", err.Error()).Send()
-		rcwait.Sleep(ctx, retryDelay)
 		c.announce(e, EngineUpdate{Model: desired.Model})
 		return
 	}
--- a/internal/record/rcrollout/rollout_test.go
+++ b/internal/record/rcrollout/rollout_test.go
@@ -107,8 +107,10 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[radishcrank.UpstreamID]*fakeEngine
-	// loseAnswer selects engines that accept orders without answering.
+	// loseAnswer selects engines that accept orders without answering, and unreachable
+	// those that no call reaches.
 	loseAnswer    func(id radishcrank.UpstreamID) bool
+	unreachable   func(id radishcrank.UpstreamID) bool
 	maxBusy       int
 	unconditional int // Number of orders without an expected sequence.
 }
@@ -147,6 +149,10 @@
 }
 
 func (f *fakeEngines) Report(_ context.Context, up radishcrank.Upstream) (Report, error) {
+	if f.unreachable != nil && f.unreachable(up.ID) {
+		time.Sleep(300 * time.Millisecond) // The timeout of a connection attempt.
+		return Report{}, radishcrank.ErrNotSent
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engines[up.ID]
@@ -204,6 +210,26 @@
 	})
 }
 
+// TestUnreachableEnginesDoNotStallRollout guards against a rollout that tries the same
+// engines again and again because they are listed, run nothing and cannot be reached.
+func TestUnreachableEnginesDoNotStallRollout(t *testing.T) {
+	for n, unreachable := range map[int]map[radishcrank.UpstreamID]bool{
+		4:  {"e0": true},
+		12: {"e0": true, "e1": true, "e2": true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			engines := &fakeEngines{unreachable: func(id radishcrank.UpstreamID) bool { return unreachable[id] }}
+			history := newHistory("1", "2")
+			rollOut(t, n, engines, func() rcweights.History { return history }, newTerm(), 8*time.Second)
+			for id, e := range engines.engines {
+				if !unreachable[id] {
+					require.Equal(t, radishcrank.WeightsVersion("2"), e.weights, "engine %s of %d", id, n)
+				}
+			}
+		})
+	}
+}
+
 // unresponsiveEngines do not execute orders: each one stays unanswered and does not
 // appear in reports.
 type unresponsiveEngines struct{}
