Play store drills and waiting requests in the soak

Stand-ins: requests wait at engines and are dropped when their connection closes or their time limit expires; an engine tells who ordered it, with which fencing number. Soak: restores of the store from copies of 0.2 to 8 s, away for 50 ms to 1.5 s, silent or refusing; half of them lose the consequences of an operation just before, half are followed by a strike, the last one comes at the very end; a configuration may be written as the store returns, and other writers may bring versions up to those of before. Engines turn slow while all have outdated weights. New or sharper guarantees: weights are judged where a request begins, one instance gives orders, an instance that knows of a drain keeps to it, the store is not flooded, records are written again, the newest configuration is in force at the end.

--- a/internal/cli/rccli/soak.go
+++ b/internal/cli/rccli/soak.go
@@ -16,7 +16,7 @@
 	Seed      uint64        `help:"Seed of the fault schedule." default:"1"`
 	For       time.Duration `help:"Duration of the fault schedule. Recovery checks follow it." default:"20s"`
 	Instances int           `help:"Number of instances, at most 200. With more than 12, relays are used." default:"3"`
-	Plain     bool          `help:"Use the schedule of the first version of the soak test."`
+	Schedule  int           `help:"Version of the schedule: 0 is the newest, 1 the first, 2 has no restores of the store and slow engines." default:"0" enum:"0,1,2"`
 	Program   string        `help:"Instance program; by default, radishcrankd in the directory of this program." type:"path"`
 	Dir       string        `help:"Directory for settings and logs; by default, a temporary one that is kept if a guarantee is violated." type:"path"`
 }
@@ -37,7 +37,7 @@
 		}
 	}
 	report, err := rcsoak.Run(env.ctx, rcsoak.Config{
-		Seed: c.Seed, Duration: c.For, Instances: c.Instances, Plain: c.Plain, Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: env.out,
+		Seed: c.Seed, Duration: c.For, Instances: c.Instances, Schedule: rcsoak.ScheduleVersion(c.Schedule), Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: env.out,
 	})
 	if err != nil {
 		return err
--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -92,14 +92,22 @@
 	}
 	for k := 0; rcwait.Sleep(ctx, time.Duration(rng.Int64N(int64(2*meanRequestInterval)))); k++ {
 		n := rng.IntN(len(clients))
-		path := []string{"/book/1", "/look/1", "/advice/1"}[rng.IntN(3)]
+		path := callerPaths[rng.IntN(len(callerPaths))]
 		c.request(clients[n], c.s.instances[n], path, fmt.Sprintf("i%d-%d-%d", n, number, k))
 	}
 }
 
+// callerPaths are the paths of the routes that all configurations have.
+var callerPaths = []string{"/book/1", "/look/1", "/advice/1", "/chat/1"}
+
+// generates reports whether engines serve a path.
+func generates(path string) bool {
+	return strings.HasPrefix(path, "/advice/") || strings.HasPrefix(path, "/chat/")
+}
+
 func send(client *http.Client, i *instance, path, id string) rcfakecaller.Result {
 	q := rcfakecaller.Request{Addr: i.frontAddr, Path: path, ID: id, Timeout: callerTimeout}
-	if strings.HasPrefix(path, "/advice/") {
+	if generates(path) {
 		q.Model = model
 	}
 	return rcfakecaller.Send(client, q)
@@ -137,7 +145,7 @@
 
 func (c *callers) checkResponse(path, id string, r rcfakecaller.Result) {
 	want := "done " + id
-	if path == "/advice/1" {
+	if generates(path) {
 		want = expectedStream()
 	}
 	switch {
--- a/internal/eval/rcsoak/checks.go
+++ b/internal/eval/rcsoak/checks.go
@@ -157,6 +157,8 @@
 		s.violation("weights reach all engines", "%v have outdated weights %s after the last fault", late, time.Since(ended))
 	}
 	rcwait.Sleep(ctx, faultGracePeriod)
+	s.checkRecords()
+	s.checkNewestConfig()
 	failed := s.sendRecoveryProbes()
 	if len(failed) > 0 {
 		s.violation("service recovers", "%d of %d requests failed after the last fault; the first: %s", len(failed), recoveryProbes, failed[0])
@@ -177,7 +179,7 @@
 func (s *soak) sendRecoveryProbes() (failed []string) {
 	client := &http.Client{Timeout: callerTimeout}
 	for k := range recoveryProbes {
-		path := []string{"/book/1", "/look/1", "/advice/1"}[k%3]
+		path := callerPaths[k%len(callerPaths)]
 		i := s.instances[k%len(s.instances)]
 		for attempt := range recoveryAttempts {
 			start, id := time.Now(), fmt.Sprintf("i%d-end-%d-%d", i.number, k, attempt)
--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -22,9 +23,11 @@
 	eventInterval       = 5 * time.Millisecond
 	serviceDelay        = 15 * time.Millisecond
 	weightsLoadDuration = 400 * time.Millisecond
+	// maxEngineWait exceeds the time that callers wait for the first event.
+	maxEngineWait = 3 * time.Second
 	// drainDuration is how long a draining upstream keeps serving. It exceeds the
 	// platform's DrainMs, as on the real platform.
-	drainDuration = 4 * time.Second
+	drainDuration = 8 * time.Second
 	// clockSkew is within the platform's MaxSkewMs.
 	clockSkew = 2 * time.Second
 	model     = "m"
@@ -32,6 +35,7 @@
 
 const configTemplate = `{"Version":%[1]d,"Routes":[
  {"Name":"advice","Hostname":"a.example","Prefix":"/advice/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":3},
+ {"Name":"chat","Hostname":"a.example","Prefix":"/chat/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":1},
  {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":1},
  {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2},
  {"Name":"new","Hostname":"a.example","Prefix":"/new%[2]d/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2}],
@@ -44,18 +48,27 @@
 	id                  string
 	service             string
 	link                *proxy
-	linkFaults          faultWindow // Faults of its link.
+	linkFaults          faultWindow  // Faults of its link.
+	wait                atomic.Int64 // Longest wait of a request before it begins, as a time.Duration.
+	occupations         atomic.Int32 // Number of actions because of which it rejects orders.
 	createdAt           time.Time
-	drainedAt           time.Time // When the store had accepted the drain; zero before.
-	lateRequestReported bool      // Whether a request after the drain was reported.
+	drainedAt           time.Time      // When the store had accepted the drain; zero before.
+	acknowledged        map[string]int // Numbers of starts of the instances that know of the drain.
+	lateRequestReported bool           // Whether a request after the drain was reported.
+}
+
+// callbacks are called by upstreams, concurrently.
+type callbacks struct {
+	order   func(u *upstream, o rcfakeupstream.Order) // An engine has accepted an order.
+	arrival func(u *upstream, id string)              // A request has arrived.
+	begin   func(u *upstream, id string, weights int64)
 }
 
 // environment holds the fake store and upstreams that the instances interact with.
 type environment struct {
 	faultWindow             // All faults that affect requests.
 	storeFaults faultWindow // Faults of the store only.
-	onOrder     func()      // Called when an engine accepts an order.
-	onRequest   func(u *upstream, id string, weights int64)
+	callbacks   callbacks
 
 	// peers maps the peer addresses that instances announce to those of their
 	// proxies. It is complete before the first instance starts.
@@ -91,8 +104,8 @@
 	leaseKey     = "lease/orders"
 )
 
-func newEnvironment(onOrder func(), onRequest func(u *upstream, id string, weights int64)) (e *environment, err error) {
-	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), onOrder: onOrder, onRequest: onRequest, peers: map[string]string{}}
+func newEnvironment(c callbacks) (e *environment, err error) {
+	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), callbacks: c, peers: map[string]string{}}
 	e.store.Rewrite = e.redirectPeers
 	e.server = httptest.NewServer(e.store)
 	e.changeConfig(true, true)
@@ -149,9 +162,12 @@
 		cfg.Model, cfg.EventCount, cfg.Delay, cfg.LoadTime, cfg.Weights = model, streamEvents, eventInterval, weightsLoadDuration, int64(len(e.weightsWrittenAt))
 	}
 	u := &upstream{id: cfg.ID, service: service}
-	cfg.OnLoaded, cfg.OnOrder = func() { e.updateEntry(u) }, e.onOrder
+	cfg.OnLoaded = func() { e.updateEntry(u) }
+	cfg.OnOrder = func(o rcfakeupstream.Order) { e.callbacks.order(u, o) }
+	cfg.OnArrival = func(id string) { e.callbacks.arrival(u, id) }
 	if service == "llm" {
-		cfg.OnRequest = func(id string, weights int64) { e.onRequest(u, id, weights) }
+		cfg.Wait = u.nextWait
+		cfg.OnRequest = func(id string, weights int64) { e.callbacks.begin(u, id, weights) }
 	}
 	server, err := rcfakeupstream.Start(cfg)
 	if err != nil {
@@ -223,11 +239,11 @@
 	e.addReplacement(u)
 }
 
-// drain announces the drain of an upstream, and stops and replaces it later.
-func (e *environment) drain(target int) {
-	u := e.removeUpstream(target)
-	if u == nil {
-		return
+// drain announces the drain of an upstream, and stops and replaces it later. It returns
+// nil if the upstream is needed.
+func (e *environment) drain(target int) (u *upstream) {
+	if u = e.removeUpstream(target); u == nil {
+		return nil
 	}
 	e.putEntry(u, "draining")
 	e.mu.Lock()
@@ -240,6 +256,7 @@
 		u.link.close()
 	})
 	e.addReplacement(u)
+	return u
 }
 
 func (e *environment) addReplacement(u *upstream) {
@@ -296,13 +313,14 @@
 	return e.config
 }
 
-// occupy makes some engines reject orders and returns them. They do so until
-// SetRejectOrders(false) is called on them.
+// occupy makes some engines reject orders and returns them. They do so until release is
+// called on them, for each of several overlapping occupations.
 func (e *environment) occupy(target, variant int) (engines []*upstream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n := range e.upstreams {
 		if u := e.upstreams[(target+n)%len(e.upstreams)]; u.service == "llm" && len(engines) <= variant%engineCount {
+			u.occupations.Add(1)
 			u.SetRejectOrders(true)
 			engines = append(engines, u)
 		}
@@ -310,6 +328,31 @@
 	return engines
 }
 
+func (u *upstream) release() { u.SetRejectOrders(u.occupations.Add(-1) > 0) }
+
+// slowDown makes requests wait at some engines and returns these.
+func (e *environment) slowDown(target, variant int) (engines []*upstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n := range e.upstreams {
+		if u := e.upstreams[(target+n)%len(e.upstreams)]; u.service == "llm" && len(engines) <= variant%engineCount {
+			u.wait.Store(int64(maxEngineWait))
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
+
+// nextWait returns how long the next request waits before it begins. Waits differ, so
+// that no prediction of them holds.
+func (u *upstream) nextWait() time.Duration {
+	longest := u.wait.Load()
+	if longest == 0 {
+		return 0
+	}
+	return time.Duration(rand.Int64N(longest))
+}
+
 // leaseHolder returns the name of the instance that holds the lease for orders, or
 // "" if none ever did.
 func (e *environment) leaseHolder() string {
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -33,7 +33,9 @@
 	failStore     actionKind = "fail store"     // Fault of the store itself.
 	forgetStore   actionKind = "forget store"   // The store discards its change history.
 	crashUpstream actionKind = "crash upstream"
-	failService   actionKind = "fail service" // Upstreams of a service refuse, reset, fail and truncate half of their responses.
+	failService   actionKind = "fail service"  // Upstreams of a service refuse, reset, fail and truncate half of their responses.
+	restoreStore  actionKind = "restore store" // The store goes away and comes back from an older copy.
+	slowEngines   actionKind = "slow engines"  // Requests wait at some engines before they begin.
 )
 
 var (
@@ -42,6 +44,11 @@
 	// plainPlannedKinds and plainFaultKinds are the kinds of plain schedules.
 	plainPlannedKinds = plannedKinds[:5]
 	plainFaultKinds   = faultKinds[:9]
+	// drillKinds are the kinds of the actions that the newest schedules have besides.
+	drillKinds = []actionKind{restoreStore, slowEngines}
+	// lostKinds are planned operations that fall right before a restore, which loses
+	// what instances wrote because of them.
+	lostKinds = []actionKind{changeConfig, nameWeights, drainUpstream, revokeKey}
 	// coincidentKinds are the kinds of coincident actions in the part of a run with
 	// faults.
 	coincidentKinds = []actionKind{stopInstance, killInstance, pauseInstance}
@@ -118,17 +125,36 @@
 	// kinds occurred in each run, the store and the links would hardly ever be free
 	// of faults for long enough to check the bounds that require it.
 	faultKindProbability = 0.5
+	// minDrillGap and maxDrillGap enclose the time between two drills.
+	minDrillGap = 1500 * time.Millisecond
+	maxDrillGap = 6 * time.Second
+	// maxLostDelay bounds the delay between an operation and the restore that loses
+	// its consequences.
+	maxLostDelay = 400 * time.Millisecond
+	// drillStream is the stream of random numbers for drills. It is apart from that of
+	// the other actions, so that a seed keeps the schedule that it had without drills.
+	drillStream = 2
+)
+
+// ScheduleVersion selects what a schedule contains.
+type ScheduleVersion int
+
+// Versions of schedules. Seeds that violated a guarantee are kept with the version that
+// did.
+const (
+	NewestSchedule ScheduleVersion = iota
+	PlainSchedule                  // No coincident actions, and only the kinds of the first version.
+	NoDrills                       // Without restores of the store and slow engines.
 )
 
 // newSchedule returns the actions for a seed. Actions overlap, since the gaps
-// between them are shorter than most faults. Plain schedules have no coincident
-// actions and only the kinds of the first version of the soak. Fleets with relays
+// between them are shorter than most faults. Fleets with relays
 // also have cuts between instances together with planned operations: relays forward
 // what they read from the store, and the other instances must get it in time without
 // them.
 func newSchedule(cfg Config) (schedule []action) {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-	duration, plain, relays := cfg.Duration, cfg.Plain, cfg.Instances > maxDirectPeers
+	duration, plain, relays := cfg.Duration, cfg.Schedule == PlainSchedule, cfg.Instances > maxDirectPeers
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
 	planned, faults := plannedKinds, []actionKind{}
 	switch {
@@ -167,10 +193,56 @@
 			schedule = append(schedule, newCoincidentAction(rng, a, faulty))
 		}
 	}
+	if cfg.Schedule == NewestSchedule {
+		schedule = append(schedule, newDrills(cfg)...)
+	}
 	slices.SortStableFunc(schedule, func(a, b action) int { return int(a.at - b.at) })
 	return schedule
 }
 
+// newDrills returns restores of the store and slow engines, but for one case in the part
+// of a run with faults. Half of the restores lose the consequences of an operation, and half are
+// followed by a strike against instances that are finding out. The last drill is a
+// restore right at the end: what instances miss then, no later action mends.
+func newDrills(cfg Config) (drills []action) {
+	rng := rand.New(rand.NewPCG(cfg.Seed, drillStream))
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	start := time.Duration(plannedOnlyFraction * float64(cfg.Duration))
+	if rng.IntN(2) == 0 {
+		// Engines that have outdated weights turn slow just before these expire. This comes
+		// first, since faults of the store and of links give the weights more time.
+		at := between(minActionGap, maxActionGap)
+		drills = []action{
+			{at: at, kind: nameWeights},
+			{at: at, kind: occupyEngines, target: rng.IntN(1 << 10), variant: engineCount - 1, duration: weightsBound + maxEngineWait},
+			{at: at + weightsBound/2, kind: slowEngines, target: rng.IntN(1 << 10), variant: engineCount - 1, duration: maxEngineWait},
+		}
+	}
+	for at := start + between(minActionGap, minDrillGap); at < cfg.Duration; at += between(minDrillGap, maxDrillGap) {
+		a := action{
+			at: at, kind: drillKinds[rng.IntN(len(drillKinds))], target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10),
+			duration: between(100*time.Millisecond, maxFaultDuration),
+		}
+		if a.kind == restoreStore {
+			a.duration = between(minAwayTime, maxAwayTime)
+			if rng.IntN(2) == 0 {
+				lost := action{at: a.at, kind: lostKinds[rng.IntN(len(lostKinds))], target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10)}
+				drills = append(drills, lost)
+				a.at += time.Duration(rng.Int64N(int64(maxLostDelay)))
+			}
+			if rng.IntN(2) == 0 {
+				strike := newCoincidentAction(rng, a, true)
+				strike.at += a.duration
+				drills = append(drills, strike)
+			}
+		}
+		drills = append(drills, a)
+	}
+	return append(drills, action{
+		at: cfg.Duration, kind: restoreStore, target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10), duration: between(minAwayTime, maxAwayTime),
+	})
+}
+
 // newCoincidentAction returns an action on instances that runs during another action
 // or at its end.
 func newCoincidentAction(rng *rand.Rand, a action, faulty bool) action {
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -21,6 +21,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/radishcrank/radishcrank/internal/standin/rcfakestore"
+	"github.com/radishcrank/radishcrank/internal/standin/rcfakeupstream"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
 
@@ -50,10 +51,10 @@
 	Seed      uint64
 	Duration  time.Duration // Of the schedule; checks of the recovery follow.
 	Instances int           // 0 is DefaultInstances.
-	Plain     bool          // Use the schedule of the first version of the soak.
-	Program   []string      // Command line of an instance.
-	Dir       string        // For settings and logs.
-	Out       io.Writer     // Receives the schedule and the violations.
+	Schedule  ScheduleVersion
+	Program   []string  // Command line of an instance.
+	Dir       string    // For settings and logs.
+	Out       io.Writer // Receives the schedule and the violations.
 }
 
 // Report is the result of a run.
@@ -81,6 +82,7 @@
 	report               Report
 	awaitingTrigger      map[trigger][]action     // Actions that wait for their trigger.
 	staleWeightsReported map[staleWeightsUse]bool // Uses of outdated weights that were reported.
+	lastOrder            acceptedOrder
 }
 
 func (s *soak) elapsed(t time.Time) string {
@@ -124,11 +126,12 @@
 		cfg: cfg, startedAt: time.Now(), report: Report{Actions: map[string]int{}},
 		awaitingTrigger: map[trigger][]action{}, staleWeightsReported: map[staleWeightsUse]bool{},
 	}
-	onOrder := func() {
+	onOrder := func(u *upstream, o rcfakeupstream.Order) {
+		s.checkOrder(u, o)
 		s.fire(ctx, orderAccepted)
 		s.fire(ctx, loadHalfDone)
 	}
-	if s.env, err = newEnvironment(onOrder, s.checkWeights); err != nil {
+	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: s.checkDrain, begin: s.checkWeights}); err != nil {
 		return report, err
 	}
 	defer s.env.close()
@@ -288,10 +291,12 @@
 		s.env.nameWeights()
 	case occupyEngines:
 		for _, u := range s.env.occupy(a.target, a.variant) {
-			later(func() { u.SetRejectOrders(false) })
+			later(u.release)
 		}
 	case drainUpstream:
-		s.env.drain(a.target)
+		if u := s.env.drain(a.target); u != nil {
+			s.background.Go(func() { s.recordAcknowledgments(ctx, u) })
+		}
 	case killAll:
 		for _, i := range s.instances {
 			s.kill(ctx, i)
@@ -306,12 +311,18 @@
 			i.extend(end)
 		}
 		faults := []rcfakestore.Fault{rcfakestore.Unavailable, rcfakestore.Unresponsive, rcfakestore.LoseWriteResponses, rcfakestore.Slow}
-		if s.cfg.Plain {
+		if s.cfg.Schedule == PlainSchedule {
 			faults = faults[:3]
 		}
 		s.env.storeFaults.extend(end)
 		s.env.store.SetFault(faults[a.variant%len(faults)])
 		later(func() { s.env.store.SetFault(rcfakestore.None) })
+	case restoreStore:
+		s.restore(ctx, a)
+	case slowEngines:
+		for _, u := range s.env.slowDown(a.target, a.variant) {
+			later(func() { u.wait.Store(0) })
+		}
 	case forgetStore:
 		s.env.store.DiscardHistory()
 	case failService:
--- a/internal/node/rcinstance/removal_test.go
+++ b/internal/node/rcinstance/removal_test.go
@@ -213,7 +213,7 @@
 	go func() { done <- other.follow(ctx) }()
 	require.Eventually(t, func() bool { return fake.Calls() >= 6 }, time.Second, time.Millisecond)
 
-	fake.Restore(time.Since(copiedAt), 50*time.Millisecond)
+	fake.Restore(time.Since(copiedAt), 50*time.Millisecond, rcfakestore.None)
 	a, err := mine.source.Read(t.Context(), membersTable)
 	require.NoError(t, err)
 	require.Len(t, a.Rows, 1)
@@ -249,7 +249,7 @@
 	key, err := running.sharedSecret(t.Context(), nil)
 	require.NoError(t, err)
 
-	fake.Restore(time.Since(copiedAt), 10*time.Millisecond)
+	fake.Restore(time.Since(copiedAt), 10*time.Millisecond, rcfakestore.None)
 	stored, err := running.sharedSecret(t.Context(), key)
 	require.NoError(t, err)
 	require.Equal(t, key, stored)
@@ -258,7 +258,7 @@
 	require.NoError(t, err)
 	require.Equal(t, key, stored)
 
-	fake.Restore(time.Since(copiedAt), 10*time.Millisecond)
+	fake.Restore(time.Since(copiedAt), 10*time.Millisecond, rcfakestore.None)
 	started, _ = newTestRegistry(t, store, testMember("c", 3, 1))
 	other, err := started.sharedSecret(t.Context(), nil)
 	require.NoError(t, err)
--- a/internal/standin/rcfakestore/restore.go
+++ b/internal/standin/rcfakestore/restore.go
@@ -64,59 +64,63 @@
 	}
 }
 
-// Restore makes the store unavailable for the duration away. It comes back from a
-// copy that is older than now by age, at most maxCopyAge: what was written through
-// the HTTP API since then is gone, versions are given out again, and the era rises
-// by one. What operators and upstreams wrote since then is written again shortly
-// after the return. Restore waits until the store is back.
-func (s *Store) Restore(age, away time.Duration) {
+// Restore takes the store away for the duration away, with the fault how, or
+// Unresponsive if that is None. It comes back from a copy that is older than now by
+// age, at most maxCopyAge: what was written through the HTTP API since then is gone,
+// versions are given out again, and the era rises by one. What operators and upstreams
+// wrote since then is written again shortly after the return. Restore waits until the
+// store is back.
+func (s *Store) Restore(age, away time.Duration, how Fault) {
 	s.restoring.Lock()
 	defer s.restoring.Unlock()
 	s.mu.Lock()
 	copiedAt := time.Now().Add(-age)
-	s.away = true
+	if s.away = how; how == None {
+		s.away = Unresponsive
+	}
 	s.notifyLocked()
 	s.mu.Unlock()
 	time.Sleep(away)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows, ver, lost := s.copies.at(copiedAt)
-	s.rows, s.ver, s.era, s.away = rows, ver, s.era+1, false
+	s.rows, s.ver, s.era, s.away = rows, ver, s.era+1, None
 	s.discardedVer = min(s.discardedVer, ver)
 	s.history = slices.DeleteFunc(s.history, func(r Row) bool { return r.Ver > ver })
 	s.copies.writes = s.copies.writes[:len(s.copies.writes)-len(lost)]
-	s.rewriteLocked(lost)
+	for _, w := range lost {
+		if w.external {
+			s.unwritten[rowKey(w.row)] = w.row
+		}
+	}
+	s.rewriteLocked()
 	s.notifyLocked()
 }
 
-// rewriteLocked schedules the writes of operators and upstreams that a restore has
-// lost, of each row the last one.
-func (s *Store) rewriteLocked(lost []write) {
-	var again []write
-	for n, w := range lost {
-		newer := func(o write) bool { return o.external && rowKey(o.row) == rowKey(w.row) }
-		if w.external && !slices.ContainsFunc(lost[n+1:], newer) {
-			again = append(again, w)
-		}
-	}
+// rewriteLocked schedules the lost writes of operators and upstreams. Another restore
+// schedules those that are still to be made once more.
+func (s *Store) rewriteLocked() {
 	era := s.era
-	for n, w := range again {
+	for n, key := range slices.Sorted(maps.Keys(s.unwritten)) {
 		delay := min(firstRewriteDelay+time.Duration(n)*rewriteInterval, heartbeat)
-		if w.row.Tombstone {
+		if s.unwritten[key].Tombstone {
 			delay = lapseDelay
 		}
 		time.AfterFunc(delay, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if s.era != era || s.externalEras[rowKey(w.row)] == era {
-				return // Lost with another restore, or written anew meanwhile.
+			if row, ok := s.unwritten[key]; ok && s.era == era {
+				s.writeLocked(row, true)
+				s.notifyLocked()
 			}
-			s.writeLocked(w.row, true)
-			s.notifyLocked()
 		})
 	}
 }
 
+// RewriteTime is how long after a restore all that operators and live upstreams have
+// written is there again.
+const RewriteTime = heartbeat
+
 // Era returns the era of the store, which counts the restores.
 func (s *Store) Era() uint64 {
 	s.mu.Lock()
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -66,9 +66,9 @@
 	calls        int
 	started      time.Time
 	era          uint64
-	away         bool // Between the loss of the store and its return from a copy.
+	away         Fault // Between the loss of the store and its return from a copy.
 	copies       copyLog
-	externalEras map[string]uint64 // Era of the last write of an operator or upstream, by row.
+	unwritten    map[string]Row // Writes of operators and upstreams that a restore has lost, until they are repeated.
 }
 
 // eraHeader is in all responses.
@@ -78,7 +78,7 @@
 func New() *Store {
 	return &Store{
 		rows: map[string]Row{}, changed: make(chan struct{}), started: time.Now(), era: 1,
-		copies: copyLog{base: map[string]Row{}}, externalEras: map[string]uint64{},
+		copies: copyLog{base: map[string]Row{}}, unwritten: map[string]Row{},
 	}
 }
 
@@ -112,11 +112,10 @@
 	return n
 }
 
-// faultLocked returns the fault that applies to a call. A store that is away does
-// not answer.
+// faultLocked returns the fault that applies to a call.
 func (s *Store) faultLocked() Fault {
-	if s.away {
-		return Unresponsive
+	if s.away != None {
+		return s.away
 	}
 	return s.fault
 }
@@ -181,7 +180,7 @@
 	s.history = append(s.history, r)
 	s.copies.add(write{row: r, at: time.Now(), external: external})
 	if external {
-		s.externalEras[rowKey(r)] = s.era
+		delete(s.unwritten, rowKey(r))
 	}
 }
 
@@ -231,7 +230,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
+	if s.away != None {
 		panic(http.ErrAbortHandler)
 	}
 	s.setEraLocked(w)
@@ -299,7 +298,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
+	if s.away != None {
 		panic(http.ErrAbortHandler)
 	}
 	s.setEraLocked(w)
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -58,13 +59,26 @@
 	LoadTime   time.Duration // Duration of a load of weights.
 	Weights    int64         // Weights at the start; 0 means 1.
 	OnLoaded   func()        // Called after a load of weights.
-	OnOrder    func()        // Called when an order is accepted.
+	OnOrder    func(o Order) // Called when an order is accepted.
+	// OnArrival is called when a request arrives that is meant for this upstream.
+	OnArrival func(id string)
+	// Wait returns how long a request waits before it begins to run, as in the queue
+	// of an engine. It is dropped if its connection is closed before. Nil means 0.
+	Wait func() time.Duration
 	// OnRequest is called when a request begins to run, with the current weights.
 	OnRequest func(id string, weights int64)
 	// RejectOrders rejects orders as if the engine were executing another one.
 	RejectOrders bool
 }
 
+// Order is an accepted order to load weights.
+type Order struct {
+	Version  int64
+	Expected *int64 // Number of orders accepted so far; nil if that does not matter.
+	Holder   string
+	Fence    uint64
+}
+
 // Upstream is a running upstream. It implements http.Handler.
 type Upstream struct {
 	cfg    Config
@@ -133,18 +147,28 @@
 	}
 	id := r.Header.Get("Radishcrank-Attempt-Id")
 	h.Set("Radishcrank-Attempt-Id", id)
-	u.mu.Lock()
-	loading, weights := u.loading, u.weights
-	u.mu.Unlock()
-	if want := r.Header.Get("Radishcrank-Expect-Version"); want != "" && want != strconv.FormatInt(weights, 10) {
+	if u.cfg.OnArrival != nil {
+		u.cfg.OnArrival(id)
+	}
+	if !u.expectsWeights(r) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	expired := false
+	if u.cfg.Wait != nil {
+		var closed bool
+		if expired, closed = awaitTurn(r, u.cfg.Wait()); closed {
+			return
+		}
+	}
 	fault := None
 	if u.cfg.Fault != nil {
 		fault = u.cfg.Fault()
 	}
-	if loading || fault == Refuse {
+	u.mu.Lock()
+	loading, weights := u.loading, u.weights
+	u.mu.Unlock()
+	if expired || loading || fault == Refuse || !u.expectsWeights(r) {
 		h.Set("Radishcrank-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -174,6 +198,31 @@
 	}
 }
 
+// expectsWeights reports whether a request expects the current weights or any.
+func (u *Upstream) expectsWeights(r *http.Request) bool {
+	want := r.Header.Get("Radishcrank-Expect-Version")
+	return want == "" || want == strconv.FormatInt(u.Weights(), 10)
+}
+
+// awaitTurn waits until a request may run, its time limit has expired or its
+// connection was closed.
+func awaitTurn(r *http.Request, wait time.Duration) (expired, closed bool) {
+	// The server notices a closed connection only after the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false, true
+	}
+	if ms, err := strconv.Atoi(r.Header.Get("Radishcrank-Deadline-Ms")); err == nil {
+		limit := time.Duration(ms) * time.Millisecond
+		wait, expired = min(wait, limit), wait > limit
+	}
+	select {
+	case <-time.After(wait):
+		return expired, false
+	case <-r.Context().Done():
+		return false, true
+	}
+}
+
 // stream writes the events after the one in the Last-Event-Id header.
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -202,10 +251,7 @@
 }
 
 func (u *Upstream) order(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Version  int64
-		Expected *int64
-	}
+	var order Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -221,7 +267,7 @@
 		u.loading = true
 		u.sequence++
 		if u.cfg.OnOrder != nil {
-			u.cfg.OnOrder()
+			u.cfg.OnOrder(order)
 		}
 		time.AfterFunc(u.cfg.LoadTime, func() {
 			u.mu.Lock()
