Restore copies in the soak that are older than the fleet

What the soak missed: restores came only after the part without faults and rarely from a copy that is older than the fleet's own rows or than a drain that instances know of already.

Change: in a quarter of the runs the first drill is a restore from the oldest copy right after the start, and half of the drains before a restore are known to instances and missing in the copy.

--- a/internal/eval/rcsoak/restore.go
+++ b/internal/eval/rcsoak/restore.go
@@ -37,7 +37,7 @@
 
 // restore takes the store away and brings it back from an older copy.
 func (s *soak) restore(ctx context.Context, a action) {
-	age := minCopyAge + time.Duration(a.variant)*(maxCopyAge-minCopyAge)/(1<<10)
+	age := minCopyAge + time.Duration(a.variant)*(maxCopyAge-minCopyAge)/oldestCopy
 	how := []rcfakestore.Fault{rcfakestore.Unresponsive, rcfakestore.Unavailable}[a.target%2]
 	end := time.Now().Add(a.duration + rcfakestore.RewriteTime)
 	s.env.extend(end)
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -131,6 +131,8 @@
 	// maxLostDelay bounds the delay between an operation and the restore that loses
 	// its consequences.
 	maxLostDelay = 400 * time.Millisecond
+	// oldestCopy is the variant of a restore with the oldest copy.
+	oldestCopy = 1<<10 - 1
 	// drillStream is the stream of random numbers for drills. It is apart from that of
 	// the other actions, so that a seed keeps the schedule that it had without drills.
 	drillStream = 2
@@ -200,15 +202,20 @@
 	return schedule
 }
 
-// newDrills returns restores of the store and slow engines, but for one case in the part
-// of a run with faults. Half of the restores lose the consequences of an operation, and half are
+// newDrills returns restores of the store and slow engines, most of them in the part of a
+// run with faults. Half of the restores lose the consequences of an operation, and half are
 // followed by a strike against instances that are finding out. The last drill is a
 // restore right at the end: what instances miss then, no later action mends.
 func newDrills(cfg Config) (drills []action) {
 	rng := rand.New(rand.NewPCG(cfg.Seed, drillStream))
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
 	start := time.Duration(plannedOnlyFraction * float64(cfg.Duration))
-	if rng.IntN(2) == 0 {
+	if rng.IntN(4) == 0 {
+		// The copy is older than the fleet.
+		drills = append(drills, action{
+			at: between(minActionGap, maxActionGap), kind: restoreStore, target: rng.IntN(1 << 10), variant: oldestCopy, duration: between(minAwayTime, maxAwayTime),
+		})
+	} else if rng.IntN(2) == 0 {
 		// Engines that have outdated weights turn slow just before these expire. This comes
 		// first, since faults of the store and of links give the weights more time.
 		at := between(minActionGap, maxActionGap)
@@ -229,6 +236,11 @@
 				lost := action{at: a.at, kind: lostKinds[rng.IntN(len(lostKinds))], target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10)}
 				drills = append(drills, lost)
 				a.at += time.Duration(rng.Int64N(int64(maxLostDelay)))
+				if lost.kind == drainUpstream && rng.IntN(2) == 0 {
+					// Instances know of the drain, and the copy does not.
+					a.at += drainBound + minDrillGap
+					a.variant = oldestCopy - rng.IntN(oldestCopy/4)
+				}
 			}
 			if rng.IntN(2) == 0 {
 				strike := newCoincidentAction(rng, a, true)
