Show the rate limits that upstreams name

Replies carry the limit, RateLimit lines show each change of one as an instance hears it, and the counter LimitedReplies how many answers name one. No change of logic.

--- a/exchange.go
+++ b/exchange.go
@@ -106,13 +106,16 @@
 
 // Reply is the status and headers of an upstream's response, with its unread body.
 type Reply struct {
-	Class   ReplyClass
-	Status  int
-	Header  http.Header   // End-to-end headers.
-	Length  int64         // Length of the body, or -1.
-	Body    io.ReadCloser // Closing it before EOF cancels the run.
-	Load    *QueueReport  // Nil if the upstream reported none.
-	Weights WeightsVersion
+	Class  ReplyClass
+	Status int
+	Header http.Header   // End-to-end headers.
+	Length int64         // Length of the body, or -1.
+	Body   io.ReadCloser // Closing it before EOF cancels the run.
+	Load   *QueueReport  // Nil if the upstream reported none.
+	// RateLimit is the number of requests per second that the upstream accepts from
+	// all instances together; nil if it states none.
+	RateLimit *float64
+	Weights   WeightsVersion
 	// Instance is the upstream that replied to a misdirected exchange.
 	Instance UpstreamID
 }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -200,6 +200,19 @@
 	return rcfleet.Broken, !idle && !errors.Is(err, radishcrank.ErrNotSent)
 }
 
+// recordRateLimit counts replies with a rate limit, and logs each change of one.
+func (d *dispatch) recordRateLimit(up radishcrank.Upstream, reply *radishcrank.Reply) {
+	rate := -1.0
+	if reply.RateLimit != nil {
+		rate = *reply.RateLimit
+		d.f.cfg.Metrics.Add(rcmetric.LimitedReplies, 1)
+	}
+	if before, known := d.f.rateLimits.Swap(up.ID, rate); known && before == rate || !known && rate < 0 {
+		return
+	}
+	d.f.cfg.Log.Info().Str("Event", "RateLimit").Str("Upstream", string(up.ID)).Bool("Ended", rate < 0).Float64("Rate", rate).Send()
+}
+
 // updateFleet records the load and the weights that a reply reports for its
 // upstream.
 func (d *dispatch) updateFleet(up radishcrank.Upstream, choice rcaffinity.Choice, reply *radishcrank.Reply) {
@@ -207,6 +220,7 @@
 	if reply.Load != nil {
 		fleet.SetQueueReport(up.ID, *reply.Load)
 	}
+	d.recordRateLimit(up, reply)
 	if d.x.Generates() && reply.Weights != "" && reply.Class == radishcrank.ReplyAnswered {
 		fleet.SetWeights(up.ID, d.x.Model, reply.Weights)
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -90,6 +91,7 @@
 type Forwarder struct {
 	cfg          Config
 	longGapRatio movingAverage
+	rateLimits   sync.Map // Last rate limits by upstream ID, as float64; -1 for none.
 }
 
 func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -30,6 +31,8 @@
 func TestMetricsAreRecorded(t *testing.T) {
 	failure := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusInternalServerError, Header: http.Header{}}
 	busy := radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}
+	unreadable := math.NaN()
+	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
 	cases := []struct {
 		steps        []step
 		x            radishcrank.Exchange
@@ -75,6 +78,7 @@
 			counters: []rcmetric.CounterName{rcmetric.AttemptCallerGone},
 		},
 		{steps: []step{{hang: true}}, x: nonIdempotent(), disconnected: true, counters: []rcmetric.CounterName{rcmetric.CallerGone}},
+		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -46,6 +46,7 @@
 	RepeatsDenied          CounterName = "RepeatsDenied"
 	SuspectsHeld           CounterName = "SuspectsHeld"
 	NewsLost               CounterName = "NewsLost"
+	LimitedReplies         CounterName = "LimitedReplies"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -104,6 +105,7 @@
 	{AttemptExpired, "attempts", "Attempts cancelled because the upstream had not begun them when its weights were about to expire.", "Find out why engines load the newer weights so late, or why they are slow."},
 	{RepeatsDenied, "attempts", "Retries that the fleet's retry budget did not allow.", "Find out why attempts fail; retries would add load."},
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
+	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
