--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -36,6 +36,7 @@
 	storeAddr   netip.AddrPort
 	runCounter  *rcfakeupstream.RunCounter
 	engines     []*rcfakeupstream.Upstream
+	services    []*rcfakeupstream.Upstream // Plain ones.
 	instances   []*Instance
 	clientAddrs []string
 	stops       []context.CancelFunc
@@ -68,8 +69,9 @@
 type deploymentOptions struct {
 	instances     int
 	fault         func() rcfakeupstream.Fault
-	rejectOrders  bool          // Engines reject orders as if they were executing others.
-	oldWeightsTTL time.Duration // 0 selects 10 s.
+	rejectOrders  bool                  // Engines reject orders as if they were executing others.
+	oldWeightsTTL time.Duration         // 0 selects 10 s.
+	onArrival     func(upstream string) // Called for each request that reaches an upstream.
 }
 
 func startDeployment(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *deployment {
@@ -86,6 +88,9 @@
 	for i := range 7 {
 		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders}
 		service := "desk"
+		if o.onArrival != nil {
+			cfg.OnArrival = func(string) { o.onArrival(cfg.ID) }
+		}
 		if i < 4 {
 			cfg.Model, cfg.EventCount, service = "m", 8, "llm"
 		}
@@ -94,6 +99,8 @@
 		t.Cleanup(u.Close)
 		if cfg.Model != "" {
 			s.engines = append(s.engines, u)
+		} else {
+			s.services = append(s.services, u)
 		}
 		s.store.Put("servers", cfg.ID, map[string]any{
 			"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": time.Now().UnixMilli(),
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -90,6 +90,7 @@
 	sequence     int64
 	loading      bool
 	rejectOrders bool
+	rateLimit    string // Requests per second from all instances; empty for no limit.
 	lastRun      time.Time
 }
 
@@ -115,6 +116,22 @@
 	u.rejectOrders = reject
 }
 
+// SetRateLimit sets the number of requests per second that the upstream announces to
+// accept from all instances together. Empty ends the limit. It is not enforced.
+func (u *Upstream) SetRateLimit(perSecond string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimit = perSecond
+}
+
+func (u *Upstream) announceRateLimit(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rateLimit != "" {
+		h.Set("Server-Limit", u.rateLimit)
+	}
+}
+
 // Weights returns the version of the loaded weights.
 func (u *Upstream) Weights() int64 {
 	u.mu.Lock()
@@ -133,6 +150,7 @@
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Radishcrank-Instance-Id", u.cfg.ID)
+	u.announceRateLimit(h)
 	if expected := r.Header.Get("Radishcrank-Expect-Instance"); expected != "" && expected != u.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
