Share the rate limit of an upstream among all instances

Cause: a missing part. The class is a bound of the whole fleet that no instance can keep alone, like the retry budget: if each instance kept to the limit by itself, 60 of them would still send 60 times as much, and a bucket of one token in each sends 60 at once.

Change: rcquota divides the store's clock, which all instances know, into slots of one request and gives each slot to one registered instance by rendezvous hashing. No message is needed for a request, fleets of any size keep the bound, and instances that differ on the members only share the slots on which they differ. An instance that does not know the others yet sends nothing to a limited upstream. Limits are told to the other instances, the newest one counts; the end of one needs an answer to a request that was sent after it was named. A permit is taken right before each send, whatever the send is for: first attempts, retries and resumed streams. What has no permit is placed elsewhere, or refused at once with the time after which the limits allow more.

The shares of instances that are gone are lost until their rows are removed; that costs use of the limit and never exceeds it.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
@@ -92,6 +93,7 @@
 	storeEras     rcera.Tracker
 	weights       *rcweights.Tracker
 	kvWatcher     *rckvstore.Watcher
+	quota         *rcquota.Quota
 }
 
 // New assembles an instance.
@@ -126,6 +128,9 @@
 		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts, Log: i.log,
 	})
 	i.peers = newPeerGroup(i)
+	i.quota = rcquota.New(rcquota.Config{
+		Instance: radishcrank.InstanceID(s.Instance), Now: i.storeClock.Now, Others: i.peers.others, Announce: i.peers.announceLimit, Log: i.log,
+	})
 	i.directory = &directory{
 		fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log,
 		confirmTime: missedHeartbeats*s.UpstreamHeartbeat + restoredHeartbeatDelay,
@@ -260,6 +265,7 @@
 			Window: i.settings.RetryBudgetWindow, Instances: i.peers.instanceCount,
 		}),
 		Guard:         i.poisonTracker,
+		Quota:         i.quota,
 		Weights:       i.weights.History,
 		OldWeightsTTL: func() time.Duration { return i.liveSettings.Load().OldWeightsTTL },
 		RecordCached:  i.peers.recordCached,
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
@@ -59,14 +60,15 @@
 	// Loads is the load that the sender has on each upstream. A relay sends its zone
 	// the loads of all instances, and other relays those of its zone. Nil means no
 	// report.
-	Loads map[radishcrank.UpstreamID]rcfleet.Load
+	Loads  map[radishcrank.UpstreamID]rcfleet.Load
+	Limits []rcquota.Observation // Rate limits that upstreams have announced, changed or ended.
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
 	// holder, or by a relay that received it; 0 means no report.
 	Lease uint64
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && u.Loads == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Limits) == 0 && u.Loads == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -124,6 +126,24 @@
 	return max(minInstanceCount, len(p.members)+1)
 }
 
+// others returns the registered instances besides this one. ok is false until their
+// rows have been read.
+func (p *peerGroup) others() (names []radishcrank.InstanceID, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.members {
+		names = append(names, radishcrank.InstanceID(name))
+	}
+	return names, p.membersRead
+}
+
+func (p *peerGroup) announceLimit(o rcquota.Observation) {
+	p.mu.Lock()
+	p.queued.Limits = append(p.queued.Limits, o)
+	p.mu.Unlock()
+	p.wakeSender()
+}
+
 func (p *peerGroup) announceEngine(update rcrollout.EngineUpdate) {
 	p.mu.Lock()
 	p.queued.Engines = append(p.queued.Engines, update)
@@ -223,6 +243,9 @@
 	for _, e := range update.Engines {
 		rcrollout.Apply(p.instance.fleet, e)
 	}
+	for _, o := range update.Limits {
+		p.instance.quota.Merge(o)
+	}
 	for _, h := range update.Holds {
 		p.instance.fleet.RecordCachedParts(h.Upstream, h.Salt, h.Parts)
 	}
@@ -251,6 +274,7 @@
 	if len(queue.Holds) < maxQueuedCachedParts {
 		queue.Holds = append(queue.Holds, update.Holds...)
 	}
+	queue.Limits = append(queue.Limits, update.Limits...)
 	queue.Lease = max(queue.Lease, update.Lease)
 }
 
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -110,6 +110,7 @@
 		Holds:   slices.Concat(u.Holds, o.Holds),
 		Crashes: u.Crashes, // The local records already include received ones.
 		Feeds:   u.Feeds,
+		Limits:  slices.Concat(u.Limits, o.Limits),
 		Lease:   max(u.Lease, o.Lease),
 	}
 }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -23,6 +23,10 @@
 // the exchange waited for the crash guard.
 var errPlacementExpired = errors.New("upstream became unusable during the wait for the crash guard")
 
+// errThrottled reports that the rate limit of the chosen upstream allows no request of
+// this instance now.
+var errThrottled = errors.New("rate limit of the upstream is used up")
+
 // errUpstreamIdle is the cancellation cause of an attempt whose upstream sent
 // nothing before its timeout.
 var errUpstreamIdle = errors.New("upstream sent nothing before its timeout")
@@ -43,6 +47,11 @@
 		d.cause = errPlacementExpired
 		return false, nil
 	}
+	if !f.cfg.Quota.Take(up) {
+		end(false, false)
+		d.withdraw(up.ID)
+		return false, nil
+	}
 	d.logPlacement(choice)
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -104,6 +113,14 @@
 	return done, nil
 }
 
+// withdraw takes back the choice of an upstream to which nothing was sent, because
+// another exchange has used the last permit of its rate limit.
+func (d *dispatch) withdraw(id radishcrank.UpstreamID) {
+	d.attempts--
+	delete(d.tried, id)
+	d.cause = errThrottled
+}
+
 // guardWaitThreshold is the shortest wait for the crash guard that is logged and
 // after which the placement is checked again.
 const guardWaitThreshold = time.Millisecond
@@ -200,27 +217,27 @@
 	return rcfleet.Broken, !idle && !errors.Is(err, radishcrank.ErrNotSent)
 }
 
-// recordRateLimit counts replies with a rate limit, and logs each change of one.
-func (d *dispatch) recordRateLimit(up radishcrank.Upstream, reply *radishcrank.Reply) {
-	rate := -1.0
+// observeRateLimit records what a reply says about the rate limit of its upstream. A
+// refusal may name none although there is one, and a reply of another incarnation or to
+// another request says nothing of this upstream.
+func (d *dispatch) observeRateLimit(up radishcrank.Upstream, reply *radishcrank.Reply) {
 	if reply.RateLimit != nil {
-		rate = *reply.RateLimit
 		d.f.cfg.Metrics.Add(rcmetric.LimitedReplies, 1)
 	}
-	if before, known := d.f.rateLimits.Swap(up.ID, rate); known && before == rate || !known && rate < 0 {
-		return
+	refusal := reply.Class == radishcrank.ReplyBusy || reply.Class == radishcrank.ReplyMisdirected && reply.Instance == up.ID
+	if reply.Class == radishcrank.ReplyAnswered || refusal && reply.RateLimit != nil {
+		d.f.cfg.Quota.Observe(up, reply.RateLimit, d.sentAt)
 	}
-	d.f.cfg.Log.Info().Str("Event", "RateLimit").Str("Upstream", string(up.ID)).Bool("Ended", rate < 0).Float64("Rate", rate).Send()
 }
 
-// updateFleet records the load and the weights that a reply reports for its
-// upstream.
+// updateFleet records the load, the rate limit and the weights that a reply reports for
+// its upstream.
 func (d *dispatch) updateFleet(up radishcrank.Upstream, choice rcaffinity.Choice, reply *radishcrank.Reply) {
 	fleet := d.f.cfg.Fleet
 	if reply.Load != nil {
 		fleet.SetQueueReport(up.ID, *reply.Load)
 	}
-	d.recordRateLimit(up, reply)
+	d.observeRateLimit(up, reply)
 	if d.x.Generates() && reply.Weights != "" && reply.Class == radishcrank.ReplyAnswered {
 		fleet.SetWeights(up.ID, d.x.Model, reply.Weights)
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -10,13 +10,13 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
+	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
@@ -74,6 +74,7 @@
 	Sender  radishcrank.Sender
 	Budget  RetryBudget
 	Guard   Guard
+	Quota   *rcquota.Quota // Of upstreams that limit their rate; nil means none.
 	Weights func(model radishcrank.ModelID) rcweights.History
 	// OldWeightsTTL returns how long exchanges may begin on weights after newer
 	// ones were requested; 0 means no limit.
@@ -91,10 +92,14 @@
 type Forwarder struct {
 	cfg          Config
 	longGapRatio movingAverage
-	rateLimits   sync.Map // Last rate limits by upstream ID, as float64; -1 for none.
 }
 
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+func New(cfg Config) *Forwarder {
+	if cfg.Quota == nil {
+		cfg.Quota = rcquota.New(rcquota.Config{})
+	}
+	return &Forwarder{cfg: cfg}
+}
 
 // dispatch is the state of one exchange while it is forwarded.
 type dispatch struct {
@@ -202,7 +207,7 @@
 	var buf []rcfleet.State
 	for {
 		changed := f.cfg.Fleet.Changed()
-		buf = f.cfg.Fleet.AppendStates(x.Service, buf[:0])
+		buf = f.appendStates(x.Service, buf[:0])
 		excluded, _, released := f.cfg.Guard.ExcludedUpstreams(d.guardRequest)
 		now := time.Now()
 		req := d.affinityRequest(excluded)
@@ -227,6 +232,16 @@
 	}
 }
 
+// appendStates appends the states of a service's upstreams, with those throttled that
+// may get no request from this instance now.
+func (f *Forwarder) appendStates(service string, buf []rcfleet.State) []rcfleet.State {
+	buf = f.cfg.Fleet.AppendStates(service, buf)
+	for i := range buf {
+		_, buf[i].Throttled = f.cfg.Quota.Throttled(buf[i].Upstream)
+	}
+	return buf
+}
+
 // queueDeadline returns until when an exchange may wait for an upstream: for
 // part of the latency target or, once the client has part of the response,
 // until the deadline.
@@ -242,8 +257,8 @@
 func untilUsable(states []rcfleet.State, now time.Time) (wait time.Duration) {
 	for i := range states {
 		s := &states[i]
-		if s.Leaving {
-			continue
+		if s.Leaving || s.Throttled {
+			continue // A request beyond a rate limit must not wait.
 		}
 		d := 50 * time.Millisecond // An upstream that is excluded or runs a suspect may become usable at any moment.
 		if s.Loading(now) {
@@ -330,12 +345,30 @@
 // is randomized, so that clients refused together do not retry together.
 func (d *dispatch) retryDelay() time.Duration {
 	wait := noUpstreamWait
-	if states := d.f.cfg.Fleet.AppendStates(d.x.Service, nil); len(states) > 0 {
+	if states := d.f.appendStates(d.x.Service, nil); len(states) > 0 {
 		wait = min(untilUsable(states, time.Now()), maxRetryAfter)
+		if wait == 0 {
+			wait = d.f.permitInterval(states)
+		}
 	}
 	return rcadmission.Params{ExpectedWait: wait, TimeToDeadline: time.Until(d.x.Deadline)}.RetryAfter(rand.Float64())
 }
 
+// permitInterval returns the mean time between two requests that throttled upstreams
+// accept together, or 0 if there are none.
+func (f *Forwarder) permitInterval(states []rcfleet.State) time.Duration {
+	rate := 0.0
+	for i := range states {
+		if interval, throttled := f.cfg.Quota.Throttled(states[i].Upstream); throttled && !states[i].Leaving {
+			rate += 1 / interval.Seconds()
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return min(time.Duration(float64(time.Second)/rate), maxRetryAfter)
+}
+
 // refuse responds that the request has not run and never will.
 func (d *dispatch) refuse(why string, after time.Duration) error {
 	d.cause = errors.Join(errors.New(why), d.cause)
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -53,6 +53,7 @@
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
 	PeerLoad     Load      // Load from other instances as last reported.
+	Throttled    bool      // No new work because this instance has used its share of the rate limit; set by rcforward.
 	Suspect      bool      // No new work because of a recent failure.
 	Probing      bool      // The suspicion has ended, but no exchange has succeeded since.
 	FailureRate  float64   // Moving average of failed exchanges.
