Read the reports of rate-limited engines less often

Cause: the holder of the lease reads the report of an engine that loads weights every 80 ms, whatever the engine says of its rate.

Change: the reports of a limited engine are read every 1.5 s. Orders do not wait for a permit: engines that never load the newest weights are of no use, and an instance of a large fleet gets one permit a minute. A load costs three calls, and one more every 1.5 s if it takes long.

--- a/internal/limits/rcquota/quota.go
+++ b/internal/limits/rcquota/quota.go
@@ -176,6 +176,13 @@
 	return slot / time.Duration(permits), !q.hasPermitLocked(l)
 }
 
+// Limited reports whether an upstream has a rate limit.
+func (q *Quota) Limited(up radishcrank.Upstream) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limitLocked(up) != nil
+}
+
 // Take uses a permit for one request to an upstream. It returns false if there is
 // none; the request must not be sent then.
 func (q *Quota) Take(up radishcrank.Upstream) bool {
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -352,6 +352,7 @@
 		DesiredWeights: i.weights.All,
 		ServicesOf:     i.servicesOf,
 		Announce:       i.peers.announceEngine,
+		RateLimited:    i.quota.Limited,
 		Log:            i.log,
 	})
 	lease := rclease.New(rclease.Config{
--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -25,6 +25,10 @@
 	// firstPollDelay and pollInterval time the report requests that detect the end of a load.
 	firstPollDelay = 450 * time.Millisecond
 	pollInterval   = 80 * time.Millisecond
+	// limitedPollInterval replaces both for an engine that limits the rate of its
+	// requests. A load then costs an engine three calls, and one more every 1.5 s if it
+	// takes long: less than the 5 requests in 4 s that it takes beyond its limit.
+	limitedPollInterval = 1500 * time.Millisecond
 	// loadTimeout bounds the wait for a load. Plan then considers the engine again.
 	loadTimeout = 6 * time.Second
 	// unansweredOrderTimeout is how long an order without an answer may take to appear
@@ -97,7 +101,10 @@
 	DesiredWeights func() []rcweights.History
 	ServicesOf     func(model radishcrank.ModelID) []string // Services whose engines serve the model.
 	Announce       func(update EngineUpdate)
-	Log            zerolog.Logger
+	// RateLimited reports whether an engine limits the rate of its requests. Nil means
+	// that none does.
+	RateLimited func(up radishcrank.Upstream) bool
+	Log         zerolog.Logger
 }
 
 // Controller sends load orders to engines during a term.
@@ -116,6 +123,9 @@
 }
 
 func New(cfg Config) *Controller {
+	if cfg.RateLimited == nil {
+		cfg.RateLimited = func(radishcrank.Upstream) bool { return false }
+	}
 	return &Controller{cfg: cfg, pending: map[radishcrank.UpstreamID]bool{}, failures: map[radishcrank.UpstreamID]orderFailure{}}
 }
 
@@ -261,7 +271,7 @@
 		// The order may have been accepted. The engine's reports show it.
 		deadline := time.Now().Add(unansweredOrderTimeout)
 		for time.Now().Before(deadline) && ctx.Err() == nil {
-			rcwait.Sleep(ctx, pollInterval)
+			rcwait.Sleep(ctx, c.pollInterval(e))
 			if r, reportErr := c.cfg.Engines.Report(ctx, e.Upstream); reportErr == nil && (r.Busy || r.Sequence > sequence) {
 				return r, nil
 			}
@@ -270,13 +280,22 @@
 	return report, err
 }
 
+// pollInterval returns the time between two reports of an engine that loads weights.
+func (c *Controller) pollInterval(e rcfleet.State) time.Duration {
+	if c.cfg.RateLimited(e.Upstream) {
+		return limitedPollInterval
+	}
+	return pollInterval
+}
+
 // awaitWeights waits until the engine reports the newest weights.
 func (c *Controller) awaitWeights(ctx context.Context, desired rcweights.History, e rcfleet.State) (report Report, err error) {
 	deadline := time.Now().Add(loadTimeout)
-	wait := firstPollDelay
+	interval := c.pollInterval(e)
+	wait := max(firstPollDelay, interval)
 	for {
 		rcwait.Sleep(ctx, wait)
-		wait = pollInterval
+		wait = interval
 		if ctx.Err() != nil {
 			return report, ctx.Err()
 		}
@@ -289,8 +308,8 @@
 		}
 		// Extend the announcement of a load that takes longer than expected, so that no
 		// requests are sent to the engine until it ends.
-		if s, ok := c.cfg.Fleet.Get(e.ID); ok && time.Until(s.LoadingUntil) < 2*pollInterval {
-			c.announce(e, EngineUpdate{Model: desired.Model, LoadingFor: 4 * pollInterval})
+		if s, ok := c.cfg.Fleet.Get(e.ID); ok && time.Until(s.LoadingUntil) < interval+pollInterval {
+			c.announce(e, EngineUpdate{Model: desired.Model, LoadingFor: interval + 3*pollInterval})
 		}
 	}
 }
--- a/internal/record/rcrollout/rollout_test.go
+++ b/internal/record/rcrollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rcrollout
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -111,6 +112,9 @@
 	// those that no call reaches.
 	loseAnswer    func(id radishcrank.UpstreamID) bool
 	unreachable   func(id radishcrank.UpstreamID) bool
+	limited       func(up radishcrank.Upstream) bool // Engines that limit the rate of their requests.
+	loadTime      time.Duration                      // 0 selects 670 ms.
+	calls         map[radishcrank.UpstreamID][]time.Time
 	maxBusy       int
 	unconditional int // Number of orders without an expected sequence.
 }
@@ -118,6 +122,7 @@
 func (f *fakeEngines) Load(_ context.Context, up radishcrank.Upstream, o Order) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordCallLocked(up.ID)
 	e := f.engines[up.ID]
 	if o.ExpectedSequence == nil {
 		f.unconditional++
@@ -137,7 +142,7 @@
 		}
 	}
 	f.maxBusy = max(f.maxBusy, busy)
-	time.AfterFunc(670*time.Millisecond, func() {
+	time.AfterFunc(cmp.Or(f.loadTime, 670*time.Millisecond), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.weights, e.busy = o.Weights, false
@@ -155,10 +160,18 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordCallLocked(up.ID)
 	e := f.engines[up.ID]
 	return Report{Busy: e.busy, Sequence: e.sequence, Weights: map[radishcrank.ModelID]radishcrank.WeightsVersion{model: e.weights}}, nil
 }
 
+func (f *fakeEngines) recordCallLocked(id radishcrank.UpstreamID) {
+	if f.calls == nil {
+		f.calls = map[radishcrank.UpstreamID][]time.Time{}
+	}
+	f.calls[id] = append(f.calls[id], time.Now())
+}
+
 type term struct{ valid atomic.Bool }
 
 func (t *term) Valid() bool { return t.valid.Load() }
@@ -181,7 +194,7 @@
 		Fleet: fleet, Engines: engines, Mode: ContinueRequests,
 		DesiredWeights: func() []rcweights.History { return []rcweights.History{history()} },
 		ServicesOf:     func(radishcrank.ModelID) []string { return []string{"s"} },
-		Announce:       func(EngineUpdate) {}, Log: zerolog.Nop(),
+		Announce:       func(EngineUpdate) {}, RateLimited: engines.limited, Log: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
@@ -210,6 +223,23 @@
 	})
 }
 
+// TestReportsExceedRateLimit guards against reports during a load that an engine gets
+// beyond the rate limit that it announces.
+func TestReportsExceedRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{limited: func(up radishcrank.Upstream) bool { return up.ID == "e1" }, loadTime: 5 * time.Second}
+		history := newHistory("1", "2")
+		fleet := rollOut(t, 3, engines, func() rcweights.History { return history }, newTerm(), 30*time.Second)
+		calls := engines.calls["e1"]
+		for i := 5; i < len(calls); i++ {
+			require.Greater(t, calls[i].Sub(calls[i-5]), 4*time.Second, "6 calls in 4 s")
+		}
+		for _, s := range fleet.All() {
+			require.Equal(t, radishcrank.WeightsVersion("2"), s.Weights[model])
+		}
+	})
+}
+
 // TestUnreachableEnginesDoNotStallRollout guards against a rollout that tries the same
 // engines again and again because they are listed, run nothing and cannot be reached.
 func TestUnreachableEnginesDoNotStallRollout(t *testing.T) {
