Refuse at once when every upstream has been tried

Callers saw: a refusal that comes up to three quarters of the latency target late, although no upstream was left that their request could go to.

Cause: an upstream that was tried counted as one that may become usable at any moment, but no exchange is sent to the same upstream twice.

Change: upstreams that were tried are not waited for.

--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -215,7 +216,8 @@
 		if ok {
 			return choice, true
 		}
-		wait := untilUsable(buf, now)
+		untried := slices.DeleteFunc(buf, func(s rcfleet.State) bool { return d.tried[s.ID] })
+		wait := untilUsable(untried, now)
 		if wait <= 0 || now.Add(wait).After(limit) {
 			return choice, false
 		}
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -222,6 +222,18 @@
 	})
 }
 
+// TestTriedUpstreamsAreWaitedFor guards against a client that waits for an upstream
+// although all of them have refused its request.
+func TestTriedUpstreamsAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := step{reply: radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}}
+		start := time.Now()
+		got := serve(&scriptedSender{steps: []step{busy, busy}}, 2, stubBudget{}, nonIdempotent())
+		require.Equal(t, http.StatusServiceUnavailable, got.Code)
+		require.Zero(t, time.Since(start))
+	})
+}
+
 // TestIdempotentFailureIsRetried guards against an idempotent request that
 // fails although another upstream would succeed, and against a generated error
 // where the upstream returned its own.
