Let upstreams limit their rates in the soak

Why the soak missed LIMIT: its upstreams named no limits.

Upstreams name a limit of 0.5 to 8 requests a second for 2 to 12 s and change it at half of the time, several at once and all through the run, since this is no fault of any instance. Requests from instances that passed on such an answer half a second before count in windows of 4 s, from 3 s after the first naming; faults of an instance other than cuts from its peers excuse it.

--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -121,6 +121,7 @@
 		return
 	}
 	c.sent.Add(1)
+	c.s.recordTold(i, r)
 	nonIdempotent := path == "/book/1"
 	if n := c.s.env.runCounter.Runs(id); nonIdempotent && n > 1 {
 		c.s.violation("at most once", "%s ran %d times", id, n)
--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -48,7 +48,8 @@
 	id                  string
 	service             string
 	link                *proxy
-	linkFaults          faultWindow  // Faults of its link.
+	linkFaults          faultWindow // Faults of its link.
+	limit               rateLimit
 	wait                atomic.Int64 // Longest wait of a request before it begins, as a time.Duration.
 	occupations         atomic.Int32 // Number of actions because of which it rejects orders.
 	createdAt           time.Time
@@ -376,6 +377,18 @@
 	return ids
 }
 
+// findUpstream returns the upstream in use with an ID, or nil.
+func (e *environment) findUpstream(id string) *upstream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, u := range e.upstreams {
+		if u.id == id {
+			return u
+		}
+	}
+	return nil
+}
+
 func (e *environment) upstream(target int) *upstream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -38,6 +38,11 @@
 	slowEngines   actionKind = "slow engines"  // Requests wait at some engines before they begin.
 )
 
+// Upstreams in need, which are no fault of any instance.
+const (
+	limitUpstream actionKind = "limit upstream" // An upstream limits the rate of its requests, and changes the limit.
+)
+
 var (
 	plannedKinds = []actionKind{stopInstance, changeSettings, changeConfig, nameWeights, drainUpstream, revokeKey, occupyEngines}
 	faultKinds   = []actionKind{killInstance, killAll, pauseInstance, cutStore, cutUpstream, failStore, forgetStore, crashUpstream, failService, cutPeers}
@@ -46,6 +51,8 @@
 	plainFaultKinds   = faultKinds[:9]
 	// drillKinds are the kinds of the actions that the newest schedules have besides.
 	drillKinds = []actionKind{restoreStore, slowEngines}
+	// troubleKinds are the kinds of upstreams in need.
+	troubleKinds = []actionKind{limitUpstream}
 	// lostKinds are planned operations that fall right before a restore, which loses
 	// what instances wrote because of them.
 	lostKinds = []actionKind{changeConfig, nameWeights, drainUpstream, revokeKey}
@@ -136,6 +143,14 @@
 	// drillStream is the stream of random numbers for drills. It is apart from that of
 	// the other actions, so that a seed keeps the schedule that it had without drills.
 	drillStream = 2
+	// troubleStream is the same for upstreams in need.
+	troubleStream = 3
+	minTroubleGap = 400 * time.Millisecond
+	maxTroubleGap = 4 * time.Second
+	// minLimitDuration and maxLimitDuration enclose how long an upstream limits its rate.
+	// Limits are judged only faultGracePeriod after they were first named.
+	minLimitDuration = 2 * time.Second
+	maxLimitDuration = 12 * time.Second
 )
 
 // ScheduleVersion selects what a schedule contains.
@@ -146,7 +161,8 @@
 const (
 	NewestSchedule ScheduleVersion = iota
 	PlainSchedule                  // No coincident actions, and only the kinds of the first version.
-	NoDrills                       // Without restores of the store and slow engines.
+	NoDrills                       // Without restores of the store and slow engines, and without upstreams in need.
+	NoTroubles                     // Without upstreams in need.
 )
 
 // newSchedule returns the actions for a seed. Actions overlap, since the gaps
@@ -195,9 +211,12 @@
 			schedule = append(schedule, newCoincidentAction(rng, a, faulty))
 		}
 	}
-	if cfg.Schedule == NewestSchedule {
+	if cfg.Schedule == NewestSchedule || cfg.Schedule == NoTroubles {
 		schedule = append(schedule, newDrills(cfg)...)
 	}
+	if cfg.Schedule == NewestSchedule {
+		schedule = append(schedule, newTroubles(cfg)...)
+	}
 	slices.SortStableFunc(schedule, func(a, b action) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -131,7 +131,11 @@
 		s.fire(ctx, orderAccepted)
 		s.fire(ctx, loadHalfDone)
 	}
-	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: s.checkDrain, begin: s.checkWeights}); err != nil {
+	onArrival := func(u *upstream, id string) {
+		s.checkDrain(u, id)
+		s.checkLimit(u, id)
+	}
+	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: onArrival, begin: s.checkWeights}); err != nil {
 		return report, err
 	}
 	defer s.env.close()
@@ -273,7 +277,7 @@
 	s.report.Actions[string(a.kind)]++
 	s.mu.Unlock()
 	end := time.Now().Add(a.duration)
-	if !a.planned() && a.kind != cutPeers { // Requests do not use the links between instances.
+	if !a.planned() && a.kind != cutPeers && a.kind != limitUpstream { // Requests do not use the links between instances.
 		s.env.extend(end)
 	}
 	later := func(f func()) {
@@ -323,6 +327,8 @@
 		for _, u := range s.env.slowDown(a.target, a.variant) {
 			later(func() { u.wait.Store(0) })
 		}
+	case limitUpstream:
+		s.limitUpstream(ctx, a, later)
 	case forgetStore:
 		s.env.store.DiscardHistory()
 	case failService:
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -32,6 +32,7 @@
 	cause    string // Cause of the failure.
 }{
 	{seed: 20261204, length: 8 * time.Second},
+	{seed: 20261205, length: 20 * time.Second},
 	{seed: 1, length: 20 * time.Second, schedule: NoDrills, cause: "an instance counted the bound on outdated weights from its own start and used them past it (fixed)"},
 	{seed: 5, length: 20 * time.Second, schedule: NoDrills, cause: "the soak process stalled on an overloaded machine and attributed the missing responses to the instances"},
 	{seed: 102, length: 20 * time.Second, schedule: NoDrills, cause: "two soaks chose the same port, since neither reserved it while its instance restarted"},
@@ -42,13 +43,13 @@
 	{seed: 122, length: 15 * time.Second, schedule: PlainSchedule, cause: "a newer configuration had removed a route, and the soak took its absence for that of an older configuration"},
 	{seed: 133, length: 15 * time.Second, schedule: PlainSchedule, cause: "the fake engine did not update its entry after loading weights, so that it refused all requests of instances that started later"},
 	{seed: 142, length: 15 * time.Second, schedule: PlainSchedule, cause: "same as seed 122"},
-	{seed: 13, length: 20 * time.Second, cause: "a request that waited at an engine began on weights that had expired meanwhile (fixed)"},
-	{seed: 23, length: 20 * time.Second, cause: "same as seed 13"},
-	{seed: 27, length: 20 * time.Second, cause: "same as seed 13"},
-	{seed: 11, length: 20 * time.Second, cause: "after a restore of the store, rows with versions that had been given out before were never read (fixed)"},
-	{seed: 18, length: 20 * time.Second, cause: "after a restore of the store, followers read their tables without a pause (fixed)"},
-	{seed: 21, length: 20 * time.Second, cause: "a restore of the store brought back fencing numbers that had been used (fixed)"},
-	{seed: 3, length: 20 * time.Second, cause: "an engine that could not be reached kept the others from loading weights (fixed)"},
+	{seed: 13, length: 20 * time.Second, schedule: NoTroubles, cause: "a request that waited at an engine began on weights that had expired meanwhile (fixed)"},
+	{seed: 23, length: 20 * time.Second, schedule: NoTroubles, cause: "same as seed 13"},
+	{seed: 27, length: 20 * time.Second, schedule: NoTroubles, cause: "same as seed 13"},
+	{seed: 11, length: 20 * time.Second, schedule: NoTroubles, cause: "after a restore of the store, rows with versions that had been given out before were never read (fixed)"},
+	{seed: 18, length: 20 * time.Second, schedule: NoTroubles, cause: "after a restore of the store, followers read their tables without a pause (fixed)"},
+	{seed: 21, length: 20 * time.Second, schedule: NoTroubles, cause: "a restore of the store brought back fencing numbers that had been used (fixed)"},
+	{seed: 3, length: 20 * time.Second, schedule: NoTroubles, cause: "an engine that could not be reached kept the others from loading weights (fixed)"},
 }
 
 // TestSoak guards against guarantees that are violated under planned operations and
@@ -76,7 +77,7 @@
 	plain, all := map[actionKind]bool{}, map[actionKind]bool{}
 	collect := func(seen map[actionKind]bool, schedule []action) {
 		for _, a := range schedule {
-			require.True(t, a.planned() || a.at > 72*time.Second || slices.Contains(drillKinds, a.kind), a)
+			require.True(t, a.planned() || a.at > 72*time.Second || slices.Contains(drillKinds, a.kind) || slices.Contains(troubleKinds, a.kind), a)
 			seen[a.kind] = true
 		}
 	}
@@ -85,5 +86,5 @@
 	for seed := range uint64(20) {
 		collect(all, newSchedule(cfg(seed)))
 	}
-	require.Len(t, all, len(plannedKinds)+len(faultKinds)+len(drillKinds))
+	require.Len(t, all, len(plannedKinds)+len(faultKinds)+len(drillKinds)+len(troubleKinds))
 }
--- a/internal/standin/rcfakecaller/caller.go
+++ b/internal/standin/rcfakecaller/caller.go
@@ -27,6 +27,10 @@
 	Signed bool // Whether the response has a seal.
 	Body   string
 	Err    error // Error of the connection or of reading the body.
+	// Upstream is the upstream that answered, and Limited reports whether the answer
+	// names a rate limit.
+	Upstream string
+	Limited  bool
 }
 
 // Send sends a request and reads the whole response.
@@ -50,5 +54,8 @@
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	sealed := resp.Header.Get("Radishcrank-Response-Seal") != ""
-	return Result{Status: resp.StatusCode, Signed: sealed, Body: string(text), Err: err}
+	return Result{
+		Status: resp.StatusCode, Signed: sealed, Body: string(text), Err: err,
+		Upstream: resp.Header.Get("Radishcrank-Instance-Id"), Limited: resp.Header.Get("Server-Limit") != "",
+	}
 }
