Show software versions and streams that callers take up

Placed lines show the software version of the upstream, StreamTakenUp lines the attempt that a caller names and its last event, and the counter StreamsTakenUp how many there are. No change of logic.

--- a/exchange.go
+++ b/exchange.go
@@ -58,10 +58,11 @@
 	Model        ModelID
 	PromptParts  []PromptPart
 	PromptTokens int
-	OutputTokens int // Limit on the generated tokens.
-	LengthHint   int // Client's estimate of the number of generated tokens; 0 if unknown.
-	Priority     int // Priority of the account or route; 0 is the most urgent.
-	LastEventID  string
+	OutputTokens int       // Limit on the generated tokens.
+	LengthHint   int       // Client's estimate of the number of generated tokens; 0 if unknown.
+	Priority     int       // Priority of the account or route; 0 is the most urgent.
+	LastEventID  string    // Last event that the client has of a stream that it takes up again.
+	Resumes      RequestID // Attempt that delivered the first event of that stream; empty if the client does not name it.
 	ReceivedAt   time.Time
 	Deadline     time.Time // The earlier of the client's deadline and the route's timeout.
 }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -428,7 +428,7 @@
 	x, s := d.x, &c.Upstream
 	e := d.f.cfg.Log.Info().Str("Event", "Placed").Str("Request", string(x.ID)).Str("Upstream", string(s.ID)).
 		Str("Route", x.Route.Name).Str("Service", x.Service).Int("Arrival", d.attempts).
-		Int64("CostMS", c.Cost.Milliseconds()).Int("Running", s.Running).Int("OthersRunning", s.PeerLoad.Running).
+		Str("Software", string(s.Software)).Int64("CostMS", c.Cost.Milliseconds()).Int("Running", s.Running).Int("OthersRunning", s.PeerLoad.Running).
 		Int64("AgeMS", time.Since(x.ReceivedAt).Milliseconds()).Int64("LeftMS", time.Until(x.Deadline).Milliseconds())
 	if x.Generates() {
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -138,9 +138,19 @@
 	if err := f.cfg.Guard.Check(d.guardRequest); err != nil {
 		return d.refuse("content crashes upstreams", maxRetryAfter)
 	}
+	if x.LastEventID != "" {
+		d.logTakeUp()
+	}
 	return d.run()
 }
 
+// logTakeUp logs that a client takes up a stream again.
+func (d *dispatch) logTakeUp() {
+	d.f.cfg.Metrics.Add(rcmetric.StreamsTakenUp, 1)
+	d.f.cfg.Log.Info().Str("Event", "StreamTakenUp").Str("Request", string(d.x.ID)).Str("Resumes", string(d.x.Resumes)).
+		Str("LastEvent", d.x.LastEventID).Send()
+}
+
 // run makes attempts until the client has its final response.
 func (d *dispatch) run() error {
 	for {
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -159,6 +159,13 @@
 	return x
 }
 
+// takenUp returns a stream of which the client already has the first event.
+func takenUp() radishcrank.Exchange {
+	x := streaming(radishcrank.RetryResume)
+	x.LastEventID, x.Resumes = "1", "r0"
+	return x
+}
+
 func okReply() radishcrank.Reply {
 	return radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}}
 }
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -79,6 +79,7 @@
 		},
 		{steps: []step{{hang: true}}, x: nonIdempotent(), disconnected: true, counters: []rcmetric.CounterName{rcmetric.CallerGone}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
+		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -47,6 +47,7 @@
 	SuspectsHeld           CounterName = "SuspectsHeld"
 	NewsLost               CounterName = "NewsLost"
 	LimitedReplies         CounterName = "LimitedReplies"
+	StreamsTakenUp         CounterName = "StreamsTakenUp"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -106,6 +107,7 @@
 	{RepeatsDenied, "attempts", "Retries that the fleet's retry budget did not allow.", "Find out why attempts fail; retries would add load."},
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
+	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
--- a/types.go
+++ b/types.go
@@ -28,6 +28,10 @@
 // a model.
 type WeightsVersion string
 
+// SoftwareVersion identifies the software that an upstream runs, not the weights that it
+// serves. Versions of one service have no order.
+type SoftwareVersion string
+
 // RequestID identifies a request from its arrival at the listener for clients until
 // its end at the upstream.
 type RequestID string
@@ -84,6 +88,7 @@
 	ChecksFence bool   // The engine rejects orders with an outdated fencing token.
 	Models      []ModelID
 	Incarnation Incarnation
+	Software    SoftwareVersion // Empty if unknown.
 	Load        LoadReport
 	// MissedReports is the number of consecutive failures to fetch a load report.
 	MissedReports int
