--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -72,6 +72,8 @@
 	rejectOrders  bool                  // Engines reject orders as if they were executing others.
 	oldWeightsTTL time.Duration         // 0 selects 10 s.
 	onArrival     func(upstream string) // Called for each request that reaches an upstream.
+	software      func(n int) string    // Version of the software of upstream n; nil means the same for all.
+	onRun         func(upstream, id string)
 }
 
 func startDeployment(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *deployment {
@@ -86,11 +88,18 @@
 	s.putConfig(1, "")
 	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
 	for i := range 7 {
-		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders}
+		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders}
 		service := "desk"
 		if o.onArrival != nil {
 			cfg.OnArrival = func(string) { o.onArrival(cfg.ID) }
 		}
+		if o.onRun != nil {
+			cfg.OnRequest = func(id string, _ int64) { o.onRun(cfg.ID, id) }
+		}
+		software := "v1"
+		if o.software != nil {
+			software = o.software(i)
+		}
 		if i < 4 {
 			cfg.Model, cfg.EventCount, service = "m", 8, "llm"
 		}
@@ -103,7 +112,7 @@
 			s.services = append(s.services, u)
 		}
 		s.store.Put("servers", cfg.ID, map[string]any{
-			"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": time.Now().UnixMilli(),
+			"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": cfg.Born, "Version": software,
 			"Models": []any{map[string]any{"Name": cfg.Model, "Version": 1}},
 		})
 	}
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -58,6 +58,7 @@
 	EventCount int           // Number of events in a complete stream.
 	LoadTime   time.Duration // Duration of a load of weights.
 	Weights    int64         // Weights at the start; 0 means 1.
+	Born       int64         // Start time in Unix milliseconds, which reports state.
 	OnLoaded   func()        // Called after a load of weights.
 	OnOrder    func(o Order) // Called when an order is accepted.
 	// OnArrival is called when a request arrives that is meant for this upstream.
@@ -265,6 +266,7 @@
 	defer u.mu.Unlock()
 	json.NewEncoder(w).Encode(map[string]any{
 		"Models": []any{map[string]any{"Name": u.cfg.Model, "Version": u.weights}}, "Busy": u.loading, "Sequence": u.sequence,
+		"born": u.cfg.Born,
 	})
 }
 
