Let streams go on only at the software version that began them

Cause: a missing part. The software version in the entries of upstreams was not read, and neither was the attempt that a caller names, so a continuation was placed like a new stream.

TestStreamMixesSoftwareVersions failed before with 54 of 60 streams.

Change: the origin of a stream (service and software version) is recorded when its first event is forwarded, and shared: with all instances, or with the relays of large fleets. An instance at which a caller takes a stream up asks the others if it does not know the origin, and places the stream only at upstreams with that version, as it does when an upstream breaks off within an answer. What is not known is refused at once, as is a stream whose version nothing serves; an answer that has begun is cut, so that its caller can take it up elsewhere. A listed version may be wrong when an upstream is back under its id. So an upstream that continues a stream is asked for its incarnation before events are forwarded, and while a service has several versions, also one that begins a stream; one question per connection, since connections do not outlive a process. Callers that do not name the attempt are served if the service had one version only for as long as a stream may last. Routes that split their requests go on at the service of the stream.

Fixtures of existing tests got a software version, an origin and an upstream that confirms its incarnation; nothing that they check has changed.

Measured: TestStreamMixesSoftwareVersions, 60 streams taken up 136 times, 16 in vain, none mixed; TestAnswerMixesSoftwareVersions, TestTakenUpStreamMixesSoftwareVersions, TestSplitRouteMovesStream, TestRestartedUpstreamMixesSoftwareVersions, TestOnlyVersionIsNotUsed, TestOriginsReachTheirHolders and others pass.

--- a/exchange.go
+++ b/exchange.go
@@ -51,6 +51,7 @@
 	Isolated     bool // Shares no cached parts with other accounts.
 	Route        RoutePolicy
 	Service      string
+	Services     []string // Services among which the route splits its requests.
 	Method       string
 	Target       string      // Path and query as received from the client.
 	Header       http.Header // End-to-end headers of the client.
@@ -119,6 +120,18 @@
 	Weights   WeightsVersion
 	// Instance is the upstream that replied to a misdirected exchange.
 	Instance UpstreamID
+	Conn     Connection // Nil if it is unknown on which connection the reply arrives.
+}
+
+// Connection is the connection on which a reply arrives. It does not outlive the
+// upstream's process, so that the incarnation behind it never changes.
+type Connection interface {
+	// Incarnation returns the incarnation behind the connection, or 0 if it has not been
+	// confirmed.
+	Incarnation() Incarnation
+	// SetIncarnation records the incarnation that the upstream has reported while the
+	// connection was open.
+	SetIncarnation(i Incarnation)
 }
 
 // Sender sends exchanges to upstreams. Errors that wrap ErrNotSent mean that
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -270,6 +270,8 @@
 		OldWeightsTTL: func() time.Duration { return i.liveSettings.Load().OldWeightsTTL },
 		RecordCached:  i.peers.recordCached,
 		KVStores:      i.reachableKVStores,
+		Origins:       i.peers.origins,
+		Incarnation:   (&platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance}).Incarnation,
 		Log:           i.log,
 		Metrics:       i.metrics,
 	})
--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -157,6 +157,18 @@
 	}, 5*time.Second, 10*time.Millisecond)
 }
 
+// awaitPeers waits until all instances know each other.
+func (s *deployment) awaitPeers() {
+	require.Eventually(s.t, func() bool {
+		for _, i := range s.instances {
+			if others, _ := i.peers.others(); len(others) < len(s.instances)-1 {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
 func (s *deployment) putConfig(version int, routes string) {
 	s.store.PutBytes("op", "config", fmt.Appendf(nil, configTemplate, version, routes))
 }
--- a/internal/node/rcinstance/message_size_test.go
+++ b/internal/node/rcinstance/message_size_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 )
 
 // TestBytesOfNews guards against messages whose entries grow beyond the sizes on which
@@ -36,6 +37,7 @@
 		{"empty message", peerUpdate{}, 100},
 		{"100 loads", peerUpdate{Loads: loads}, 5000},
 		{"hold", peerUpdate{Holds: []cachedParts{{Upstream: id, Salt: "daka510000/12", Parts: parts}}}, 150},
+		{"origin of a stream", peerUpdate{Streams: []rcorigin.Record{{Attempt: "5f8d460c199ad427", Origin: rcorigin.Origin{Service: "huvo11a", Software: "v1.1"}}}}, 100},
 	} {
 		n := size(c.n)
 		if c.name != "empty message" {
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 	"github.com/radishcrank/radishcrank/platform"
 )
@@ -60,15 +61,16 @@
 	// Loads is the load that the sender has on each upstream. A relay sends its zone
 	// the loads of all instances, and other relays those of its zone. Nil means no
 	// report.
-	Loads  map[radishcrank.UpstreamID]rcfleet.Load
-	Limits []rcquota.Observation // Rate limits that upstreams have announced, changed or ended.
+	Loads   map[radishcrank.UpstreamID]rcfleet.Load
+	Streams []rcorigin.Record     `json:",omitempty"` // Where streams began.
+	Limits  []rcquota.Observation `json:",omitempty"` // Rate limits that upstreams have announced, changed or ended.
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
 	// holder, or by a relay that received it; 0 means no report.
 	Lease uint64
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Limits) == 0 && u.Loads == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && u.Loads == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -93,6 +95,8 @@
 	instance *Instance
 	handlers *rcrpc.Handlers
 	wake     chan struct{}
+	client   atomic.Pointer[rcrpc.Client] // Nil until this instance can authenticate itself.
+	origins  *streamOrigins
 
 	mu               sync.Mutex
 	members          map[string]*peer
@@ -114,7 +118,9 @@
 	p.self = &peer{member: member{
 		Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.PeerAddr, Born: i.startedAt.UnixMilli(), CPU: i.settings.CPU,
 	}}
+	p.origins = &streamOrigins{registry: rcorigin.New(), peers: p}
 	rcrpc.Handle(p.handlers, updateMethod, p.handleUpdate)
+	rcrpc.Handle(p.handlers, originMethod, p.origins.handleQuery)
 	return p
 }
 
@@ -243,6 +249,9 @@
 	for _, e := range update.Engines {
 		rcrollout.Apply(p.instance.fleet, e)
 	}
+	if len(update.Streams) > 0 {
+		p.origins.registry.Add(update.Streams...)
+	}
 	for _, o := range update.Limits {
 		p.instance.quota.Merge(o)
 	}
@@ -269,6 +278,9 @@
 	queue := &p.fromOtherZones
 	if zone == p.instance.settings.Zone {
 		queue = &p.fromZone
+		if len(queue.Streams) < maxQueuedOrigins {
+			queue.Streams = append(queue.Streams, update.Streams...)
+		}
 	}
 	queue.Engines = append(queue.Engines, update.Engines...)
 	if len(queue.Holds) < maxQueuedCachedParts {
@@ -322,6 +334,7 @@
 	}
 	client := rcrpc.NewClient(cfg)
 	defer client.Close()
+	p.client.Store(client)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { _ = rcrpc.NewServer(listener, cfg).Run(ctx) }) // Returns only when ctx is done.
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -86,6 +86,7 @@
 	outward := own.merge(fromZone)
 	all := outward.merge(fromOtherZones)
 	outward.Feeds = nil // Each zone's relay reads the store itself.
+	all.Streams = nil   // Instances ask relays.
 	if own.Loads != nil {
 		all.Loads = p.addLocalLoads(p.sumLoadsLocked(""))
 		outward.Loads = p.addLocalLoads(p.sumLoadsLocked(zone))
@@ -110,6 +111,7 @@
 		Holds:   slices.Concat(u.Holds, o.Holds),
 		Crashes: u.Crashes, // The local records already include received ones.
 		Feeds:   u.Feeds,
+		Streams: slices.Concat(u.Streams, o.Streams),
 		Limits:  slices.Concat(u.Limits, o.Limits),
 		Lease:   max(u.Lease, o.Lease),
 	}
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/platform"
 )
 
@@ -26,6 +27,7 @@
 			instance: &Instance{settings: platform.Settings{Instance: m.Name, Zone: m.Zone}, fleet: rcfleet.New()},
 			members:  map[string]*peer{}, loads: map[radishcrank.InstanceID]loadReport{}, self: &peer{member: m}, wake: make(chan struct{}, 1),
 		}
+		p.origins = &streamOrigins{registry: rcorigin.New(), peers: p}
 		for _, o := range members {
 			if o.Name != m.Name {
 				p.members[o.Name] = &peer{member: o}
@@ -112,3 +114,38 @@
 	first.failingSince, first.failedAt = time.Now().Add(-relayRetryDelay), time.Now().Add(-relayRetryDelay)
 	require.Equal(t, first, p.relayForLocked(p.self.Zone))
 }
+
+// TestOriginsReachTheirHolders guards against an origin of a stream that is lost with the
+// instance that began it, and against messages to all instances of a large fleet.
+func TestOriginsReachTheirHolders(t *testing.T) {
+	for _, n := range []int{2, 12, 13, 58} {
+		all := newPeerGroups(n, 3)
+		first := all[n/2]
+		first.origins.Record(rcorigin.Record{Attempt: "a", Origin: rcorigin.Origin{Service: "s", Software: "v1"}})
+		deliverUpdates(t, all)
+		holders := 0
+		for _, p := range all {
+			if p == first {
+				continue
+			}
+			if _, known := p.origins.registry.Get("a"); known {
+				holders++
+			}
+			for _, h := range p.originHolders() {
+				_, known := all[nameIndex(t, h.Name)].origins.registry.Get("a")
+				require.True(t, known, "%d instances: %s asks %s, which does not know", n, p.self.Name, h.Name)
+			}
+		}
+		if n <= maxDirectPeers {
+			require.Equal(t, n-1, holders)
+		} else {
+			require.LessOrEqual(t, holders, 3)
+		}
+	}
+}
+
+func nameIndex(t *testing.T, name string) (i int) {
+	_, err := fmt.Sscanf(name, "i%d", &i)
+	require.NoError(t, err)
+	return i
+}
--- a/internal/node/rcinstance/software_test.go
+++ b/internal/node/rcinstance/software_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,7 +27,7 @@
 // receive makes one attempt and reads at most a number of events before it closes the
 // connection.
 func (b *brokenStream) receive(s *deployment, instance int, id string, events int) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+s.clientAddrs[instance]+"/advice/1", strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.clientAddrs[instance]+"/advice/1", strings.NewReader("body of "+strings.SplitN(id, "-", 2)[0]))
 	require.NoError(s.t, err)
 	r.Host = "a.example"
 	for name, value := range map[string]string{
@@ -46,6 +47,9 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		b.refused++
+		if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+			<-time.After(time.Duration(after * float64(time.Second)))
+		}
 		return
 	}
 	scanner := bufio.NewScanner(resp.Body)
@@ -99,6 +103,7 @@
 			versions[stream][software(int(upstream[1]-'0'))] = true
 		},
 	})
+	s.awaitPeers()
 	var wg sync.WaitGroup
 	mixed, broken, refused, unfinished := 0, 0, 0, 0
 	for k := range streams {
@@ -123,6 +128,7 @@
 	}
 	wg.Wait()
 	require.Zero(t, mixed, "streams of two versions, of %d", streams)
+	t.Logf("%d streams were taken up %d times, %d times in vain", streams, broken, refused)
 	require.Zero(t, unfinished)
 	require.Less(t, refused, broken/2, "streams that could go on were refused")
 }
--- a/internal/routing/rcroute/table.go
+++ b/internal/routing/rcroute/table.go
@@ -127,6 +127,14 @@
 
 var splitSeed = maphash.MakeSeed()
 
+// Services returns the names of the services among which the route splits its requests.
+func (r *Route) Services() (names []string) {
+	for _, s := range r.Split {
+		names = append(names, s.Service)
+	}
+	return names
+}
+
 // PickService returns the service for a request of the route, selected by weight.
 // Within a process, requests with the same key get the same service.
 func (r *Route) PickService(key string) string {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -27,6 +27,9 @@
 // this instance now.
 var errThrottled = errors.New("rate limit of the upstream is used up")
 
+// errUnconfirmed reports that an upstream may run other software than the list says.
+var errUnconfirmed = errors.New("upstream has restarted, or did not confirm that it has not")
+
 // errUpstreamIdle is the cancellation cause of an attempt whose upstream sent
 // nothing before its timeout.
 var errUpstreamIdle = errors.New("upstream sent nothing before its timeout")
@@ -102,6 +105,11 @@
 	}
 	d.runs++
 	if x.Route.Stream && reply.Status == http.StatusOK {
+		if d.origin.pinned && !d.confirm(ctx, up, reply.Conn) {
+			d.cause = errUnconfirmed
+			d.logAttempt(up, rcmetric.AttemptUnconfirmed, reply.Status, errUnconfirmed)
+			return false, nil
+		}
 		done, outcome, crashed = d.forwardStream(ctx, reply, run, watchdogTimer, weights, choice)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
@@ -335,6 +343,7 @@
 			}
 			if len(out) > 0 {
 				if !d.response.started {
+					d.pinOrigin(up, reply.Conn)
 					copyHeader(d.w.Header(), reply.Header)
 					d.w.WriteHeader(reply.Status)
 					d.response.started = true
@@ -445,7 +454,7 @@
 var attemptOutcomes = map[rcmetric.CounterName]string{
 	rcmetric.AttemptRefused: "Refused", rcmetric.AttemptBroken: "Broken", rcmetric.AttemptInvalid: "Invalid",
 	rcmetric.AttemptAbandoned: "Abandoned", rcmetric.AttemptUpstreamFailure: "UpstreamFailure", rcmetric.AttemptCallerGone: "CallerGone",
-	rcmetric.AttemptExpired: "Expired",
+	rcmetric.AttemptExpired: "Expired", rcmetric.AttemptUnconfirmed: "Unconfirmed",
 }
 
 // logAttempt logs and counts an attempt that did not succeed.
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -85,8 +85,11 @@
 	// RecordCached records that an upstream caches shared prompt parts under a
 	// salt.
 	RecordCached func(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart)
-	Log          zerolog.Logger
-	Metrics      *rcmetric.Set
+	Origins      Origins
+	// Incarnation asks an upstream which incarnation it is.
+	Incarnation func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error)
+	Log         zerolog.Logger
+	Metrics     *rcmetric.Set
 }
 
 // Forwarder forwards exchanges to upstreams. It is safe for concurrent use.
@@ -115,6 +118,7 @@
 	sentAt      time.Time // When the current attempt was sent.
 	tried       map[radishcrank.UpstreamID]bool
 	response    clientResponse // What the client has received.
+	origin      streamOrigin
 	failure     *radishcrank.Reply
 	failureBody []byte
 	cause       error // Error of the last attempt.
@@ -138,19 +142,12 @@
 	if err := f.cfg.Guard.Check(d.guardRequest); err != nil {
 		return d.refuse("content crashes upstreams", maxRetryAfter)
 	}
-	if x.LastEventID != "" {
-		d.logTakeUp()
+	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
+		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
 	}
 	return d.run()
 }
 
-// logTakeUp logs that a client takes up a stream again.
-func (d *dispatch) logTakeUp() {
-	d.f.cfg.Metrics.Add(rcmetric.StreamsTakenUp, 1)
-	d.f.cfg.Log.Info().Str("Event", "StreamTakenUp").Str("Request", string(d.x.ID)).Str("Resumes", string(d.x.Resumes)).
-		Str("LastEvent", d.x.LastEventID).Send()
-}
-
 // run makes attempts until the client has its final response.
 func (d *dispatch) run() error {
 	for {
@@ -206,7 +203,7 @@
 	if x.Route.Retry == radishcrank.RetryNever || d.runs >= max(1, x.Route.MaxAttempts) {
 		return false
 	}
-	return !d.response.started || x.Route.Retry == radishcrank.RetryResume
+	return !d.response.started || x.Route.Retry == radishcrank.RetryResume && d.originKnown()
 }
 
 // selectUpstream chooses an upstream. While all of them load weights or are
@@ -218,7 +215,7 @@
 	var buf []rcfleet.State
 	for {
 		changed := f.cfg.Fleet.Changed()
-		buf = f.appendStates(x.Service, buf[:0])
+		buf = d.eligible(f.appendStates(x.Service, buf[:0]))
 		excluded, _, released := f.cfg.Guard.ExcludedUpstreams(d.guardRequest)
 		now := time.Now()
 		req := d.affinityRequest(excluded)
@@ -357,7 +354,7 @@
 // is randomized, so that clients refused together do not retry together.
 func (d *dispatch) retryDelay() time.Duration {
 	wait := noUpstreamWait
-	if states := d.f.appendStates(d.x.Service, nil); len(states) > 0 {
+	if states := d.eligible(d.f.appendStates(d.x.Service, nil)); len(states) > 0 {
 		wait = min(untilUsable(states, time.Now()), maxRetryAfter)
 		if wait == 0 {
 			wait = d.f.permitInterval(states)
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -22,6 +22,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
@@ -74,6 +75,21 @@
 	return &reply, nil
 }
 
+// stubOrigins holds the origins of streams that other instances began.
+type stubOrigins map[radishcrank.RequestID]rcorigin.Origin
+
+func (stubOrigins) Record(rcorigin.Record) {}
+
+func (s stubOrigins) Find(_ context.Context, attempt radishcrank.RequestID) (o rcorigin.Origin, known bool) {
+	o, known = s[attempt]
+	return o, known
+}
+
+// listedIncarnation is the answer of an upstream that has not restarted.
+func listedIncarnation(_ context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error) {
+	return up.Incarnation, nil
+}
+
 type stubBudget struct{ empty bool }
 
 func (stubBudget) RecordRequest(string)     {}
@@ -109,7 +125,7 @@
 	fleet := rcfleet.New()
 	var entries []rcfleet.Entry
 	for i := range upstreams {
-		e := rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s"}}
+		e := rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Software: "v1"}}
 		if x.Generates() {
 			e.Weights = map[radishcrank.ModelID]radishcrank.WeightsVersion{x.Model: "1"}
 		}
@@ -124,8 +140,16 @@
 		OldWeightsTTL: func() time.Duration { return 1500 * time.Millisecond },
 		RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
 		KVStores:      func() []rcaffinity.KVStore { return nil },
-		Metrics:       metrics, Log: zerolog.Nop(),
+		Origins:       stubOrigins{"r0": {Service: "s", Software: "v1"}, "restarted": {Service: "s", Software: "v1"}},
+		Incarnation: func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error) {
+			if x.Resumes == "restarted" {
+				return up.Incarnation + 1, nil
+			}
+			return listedIncarnation(ctx, up)
+		},
+		Metrics: metrics, Log: zerolog.Nop(),
 	})
+	x.Services = []string{"s"}
 	x.ID, x.Service, x.Method, x.Target = "r1", "s", http.MethodPost, "/p"
 	x.ReceivedAt = time.Now()
 	if x.Deadline.IsZero() {
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -33,6 +33,8 @@
 	busy := radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}
 	unreadable := math.NaN()
 	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
+	unknown, restarted := takenUp(), takenUp()
+	unknown.Resumes, restarted.Resumes = "unknown", "restarted"
 	cases := []struct {
 		steps        []step
 		x            radishcrank.Exchange
@@ -80,6 +82,8 @@
 		{steps: []step{{hang: true}}, x: nonIdempotent(), disconnected: true, counters: []rcmetric.CounterName{rcmetric.CallerGone}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
 		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
+		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
+		{steps: []step{{reply: okReply()}, {reply: okReply()}}, x: restarted, counters: []rcmetric.CounterName{rcmetric.AttemptUnconfirmed}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
--- /dev/null
+++ b/internal/serving/rcforward/origin.go
@@ -0,0 +1,157 @@
+package rcforward
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
+)
+
+// confirmTimeout bounds how long the confirmation of an origin may take after the client
+// has left.
+const confirmTimeout = time.Second
+
+// defaultStreamTime is how long streams may last on routes without a timeout.
+const defaultStreamTime = time.Minute
+
+// Origins knows where streams began.
+type Origins interface {
+	// Record records the origin of the stream whose first event an attempt has brought.
+	Record(rec rcorigin.Record)
+	// Find returns the origin of the stream that an attempt began, and asks the other
+	// instances if this one does not know it.
+	Find(ctx context.Context, attempt radishcrank.RequestID) (o rcorigin.Origin, known bool)
+}
+
+// streamOrigin is where the stream of a dispatch began. What two software versions write
+// does not fit together, so it goes on only at the same one, and only if that is certain.
+type streamOrigin struct {
+	rcorigin.Origin
+	pinned  bool          // The client has events of the stream.
+	known   atomic.Bool   // The software version is certain.
+	settled chan struct{} // Closed when that has been found out; nil if it needs no time.
+}
+
+// originKnown reports whether it is certain where the stream began. It waits for an
+// upstream that has been asked.
+func (d *dispatch) originKnown() bool {
+	if d.origin.settled != nil {
+		select {
+		case <-d.origin.settled:
+		case <-d.ctx.Done():
+		}
+	}
+	return d.origin.known.Load()
+}
+
+// findOrigin finds out where the stream began that a client takes up. It reports false
+// if that is unknown.
+func (d *dispatch) findOrigin() bool {
+	x := d.x
+	d.origin.pinned = true
+	o, known := rcorigin.Origin{}, false
+	if x.Resumes != "" {
+		o, known = d.f.cfg.Origins.Find(d.ctx, x.Resumes)
+	}
+	source := "Record"
+	if !known {
+		o, known = d.onlyOrigin()
+		source = "OnlyVersion"
+	}
+	known = known && slices.Contains(x.Services, o.Service)
+	d.f.cfg.Metrics.Add(rcmetric.StreamsTakenUp, 1)
+	if !known {
+		source = "Unknown"
+		d.f.cfg.Metrics.Add(rcmetric.StreamsUnknown, 1)
+	}
+	d.f.cfg.Log.Info().Str("Event", "StreamTakenUp").Str("Request", string(x.ID)).Str("Resumes", string(x.Resumes)).
+		Str("LastEvent", x.LastEventID).Str("Software", string(o.Software)).Str("Source", source).Send()
+	if known {
+		d.origin.Origin, x.Service = o, o.Service
+		d.origin.known.Store(true)
+	}
+	return known
+}
+
+// onlyOrigin returns the origin of any stream of the route, if it has one service that
+// had a single software version for as long as a stream may last.
+func (d *dispatch) onlyOrigin() (o rcorigin.Origin, known bool) {
+	x := d.x
+	versions, complete := d.f.cfg.Fleet.SoftwareVersions(x.Service, cmp.Or(x.Route.Timeout, defaultStreamTime))
+	if len(x.Services) != 1 || !complete || len(versions) != 1 || versions[0] == "" {
+		return o, false
+	}
+	return rcorigin.Origin{Service: x.Service, Software: versions[0]}, true
+}
+
+// eligible drops the upstreams at which the stream must not go on.
+func (d *dispatch) eligible(states []rcfleet.State) []rcfleet.State {
+	if !d.origin.pinned {
+		return states
+	}
+	return slices.DeleteFunc(states, func(s rcfleet.State) bool { return s.Software != d.origin.Software })
+}
+
+// pinOrigin records where the stream begins, right before its first event is forwarded.
+// While a service has several versions, the listed one is uncertain until the upstream
+// confirms it, since it may have restarted with another one.
+func (d *dispatch) pinOrigin(up radishcrank.Upstream, conn radishcrank.Connection) {
+	if d.origin.pinned {
+		return
+	}
+	d.origin.pinned = true
+	d.origin.Origin = rcorigin.Origin{Service: d.x.Service, Software: up.Software}
+	if d.x.Route.Retry != radishcrank.RetryResume || up.Software == "" {
+		return
+	}
+	record := func() {
+		d.origin.known.Store(true)
+		d.f.cfg.Origins.Record(rcorigin.Record{Attempt: d.x.ID, Origin: d.origin.Origin})
+	}
+	if versions, _ := d.f.cfg.Fleet.SoftwareVersions(d.x.Service, defaultStreamTime); len(versions) == 1 || confirmed(up, conn) {
+		record()
+		return
+	}
+	// The client may leave before the upstream confirms, and then take the stream up.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), confirmTimeout)
+	d.origin.settled = make(chan struct{})
+	go func() {
+		defer close(d.origin.settled)
+		defer cancel()
+		if d.confirm(ctx, up, conn) {
+			record()
+		}
+	}()
+}
+
+// confirmed reports whether a connection is known to lead to the listed incarnation of an
+// upstream.
+func confirmed(up radishcrank.Upstream, conn radishcrank.Connection) bool {
+	return conn != nil && conn.Incarnation() != 0 && conn.Incarnation() == up.Incarnation
+}
+
+// confirm reports whether an upstream runs the software that is listed, by asking it for
+// its incarnation. If that is the one that was listed before the stream was sent, it has
+// been running all the time since, also if the stream has ended meanwhile.
+func (d *dispatch) confirm(ctx context.Context, up radishcrank.Upstream, conn radishcrank.Connection) bool {
+	if confirmed(up, conn) {
+		return true
+	}
+	incarnation, err := d.f.cfg.Incarnation(ctx, up)
+	if err != nil && ctx.Err() == nil {
+		incarnation, err = d.f.cfg.Incarnation(ctx, up) // The connection may have been stale.
+	}
+	if err != nil || incarnation != up.Incarnation {
+		return false
+	}
+	if conn != nil {
+		conn.SetIncarnation(incarnation)
+	}
+	return true
+}
--- a/internal/serving/rcforward/overload_test.go
+++ b/internal/serving/rcforward/overload_test.go
@@ -145,7 +145,7 @@
 			id := radishcrank.UpstreamID(fmt.Sprint("u", i))
 			ids = append(ids, id)
 			fleet.Put(rcfleet.Entry{
-				Upstream: radishcrank.Upstream{ID: id, Service: "s"},
+				Upstream: radishcrank.Upstream{ID: id, Service: "s", Software: "v1"},
 				Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
 			})
 		}
@@ -157,7 +157,8 @@
 			OldWeightsTTL: func() time.Duration { return 0 },
 			KVStores:      func() []rcaffinity.KVStore { return nil },
 			RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
-			Metrics:       &rcmetric.Set{}, Log: zerolog.Nop(),
+			Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+			Metrics: &rcmetric.Set{}, Log: zerolog.Nop(),
 		})
 		var c clientStats
 		var wg sync.WaitGroup
--- a/internal/serving/rcforward/throttle_test.go
+++ b/internal/serving/rcforward/throttle_test.go
@@ -27,7 +27,7 @@
 func newThrottlingForwarder(s radishcrank.Sender) *Forwarder {
 	fleet := rcfleet.New()
 	for i := range 2 {
-		fleet.Put(rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s"}})
+		fleet.Put(rcfleet.Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Software: "v1"}})
 	}
 	start := time.Now()
 	return New(Config{
@@ -41,7 +41,8 @@
 		OldWeightsTTL: func() time.Duration { return 0 },
 		KVStores:      func() []rcaffinity.KVStore { return nil },
 		RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
-		Metrics:       &rcmetric.Set{}, Log: zerolog.Nop(),
+		Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+		Metrics: &rcmetric.Set{}, Log: zerolog.Nop(),
 	})
 }
 
--- a/internal/serving/rcforward/waiting_test.go
+++ b/internal/serving/rcforward/waiting_test.go
@@ -69,7 +69,7 @@
 				entries := map[radishcrank.UpstreamID]rcfleet.Entry{}
 				for i := range 3 {
 					e := rcfleet.Entry{
-						Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Incarnation: 1},
+						Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Incarnation: 1, Software: "v1"},
 						Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
 					}
 					entries[e.ID] = e
@@ -91,7 +91,8 @@
 					OldWeightsTTL: func() time.Duration { return oldWeightsTTL },
 					KVStores:      func() []rcaffinity.KVStore { return nil },
 					RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
-					Metrics:       &rcmetric.Set{}, Log: zerolog.Nop(),
+					Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+					Metrics: &rcmetric.Set{}, Log: zerolog.Nop(),
 				})
 				x := streaming(radishcrank.RetryResume)
 				x.ID, x.Service, x.Model, x.PromptParts = "r", "s", "m", []radishcrank.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 10}}
--- a/internal/serving/rcforward/weights_test.go
+++ b/internal/serving/rcforward/weights_test.go
@@ -96,7 +96,7 @@
 				history.Store(rcweights.History{Model: "m"})
 				for _, id := range []radishcrank.UpstreamID{"u0", "u1"} {
 					fleet.Put(rcfleet.Entry{
-						Upstream: radishcrank.Upstream{ID: id, Service: "s"},
+						Upstream: radishcrank.Upstream{ID: id, Service: "s", Software: "v1"},
 						Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
 					})
 				}
@@ -138,7 +138,8 @@
 					OldWeightsTTL: func() time.Duration { return ttl },
 					KVStores:      func() []rcaffinity.KVStore { return nil },
 					RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
-					Metrics:       &rcmetric.Set{}, Log: zerolog.Nop(),
+					Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+					Metrics: &rcmetric.Set{}, Log: zerolog.Nop(),
 				})
 				x := streaming(radishcrank.RetryResume)
 				x.Route.MaxAttempts = c.maxAttempts
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -24,6 +24,9 @@
 	// list was unreachable: upstreams whose entries expired in the meantime are
 	// listed again within two seconds.
 	removalGrace = 2 * time.Second
+	// softwareRetention is how long the software versions of upstreams that are gone are
+	// remembered. It exceeds the time limits of streams.
+	softwareRetention = time.Minute
 	// departureRetention is how long an upstream that is gone is remembered. A copy
 	// from which the store comes back is some seconds old.
 	departureRetention = time.Minute
@@ -97,7 +100,8 @@
 	members          map[radishcrank.UpstreamID]*member
 	services         map[string][]*member
 	departed         map[radishcrank.UpstreamID]departure
-	synced           bool // A first complete list has arrived.
+	goneSoftware     map[string]map[radishcrank.SoftwareVersion]time.Time // When upstreams of a service were last listed with a version, by service.
+	syncedAt         time.Time                                            // When a first complete list had arrived; zero before.
 	unreachableSince time.Time
 	reachableSince   time.Time
 	changed          chan struct{} // Closed and replaced when an upstream may have become usable.
@@ -107,11 +111,12 @@
 // New returns an empty Fleet.
 func New() *Fleet {
 	return &Fleet{
-		members:     map[radishcrank.UpstreamID]*member{},
-		services:    map[string][]*member{},
-		departed:    map[radishcrank.UpstreamID]departure{},
-		changed:     make(chan struct{}),
-		cachedParts: newCachedParts(),
+		members:      map[radishcrank.UpstreamID]*member{},
+		services:     map[string][]*member{},
+		departed:     map[radishcrank.UpstreamID]departure{},
+		goneSoftware: map[string]map[radishcrank.SoftwareVersion]time.Time{},
+		changed:      make(chan struct{}),
+		cachedParts:  newCachedParts(),
 	}
 }
 
@@ -131,7 +136,41 @@
 func (f *Fleet) Synced() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.synced
+	return !f.syncedAt.IsZero()
+}
+
+// SoftwareVersions returns the versions of the software of a service's upstreams that
+// were listed within the time, up to a minute. complete is false if the list has not
+// been known for that long.
+func (f *Fleet) SoftwareVersions(service string, within time.Duration) (versions []radishcrank.SoftwareVersion, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.services[service] {
+		versions = append(versions, m.Software)
+	}
+	now := time.Now()
+	for version, at := range f.goneSoftware[service] {
+		if now.Sub(at) < within {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions), !f.syncedAt.IsZero() && now.Sub(f.syncedAt) >= within && within <= softwareRetention
+}
+
+// rememberSoftwareLocked remembers the software version of an upstream that is gone.
+func (f *Fleet) rememberSoftwareLocked(m *member) {
+	now, versions := time.Now(), f.goneSoftware[m.Service]
+	if versions == nil {
+		versions = map[radishcrank.SoftwareVersion]time.Time{}
+		f.goneSoftware[m.Service] = versions
+	}
+	for version, at := range versions {
+		if now.Sub(at) > softwareRetention {
+			delete(versions, version)
+		}
+	}
+	versions[m.Software] = now
 }
 
 // Put adds or updates a listed entry.
@@ -246,7 +285,9 @@
 			f.removeLocked(m)
 		}
 	}
-	f.synced = true
+	if f.syncedAt.IsZero() {
+		f.syncedAt = time.Now()
+	}
 	f.signalLocked()
 }
 
@@ -276,6 +317,7 @@
 
 func (f *Fleet) dropLocked(m *member) {
 	delete(f.members, m.ID)
+	f.rememberSoftwareLocked(m)
 	f.services[m.Service] = slices.DeleteFunc(f.services[m.Service], func(o *member) bool { return o == m })
 	f.cachedParts.forget(m.ID)
 	now := time.Now()
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -195,3 +195,29 @@
 		require.False(t, get(t, f, "a").Suspect)
 	})
 }
+
+// TestSoftwareVersionOfGoneUpstreamIsForgotten guards against a service that seems to have
+// one software version although streams may have begun at another one.
+func TestSoftwareVersionOfGoneUpstreamIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New()
+		up := func(id radishcrank.UpstreamID, i radishcrank.Incarnation, software radishcrank.SoftwareVersion) Entry {
+			return Entry{Upstream: radishcrank.Upstream{ID: id, Service: "s", Incarnation: i, Software: software}}
+		}
+		f.Replace([]Entry{up("u0", 1, "a"), up("u1", 1, "a")})
+		versions, complete := f.SoftwareVersions("s", time.Second)
+		require.Equal(t, []radishcrank.SoftwareVersion{"a"}, versions)
+		require.False(t, complete, "the list has just been read")
+		time.Sleep(time.Second)
+		f.Put(up("u0", 2, "b")) // Back with another version.
+		versions, complete = f.SoftwareVersions("s", time.Second)
+		require.Equal(t, []radishcrank.SoftwareVersion{"a", "b"}, versions)
+		require.True(t, complete)
+		f.Remove("u1")
+		versions, _ = f.SoftwareVersions("s", time.Second)
+		require.Equal(t, []radishcrank.SoftwareVersion{"a", "b"}, versions)
+		time.Sleep(time.Second)
+		versions, _ = f.SoftwareVersions("s", time.Second)
+		require.Equal(t, []radishcrank.SoftwareVersion{"b"}, versions)
+	})
+}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -48,6 +48,8 @@
 	NewsLost               CounterName = "NewsLost"
 	LimitedReplies         CounterName = "LimitedReplies"
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
+	StreamsUnknown         CounterName = "StreamsUnknown"
+	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -108,6 +110,8 @@
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
+	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
+	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,6 +68,7 @@
 	r           *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // Idle time that the upstream allows, less a margin.
+	incarnation atomic.Uint64 // Of the upstream; 0 if it has not been confirmed.
 }
 
 // New returns an empty Pool.
@@ -251,6 +253,17 @@
 	once       sync.Once
 }
 
+// Connection returns the connection on which a response of Do arrives.
+func Connection(resp *http.Response) radishcrank.Connection { return resp.Body.(*body).conn }
+
+// Incarnation implements radishcrank.Connection.
+func (c *conn) Incarnation() radishcrank.Incarnation {
+	return radishcrank.Incarnation(c.incarnation.Load())
+}
+
+// SetIncarnation implements radishcrank.Connection.
+func (c *conn) SetIncarnation(i radishcrank.Incarnation) { c.incarnation.Store(uint64(i)) }
+
 func (b *body) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
 	if err == io.EOF {
