Run engines of two software versions in the soak

Engines of two versions serve side by side and mark their events. An engine crashes and is back under its ID after up to 1 s with the other version, and its entry says so up to 1.5 s later. Callers close the connection of three in ten resumable streams after some events and take them up at other instances, up to four times. No answer and no stream may hold events of both versions, and of 12 or more streams that are taken up at instances in touch, while two sound engines of their version serve, at least half the share has to go on that new ones begin at. Schedules of earlier versions keep a single one.

--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -49,6 +49,7 @@
 
 	mu      sync.Mutex
 	refused map[string]int // Status codes of refused requests, by request ID.
+	takeUps takeUps
 }
 
 func newCallers(s *soak) *callers {
@@ -90,9 +91,14 @@
 		defer transport.CloseIdleConnections()
 		clients[n] = &http.Client{Transport: transport, Timeout: callerTimeout + 500*time.Millisecond}
 	}
+	streams := rand.New(rand.NewPCG(c.s.cfg.Seed, uint64(streamStream+number)))
 	for k := 0; rcwait.Sleep(ctx, time.Duration(rng.Int64N(int64(2*meanRequestInterval)))); k++ {
 		n := rng.IntN(len(clients))
 		path := callerPaths[rng.IntN(len(callerPaths))]
+		if path == "/advice/1" && streams.Float64() < takeUpProbability {
+			c.streamInPieces(clients, streams, fmt.Sprintf("%d-%d", number, k))
+			continue
+		}
 		c.request(clients[n], c.s.instances[n], path, fmt.Sprintf("i%d-%d-%d", n, number, k))
 	}
 }
@@ -148,6 +154,10 @@
 	want := "done " + id
 	if generates(path) {
 		want = expectedStream()
+		var versions []string
+		if r.Body, versions = splitSoftware(r.Body); len(versions) > 1 {
+			c.s.violation("streams keep their software version", "%s holds events of %v", id, versions)
+		}
 	}
 	switch {
 	case r.Err != nil && strings.HasPrefix(want, r.Body):
--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -52,7 +52,9 @@
 	limit               rateLimit
 	wait                atomic.Int64 // Longest wait of a request before it begins, as a time.Duration.
 	occupations         atomic.Int32 // Number of actions because of which it rejects orders.
-	createdAt           time.Time
+	createdAt           time.Time    // As it says.
+	startedAt           time.Time
+	software            string
 	drainedAt           time.Time      // When the store had accepted the drain; zero before.
 	acknowledged        map[string]int // Numbers of starts of the instances that know of the drain.
 	lateRequestReported bool           // Whether a request after the drain was reported.
@@ -80,6 +82,8 @@
 	runCounter   *rcfakeupstream.RunCounter
 	activeFaults [2]atomic.Int32 // Active faults of plain services and of engines.
 
+	software []string // Versions of engines, which run side by side.
+
 	mu               sync.Mutex
 	upstreams        []*upstream
 	draining         []*upstream // Upstreams that were told to drain.
@@ -105,8 +109,8 @@
 	leaseKey     = "lease/orders"
 )
 
-func newEnvironment(c callbacks) (e *environment, err error) {
-	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), callbacks: c, peers: map[string]string{}}
+func newEnvironment(c callbacks, software []string) (e *environment, err error) {
+	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), callbacks: c, peers: map[string]string{}, software: software}
 	e.store.Rewrite = e.redirectPeers
 	e.server = httptest.NewServer(e.store)
 	e.changeConfig(true, true)
@@ -162,7 +166,10 @@
 	if service == "llm" {
 		cfg.Model, cfg.EventCount, cfg.Delay, cfg.LoadTime, cfg.Weights = model, streamEvents, eventInterval, weightsLoadDuration, int64(len(e.weightsWrittenAt))
 	}
-	u := &upstream{id: cfg.ID, service: service}
+	u := &upstream{id: cfg.ID, service: service, software: e.software[e.created%len(e.software)], startedAt: time.Now()}
+	// Simulates clock skew between machines.
+	u.createdAt = u.startedAt.Add(time.Duration(e.created%3-1) * clockSkew)
+	cfg.Born, cfg.Software = u.createdAt.UnixMilli(), e.softwareMark(u)
 	cfg.OnLoaded = func() { e.updateEntry(u) }
 	cfg.OnOrder = func(o rcfakeupstream.Order) { e.callbacks.order(u, o) }
 	cfg.OnArrival = func(id string) { e.callbacks.arrival(u, id) }
@@ -179,22 +186,29 @@
 		server.Close()
 		return err
 	}
-	u.Upstream, u.link, u.createdAt = server, link, time.Now()
+	u.Upstream, u.link = server, link
 	e.upstreams = append(e.upstreams, u)
-	// Simulates clock skew between machines.
-	u.createdAt = u.createdAt.Add(time.Duration(e.created%3-1) * clockSkew)
 	e.putEntry(u, "ready")
 	return nil
 }
 
+// softwareMark returns what an engine adds to its events: nothing if there is one version
+// only.
+func (e *environment) softwareMark(u *upstream) string {
+	if len(e.software) == 1 {
+		return ""
+	}
+	return u.software
+}
+
 func (e *environment) putEntry(u *upstream, state string) {
 	e.store.Put("servers", u.id, map[string]any{
-		"Service": u.service, "Address": u.link.addr(), "Zone": "z0", "State": state, "Slots": 32, "born": u.createdAt.UnixMilli(),
+		"Service": u.service, "Address": u.link.addr(), "Zone": "z0", "State": state, "Slots": 32, "born": u.createdAt.UnixMilli(), "Version": u.software,
 		"Models": []any{map[string]any{"Name": model, "Version": u.Weights()}},
 	})
 }
 
-// updateEntry writes the entry of an upstream after it loaded weights.
+// updateEntry writes the entry of an upstream after it loaded weights or restarted.
 func (e *environment) updateEntry(u *upstream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -41,6 +41,9 @@
 // Upstreams in need, which are no fault of any instance.
 const (
 	limitUpstream actionKind = "limit upstream" // An upstream limits the rate of its requests, and changes the limit.
+	// replaceSoftware is an engine that crashes and is back under its ID with another
+	// software version.
+	replaceSoftware actionKind = "replace software"
 )
 
 var (
@@ -52,7 +55,7 @@
 	// drillKinds are the kinds of the actions that the newest schedules have besides.
 	drillKinds = []actionKind{restoreStore, slowEngines}
 	// troubleKinds are the kinds of upstreams in need.
-	troubleKinds = []actionKind{limitUpstream}
+	troubleKinds = []actionKind{limitUpstream, replaceSoftware}
 	// lostKinds are planned operations that fall right before a restore, which loses
 	// what instances wrote because of them.
 	lostKinds = []actionKind{changeConfig, nameWeights, drainUpstream, revokeKey}
@@ -145,6 +148,8 @@
 	drillStream = 2
 	// troubleStream is the same for upstreams in need.
 	troubleStream = 3
+	// streamStream is the first of the streams for callers that take up streams, one each.
+	streamStream  = 1000
 	minTroubleGap = 400 * time.Millisecond
 	maxTroubleGap = 4 * time.Second
 	// minLimitDuration and maxLimitDuration enclose how long an upstream limits its rate.
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -131,11 +131,15 @@
 		s.fire(ctx, orderAccepted)
 		s.fire(ctx, loadHalfDone)
 	}
+	software := softwareVersions
+	if cfg.Schedule != NewestSchedule {
+		software = software[:1]
+	}
 	onArrival := func(u *upstream, id string) {
 		s.checkDrain(u, id)
 		s.checkLimit(u, id)
 	}
-	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: onArrival, begin: s.checkWeights}); err != nil {
+	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: onArrival, begin: s.checkWeights}, software); err != nil {
 		return report, err
 	}
 	defer s.env.close()
@@ -223,6 +227,7 @@
 	stop()
 	wg.Wait()
 	c.checkRefusals()
+	c.checkTakeUps()
 	for _, i := range s.instances {
 		i.mu.Lock()
 		for _, exit := range i.exits {
@@ -329,6 +334,8 @@
 		}
 	case limitUpstream:
 		s.limitUpstream(ctx, a, later)
+	case replaceSoftware:
+		s.replaceSoftware(ctx, a)
 	case forgetStore:
 		s.env.store.DiscardHistory()
 	case failService:
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -77,7 +77,7 @@
 	plain, all := map[actionKind]bool{}, map[actionKind]bool{}
 	collect := func(seen map[actionKind]bool, schedule []action) {
 		for _, a := range schedule {
-			require.True(t, a.planned() || a.at > 72*time.Second || slices.Contains(drillKinds, a.kind) || slices.Contains(troubleKinds, a.kind), a)
+			require.True(t, a.planned() || a.at > 72*time.Second || slices.Contains(drillKinds, a.kind) || a.kind == limitUpstream, a)
 			seen[a.kind] = true
 		}
 	}
--- a/internal/standin/rcfakecaller/caller.go
+++ b/internal/standin/rcfakecaller/caller.go
@@ -3,6 +3,7 @@
 package rcfakecaller
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
@@ -19,6 +20,11 @@
 	Timeout time.Duration // Timeout that the caller announces in the request.
 	Model   string        // Empty for requests to plain services.
 	Key     string        // API key; defaults to k1.
+	// Resumes and LastEventID take a stream up: the attempt that brought its first event,
+	// and the last event that the caller has.
+	Resumes     string
+	LastEventID string
+	MaxEvents   int // Closes the connection after so many events of a stream; 0 for no limit.
 }
 
 // Result is the outcome of a request as the caller sees it.
@@ -47,15 +53,35 @@
 		r.Header.Set("Radishcrank-Model", q.Model)
 		r.Header.Set("Radishcrank-Prefix-Hash", fmt.Sprintf("aa:2500,b%d:3000,%x:900", len(q.ID)%4, q.ID))
 	}
+	if q.LastEventID != "" {
+		r.Header.Set("Last-Event-Id", q.LastEventID)
+		r.Header.Set("Resumes", q.Resumes)
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return Result{Err: err}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := readEvents(resp.Body, q.MaxEvents)
 	sealed := resp.Header.Get("Radishcrank-Response-Seal") != ""
 	return Result{
 		Status: resp.StatusCode, Signed: sealed, Body: string(text), Err: err,
 		Upstream: resp.Header.Get("Radishcrank-Instance-Id"), Limited: resp.Header.Get("Server-Limit") != "",
 	}
 }
+
+// readEvents reads a body to its end, or a stream until it has a number of events.
+func readEvents(body io.Reader, events int) (text []byte, err error) {
+	buf := make([]byte, 1<<10)
+	for events == 0 || bytes.Count(text, []byte("\n\n")) < events {
+		n, err := body.Read(buf)
+		text = append(text, buf[:n]...)
+		if err == io.EOF {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+	}
+	return text, nil
+}
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -59,6 +59,7 @@
 	LoadTime   time.Duration // Duration of a load of weights.
 	Weights    int64         // Weights at the start; 0 means 1.
 	Born       int64         // Start time in Unix milliseconds, which reports state.
+	Software   string        // Added to the data of events; empty for none.
 	OnLoaded   func()        // Called after a load of weights.
 	OnOrder    func(o Order) // Called when an order is accepted.
 	// OnArrival is called when a request arrives that is meant for this upstream.
@@ -91,6 +92,8 @@
 	sequence     int64
 	loading      bool
 	rejectOrders bool
+	software     string
+	born         int64
 	rateLimit    string // Requests per second from all instances; empty for no limit.
 	lastRun      time.Time
 }
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), rejectOrders: cfg.RejectOrders}
+	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), software: cfg.Software, born: cfg.Born, rejectOrders: cfg.RejectOrders}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l) // Returns only after Close.
 	return u, nil
@@ -117,6 +120,14 @@
 	u.rejectOrders = reject
 }
 
+// Restart makes the upstream a new incarnation with other software. The caller breaks its
+// connections. It keeps its weights, and orders of before are unknown to it.
+func (u *Upstream) Restart(software string, born int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.software, u.born, u.sequence = software, born, 0
+}
+
 // SetRateLimit sets the number of requests per second that the upstream announces to
 // accept from all instances together. Empty ends the limit. It is not enforced.
 func (u *Upstream) SetRateLimit(perSecond string) {
@@ -246,6 +257,12 @@
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is missing.
+	u.mu.Lock()
+	mark := u.software
+	u.mu.Unlock()
+	if mark != "" {
+		mark = " by " + mark
+	}
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= u.cfg.EventCount; i++ {
 		if fault == Truncate && i == (last+u.cfg.EventCount)/2 {
@@ -253,7 +270,7 @@
 			controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark)
 		if controller.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
@@ -266,7 +283,7 @@
 	defer u.mu.Unlock()
 	json.NewEncoder(w).Encode(map[string]any{
 		"Models": []any{map[string]any{"Name": u.cfg.Model, "Version": u.weights}}, "Busy": u.loading, "Sequence": u.sequence,
-		"born": u.cfg.Born,
+		"born": u.born,
 	})
 }
 
