--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -46,8 +46,14 @@
 	// maxIdlePerAddr bounds the idle connections to an address.
 	maxIdlePerAddr = 32
 	readBufferSize = 4 << 10
+	// maxHeadBytes bounds the status line and headers of a response, together with those
+	// of interim responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLong reports a response whose head exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("response head exceeds 64 KiB")
+
 // Config configures a Pool. Zero values select the defaults.
 type Config struct {
 	DialTimeout time.Duration
@@ -66,11 +72,47 @@
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
+	head        headLimit
 	idleSince   time.Time
 	idleTimeout time.Duration // Idle time that the upstream allows, less a margin.
 	incarnation atomic.Uint64 // Of the upstream; 0 if it has not been confirmed.
 }
 
+// headLimit reads from a connection. While it is limited, it fails after a number of
+// bytes: net/http reads the head of a response into memory without a bound.
+type headLimit struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (l *headLimit) Read(p []byte) (n int, err error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err = l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of the final response.
+func (c *conn) readHead(method string) (resp *http.Response, err error) {
+	c.head.limited, c.head.left = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
+	for {
+		resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil && c.head.left <= 0 {
+			return nil, errHeadTooLong
+		}
+		if err != nil || resp.StatusCode < 100 || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
 	if cfg.DialTimeout <= 0 {
@@ -133,10 +175,7 @@
 	// An upstream may respond before it has read the whole body, so a failed
 	// write does not end the exchange: the response may already have arrived.
 	_, writeErr := buffers.WriteTo(c.Conn)
-	resp, err = http.ReadResponse(c.r, &http.Request{Method: req.Method})
-	for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 {
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: req.Method})
-	}
+	resp, err = c.readHead(req.Method)
 	if err != nil {
 		return fail(errors.Join(writeErr, err))
 	}
@@ -155,7 +194,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, radishcrank.ErrNotSent, err)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	c := &conn{Conn: nc, head: headLimit{r: nc}}
+	c.r = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // takeIdle removes a usable idle connection from the pool, or returns nil.
