Bound the memory of responses without end

Callers would have seen instances die: a server in trouble may send a body, or an event of a stream, without end.

Cause: the 16 MiB to which each body was limited hold for one response. Several at a time exceed the memory of an instance, which is 112 to 536 MB. Events of resumable streams are kept until they are complete, without a bound.

Change: what all buffered bodies hold beyond 64 KiB each is limited to 40 MiB, and an event to 256 KiB. The attempt then counts as broken, and another upstream takes over where it may.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -15,9 +15,23 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
-// maxBufferedBody limits the size of responses that are buffered before they
-// are forwarded.
-const maxBufferedBody = 16 << 20
+const (
+	// maxBufferedBody limits the size of responses that are buffered before they are
+	// forwarded.
+	maxBufferedBody = 16 << 20
+	// maxBufferedBodies limits the total size of the responses that are being buffered,
+	// beyond freeBodyBytes of each: several upstreams whose responses do not end would
+	// otherwise use up the memory of the instance.
+	maxBufferedBodies = 40 << 20
+	freeBodyBytes     = 64 << 10
+	// maxEventBytes limits the size of an event, which is buffered until it is complete.
+	maxEventBytes = 256 << 10
+)
+
+var (
+	errBodyTooLarge  = errors.New("response body exceeds 16 MiB, or the memory for responses is used up")
+	errEventTooLarge = errors.New("event exceeds 256 KiB")
+)
 
 // errPlacementExpired reports that the chosen upstream became unusable while
 // the exchange waited for the crash guard.
@@ -254,10 +268,7 @@
 // forwardBuffered forwards a response that is not an event stream. A failure of
 // a retryable exchange is kept while another upstream may still succeed.
 func (d *dispatch) forwardBuffered(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		err = errors.New("response body exceeds 16 MiB")
-	}
+	body, err := d.f.bodies.read(reply.Body)
 	if err != nil {
 		o, crashed = d.classifyFailure(ctx, up, err)
 		return false, o, crashed
@@ -340,6 +351,9 @@
 				if outOfOrder {
 					err = errors.New("resumed stream is out of order")
 				}
+				if len(pending) > maxEventBytes {
+					err = errEventTooLarge
+				}
 			}
 			if len(out) > 0 {
 				if !d.response.started {
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -96,6 +96,7 @@
 type Forwarder struct {
 	cfg          Config
 	longGapRatio movingAverage
+	bodies       bodyBuffers
 }
 
 func New(cfg Config) *Forwarder {
