Send origins of streams again when a relay has died

Callers in large fleets would have seen streams refused that could go on: those that began in the moment in which the relay of their zone died, since their origins were sent to it once, and instances ask relays only.

Evidence: TestOriginIsLostWithRelay failed before, since the next relay got no message.

Change: origins of a message that failed are queued again. The relay that failed is not eligible for some seconds, so the next one gets them.

--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -426,10 +426,19 @@
 // upstreams and everything else from its own requests.
 func (p *peerGroup) send(ctx context.Context, client *rcrpc.Client, to *peer, update *peerUpdate) {
 	_, err := rcrpc.Call(ctx, client, to.Peer, updateMethod, *update)
+	if err != nil {
+		p.instance.metrics.Add(rcmetric.NewsLost, 1)
+	}
+	p.recordSend(to, update, err)
+}
+
+// recordSend records the outcome of a message. Origins of streams that did not reach a
+// relay are sent to the next one; without relays, the other instances have them.
+func (p *peerGroup) recordSend(to *peer, update *peerUpdate, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	to.recordCall(err, time.Now())
-	if err != nil {
-		p.instance.metrics.Add(rcmetric.NewsLost, 1)
+	if err != nil && p.usesRelaysLocked() && len(p.queued.Streams) < maxQueuedOrigins {
+		p.queued.Streams = append(p.queued.Streams, update.Streams...)
 	}
 }
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -149,3 +150,22 @@
 	require.NoError(t, err)
 	return i
 }
+
+// TestOriginIsLostWithRelay guards against origins of streams that are lost because the
+// relay that was to get them has just died.
+func TestOriginIsLostWithRelay(t *testing.T) {
+	all := newPeerGroups(30, 3)
+	first := all[len(all)-1] // The least eligible as relay.
+	relay := first.relayForLocked(first.self.Zone)
+	first.origins.Record(rcorigin.Record{Attempt: "a", Origin: rcorigin.Origin{Service: "s", Software: "v1"}})
+	for to, update := range first.updatesLocked() {
+		require.Equal(t, relay, to)
+		first.recordSend(to, update, io.ErrUnexpectedEOF)
+	}
+	next := first.updatesLocked()
+	require.Len(t, next, 1)
+	for to, update := range next {
+		require.NotEqual(t, relay, to)
+		require.Len(t, update.Streams, 1)
+	}
+}
