Ask others which software version a service had

Cause: an instance answered from its own list only, which it had known for less than a stream may last. Instances that have run for longer know it.

Change: a query names the service and how long its streams may last besides the attempt, and any instance that is asked answers from either. One that has heard of several versions itself believes no other that there is one.

--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -118,7 +118,7 @@
 	p.self = &peer{member: member{
 		Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.settings.PeerAddr, Born: i.startedAt.UnixMilli(), CPU: i.settings.CPU,
 	}}
-	p.origins = &streamOrigins{registry: rcorigin.New(), peers: p}
+	p.origins = &streamOrigins{registry: rcorigin.New(), fleet: i.fleet, peers: p}
 	rcrpc.Handle(p.handlers, updateMethod, p.handleUpdate)
 	rcrpc.Handle(p.handlers, originMethod, p.origins.handleQuery)
 	return p
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
 )
@@ -23,22 +23,19 @@
 	maxQueuedOrigins = 2000
 )
 
-// originQuery asks an instance where the stream began whose first event an attempt
-// brought.
-type originQuery struct{ Attempt radishcrank.RequestID }
-
 type originAnswer struct {
 	Known  bool
 	Origin rcorigin.Origin
 }
 
-var originMethod = rcrpc.Method[originQuery, originAnswer]{Name: "StreamOrigin", Timeout: originTimeout}
+var originMethod = rcrpc.Method[rcorigin.Query, originAnswer]{Name: "StreamOrigin", Timeout: originTimeout}
 
 // streamOrigins shares the origins of streams among the instances. Without relays each
 // instance gets the records of all others. With relays, only relays get them, so that
 // the messages of other instances do not grow with the fleet, and are asked by them.
 type streamOrigins struct {
 	registry *rcorigin.Registry
+	fleet    *rcfleet.Fleet
 	peers    *peerGroup
 }
 
@@ -53,30 +50,52 @@
 }
 
 // Find implements rcforward.Origins.
-func (s *streamOrigins) Find(ctx context.Context, attempt radishcrank.RequestID) (o rcorigin.Origin, known bool) {
-	if o, known = s.registry.Get(attempt); known {
+func (s *streamOrigins) Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	if o, known = s.get(q); known {
 		return o, true
 	}
+	if versions, _ := s.fleet.SoftwareVersions(q.Service, q.Within); q.Service != "" && len(versions) != 1 {
+		q.Service = "" // Other instances have not heard yet that it has several.
+	}
+	if q.Attempt == "" && q.Service == "" {
+		return o, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	delay := originRetryDelay
-	if s.peers.usesRelays() {
-		delay = relayOriginRetryDelay
-	}
-	if o, known = s.ask(ctx, attempt); !known && rcwait.Sleep(ctx, delay) {
-		if o, known = s.registry.Get(attempt); !known {
-			o, known = s.ask(ctx, attempt)
+	if o, known = s.ask(ctx, q); !known && q.Attempt != "" && rcwait.Sleep(ctx, s.retryDelay()) {
+		if o, known = s.get(q); !known {
+			o, known = s.ask(ctx, q)
 		}
 	}
-	if known {
-		s.registry.Add(rcorigin.Record{Attempt: attempt, Origin: o})
+	if known && q.Attempt != "" {
+		s.registry.Add(rcorigin.Record{Attempt: q.Attempt, Origin: o})
 	}
 	return o, known
 }
 
+func (s *streamOrigins) retryDelay() time.Duration {
+	if s.peers.usesRelays() {
+		return relayOriginRetryDelay
+	}
+	return originRetryDelay
+}
+
+// get answers a query from what this instance knows: the record of the attempt, or that
+// the service has had one software version for as long as the stream may last.
+func (s *streamOrigins) get(q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	if o, known = s.registry.Get(q.Attempt); known || q.Service == "" {
+		return o, known
+	}
+	versions, complete := s.fleet.SoftwareVersions(q.Service, q.Within)
+	if !complete || len(versions) != 1 || versions[0] == "" {
+		return o, false
+	}
+	return rcorigin.Origin{Service: q.Service, Software: versions[0]}, true
+}
+
 // ask asks all instances that get records, at the same time, and returns the first
 // origin that one of them knows.
-func (s *streamOrigins) ask(ctx context.Context, attempt radishcrank.RequestID) (o rcorigin.Origin, known bool) {
+func (s *streamOrigins) ask(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	client := s.peers.client.Load()
 	if client == nil {
 		return o, false
@@ -87,7 +106,7 @@
 	answers := make(chan originAnswer, len(holders))
 	for _, to := range holders {
 		go func() {
-			answer, err := rcrpc.Call(ctx, client, to.Peer, originMethod, originQuery{attempt})
+			answer, err := rcrpc.Call(ctx, client, to.Peer, originMethod, q)
 			answers <- originAnswer{Known: err == nil && answer.Known, Origin: answer.Origin}
 		}()
 	}
@@ -122,7 +141,7 @@
 	return holders
 }
 
-func (s *streamOrigins) handleQuery(_ context.Context, _ rcrpc.Identity, q originQuery) (a originAnswer, err error) {
-	a.Origin, a.Known = s.registry.Get(q.Attempt)
+func (s *streamOrigins) handleQuery(_ context.Context, _ rcrpc.Identity, q rcorigin.Query) (a originAnswer, err error) {
+	a.Origin, a.Known = s.get(q)
 	return a, nil
 }
--- a/internal/serving/rcforward/origin.go
+++ b/internal/serving/rcforward/origin.go
@@ -24,9 +24,9 @@
 type Origins interface {
 	// Record records the origin of the stream whose first event an attempt has brought.
 	Record(rec rcorigin.Record)
-	// Find returns the origin of the stream that an attempt began, and asks the other
-	// instances if this one does not know it.
-	Find(ctx context.Context, attempt radishcrank.RequestID) (o rcorigin.Origin, known bool)
+	// Find returns the origin of a stream, and asks the other instances if this one does
+	// not know it.
+	Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool)
 }
 
 // streamOrigin is where the stream of a dispatch began. What two software versions write
@@ -55,23 +55,18 @@
 func (d *dispatch) findOrigin() bool {
 	x := d.x
 	d.origin.pinned = true
-	o, known := rcorigin.Origin{}, false
-	if x.Resumes != "" {
-		o, known = d.f.cfg.Origins.Find(d.ctx, x.Resumes)
-	}
-	source := "Record"
-	if !known {
-		o, known = d.onlyOrigin()
-		source = "OnlyVersion"
+	q := rcorigin.Query{Attempt: x.Resumes}
+	if len(x.Services) == 1 {
+		q.Service, q.Within = x.Service, cmp.Or(x.Route.Timeout, defaultStreamTime)
 	}
+	o, known := d.f.cfg.Origins.Find(d.ctx, q)
 	known = known && slices.Contains(x.Services, o.Service)
 	d.f.cfg.Metrics.Add(rcmetric.StreamsTakenUp, 1)
 	if !known {
-		source = "Unknown"
 		d.f.cfg.Metrics.Add(rcmetric.StreamsUnknown, 1)
 	}
 	d.f.cfg.Log.Info().Str("Event", "StreamTakenUp").Str("Request", string(x.ID)).Str("Resumes", string(x.Resumes)).
-		Str("LastEvent", x.LastEventID).Str("Software", string(o.Software)).Str("Source", source).Send()
+		Str("LastEvent", x.LastEventID).Str("Software", string(o.Software)).Bool("Known", known).Send()
 	if known {
 		d.origin.Origin, x.Service = o, o.Service
 		d.origin.known.Store(true)
@@ -79,17 +74,6 @@
 	return known
 }
 
-// onlyOrigin returns the origin of any stream of the route, if it has one service that
-// had a single software version for as long as a stream may last.
-func (d *dispatch) onlyOrigin() (o rcorigin.Origin, known bool) {
-	x := d.x
-	versions, complete := d.f.cfg.Fleet.SoftwareVersions(x.Service, cmp.Or(x.Route.Timeout, defaultStreamTime))
-	if len(x.Services) != 1 || !complete || len(versions) != 1 || versions[0] == "" {
-		return o, false
-	}
-	return rcorigin.Origin{Service: x.Service, Software: versions[0]}, true
-}
-
 // eligible drops the upstreams at which the stream must not go on.
 func (d *dispatch) eligible(states []rcfleet.State) []rcfleet.State {
 	if !d.origin.pinned {
--- a/internal/state/rcorigin/registry.go
+++ b/internal/state/rcorigin/registry.go
@@ -27,6 +27,15 @@
 	Origin
 }
 
+// Query asks where a stream began.
+type Query struct {
+	Attempt radishcrank.RequestID // The attempt that brought the first event; empty if unknown.
+	// Service and Within are set if the stream must have begun at this service and within
+	// this time, so that it is enough to know its only software version since then.
+	Service string
+	Within  time.Duration
+}
+
 // Registry holds origins. It is safe for concurrent use.
 type Registry struct {
 	mu        sync.Mutex
