--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -169,7 +169,7 @@
 	u := &upstream{id: cfg.ID, service: service, software: e.software[e.created%len(e.software)], startedAt: time.Now()}
 	// Simulates clock skew between machines.
 	u.createdAt = u.startedAt.Add(time.Duration(e.created%3-1) * clockSkew)
-	cfg.Born, cfg.Software = u.createdAt.UnixMilli(), e.softwareMark(u)
+	cfg.Born, cfg.SoftwareVersion = u.createdAt.UnixMilli(), e.softwareMark(u)
 	cfg.OnLoaded = func() { e.updateEntry(u) }
 	cfg.OnOrder = func(o rcfakeupstream.Order) { e.callbacks.order(u, o) }
 	cfg.OnArrival = func(id string) { e.callbacks.arrival(u, id) }
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -50,18 +50,18 @@
 
 // Config holds the parameters of an upstream. Callbacks may be nil.
 type Config struct {
-	ID         string
-	Runs       *RunCounter
-	Fault      func() Fault  // Returns the fault of a request; nil means None.
-	Model      string        // Empty for plain services.
-	Delay      time.Duration // Duration of a plain response, or time between two events of a stream.
-	EventCount int           // Number of events in a complete stream.
-	LoadTime   time.Duration // Duration of a load of weights.
-	Weights    int64         // Weights at the start; 0 means 1.
-	Born       int64         // Start time in Unix milliseconds, which reports state.
-	Software   string        // Added to the data of events; empty for none.
-	OnLoaded   func()        // Called after a load of weights.
-	OnOrder    func(o Order) // Called when an order is accepted.
+	ID              string
+	Runs            *RunCounter
+	Fault           func() Fault  // Returns the fault of a request; nil means None.
+	Model           string        // Empty for plain services.
+	Delay           time.Duration // Duration of a plain response, or time between two events of a stream.
+	EventCount      int           // Number of events in a complete stream.
+	LoadTime        time.Duration // Duration of a load of weights.
+	Weights         int64         // Weights at the start; 0 means 1.
+	Born            int64         // Start time in Unix milliseconds, which reports state.
+	SoftwareVersion string        // Added to the data of events; empty for none.
+	OnLoaded        func()        // Called after a load of weights.
+	OnOrder         func(o Order) // Called when an order is accepted.
 	// OnArrival is called when a request arrives that is meant for this upstream.
 	OnArrival func(id string)
 	// Wait returns how long a request waits before it begins to run, as in the queue
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), software: cfg.Software, born: cfg.Born, rejectOrders: cfg.RejectOrders}
+	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), software: cfg.SoftwareVersion, born: cfg.Born, rejectOrders: cfg.RejectOrders}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l) // Returns only after Close.
 	return u, nil
