Judge changed rate limits in the soak by what was in force

The highest limit of a whole series bounded the requests, so that one that was lowered was not judged. Now it is the highest of the window and of the 3 s before, the time that instances have to hear of a limit. The schedule of upstreams in need moves to the other schedules.

--- a/internal/eval/rcsoak/limits.go
+++ b/internal/eval/rcsoak/limits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -32,12 +31,18 @@
 	mu       sync.Mutex
 	actions  int       // Actions that limit the upstream now.
 	since    time.Time // When the first of them began.
-	highest  float64   // Highest limit since then.
+	changes  []limitChange
 	told     map[int]toldLimit
 	arrivals []time.Time // Of requests from instances that know the limit.
 	reported bool
 }
 
+// limitChange is a limit that an upstream named from a time on.
+type limitChange struct {
+	at   time.Time
+	rate float64
+}
+
 // toldLimit is when an instance passed on an answer that names the limit.
 type toldLimit struct {
 	at     time.Time
@@ -60,7 +65,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.actions++; l.actions == 1 {
-		l.since, l.highest, l.told, l.arrivals, l.reported = time.Now(), 0, map[int]toldLimit{}, nil, false
+		l.since, l.changes, l.told, l.arrivals, l.reported = time.Now(), nil, map[int]toldLimit{}, nil, false
 	}
 	l.setLocked(rate, u)
 }
@@ -74,7 +79,7 @@
 }
 
 func (l *rateLimit) setLocked(rate float64, u *upstream) {
-	l.highest = max(l.highest, rate)
+	l.changes = append(l.changes, limitChange{time.Now(), rate})
 	u.SetRateLimit(strconv.FormatFloat(rate, 'f', -1, 64))
 }
 
@@ -86,6 +91,16 @@
 	}
 }
 
+// highestLocked returns the highest limit that was in force at some time since t.
+func (l *rateLimit) highestLocked(t time.Time) (rate float64) {
+	for i, c := range l.changes {
+		if i == len(l.changes)-1 || l.changes[i+1].at.After(t) {
+			rate = max(rate, c.rate)
+		}
+	}
+	return rate
+}
+
 // recordTold records that an instance has passed on an answer that names a limit.
 func (s *soak) recordTold(i *instance, r rcfakecaller.Result) {
 	u := s.env.findUpstream(r.Upstream)
@@ -119,13 +134,15 @@
 	for now.Sub(l.arrivals[0]) >= limitWindow {
 		l.arrivals = l.arrivals[1:]
 	}
-	allowed := limitFactor*l.highest*limitWindow.Seconds() + limitSlack
+	// Instances have as long to hear of a changed limit as of the first one.
+	rate := l.highestLocked(now.Add(-limitWindow - faultGracePeriod))
+	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
 	if now.Sub(l.since) < faultGracePeriod || float64(len(l.arrivals)) <= allowed || s.stalledSince(now.Add(-limitWindow)) > 0 {
 		return
 	}
 	l.reported = true
 	s.violation("rate limits hold", "%s, which limits its rate to %v a second, got %d requests in %s, allowed %v; the last one was %s",
-		u.id, l.highest, len(l.arrivals), limitWindow, allowed, id)
+		u.id, rate, len(l.arrivals), limitWindow, allowed, id)
 }
 
 // sender returns the instance that got a request from its caller, or nil for an
@@ -139,23 +156,3 @@
 	}
 	return nil
 }
-
-// newTroubles returns what upstreams in need do: they limit the rate of their requests,
-// several at a time, all through the run, which is no fault of any instance. In the part
-// with faults engines are back with other software, also two in a row.
-func newTroubles(cfg Config) (troubles []action) {
-	rng := rand.New(rand.NewPCG(cfg.Seed, troubleStream))
-	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
-	for at := between(minActionGap, maxActionGap); at < cfg.Duration; at += between(minTroubleGap, maxTroubleGap) {
-		troubles = append(troubles, action{
-			at: at, kind: limitUpstream, target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10), duration: between(minLimitDuration, maxLimitDuration),
-		})
-	}
-	start := time.Duration(plannedOnlyFraction * float64(cfg.Duration))
-	for at := start + between(minActionGap, minDrillGap); at < cfg.Duration; at += between(minActionGap, maxDrillGap) {
-		troubles = append(troubles, action{
-			at: at, kind: replaceSoftware, target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10), duration: between(minActionGap, maxRestartTime),
-		})
-	}
-	return troubles
-}
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -279,6 +279,26 @@
 	})
 }
 
+// newTroubles returns what upstreams in need do: they limit the rate of their requests,
+// several at a time, all through the run, which is no fault of any instance. In the part
+// with faults engines are back with other software, also two in a row.
+func newTroubles(cfg Config) (troubles []action) {
+	rng := rand.New(rand.NewPCG(cfg.Seed, troubleStream))
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	for at := between(minActionGap, maxActionGap); at < cfg.Duration; at += between(minTroubleGap, maxTroubleGap) {
+		troubles = append(troubles, action{
+			at: at, kind: limitUpstream, target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10), duration: between(minLimitDuration, maxLimitDuration),
+		})
+	}
+	start := time.Duration(plannedOnlyFraction * float64(cfg.Duration))
+	for at := start + between(minActionGap, minDrillGap); at < cfg.Duration; at += between(minActionGap, maxDrillGap) {
+		troubles = append(troubles, action{
+			at: at, kind: replaceSoftware, target: rng.IntN(1 << 10), variant: rng.IntN(1 << 10), duration: between(minActionGap, maxRestartTime),
+		})
+	}
+	return troubles
+}
+
 // newCoincidentAction returns an action on instances that runs during another action
 // or at its end.
 func newCoincidentAction(rng *rand.Rand, a action, faulty bool) action {
