Write the shared key again if the first read finds none

Callers would have seen, after another instance starts: instances that refuse each other's messages, with loads, limits and origins of streams unknown to each other.

Cause: the key is read at the start, and is written again when the members' table is read after a restore. The first read of the table happens 0.7 s after the start and has nothing to compare with, so that a restore before it went unnoticed.

Change: a table without the key puts it in doubt, whatever was known before.

--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -62,7 +62,7 @@
 	log      zerolog.Logger
 
 	ownRowRemoved chan struct{} // Signaled when this instance's row was removed.
-	restored      chan struct{} // Signaled when the store came back from an older copy.
+	keyInDoubt    chan struct{} // Signaled when the shared key may not be stored.
 	replaced      chan member   // Instances whose address this instance now has.
 
 	mu      sync.Mutex
@@ -73,7 +73,7 @@
 // newMemberRegistry returns m with its internal fields initialized.
 func newMemberRegistry(m *memberRegistry) *memberRegistry {
 	m.known, m.missing = map[string]member{}, map[string]time.Time{}
-	m.ownRowRemoved, m.restored, m.replaced = make(chan struct{}, 1), make(chan struct{}, 1), make(chan member, maxReplaced)
+	m.ownRowRemoved, m.keyInDoubt, m.replaced = make(chan struct{}, 1), make(chan struct{}, 1), make(chan member, maxReplaced)
 	return m
 }
 
@@ -160,9 +160,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := map[string]bool{}
-	ownRowSeen := false
+	ownRowSeen, keySeen := false, false
 	for _, row := range rows {
 		ownRowSeen = ownRowSeen || row.Key == memberPrefix+m.self.Name
+		keySeen = keySeen || row.Key == sharedKey
 		if name, ok := m.applyRowLocked(row, p); ok {
 			listed[name] = true
 		}
@@ -180,8 +181,8 @@
 	if !ownRowSeen {
 		signal(m.ownRowRemoved)
 	}
-	if p.Restored {
-		signal(m.restored)
+	if p.Restored || !keySeen { // The first read may follow a restore, too.
+		signal(m.keyInDoubt)
 	}
 }
 
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -364,7 +364,7 @@
 			if err := registry.register(ctx); err != nil {
 				return err
 			}
-		case <-registry.restored:
+		case <-registry.keyInDoubt:
 			known := keys.Load().Current
 			stored, err := registry.sharedSecret(ctx, known)
 			if err != nil {
--- a/internal/node/rcinstance/removal_test.go
+++ b/internal/node/rcinstance/removal_test.go
@@ -221,7 +221,7 @@
 	require.Equal(t, map[string]bool{"b": true, "moved": true}, known)
 	require.EqualValues(t, 4, mine.known["moved"].Peer.Port())
 	<-mine.ownRowRemoved
-	<-mine.restored
+	<-mine.keyInDoubt
 	other.eras.Observe(a.Era) // As an answer to any other call shows it.
 	select {
 	case <-other.ownRowRemoved:
@@ -267,3 +267,23 @@
 	require.NoError(t, err)
 	require.Equal(t, other, stored, "the key that is stored now is used beside the former one")
 }
+
+// TestSharedKeyIsLostBeforeFirstRead guards against a key that is never stored again,
+// because the store came back without it after an instance had read it and before that
+// instance read the members.
+func TestSharedKeyIsLostBeforeFirstRead(t *testing.T) {
+	fake, store := startStore(t)
+	copiedAt := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	registry, _ := newTestRegistry(t, store, testMember("a", 1, 1))
+	_, err := registry.sharedSecret(t.Context(), nil)
+	require.NoError(t, err)
+	require.NoError(t, registry.register(t.Context()))
+	fake.Restore(time.Since(copiedAt), 10*time.Millisecond, rcfakestore.None)
+	go registry.follow(t.Context()) // Returns only when the context is done.
+	select {
+	case <-registry.keyInDoubt:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the key is not written again")
+	}
+}
