Let the store's round end before the test of lost verdicts restarts

It slept until the very instant at which the tracker's round begins, so that the restarted tracker could load before that round had stored anything. It requires what it did: the verdict is stored within one round.

--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -415,6 +415,7 @@
 		m.mu.Unlock()
 		tr.StoreAgain()
 		time.Sleep(storeInterval)
+		synctest.Wait() // The round that begins now has ended.
 		restarted := New(Config{Board: rcboard.New(), VerdictStore: m})
 		go restarted.Run(ctx)
 		synctest.Wait()
