Keep a verdict queued if the store lost it while it was loaded

A verdict could be missing from the store for good after the store came back from a copy, so that an instance that restarted let the crashing content through.

Cause: a round that had read the table before the loss took the verdict off the queue into which StoreAgain had just put it. Now a load from before StoreAgain takes nothing off the queue.

TestVerdictIsStoredAgainAfterLoss: 16 failures in 4000 runs before, 0 in 8000 after.

--- a/internal/limits/rcpoison/sync.go
+++ b/internal/limits/rcpoison/sync.go
@@ -47,8 +47,9 @@
 	ticker := time.NewTicker(min(storeInterval, t.cfg.StoreDelay))
 	defer ticker.Stop()
 	for {
+		losses := t.lossCount()
 		if records, err := t.cfg.VerdictStore.Load(ctx); err == nil {
-			t.mergeStored(records)
+			t.mergeStored(records, losses)
 		}
 		t.storePending(ctx)
 		select {
@@ -59,11 +60,21 @@
 	}
 }
 
-// mergeStored merges stored verdicts. They are not queued for storing again.
-func (t *Tracker) mergeStored(records []Record) {
+func (t *Tracker) lossCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.losses
+}
+
+// mergeStored merges stored verdicts. They are not queued for storing again, unless the
+// store may have lost some since losses was read, which was before it was loaded.
+func (t *Tracker) mergeStored(records []Record, losses int) {
 	t.Merge(records)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.losses != losses {
+		return
+	}
 	for _, r := range records {
 		delete(t.pending, r.Key)
 	}
@@ -74,6 +85,7 @@
 func (t *Tracker) StoreAgain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.losses++
 	for key, r := range t.records {
 		if r.Verdict {
 			t.pending[key] = time.Now().Add(-t.cfg.StoreDelay)
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -63,6 +63,7 @@
 	upstreams  map[radishcrank.UpstreamID]*occupancy
 	pending    map[Key]time.Time // Verdicts to be stored and when they were reached.
 	changed    chan struct{}     // Closed when a reservation ends.
+	losses     int               // Calls of StoreAgain.
 	crashCount uint64            // Number of crashes seen; makes IDs of crashes without an incarnation unique.
 }
 
