Show replies that end with their connection

Nothing told an answer without a length and chunks from others, nor whether a stream ended inside an event; an answered request leaves no line. Now UnframedReply names the request, the upstream, the size and where the stream ended, and a counter counts such replies. No decision changes.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
@@ -269,6 +270,9 @@
 // a retryable exchange is kept while another upstream may still succeed.
 func (d *dispatch) forwardBuffered(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
 	body, err := d.f.bodies.read(reply.Body)
+	if err == nil && reply.Unframed {
+		d.logUnframed(up, reply, len(body), true)
+	}
 	if err != nil {
 		o, crashed = d.classifyFailure(ctx, up, err)
 		return false, o, crashed
@@ -324,6 +328,8 @@
 	flusher := http.NewResponseController(d.w)
 	buf := make([]byte, 4<<10)
 	var pending []byte // An incomplete event.
+	var splitter rcsse.Splitter
+	size := 0
 	first := true
 	var gaps gapTracker
 	defer func() {
@@ -344,6 +350,11 @@
 			}
 			watchdogTimer.reset(d.idleTimeout())
 			out := buf[:n]
+			size += n
+			for rest := out; len(rest) > 0; {
+				read, _ := splitter.Split(rest)
+				rest = rest[read:]
+			}
 			if resumable {
 				pending = append(pending, out...)
 				var outOfOrder bool
@@ -374,6 +385,9 @@
 				}
 			}
 		}
+		if err == io.EOF && reply.Unframed {
+			d.logUnframed(up, reply, size, splitter.BetweenEvents())
+		}
 		switch {
 		case err == io.EOF && len(pending) == 0:
 			if !d.response.started {
@@ -471,6 +485,14 @@
 	rcmetric.AttemptExpired: "Expired", rcmetric.AttemptUnconfirmed: "Unconfirmed",
 }
 
+// logUnframed logs and counts a reply whose end only the end of its connection shows.
+func (d *dispatch) logUnframed(up radishcrank.Upstream, reply *radishcrank.Reply, size int, betweenEvents bool) {
+	d.f.cfg.Metrics.Add(rcmetric.UnframedReplies, 1)
+	d.f.cfg.Log.Info().Str("Event", "UnframedReply").Str("Request", string(d.x.ID)).Str("Upstream", string(up.ID)).
+		Int("Status", reply.Status).Str("ContentType", reply.Header.Get("Content-Type")).Int("Bytes", size).Bool("BetweenEvents", betweenEvents).
+		Int64("AgeMS", time.Since(d.x.ReceivedAt).Milliseconds()).Send()
+}
+
 // logAttempt logs and counts an attempt that did not succeed.
 func (d *dispatch) logAttempt(up radishcrank.Upstream, outcome rcmetric.CounterName, status int, err error) {
 	d.f.cfg.Metrics.Add(outcome, 1)
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -32,6 +32,7 @@
 	failure := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusInternalServerError, Header: http.Header{}}
 	busy := radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}
 	unreadable := math.NaN()
+	unframed := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, Unframed: true}
 	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
 	unknown, restarted := takenUp(), takenUp()
 	unknown.Resumes, restarted.Resumes = "unknown", "restarted"
@@ -80,6 +81,7 @@
 			counters: []rcmetric.CounterName{rcmetric.AttemptCallerGone},
 		},
 		{steps: []step{{hang: true}}, x: nonIdempotent(), disconnected: true, counters: []rcmetric.CounterName{rcmetric.CallerGone}},
+		{steps: []step{{reply: unframed}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UnframedReplies}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
 		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
 		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -47,6 +47,7 @@
 	SuspectsHeld           CounterName = "SuspectsHeld"
 	NewsLost               CounterName = "NewsLost"
 	LimitedReplies         CounterName = "LimitedReplies"
+	UnframedReplies        CounterName = "UnframedReplies"
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
 	StreamsUnknown         CounterName = "StreamsUnknown"
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
@@ -108,6 +109,7 @@
 	{AttemptExpired, "attempts", "Attempts cancelled because the upstream had not begun them when its weights were about to expire.", "Find out why engines load the newer weights so late, or why they are slow."},
 	{RepeatsDenied, "attempts", "Retries that the fleet's retry budget did not allow.", "Find out why attempts fail; retries would add load."},
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
+	{UnframedReplies, "replies", "Replies with neither a length nor chunks that ended with their connection.", "Look at `UnframedReply` lines: streams that end inside an event were broken off."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
 	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
