--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -45,6 +45,7 @@
 
 const configTemplate = `{"Version":%d,"Routes":[
  {"Name":"advice","Hostname":"a.example","Prefix":"/advice/","Kind":"streaming","Resumable":true,"Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":3},
+ {"Name":"chat","Hostname":"a.example","Prefix":"/chat/","Kind":"streaming","Service":"llm","TimeoutMs":6000,"TargetLatencyMs":600,"GapAimMs":300,"MaxAttempts":1},
  {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":1},
  {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":2}%s],
 "Services":[{"Name":"llm","Engine":{"Slots":8,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
@@ -74,6 +75,7 @@
 	onArrival     func(upstream string) // Called for each request that reaches an upstream.
 	software      func(n int) string    // Version of the software of upstream n; nil means the same for all.
 	onRun         func(upstream, id string)
+	delivery      func(id string) rcfakeupstream.Delivery
 }
 
 func startDeployment(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *deployment {
@@ -88,7 +90,7 @@
 	s.putConfig(1, "")
 	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
 	for i := range 7 {
-		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders}
+		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders, Delivery: o.delivery}
 		service := "desk"
 		if o.onArrival != nil {
 			cfg.OnArrival = func(string) { o.onArrival(cfg.ID) }
--- a/internal/standin/rcfakeservice/service.go
+++ b/internal/standin/rcfakeservice/service.go
@@ -20,6 +20,7 @@
 	CrashBefore       int  // The connection breaks before the booking takes effect.
 	CrashAfter        int  // The booking takes effect, then the connection breaks.
 	TruncateResponses int  // The booking takes effect, and the response is truncated.
+	BreakOffUnframed  int  // The booking takes effect, and the response, which has no framing, ends inside its body.
 	WithholdResponses int  // The booking takes effect, and no response is sent before the client disconnects.
 	NoLookup          bool // Lookups do not find any booking.
 }
@@ -106,6 +107,7 @@
 		{&s.faults.CrashBefore, &f.CrashBefore},
 		{&s.faults.CrashAfter, &f.CrashAfter},
 		{&s.faults.TruncateResponses, &f.TruncateResponses},
+		{&s.faults.BreakOffUnframed, &f.BreakOffUnframed},
 		{&s.faults.WithholdResponses, &f.WithholdResponses},
 	} {
 		if *counter.from > 0 {
@@ -153,6 +155,14 @@
 		io.WriteString(w, "{")
 		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case fault.BreakOffUnframed > 0:
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err) // Cannot fail for HTTP/1.1.
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"Number\":")
+		conn.Close()
+		return
 	case fault.WithholdResponses > 0:
 		<-r.Context().Done()
 		return
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -69,6 +69,9 @@
 	Wait func() time.Duration
 	// OnRequest is called when a request begins to run, with the current weights.
 	OnRequest func(id string, weights int64)
+	// Delivery returns how the response to a request that runs without a fault is
+	// delivered. Nil means Delivery{}.
+	Delivery func(id string) Delivery
 	// RejectOrders rejects orders as if the engine were executing another one.
 	RejectOrders bool
 }
@@ -211,6 +214,15 @@
 		u.cfg.OnRequest(id, weights)
 	}
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
+	if u.cfg.Model != "" {
+		h.Set("Radishcrank-Weight-Versions", strconv.FormatInt(weights, 10))
+	}
+	if u.cfg.Delivery != nil && fault == None {
+		if d := u.cfg.Delivery(id); d != (Delivery{}) {
+			u.deliver(w, r, d)
+			return
+		}
+	}
 	switch {
 	case fault == Reset:
 		panic(http.ErrAbortHandler)
@@ -223,7 +235,6 @@
 			panic(http.ErrAbortHandler)
 		}
 	default:
-		h.Set("Radishcrank-Weight-Versions", strconv.FormatInt(weights, 10))
 		u.stream(w, r, fault)
 	}
 }
@@ -253,16 +264,26 @@
 	}
 }
 
-// stream writes the events after the one in the Last-Event-Id header.
-func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
-	w.Header().Set("Content-Type", "text/event-stream")
+// lastEventID returns the last event that the client of a stream has, or 0.
+func lastEventID(r *http.Request) int {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is missing.
+	return last
+}
+
+func (u *Upstream) event(n int) string {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	mark := u.software
-	u.mu.Unlock()
 	if mark != "" {
 		mark = " by " + mark
 	}
+	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, mark)
+}
+
+// stream writes the events after the one in the Last-Event-Id header.
+func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last := lastEventID(r)
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= u.cfg.EventCount; i++ {
 		if fault == Truncate && i == (last+u.cfg.EventCount)/2 {
@@ -270,7 +291,7 @@
 			controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", i, i, mark)
+		io.WriteString(w, u.event(i)) // A failed write shows when it is flushed.
 		if controller.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
--- a/internal/upstream/rcservice/client_test.go
+++ b/internal/upstream/rcservice/client_test.go
@@ -23,6 +23,19 @@
 	return radishcrank.ServiceCall{Account: "a", Service: "booking", Method: http.MethodPost, Path: "/releases", Body: []byte("b"), IdempotencyKey: key}
 }
 
+// TestBrokenOffCallLooksComplete guards against a response that its service broke off and
+// that is recorded and replayed as if it were whole.
+func TestBrokenOffCallLooksComplete(t *testing.T) {
+	ledger := rcfakeservice.New()
+	up, _ := serve(t, ledger.Handler())
+	ledger.SetFaults(rcfakeservice.Faults{BreakOffUnframed: 1})
+	_, err := rcservice.New().Call(t.Context(), up, booking("k"))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, radishcrank.ErrNotSent)
+	require.NotErrorIs(t, err, radishcrank.ErrUpstreamBusy)
+	require.Equal(t, 1, ledger.Runs("a/k"))
+}
+
 // Guards against reporting a call as not run although it may have run, against a
 // call that net/http sends twice, and against lookups that disagree with the
 // calls that ran.
