Do not take the end of a connection for the end of an answer

Cause: an answer without length and chunks ends with its connection, and a process that dies ends its connections in the same way. net/http reports both as io.EOF. For streams that are not resumed nothing else was looked at; for plain answers nothing at all.

Now the content has to agree with the end: a stream, however framed, ends between two events, and without framing it holds one at least; JSON without framing is not cut. What does not agree is broken off: resumed or repeated where that is allowed, else passed on as far as it came, with the connection closed inside the body. Events may end in CRLF or CR. JSON on a stream's route is forwarded as a plain answer.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -1,7 +1,6 @@
 package rcforward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,9 +10,9 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
-	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -25,14 +24,9 @@
 	// otherwise use up the memory of the instance.
 	maxBufferedBodies = 40 << 20
 	freeBodyBytes     = 64 << 10
-	// maxEventBytes limits the size of an event, which is buffered until it is complete.
-	maxEventBytes = 256 << 10
 )
 
-var (
-	errBodyTooLarge  = errors.New("response body exceeds 16 MiB, or the memory for responses is used up")
-	errEventTooLarge = errors.New("event exceeds 256 KiB")
-)
+var errBodyTooLarge = errors.New("response body exceeds 16 MiB, or the memory for responses is used up")
 
 // errPlacementExpired reports that the chosen upstream became unusable while
 // the exchange waited for the crash guard.
@@ -119,7 +113,7 @@
 		return false, nil
 	}
 	d.runs++
-	if x.Route.Stream && reply.Status == http.StatusOK {
+	if x.Route.Stream && reply.Status == http.StatusOK && !rcframing.IsJSON(reply.Header) {
 		if d.origin.pinned && !d.confirm(ctx, up, reply.Conn) {
 			d.cause = errUnconfirmed
 			d.logAttempt(up, rcmetric.AttemptUnconfirmed, reply.Status, errUnconfirmed)
@@ -271,7 +265,8 @@
 func (d *dispatch) forwardBuffered(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
 	body, err := d.f.bodies.read(reply.Body)
 	if err == nil && reply.Unframed {
-		d.logUnframed(up, reply, len(body), true)
+		err = rcframing.CheckBody(reply.Header, body)
+		d.logUnframed(up, reply, len(body), err == nil)
 	}
 	if err != nil {
 		o, crashed = d.classifyFailure(ctx, up, err)
@@ -327,8 +322,7 @@
 	resumable := d.x.Route.Retry == radishcrank.RetryResume
 	flusher := http.NewResponseController(d.w)
 	buf := make([]byte, 4<<10)
-	var pending []byte // An incomplete event.
-	var splitter rcsse.Splitter
+	var events eventBuffer
 	size := 0
 	first := true
 	var gaps gapTracker
@@ -351,20 +345,13 @@
 			watchdogTimer.reset(d.idleTimeout())
 			out := buf[:n]
 			size += n
-			for rest := out; len(rest) > 0; {
-				read, _ := splitter.Split(rest)
-				rest = rest[read:]
-			}
 			if resumable {
-				pending = append(pending, out...)
-				var outOfOrder bool
-				out, pending, outOfOrder = d.splitEvents(pending)
-				if outOfOrder {
-					err = errors.New("resumed stream is out of order")
-				}
-				if len(pending) > maxEventBytes {
-					err = errEventTooLarge
+				var splitErr error
+				if out, splitErr = events.add(out, &d.response.lastEventID); splitErr != nil {
+					err = splitErr
 				}
+			} else {
+				events.observe(out)
 			}
 			if len(out) > 0 {
 				if !d.response.started {
@@ -385,15 +372,17 @@
 				}
 			}
 		}
+		whole := err == io.EOF && events.whole(reply)
 		if err == io.EOF && reply.Unframed {
-			d.logUnframed(up, reply, size, splitter.BetweenEvents())
+			d.logUnframed(up, reply, size, whole)
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0:
+		case whole:
 			if !d.response.started {
 				copyHeader(d.w.Header(), reply.Header)
 				d.w.WriteHeader(reply.Status)
 			}
+			d.w.Write(events.pending) // Comments. A write error means that the client has disconnected.
 			d.f.cfg.Metrics.Add(rcmetric.Answered, 1)
 			d.f.cfg.Metrics.Record(rcmetric.LongestPause, gaps.longest)
 			return true, rcfleet.Succeeded, false
@@ -417,49 +406,6 @@
 	return idleTimeoutFactor * max(x.Route.MaxEventGap, 100*time.Millisecond)
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// splitEvents splits the complete events off the front of pending. outOfOrder
-// reports an event that does not follow those that the client has.
-func (d *dispatch) splitEvents(pending []byte) (events, rest []byte, outOfOrder bool) {
-	end := 0
-	for {
-		i := bytes.Index(pending[end:], eventEnd)
-		if i < 0 {
-			break
-		}
-		event := pending[end : end+i]
-		end += i + len(eventEnd)
-		if id, ok := eventID(event); ok {
-			if !idFollows(d.response.lastEventID, id) {
-				return nil, nil, true
-			}
-			d.response.lastEventID = id
-		}
-	}
-	return pending[:end:end], bytes.Clone(pending[end:]), false
-}
-
-func eventID(event []byte) (id string, ok bool) {
-	for line := range bytes.Lines(event) {
-		if rest, found := bytes.CutPrefix(line, idField); found {
-			return string(bytes.TrimSpace(rest)), true
-		}
-	}
-	return "", false
-}
-
-// idFollows reports whether event id may follow last. IDs that are not numbers
-// cannot be compared and are accepted.
-func idFollows(last, id string) bool {
-	a, errA := strconv.ParseInt(last, 10, 64)
-	b, errB := strconv.ParseInt(id, 10, 64)
-	return errA != nil || errB != nil || b > a
-}
-
 // logPlacement logs the inputs of a placement decision.
 func (d *dispatch) logPlacement(c rcaffinity.Choice) {
 	x, s := d.x, &c.Upstream
@@ -486,10 +432,10 @@
 }
 
 // logUnframed logs and counts a reply whose end only the end of its connection shows.
-func (d *dispatch) logUnframed(up radishcrank.Upstream, reply *radishcrank.Reply, size int, betweenEvents bool) {
+func (d *dispatch) logUnframed(up radishcrank.Upstream, reply *radishcrank.Reply, size int, whole bool) {
 	d.f.cfg.Metrics.Add(rcmetric.UnframedReplies, 1)
 	d.f.cfg.Log.Info().Str("Event", "UnframedReply").Str("Request", string(d.x.ID)).Str("Upstream", string(up.ID)).
-		Int("Status", reply.Status).Str("ContentType", reply.Header.Get("Content-Type")).Int("Bytes", size).Bool("BetweenEvents", betweenEvents).
+		Int("Status", reply.Status).Str("ContentType", reply.Header.Get("Content-Type")).Int("Bytes", size).Bool("Whole", whole).
 		Int64("AgeMS", time.Since(d.x.ReceivedAt).Milliseconds()).Send()
 }
 
