Do not record a call's response that its service broke off

A keyed call whose response, without length and chunks, was cut inside its JSON was recorded and replayed to its caller as if it were whole. The cause is that of the forwarded answers: the end of the connection was taken for that of the response. Now the outcome is unknown, and the service's lookup decides, as after a reset.

TestBrokenOffCallLooksComplete failed before and passes; what it requires is unchanged.

--- a/internal/upstream/rcservice/client.go
+++ b/internal/upstream/rcservice/client.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -114,6 +115,11 @@
 	if len(body) > maxResponseBytes {
 		return response, nil, fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
 	}
+	if rcframing.Unframed(resp) {
+		if err := rcframing.CheckBody(resp.Header, body); err != nil {
+			return response, nil, err
+		}
+	}
 	return radishcrank.ServiceResponse{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
