Forward the events before one that is out of order

A resumed stream could lack events: when an event out of order was read together with sound ones before it, these were dropped, and the continuation began after them.

Cause: the position of the client moved on with each event, and the events were returned only if all were in order.

TestEventsBeforeOneOutOfOrderAreLost failed before (only event 3 arrived) and passes.

--- a/internal/serving/rcforward/events.go
+++ b/internal/serving/rcforward/events.go
@@ -37,7 +37,7 @@
 
 // add returns the events that p completes, and keeps the beginning of the next one.
 // lastID is the ID of the last event that the client has. An event that does not follow
-// it ends the stream.
+// it ends the stream; those before it are returned all the same.
 func (b *eventBuffer) add(p []byte, lastID *string) (events []byte, err error) {
 	scanned, end := len(b.pending), 0
 	all := append(b.pending, p...)
@@ -49,7 +49,7 @@
 		}
 		if id, ok := eventID(all[end:scanned]); ok {
 			if !idFollows(*lastID, id) {
-				return nil, errEventsOutOfOrder
+				return all[:end:end], errEventsOutOfOrder
 			}
 			*lastID = id
 		}
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -331,6 +331,18 @@
 	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got.Body.String())
 }
 
+// TestEventsBeforeOneOutOfOrderAreLost guards against events that the client never gets
+// because one that is out of order was read together with them.
+func TestEventsBeforeOneOutOfOrderAreLost(t *testing.T) {
+	s := &scriptedSender{steps: []step{
+		{reply: okReply(), body: strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\n")},
+		{reply: okReply(), body: strings.NewReader("id: 3\ndata: c\n\n")},
+	}}
+	got := serve(s, 3, stubBudget{}, streaming(radishcrank.RetryResume))
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.Body.String())
+}
+
 // TestBrokenStreamIsTruncated guards against a broken stream that is not
 // resumable and ends as if it were complete.
 func TestBrokenStreamIsTruncated(t *testing.T) {
