--- a/exchange.go
+++ b/exchange.go
@@ -110,13 +110,13 @@
 type Reply struct {
 	Class  ReplyClass
 	Status int
-	Header http.Header   // End-to-end headers.
-	Length int64         // Length of the body, or -1.
+	Header http.Header // End-to-end headers.
+	Length int64       // Length of the body, or -1.
 	// Unframed means that the body has neither a length nor chunks and ends with its
 	// connection, which does not prove that it is whole.
 	Unframed bool
-	Body   io.ReadCloser // Closing it before EOF cancels the run.
-	Load   *QueueReport  // Nil if the upstream reported none.
+	Body     io.ReadCloser // Closing it before EOF cancels the run.
+	Load     *QueueReport  // Nil if the upstream reported none.
 	// RateLimit is the number of requests per second that the upstream accepts from
 	// all instances together; nil if it states none.
 	RateLimit *float64
