--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -446,8 +446,20 @@
 		Str("UpstreamZone", string(up.Zone)).
 		Str("Outcome", attemptOutcomes[outcome]).Int("Status", status).Int("Arrival", d.attempts).Bool("Begun", d.response.started).
 		Int64("AgeMS", time.Since(d.x.ReceivedAt).Milliseconds())
+	if outcome == rcmetric.AttemptBroken {
+		e = e.Strs("Parts", sharedParts(d.x))
+	}
 	if err != nil {
 		e = e.Str("Cause", err.Error())
 	}
 	e.Send()
 }
+
+// sharedParts returns the parts of the prompt but the last one, which belongs to the
+// request itself.
+func sharedParts(x *radishcrank.Exchange) (ids []string) {
+	for _, p := range x.PromptParts[:max(0, len(x.PromptParts)-1)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
