--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -50,7 +50,7 @@
  {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":1},
  {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":2000,"TargetLatencyMs":150,"MaxAttempts":2}%s],
 "Services":[{"Name":"llm","Engine":{"Slots":8,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
-"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]}]}`
+"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]},{"Name":"t2","ApiKeys":["k2"]}]}`
 
 func freePorts(t *testing.T, n int) (addrs []netip.AddrPort) {
 	t.Helper()
@@ -77,8 +77,16 @@
 	software      func(n int) string    // Version of the software of upstream n; nil means the same for all.
 	onRun         func(upstream, id string)
 	delivery      func(id string) rcfakeupstream.Delivery
+	// crashes reports whether a request crashes its engine. The engine is back after
+	// engineRestartTime under another ID.
+	crashes func(r *http.Request) bool
 }
 
+const (
+	engineCount       = 4
+	engineRestartTime = 500 * time.Millisecond
+)
+
 func startDeployment(t *testing.T, instances int, fault func() rcfakeupstream.Fault) *deployment {
 	return startDeploymentWith(t, deploymentOptions{instances: instances, fault: fault})
 }
@@ -90,34 +98,13 @@
 	s.storeAddr = netip.MustParseAddrPort(server.Listener.Addr().String())
 	s.putConfig(1, "")
 	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
-	for i := range 7 {
-		cfg := rcfakeupstream.Config{ID: fmt.Sprint("u", i), Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders, Delivery: o.delivery}
-		service := "desk"
-		if o.onArrival != nil {
-			cfg.OnArrival = func(string) { o.onArrival(cfg.ID) }
-		}
-		if o.onRun != nil {
-			cfg.OnRequest = func(id string, _ int64) { o.onRun(cfg.ID, id) }
-		}
-		software := "v1"
-		if o.software != nil {
-			software = o.software(i)
-		}
-		if i < 4 {
-			cfg.Model, cfg.EventCount, service = "m", 8, "llm"
-		}
-		u, err := rcfakeupstream.Start(cfg)
-		require.NoError(t, err)
-		t.Cleanup(u.Close)
-		if cfg.Model != "" {
+	for i := range engineCount + 3 {
+		u := s.startUpstream(o, i, fmt.Sprint("u", i))
+		if i < engineCount {
 			s.engines = append(s.engines, u)
 		} else {
 			s.services = append(s.services, u)
 		}
-		s.store.Put("servers", cfg.ID, map[string]any{
-			"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": cfg.Born, "Version": software,
-			"Models": []any{map[string]any{"Name": cfg.Model, "Version": 1}},
-		})
 	}
 	for range o.instances {
 		s.start(cmp.Or(o.oldWeightsTTL, 10*time.Second))
@@ -133,6 +120,40 @@
 	return s
 }
 
+// startUpstream starts upstream i, an engine if i is below engineCount.
+func (s *deployment) startUpstream(o deploymentOptions, i int, id string) *rcfakeupstream.Upstream {
+	cfg := rcfakeupstream.Config{ID: id, Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: 2 * time.Millisecond, LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders, Delivery: o.delivery}
+	service := "desk"
+	if o.onArrival != nil {
+		cfg.OnArrival = func(string) { o.onArrival(cfg.ID) }
+	}
+	if o.onRun != nil {
+		cfg.OnRequest = func(id string, _ int64) { o.onRun(cfg.ID, id) }
+	}
+	software := "v1"
+	if o.software != nil {
+		software = o.software(i)
+	}
+	if i < engineCount {
+		cfg.Model, cfg.EventCount, service = "m", 8, "llm"
+		cfg.Crashes = func(r *http.Request) bool { return o.crashes != nil && o.crashes(r) }
+		cfg.OnCrash = func() {
+			time.AfterFunc(engineRestartTime, func() {
+				s.store.Delete("servers", id)
+				s.startUpstream(o, i, id+"'")
+			})
+		}
+	}
+	u, err := rcfakeupstream.Start(cfg)
+	require.NoError(s.t, err)
+	s.t.Cleanup(u.Close)
+	s.store.Put("servers", id, map[string]any{
+		"Service": service, "Address": u.Addr, "Zone": "z", "State": "ready", "Slots": 8, "born": cfg.Born, "Version": software,
+		"Models": []any{map[string]any{"Name": cfg.Model, "Version": 1}},
+	})
+	return u
+}
+
 // start starts one more instance and waits until it is ready. Another process may take a
 // free port before the instance listens; it starts again with others then.
 func (s *deployment) start(oldWeightsTTL time.Duration) {
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -72,6 +72,10 @@
 	// Delivery returns how the response to a request that runs without a fault is
 	// delivered. Nil means Delivery{}.
 	Delivery func(id string) Delivery
+	// Crashes reports whether a request crashes the upstream when it begins to run. Nil
+	// means that none does.
+	Crashes func(r *http.Request) bool
+	OnCrash func() // Called when the upstream has crashed.
 	// RejectOrders rejects orders as if the engine were executing another one.
 	RejectOrders bool
 }
@@ -213,6 +217,13 @@
 	if u.cfg.OnRequest != nil {
 		u.cfg.OnRequest(id, weights)
 	}
+	if u.cfg.Crashes != nil && u.cfg.Crashes(r) {
+		u.Close()
+		if u.cfg.OnCrash != nil {
+			u.cfg.OnCrash()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
 	if u.cfg.Model != "" {
 		h.Set("Radishcrank-Weight-Versions", strconv.FormatInt(weights, 10))
