Find the prompt part that crashes upstreams, and refuse it

Cause: suspicion fell on a whole content, and no two of these requests are alike.

Now the parts of the prompts that were beginning on an upstream when it crashed are suspects, on all instances (rcblame). A complete answer clears the parts of its prompt. What is left is weighed by chance: how often would a part with its presence on the fleet be at so many of the crashes? Crashes that a convicted part explains count against no other; parts that always come together are convicted together; while nobody gets an answer, nobody is blamed; crashes at one moment count little more than one. Keys of parts hold the account, so that none can get another's part refused. Verdicts go to all instances at once and to the store, from where instances that start read them.

A request that is known to crash upstreams is now refused with 400 and without Retry-After: 503 asked the client to come again for what is never served.

--- a/exchange.go
+++ b/exchange.go
@@ -132,6 +132,8 @@
 	// Incarnation returns the incarnation behind the connection, or 0 if it has not been
 	// confirmed.
 	Incarnation() Incarnation
+	// OpenedAt returns when the connection was opened.
+	OpenedAt() time.Time
 	// SetIncarnation records the incarnation that the upstream has reported while the
 	// connection was open.
 	SetIncarnation(i Incarnation)
--- /dev/null
+++ b/internal/limits/rcblame/judge.go
@@ -0,0 +1,247 @@
+package rcblame
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// clusterTime is the time within which several crashes count once: a rack or a release
+	// takes several upstreams with it.
+	clusterTime = 100 * time.Millisecond
+	// minBlamedCrashes is the least number of crashes for which a part is blamed, and
+	// minClusters how many of them have to be apart in time.
+	minBlamedCrashes = 4
+	minClusters      = 3
+	// minEvidence is how unlikely it has to be that a part was present at its crashes by
+	// chance, as the negative natural logarithm: 1 in 160,000.
+	minEvidence = 12
+	// maxClusterEvidence bounds the evidence of one cluster: requests with a part may come
+	// in a burst that coincides with a crash of many upstreams.
+	maxClusterEvidence = 7
+	// minAnswers is the number of complete answers that others have to get meanwhile, if
+	// there are others. While nobody gets an answer, the cause is not in the prompts.
+	minAnswers = 3
+	// minPresence bounds the presence of a part from below. Parts that an instance has
+	// hardly seen would be blamed for little.
+	minPresence = 0.01
+	// maxSet bounds the parts that are convicted together.
+	maxSet = 4
+)
+
+// candidate is a part with the evidence against it.
+type candidate struct {
+	part     Key
+	crashes  int // Crashes at which it was present.
+	clusters int // Clusters of such crashes.
+	since    int // Number of clusters since the first of them.
+	presence float64
+	evidence float64
+}
+
+// judge convicts the parts that explain the known crashes.
+func (t *Tracker) judge(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.crashes) > 0 && now.Sub(t.crashes[0].knownAt) >= crashRetention {
+		t.removeCrashLocked(t.crashes[0])
+	}
+	byService := map[string][]*crash{}
+	for _, c := range t.crashes {
+		if now.Sub(c.knownAt) >= settleTime {
+			byService[c.service] = append(byService[c.service], c)
+		}
+	}
+	for _, crashes := range byService {
+		for t.convictNextLocked(crashes) {
+		}
+	}
+}
+
+// convictNextLocked convicts the part with the strongest evidence. It returns false if no
+// evidence is strong enough.
+func (t *Tracker) convictNextLocked(crashes []*crash) bool {
+	if len(crashes) < minBlamedCrashes {
+		return false
+	}
+	var found []candidate
+	for p := range t.suspected {
+		if c := t.weighLocked(p, crashes); c.crashes >= minBlamedCrashes && c.clusters >= minClusters && c.evidence >= minEvidence && t.othersAnsweredLocked(p, crashes) {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.evidence, a.evidence), cmp.Compare(a.part, b.part))
+	})
+	for _, c := range found {
+		set := companions(c.part, crashes)
+		if t.isConvictedLocked(set) {
+			continue
+		}
+		t.cfg.Log.Warn().Str("Event", "PartConvicted").Str("Part", string(c.part)).Int("Parts", len(set)).
+			Int("Crashes", c.crashes).Int("Clusters", c.clusters).Int("ClustersSince", c.since).Float64("Presence", c.presence).Float64("Evidence", c.evidence).Send()
+		t.convictLocked(set, true)
+		return true
+	}
+	return false
+}
+
+// weighLocked returns the evidence against a part. Of n clusters since its first one it
+// was present at k. The probability of that by chance is at most the number of ways to
+// choose k of n, times the probability for each of the k. Within a cluster, crashes and
+// presence are weighed in the same way.
+func (t *Tracker) weighLocked(p Key, crashes []*crash) candidate {
+	c := candidate{part: p}
+	var total presence
+	var found [][2]int // Crashes in each cluster with the part, and how many had it.
+	for _, cluster := range t.clustersLocked(p, crashes) {
+		present := 0
+		for _, cr := range cluster {
+			if seen, ok := cr.presence[p]; ok {
+				total.sum, total.reports, present = total.sum+seen.sum, total.reports+seen.reports, present+1
+			}
+		}
+		if present > 0 {
+			found = append(found, [2]int{len(cluster), present})
+		}
+		if len(found) > 0 {
+			c.since++
+		}
+		c.crashes += present
+	}
+	c.clusters = len(found)
+	if total.reports == 0 {
+		return c
+	}
+	// Requests with a part come at any instance.
+	fleetPresence := total.sum / float64(total.reports) * float64(t.cfg.Instances())
+	c.presence = min(max(fleetPresence, minPresence), 1)
+	for _, f := range found {
+		unlikely := -float64(f[1])*math.Log(c.presence) - logChoose(f[0], f[1])
+		c.evidence += min(max(unlikely, 0), maxClusterEvidence)
+	}
+	c.evidence -= logChoose(c.since, c.clusters)
+	return c
+}
+
+// clustersLocked groups the crashes that are not explained without a part.
+func (t *Tracker) clustersLocked(p Key, crashes []*crash) (clusters [][]*crash) {
+	for _, c := range crashes {
+		if t.explainedLocked(c, p) {
+			continue
+		}
+		last := len(clusters) - 1
+		if last >= 0 && c.knownAt.Sub(clusters[last][0].knownAt) < clusterTime {
+			clusters[last] = append(clusters[last], c)
+		} else {
+			clusters = append(clusters, []*crash{c})
+		}
+	}
+	return clusters
+}
+
+// othersAnsweredLocked reports whether requests without a part have got answers since its
+// first crash, or there are none.
+func (t *Tracker) othersAnsweredLocked(p Key, crashes []*crash) bool {
+	var first *crash
+	others := false
+	for _, c := range crashes {
+		if _, present := c.presence[p]; present && first == nil {
+			first = c
+		}
+		others = others || slices.ContainsFunc(c.runs, func(run []Key) bool { return !slices.Contains(run, p) })
+	}
+	if first == nil || !others {
+		return true
+	}
+	answers := t.answers[first.service]
+	return len(answers) == minAnswers && answers[0].After(first.knownAt)
+}
+
+// explainedLocked reports whether a crash is explained by convicted parts other than p.
+func (t *Tracker) explainedLocked(c *crash, p Key) bool {
+	for _, set := range t.convicted {
+		if slices.Contains(set, p) {
+			continue
+		}
+		for _, run := range c.runs {
+			if containsAll(run, set) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// companions returns the parts that all runs with p at the crashes hold. If p was always
+// together with others, nothing tells which of them is to blame.
+func companions(p Key, crashes []*crash) (set []Key) {
+	for _, c := range crashes {
+		for _, run := range c.runs {
+			switch {
+			case !slices.Contains(run, p):
+			case set == nil:
+				set = slices.Clone(run)
+			default:
+				set = slices.DeleteFunc(set, func(q Key) bool { return !slices.Contains(run, q) })
+			}
+		}
+	}
+	slices.SortFunc(set, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(boolInt(b == p), boolInt(a == p)), cmp.Compare(a, b))
+	})
+	set = slices.Compact(set)
+	set = set[:min(len(set), maxSet)]
+	slices.Sort(set)
+	return set
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (t *Tracker) isConvictedLocked(set []Key) bool {
+	return slices.ContainsFunc(t.convicted, func(other []Key) bool { return containsAll(set, other) })
+}
+
+// maxConvicted bounds the sets that explain crashes. The refusals that follow from a
+// conviction are kept elsewhere.
+const maxConvicted = 256
+
+// convictLocked convicts a set of parts and, if announce is set, tells the others.
+func (t *Tracker) convictLocked(set []Key, announce bool) {
+	if t.isConvictedLocked(set) {
+		return
+	}
+	if len(t.convicted) >= maxConvicted {
+		t.convicted = t.convicted[1:]
+	}
+	t.convicted = append(t.convicted, set)
+	t.cfg.Convict(set)
+	if announce {
+		t.cfg.Announce(Report{Convicted: set})
+	}
+}
+
+// containsAll reports whether a prompt holds all parts of a set.
+func containsAll(parts, set []Key) bool {
+	for _, p := range set {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// logChoose returns the natural logarithm of the number of ways to choose k of n.
+func logChoose(n, k int) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
+}
--- a/internal/limits/rcpoison/record.go
+++ b/internal/limits/rcpoison/record.go
@@ -23,8 +23,12 @@
 // collision-resistant: an account must not be able to craft a content whose
 // verdict applies to a content of another account.
 func KeyOf(req radishcrank.Request) Key {
+	return hash(string(req.Account), string(req.Model), req.Adapter, req.Prompt)
+}
+
+func hash(fields ...string) Key {
 	h := blake3.New()
-	for _, field := range []string{string(req.Account), string(req.Model), req.Adapter, req.Prompt} {
+	for _, field := range fields {
 		var n [8]byte
 		binary.LittleEndian.PutUint64(n[:], uint64(len(field)))
 		h.Write(n[:])
--- a/internal/limits/rcpoison/sync.go
+++ b/internal/limits/rcpoison/sync.go
@@ -54,6 +54,7 @@
 		t.storePending(ctx)
 		select {
 		case <-ticker.C:
+		case <-t.storeNow:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -58,13 +58,16 @@
 type Tracker struct {
 	cfg Config
 
-	mu         sync.Mutex
-	records    map[Key]*Record
-	upstreams  map[radishcrank.UpstreamID]*occupancy
-	pending    map[Key]time.Time // Verdicts to be stored and when they were reached.
-	changed    chan struct{}     // Closed when a reservation ends.
-	losses     int               // Calls of StoreAgain.
-	crashCount uint64            // Number of crashes seen; makes IDs of crashes without an incarnation unique.
+	mu        sync.Mutex
+	records   map[Key]*Record
+	upstreams map[radishcrank.UpstreamID]*occupancy
+	pending   map[Key]time.Time // Verdicts to be stored and when they were reached.
+	changed   chan struct{}     // Closed when a reservation ends.
+	losses    int               // Calls of StoreAgain.
+	storeNow  chan struct{}     // Wakes Run to store what is pending.
+	// convictedParts holds the convicted sets of prompt parts by their first part.
+	convictedParts map[Key][][]Key
+	crashCount     uint64 // Number of crashes seen; makes IDs of crashes without an incarnation unique.
 }
 
 // occupancy holds the runs of this instance on one upstream.
@@ -90,6 +93,9 @@
 		upstreams: make(map[radishcrank.UpstreamID]*occupancy),
 		pending:   make(map[Key]time.Time),
 		changed:   make(chan struct{}),
+		storeNow:  make(chan struct{}, 1),
+
+		convictedParts: make(map[Key][][]Key),
 	}
 }
 
@@ -100,7 +106,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[KeyOf(req)]
-	if !ok || !r.Verdict {
+	if (!ok || !r.Verdict) && (len(t.convictedParts) == 0 || !t.holdsConvictedLocked(PartKeys(req))) {
 		return nil
 	}
 	return &radishcrank.Refusal{
@@ -357,6 +363,7 @@
 }
 
 func (t *Tracker) removeLocked(key Key) {
+	t.indexPartsLocked(key, false)
 	delete(t.records, key)
 	delete(t.pending, key)
 	t.cfg.Board.Suspects.Delete(string(key))
@@ -365,6 +372,7 @@
 // updateRowLocked updates the record's row in the Suspects table and queues a new
 // verdict for storing.
 func (t *Tracker) updateRowLocked(r *Record) {
+	t.indexPartsLocked(r.Key, r.Verdict)
 	old, _ := t.cfg.Board.Suspects.Get(string(r.Key))
 	row := rcboard.Suspect{Crashes: len(r.Crashes), Verdict: r.Verdict}
 	for _, c := range r.Crashes {
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
@@ -83,6 +84,7 @@
 	board         *rcboard.Board
 	pool          *rcconn.Pool
 	poisonTracker *rcpoison.Tracker
+	blame         *rcblame.Tracker
 	peers         *peerGroup
 	directory     *directory
 	metrics       *rcmetric.Set
@@ -128,6 +130,10 @@
 		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts, Log: i.log,
 	})
 	i.peers = newPeerGroup(i)
+	i.blame = rcblame.New(rcblame.Config{
+		Instance: radishcrank.InstanceID(s.Instance), Instances: i.peers.fleetSize, Upstreams: i.fleet.Available, Announce: i.peers.announceBlame,
+		Convict: i.poisonTracker.Convict, Log: i.log,
+	})
 	i.quota = rcquota.New(rcquota.Config{
 		Instance: radishcrank.InstanceID(s.Instance), Now: i.storeClock.Now, Others: i.peers.others, Announce: i.peers.announceLimit, Log: i.log,
 	})
@@ -156,6 +162,7 @@
 	add(i.directory.followUpstreams)
 	add(i.peers.run)
 	add(i.poisonTracker.Run)
+	add(i.blame.Run)
 	add(i.weights.Run)
 	add(i.followRestores)
 	add(i.kvWatcher.Run)
@@ -265,6 +272,7 @@
 			Window: i.settings.RetryBudgetWindow, Instances: i.peers.instanceCount,
 		}),
 		Guard:         i.poisonTracker,
+		Blame:         i.blame,
 		Quota:         i.quota,
 		Weights:       i.weights.History,
 		OldWeightsTTL: func() time.Duration { return i.liveSettings.Load().OldWeightsTTL },
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
@@ -37,6 +38,9 @@
 	minInstanceCount = 6
 	// maxQueuedCachedParts bounds the entries that wait for the next message.
 	maxQueuedCachedParts = 2000
+	// maxQueuedSuspects bounds the suspects in reports of crashes that wait for the next
+	// message, at 65 bytes each. Reports of what was cleared or convicted are always sent.
+	maxQueuedSuspects = 300
 	// loadReportInterval is how often instances report their loads.
 	loadReportInterval = 100 * time.Millisecond
 	// fleetStartWindow is the time within which the instances of a fleet that starts at
@@ -57,6 +61,7 @@
 	Engines []rcrollout.EngineUpdate
 	Holds   []cachedParts // Shared prompt parts that upstreams have cached.
 	Crashes []rcpoison.Record
+	Blame   []rcblame.Report `json:",omitempty"` // Prompt parts at crashes of upstreams.
 	Feeds   []rcfeed.Batch
 	// Loads is the load that the sender has on each upstream. A relay sends its zone
 	// the loads of all instances, and other relays those of its zone. Nil means no
@@ -70,7 +75,7 @@
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && u.Loads == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && u.Loads == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -132,6 +137,13 @@
 	return max(minInstanceCount, len(p.members)+1)
 }
 
+// fleetSize returns the number of registered instances including this one.
+func (p *peerGroup) fleetSize() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members) + 1
+}
+
 // others returns the registered instances besides this one. ok is false until their
 // rows have been read.
 func (p *peerGroup) others() (names []radishcrank.InstanceID, ok bool) {
@@ -150,6 +162,27 @@
 	p.wakeSender()
 }
 
+// announceBlame tells the others of prompt parts at a crash.
+func (p *peerGroup) announceBlame(r rcblame.Report) {
+	p.mu.Lock()
+	p.queued.Blame = appendBlame(p.queued.Blame, r)
+	p.mu.Unlock()
+	p.wakeSender()
+}
+
+func appendBlame(queue []rcblame.Report, reports ...rcblame.Report) []rcblame.Report {
+	suspects := 0
+	for _, r := range queue {
+		suspects += len(r.Suspects)
+	}
+	for _, r := range reports {
+		if suspects += len(r.Suspects); len(r.Suspects) == 0 || suspects <= maxQueuedSuspects {
+			queue = append(queue, r)
+		}
+	}
+	return queue
+}
+
 func (p *peerGroup) announceEngine(update rcrollout.EngineUpdate) {
 	p.mu.Lock()
 	p.queued.Engines = append(p.queued.Engines, update)
@@ -258,6 +291,9 @@
 	for _, h := range update.Holds {
 		p.instance.fleet.RecordCachedParts(h.Upstream, h.Salt, h.Parts)
 	}
+	for _, r := range update.Blame {
+		p.instance.blame.Merge(r)
+	}
 	if len(update.Crashes) > 0 {
 		p.instance.poisonTracker.Merge(update.Crashes)
 	}
@@ -287,6 +323,7 @@
 		queue.Holds = append(queue.Holds, update.Holds...)
 	}
 	queue.Limits = append(queue.Limits, update.Limits...)
+	queue.Blame = appendBlame(queue.Blame, update.Blame...)
 	queue.Lease = max(queue.Lease, update.Lease)
 }
 
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -69,9 +71,11 @@
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
 	}
 	run := f.cfg.Fleet.Begin(up.ID, choice.UncachedTokens)
+	blame := f.cfg.Blame.Begin(d.partKeys, x.Service, up)
 	outcome, crashed := rcfleet.Canceled, false
 	defer func() {
 		run.End(outcome)
+		blame.End(crashed && !isTimeout(d.cause), outcome == rcfleet.Succeeded)
 		end(crashed, outcome == rcfleet.Succeeded)
 	}()
 
@@ -100,6 +104,9 @@
 		return false, nil
 	}
 	defer reply.Body.Close()
+	if reply.Conn != nil && (reply.Class == radishcrank.ReplyAnswered || reply.Class == radishcrank.ReplyBusy) {
+		f.cfg.Blame.Reply(up, reply.Conn.OpenedAt(), d.sentAt)
+	}
 	d.updateFleet(up, choice, reply)
 	switch reply.Class {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
@@ -119,7 +126,11 @@
 			d.logAttempt(up, rcmetric.AttemptUnconfirmed, reply.Status, errUnconfirmed)
 			return false, nil
 		}
-		done, outcome, crashed = d.forwardStream(ctx, reply, run, watchdogTimer, weights, choice)
+		begun := func() {
+			run.FirstEventReceived()
+			blame.FirstEvent()
+		}
+		done, outcome, crashed = d.forwardStream(ctx, reply, begun, watchdogTimer, weights, choice)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
@@ -130,6 +141,12 @@
 	return done, nil
 }
 
+// isTimeout reports whether an attempt ended because nothing was heard of the upstream. A
+// process that crashes closes its connections; a machine or link that is lost does not.
+func isTimeout(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // withdraw takes back the choice of an upstream to which nothing was sent, because
 // another exchange has used the last permit of its rate limit.
 func (d *dispatch) withdraw(id radishcrank.UpstreamID) {
@@ -317,7 +334,7 @@
 
 // forwardStream forwards events as they arrive. For a resumable stream it
 // forwards only complete events, so that another upstream can continue it.
-func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, run *rcfleet.Exchange, watchdogTimer *watchdog, weights *weightsWatch, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
+func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, begun func(), watchdogTimer *watchdog, weights *weightsWatch, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
 	up := choice.Upstream.Upstream
 	resumable := d.x.Route.Retry == radishcrank.RetryResume
 	flusher := http.NewResponseController(d.w)
@@ -338,7 +355,7 @@
 			if first {
 				first = false
 				weights.stop()
-				run.FirstEventReceived()
+				begun()
 				d.recordBeginning(choice, reply)
 				d.recordCachedParts(choice)
 			}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -17,6 +17,8 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
+	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
@@ -75,7 +77,8 @@
 	Sender  radishcrank.Sender
 	Budget  RetryBudget
 	Guard   Guard
-	Quota   *rcquota.Quota // Of upstreams that limit their rate; nil means none.
+	Blame   *rcblame.Tracker // Nil finds no prompt parts that crash upstreams.
+	Quota   *rcquota.Quota   // Of upstreams that limit their rate; nil means none.
 	Weights func(model radishcrank.ModelID) rcweights.History
 	// OldWeightsTTL returns how long exchanges may begin on weights after newer
 	// ones were requested; 0 means no limit.
@@ -113,6 +116,7 @@
 	w            http.ResponseWriter
 	ctx          context.Context // Done when the client disconnects or the deadline passes.
 	guardRequest radishcrank.Request
+	partKeys     []rcpoison.Key // Of the prompt's parts that other requests may hold.
 
 	attempts    int       // Upstreams that the exchange was sent to.
 	runs        int       // Attempts that may have executed the exchange.
@@ -137,11 +141,12 @@
 		tried: map[radishcrank.UpstreamID]bool{},
 		guardRequest: radishcrank.Request{
 			ID: x.ID, Account: x.Account, Model: x.Model,
-			Prompt: x.Method + " " + x.Target + "\n" + string(x.Body),
+			Prompt: x.Method + " " + x.Target + "\n" + string(x.Body), Parts: sharedParts(x),
 		},
 	}
+	d.partKeys = rcpoison.PartKeys(d.guardRequest)
 	if err := f.cfg.Guard.Check(d.guardRequest); err != nil {
-		return d.refuse("content crashes upstreams", maxRetryAfter)
+		return d.refuseFinally("its content crashes upstreams")
 	}
 	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
 		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
@@ -389,6 +394,14 @@
 	return nil
 }
 
+// refuseFinally responds that the request has not run, and that repeating it is of no use.
+func (d *dispatch) refuseFinally(why string) error {
+	d.cause = errors.New(why)
+	d.logEnd(rcmetric.RefusedFinally, http.StatusBadRequest)
+	d.writeError(http.StatusBadRequest, "not run, do not repeat: "+why)
+	return nil
+}
+
 func (d *dispatch) writeError(status int, message string) {
 	h := d.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -19,6 +20,11 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
+// convictingGuard knows that all requests crash upstreams.
+type convictingGuard struct{ *rcpoison.Tracker }
+
+func (convictingGuard) Check(radishcrank.Request) error { return errors.New("crashes upstreams") }
+
 // disconnectedWriter fails like the connection of a client that has
 // disconnected.
 type disconnectedWriter struct{ *httptest.ResponseRecorder }
@@ -40,6 +46,7 @@
 		steps        []step
 		x            radishcrank.Exchange
 		budget       stubBudget
+		convicted    bool // The request is known to crash upstreams.
 		reserved     bool // All upstreams are reserved for suspects.
 		disconnected bool // The client has disconnected.
 		counters     []rcmetric.CounterName
@@ -84,6 +91,7 @@
 		{steps: []step{{reply: unframed}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UnframedReplies}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
 		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
+		{x: nonIdempotent(), convicted: true, counters: []rcmetric.CounterName{rcmetric.RefusedFinally}},
 		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
 		{steps: []step{{reply: okReply()}, {reply: okReply()}}, x: restarted, counters: []rcmetric.CounterName{rcmetric.AttemptUnconfirmed}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
@@ -106,6 +114,9 @@
 				time.AfterFunc(time.Second, cancel)
 			}
 			var guard Guard = rcpoison.New(rcpoison.Config{Board: rcboard.New()})
+			if c.convicted {
+				guard = convictingGuard{rcpoison.New(rcpoison.Config{Board: rcboard.New()})}
+			}
 			if c.reserved {
 				guard = reservedGuard{rcpoison.New(rcpoison.Config{Board: rcboard.New()})}
 			}
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -132,6 +132,19 @@
 	f.changed = make(chan struct{})
 }
 
+// Available returns the number of upstreams of a service that take new requests.
+func (f *Fleet) Available(service string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, m := range f.services[service] {
+		if !m.Leaving && !now.Before(m.suspectUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Synced reports whether a first complete list has arrived.
 func (f *Fleet) Synced() bool {
 	f.mu.Lock()
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -30,6 +30,7 @@
 const (
 	Answered               CounterName = "Answered"
 	Refused                CounterName = "Refused"
+	RefusedFinally         CounterName = "RefusedFinally"
 	Rejected               CounterName = "Rejected"
 	Failed                 CounterName = "Failed"
 	TimedOut               CounterName = "TimedOut"
@@ -94,6 +95,7 @@
 var PlatformCounters = []CounterInfo{
 	{Answered, "requests", "Requests whose response was delivered completely.", "None; the base of all ratios."},
 	{Refused, "requests", "Requests refused with 503 because no upstream could take them; they did not run.", "`radishcrank trace` of one of them shows whether upstreams were loading weights, suspect or full."},
+	{RefusedFinally, "requests", "Requests that were refused because their content, or parts of it, crashes upstreams.", "Look for `PartConvicted` lines; find out with the account what the content is."},
 	{Rejected, "requests", "Requests rejected before routing: no route, key or configuration, or too large.", "Compare the configuration version in `RequestRejected` lines with the newest one."},
 	{Failed, "requests", "Requests answered with 502: they may have run and must not be repeated.", "Look for `AttemptBroken` on one upstream."},
 	{TimedOut, "requests", "Requests answered with 504.", "Compare the upstreams' loads in `Placed` lines."},
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -73,6 +73,7 @@
 	net.Conn
 	r           *bufio.Reader
 	head        headLimit
+	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration // Idle time that the upstream allows, less a margin.
 	incarnation atomic.Uint64 // Of the upstream; 0 if it has not been confirmed.
@@ -194,7 +195,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, radishcrank.ErrNotSent, err)
 	}
-	c := &conn{Conn: nc, head: headLimit{r: nc}}
+	c := &conn{Conn: nc, openedAt: time.Now(), head: headLimit{r: nc}}
 	c.r = bufio.NewReaderSize(&c.head, readBufferSize)
 	return c, nil
 }
@@ -302,6 +303,9 @@
 	return radishcrank.Incarnation(c.incarnation.Load())
 }
 
+// OpenedAt implements radishcrank.Connection.
+func (c *conn) OpenedAt() time.Time { return c.openedAt }
+
 // SetIncarnation implements radishcrank.Connection.
 func (c *conn) SetIncarnation(i radishcrank.Incarnation) { c.incarnation.Store(uint64(i)) }
 
--- a/request.go
+++ b/request.go
@@ -7,10 +7,13 @@
 
 // Request is a request for generated text, after authentication and parsing.
 type Request struct {
-	ID         RequestID
-	Account    ClientAccountID
-	Model      ModelID
-	Adapter    string
+	ID      RequestID
+	Account ClientAccountID
+	Model   ModelID
+	Adapter string
+	// Parts identify the parts of the prompt that other requests of the account may hold;
+	// empty if they are unknown.
+	Parts      []string
 	Prompt     string // Canonical text of all messages; prefix caching operates on its bytes.
 	Chat       bool   // Respond in the chat format of the API.
 	Stream     bool
