--- a/internal/limits/rcblame/tracker.go
+++ b/internal/limits/rcblame/tracker.go
@@ -39,8 +39,6 @@
 	maxCrashes  = 256
 	maxRuns     = 32
 	maxSuspects = 48
-	// maxParts bounds the parts of a prompt that are considered.
-	maxParts = 16
 )
 
 // Key identifies a part of the prompts of one account.
