Bound the crash records in a message between instances

In a storm of crashes no message between instances arrived any more: not the records, nor loads, cached parts or feeds. Each message held all records of the last hour, up to 4,096, and one beyond 64 KiB is not sent. That takes about 300 contents that were in flight at crashes.

Now verdicts and records of the last 2 s come first, up to 20 KiB, and the others in turn, 2 KiB a message.

--- a/internal/node/rcinstance/message_size_test.go
+++ b/internal/node/rcinstance/message_size_test.go
@@ -4,10 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 )
@@ -47,3 +51,35 @@
 		require.LessOrEqual(t, n, c.most, c.name)
 	}
 }
+
+// TestCrashRecordsExceedMessage guards against messages between instances that grow beyond
+// their limit in a storm of crashes, so that nothing they hold arrives.
+func TestCrashRecordsExceedMessage(t *testing.T) {
+	tracker := rcpoison.New(rcpoison.Config{Board: rcboard.New(), Instance: "i"})
+	const upstreams, contents = 60, 20
+	for u := range upstreams {
+		up := radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprintf("i-%010x", u)), Incarnation: radishcrank.Incarnation(time.Now().UnixMilli())}
+		var ends []func(crashed, finished bool)
+		for c := range contents {
+			end, err := tracker.StartRun(t.Context(), radishcrank.Request{Prompt: fmt.Sprint(u, "/", c)}, up)
+			require.NoError(t, err)
+			ends = append(ends, end)
+		}
+		for _, end := range ends {
+			end(true, false)
+		}
+	}
+	tracker.Convict([]rcpoison.Key{"k"})
+	var exchange recordExchange
+	update := peerUpdate{Crashes: exchange.next(tracker.Export(), time.Now())}
+	_, err := rcrpc.Encode(update)
+	require.NoError(t, err)
+	require.NotEmpty(t, update.Crashes)
+	sent := map[rcpoison.Key]bool{}
+	for n := range 200 {
+		for _, r := range exchange.next(tracker.Export(), time.Now().Add(time.Duration(n)*crashExchangeInterval)) {
+			sent[r.Key] = true
+		}
+	}
+	require.Len(t, sent, upstreams*contents+1, "all records are sent in turn")
+}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -420,6 +420,7 @@
 // sendUpdates sends queued updates to the other instances until ctx is done.
 func (p *peerGroup) sendUpdates(ctx context.Context, client *rcrpc.Client) {
 	var crashesAt, loadsAt time.Time
+	var records recordExchange
 	ticker := time.NewTicker(loadReportInterval)
 	defer ticker.Stop()
 	for {
@@ -430,7 +431,7 @@
 			return
 		}
 		if now := time.Now(); now.Sub(crashesAt) >= crashExchangeInterval {
-			if crashes := p.instance.poisonTracker.Export(); len(crashes) > 0 {
+			if crashes := records.next(p.instance.poisonTracker.Export(), now); len(crashes) > 0 {
 				p.mu.Lock()
 				p.queued.Crashes = crashes
 				p.mu.Unlock()
