Guard the refusal of convicted parts by instances that start later

TestConvictedPartReachesUpstreamsOfNewInstance: an instance that hears of the conviction, one that starts afterwards, and one that starts when all others are gone refuse the part within 3 s; another account's part of the same name is served.

--- a/internal/node/rcinstance/blame_test.go
+++ b/internal/node/rcinstance/blame_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 )
 
 // crashingPart is the prompt part that crashes engines.
@@ -147,3 +150,34 @@
 	require.Greater(t, share(others, settled, runTime), 0.5, "another account's part was refused")
 	require.Empty(t, late, "what is known to crash is refused at once and finally")
 }
+
+// TestConvictedPartReachesUpstreamsOfNewInstance guards against a convicted part that an
+// instance lets through because it started after the conviction, alone or with all
+// others.
+func TestConvictedPartReachesUpstreamsOfNewInstance(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, 2, nil)
+	s.awaitPeers()
+	s.instances[0].poisonTracker.Convict(rcpoison.PartKeys(radishcrank.Request{Account: "t1", Model: "m", Parts: []string{crashingPart}}))
+	n := 0
+	refuses := func(instance int) bool {
+		n++
+		status, _, _ := s.generate(instance, "/advice/1", "k1", "aa:1000,"+crashingPart+":100,bb:20,1:10", fmt.Sprint("c", n))
+		return status == http.StatusBadRequest
+	}
+	const contact = 3 * time.Second // The platform's ContactMs.
+	require.True(t, refuses(0))
+	require.Eventually(t, func() bool { return refuses(1) }, contact, 50*time.Millisecond)
+	s.start(10 * time.Second)
+	require.Eventually(t, func() bool { return refuses(2) }, contact, 50*time.Millisecond)
+	for i := range s.stops {
+		s.stops[i]()
+	}
+	for i := range s.stopped {
+		<-s.stopped[i]
+	}
+	s.start(10 * time.Second)
+	require.Eventually(t, func() bool { return refuses(3) }, contact, 50*time.Millisecond)
+	status, _, _ := s.generate(3, "/advice/1", "k2", "aa:1000,"+crashingPart+":100,bb:20,1:10", "other")
+	require.Equal(t, http.StatusOK, status, "another account's part was refused")
+}
