Read the verdicts while upstreams crash

An instance that is cut off from the others let crashing parts through for an hour: it had missed the message, and read the stored verdicts again only then.

TestVerdictMissedByCutOffInstance failed before and passes.

--- a/internal/limits/rcpoison/sync.go
+++ b/internal/limits/rcpoison/sync.go
@@ -47,6 +47,9 @@
 	ticker := time.NewTicker(min(storeInterval, t.cfg.StoreDelay))
 	defer ticker.Stop()
 	for {
+		if t.crashesRecent() {
+			t.cfg.VerdictStore.Expire()
+		}
 		losses := t.lossCount()
 		if records, err := t.cfg.VerdictStore.Load(ctx); err == nil {
 			t.mergeStored(records, losses)
@@ -61,6 +64,12 @@
 	}
 }
 
+func (t *Tracker) crashesRecent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.crashedAt) < crashTime
+}
+
 func (t *Tracker) lossCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -24,6 +24,8 @@
 type VerdictStore interface {
 	// Load returns all stored verdicts.
 	Load(ctx context.Context) ([]Record, error)
+	// Expire makes the next Load read all verdicts again.
+	Expire()
 	// Store writes a verdict. It may be called several times with the same verdict.
 	Store(ctx context.Context, r Record) error
 }
@@ -46,6 +48,9 @@
 	// maxRecords is the maximum number of records of an instance. Records with a
 	// verdict are evicted last.
 	maxRecords = 4096
+	// crashTime is how long after a crash of an upstream verdicts are read in each round. An
+	// instance that is cut off from the others learns of new ones in no other way.
+	crashTime = 10 * time.Second
 	// storeInterval is the maximum time between rounds of reading and writing verdicts.
 	storeInterval = 5 * time.Second
 	// defaultStoreDelay is the default of Config.StoreDelay. It suits fleets in which
@@ -63,6 +68,7 @@
 	upstreams map[radishcrank.UpstreamID]*occupancy
 	pending   map[Key]time.Time // Verdicts to be stored and when they were reached.
 	changed   chan struct{}     // Closed when a reservation ends.
+	crashedAt time.Time         // When this instance last saw a crash.
 	losses    int               // Calls of StoreAgain.
 	storeNow  chan struct{}     // Wakes Run to store what is pending.
 	// convictedParts holds the convicted sets of prompt parts by their first part.
@@ -270,6 +276,7 @@
 // was reported are not affected.
 func (t *Tracker) recordCrashLocked(o *occupancy, cur *run) {
 	now := time.Now()
+	t.crashedAt = now
 	t.crashCount++
 	crash := Crash{ID: t.crashIDLocked(cur.up, now), At: now, Alone: o.reserved == cur && len(o.runs) == 1}
 	for other := range o.runs {
--- a/internal/limits/rcpoison/tracker_test.go
+++ b/internal/limits/rcpoison/tracker_test.go
@@ -138,6 +138,8 @@
 	return out, nil
 }
 
+func (m *memoryStore) Expire() {}
+
 func (m *memoryStore) Store(_ context.Context, r Record) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/limits/rcverdict/store.go
+++ b/internal/limits/rcverdict/store.go
@@ -71,6 +71,9 @@
 	return records, nil
 }
 
+// Expire implements rcpoison.VerdictStore.
+func (s *Store) Expire() { s.loadedAt = time.Time{} }
+
 // Store implements rcpoison.VerdictStore. A stored verdict never changes, so an
 // existing row counts as success.
 func (s *Store) Store(ctx context.Context, r rcpoison.Record) (err error) {
--- a/internal/limits/rcverdict/store_test.go
+++ b/internal/limits/rcverdict/store_test.go
@@ -10,6 +10,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/standin/rcfaketable"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 )
 
 // Guards against a verdict that a restarted instance does not find, against one
@@ -46,3 +47,28 @@
 		require.Greater(t, table.Counts().Reads, reads)
 	})
 }
+
+// TestVerdictMissedByCutOffInstance guards against crashing parts that an instance lets
+// through for as long as it hears nothing of the others.
+func TestVerdictMissedByCutOffInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := rcfaketable.New()
+		newTracker := func(id radishcrank.InstanceID) *rcpoison.Tracker {
+			tracker := rcpoison.New(rcpoison.Config{
+				Board: rcboard.New(), Instance: id, StoreDelay: 1500 * time.Millisecond, VerdictStore: New(Config{Table: table, Interval: time.Hour}),
+			})
+			go tracker.Run(t.Context())
+			return tracker
+		}
+		convicting, cutOff := newTracker("i1"), newTracker("i2")
+		time.Sleep(time.Minute)
+		req := radishcrank.Request{Account: "a", Parts: []string{"p"}, Prompt: "own"}
+		convicting.Convict(rcpoison.PartKeys(req))
+		time.Sleep(time.Minute)
+		end, err := cutOff.StartRun(t.Context(), req, radishcrank.Upstream{ID: "u", Incarnation: 1})
+		require.NoError(t, err)
+		end(true, false)
+		time.Sleep(3 * time.Second)
+		require.Error(t, cutOff.Check(req))
+	})
+}
