Crash engines by prompt parts in the soak

Requests with parts that crash engines come to all instances, up to two parts at once; engines are back under their IDs. Checked: after the fifth crash and 3 s at most three more from instances in touch, no sound request refused as crashing, and none that ran.

--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -132,6 +132,7 @@
 	if n := c.s.env.runCounter.Runs(id); nonIdempotent && n > 1 {
 		c.s.violation("at most once", "%s ran %d times", id, n)
 	}
+	c.checkSoundRefusal(path, id, r)
 	switch {
 	case r.Status == http.StatusOK:
 		c.checkResponse(path, id, r)
--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -66,6 +67,10 @@
 	order   func(u *upstream, o rcfakeupstream.Order) // An engine has accepted an order.
 	arrival func(u *upstream, id string)              // A request has arrived.
 	begin   func(u *upstream, id string, weights int64)
+	// crashes reports whether a request that begins crashes the engine, and crashed is
+	// called when it has.
+	crashes func(u *upstream, r *http.Request) bool
+	crashed func(u *upstream)
 }
 
 // environment holds the fake store and upstreams that the instances interact with.
@@ -177,6 +182,8 @@
 	cfg.OnArrival = func(id string) { e.callbacks.arrival(u, id) }
 	if service == "llm" {
 		cfg.Wait = u.nextWait
+		cfg.Crashes = func(r *http.Request) bool { return e.callbacks.crashes(u, r) }
+		cfg.OnCrash = func() { e.callbacks.crashed(u) }
 		cfg.OnRequest = func(id string, weights int64) { e.callbacks.begin(u, id, weights) }
 	}
 	server, err := rcfakeupstream.Start(cfg)
--- a/internal/eval/rcsoak/proxy.go
+++ b/internal/eval/rcsoak/proxy.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// reset resets all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetLocked()
+}
+
 func (p *proxy) resetLocked() {
 	for c := range p.conns {
 		c.SetLinger(0)
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -46,6 +46,8 @@
 	replaceSoftware actionKind = "replace software"
 	// breakOffAnswers are upstreams that send their answers in all framings and break some off.
 	breakOffAnswers actionKind = "break off answers"
+	// sendCrashingPart are requests with a prompt part that crashes engines.
+	sendCrashingPart actionKind = "send crashing part"
 )
 
 var (
@@ -57,9 +59,9 @@
 	// drillKinds are the kinds of the actions that the newest schedules have besides.
 	drillKinds = []actionKind{restoreStore, slowEngines}
 	// troubleKinds are the kinds of upstreams in need.
-	troubleKinds = []actionKind{limitUpstream, replaceSoftware, breakOffAnswers}
+	troubleKinds = []actionKind{limitUpstream, replaceSoftware, breakOffAnswers, sendCrashingPart}
 	// harmlessKinds are the kinds of troubles that excuse no failure of an instance.
-	harmlessKinds = []actionKind{limitUpstream, breakOffAnswers}
+	harmlessKinds = []actionKind{limitUpstream, breakOffAnswers, sendCrashingPart}
 	// lostKinds are planned operations that fall right before a restore, which loses
 	// what instances wrote because of them.
 	lostKinds = []actionKind{changeConfig, nameWeights, drainUpstream, revokeKey}
@@ -156,8 +158,10 @@
 	streamStream = 1000
 	// deliveryStream is the same for broken-off answers.
 	deliveryStream = 4
-	minTroubleGap  = 400 * time.Millisecond
-	maxTroubleGap  = 4 * time.Second
+	// partStream is the same for crashing parts.
+	partStream    = 5
+	minTroubleGap = 400 * time.Millisecond
+	maxTroubleGap = 4 * time.Second
 	// minLimitDuration and maxLimitDuration enclose how long an upstream limits its rate.
 	// Limits are judged only faultGracePeriod after they were first named.
 	minLimitDuration = 2 * time.Second
@@ -170,11 +174,12 @@
 // Versions of schedules. Seeds that violated a guarantee are kept with the version that
 // did.
 const (
-	NewestSchedule ScheduleVersion = iota
-	PlainSchedule                  // No coincident actions, and only the kinds of the first version.
-	NoDrills                       // Without restores of the store and slow engines, and without upstreams in need.
-	NoTroubles                     // Without upstreams in need.
-	NoBrokenOff                    // Without answers that are broken off.
+	NewestSchedule  ScheduleVersion = iota
+	PlainSchedule                   // No coincident actions, and only the kinds of the first version.
+	NoDrills                        // Without restores of the store and slow engines, and without upstreams in need.
+	NoTroubles                      // Without upstreams in need.
+	NoBrokenOff                     // Without answers that are broken off, and without crashing parts.
+	NoCrashingParts                 // Without prompt parts that crash engines.
 )
 
 // newSchedule returns the actions for a seed. Actions overlap, since the gaps
@@ -223,15 +228,21 @@
 			schedule = append(schedule, newCoincidentAction(rng, a, faulty))
 		}
 	}
-	if cfg.Schedule == NewestSchedule || cfg.Schedule == NoTroubles || cfg.Schedule == NoBrokenOff {
+	since := func(versions ...ScheduleVersion) bool {
+		return cfg.Schedule == NewestSchedule || slices.Contains(versions, cfg.Schedule)
+	}
+	if since(NoTroubles, NoBrokenOff, NoCrashingParts) {
 		schedule = append(schedule, newDrills(cfg)...)
 	}
-	if cfg.Schedule == NewestSchedule || cfg.Schedule == NoBrokenOff {
+	if since(NoBrokenOff, NoCrashingParts) {
 		schedule = append(schedule, newTroubles(cfg)...)
 	}
-	if cfg.Schedule == NewestSchedule {
+	if since(NoCrashingParts) {
 		schedule = append(schedule, newBrokenOff(cfg)...)
 	}
+	if since() {
+		schedule = append(schedule, newCrashingPartActions(cfg)...)
+	}
 	slices.SortStableFunc(schedule, func(a, b action) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -76,6 +76,7 @@
 	startedAt  time.Time
 	env        *environment
 	instances  []*instance
+	parts      *crashingParts
 	background sync.WaitGroup // Restarts, ends of faults and triggered actions.
 
 	mu                   sync.Mutex
@@ -123,7 +124,7 @@
 		return report, trace.BadParameter("number of instances is %d, must be from 0 to %d", cfg.Instances, MaxInstances)
 	}
 	s := &soak{
-		cfg: cfg, startedAt: time.Now(), report: Report{Actions: map[string]int{}},
+		cfg: cfg, startedAt: time.Now(), parts: newCrashingParts(), report: Report{Actions: map[string]int{}},
 		awaitingTrigger: map[trigger][]action{}, staleWeightsReported: map[staleWeightsUse]bool{},
 	}
 	onOrder := func(u *upstream, o rcfakeupstream.Order) {
@@ -132,14 +133,16 @@
 		s.fire(ctx, loadHalfDone)
 	}
 	software := softwareVersions
-	if cfg.Schedule != NewestSchedule && cfg.Schedule != NoBrokenOff {
+	if cfg.Schedule != NewestSchedule && cfg.Schedule != NoBrokenOff && cfg.Schedule != NoCrashingParts {
 		software = software[:1]
 	}
 	onArrival := func(u *upstream, id string) {
 		s.checkDrain(u, id)
 		s.checkLimit(u, id)
 	}
-	if s.env, err = newEnvironment(callbacks{order: onOrder, arrival: onArrival, begin: s.checkWeights}, software); err != nil {
+	if s.env, err = newEnvironment(callbacks{
+		order: onOrder, arrival: onArrival, begin: s.checkWeights, crashes: s.crashes, crashed: s.crashInPlace,
+	}, software); err != nil {
 		return report, err
 	}
 	defer s.env.close()
@@ -229,6 +232,7 @@
 	c.checkRefusals()
 	c.checkTakeUps()
 	s.logDeliveries()
+	s.logParts()
 	for _, i := range s.instances {
 		i.mu.Lock()
 		for _, exit := range i.exits {
@@ -335,6 +339,8 @@
 		}
 	case limitUpstream:
 		s.limitUpstream(ctx, a, later)
+	case sendCrashingPart:
+		s.sendCrashingPart(ctx, a)
 	case breakOffAnswers:
 		s.breakOffAnswers(later)
 	case replaceSoftware:
--- a/internal/eval/rcsoak/soak_test.go
+++ b/internal/eval/rcsoak/soak_test.go
@@ -32,6 +32,7 @@
 	cause    string // Cause of the failure.
 }{
 	{seed: 20261204, length: 8 * time.Second},
+	{seed: 1101, length: 20 * time.Second, schedule: NoCrashingParts, cause: "answers without framing that were broken off looked complete (fixed)"},
 	{seed: 301, length: 20 * time.Second, schedule: NoBrokenOff, cause: "instances together exceeded the rate limit of an upstream (fixed)"},
 	{seed: 402, length: 20 * time.Second, schedule: NoBrokenOff, cause: "streams went on at another software version (fixed)"},
 	{seed: 609, length: 20 * time.Second, schedule: NoBrokenOff, cause: "a restore of the store right after a start lost the key that instances share (fixed)"},
--- a/internal/eval/rcsoak/streams.go
+++ b/internal/eval/rcsoak/streams.go
@@ -207,10 +207,7 @@
 // restart gives an engine a new incarnation with the next software version.
 func (e *environment) restart(u *upstream) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	next := (slices.Index(e.software, u.software) + 1) % len(e.software)
-	now := time.Now()
-	u.createdAt = u.createdAt.Add(now.Sub(u.startedAt)) // Its clock is still skewed.
-	u.software, u.startedAt = e.software[next], now
-	u.Restart(e.softwareMark(u), u.createdAt.UnixMilli())
+	e.mu.Unlock()
+	e.restartAs(u, e.software[next])
 }
--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -134,17 +134,20 @@
 	if o.software != nil {
 		software = o.software(i)
 	}
+	var u *rcfakeupstream.Upstream
 	if i < engineCount {
 		cfg.Model, cfg.EventCount, service = "m", 8, "llm"
 		cfg.Crashes = func(r *http.Request) bool { return o.crashes != nil && o.crashes(r) }
 		cfg.OnCrash = func() {
+			u.Close()
 			time.AfterFunc(engineRestartTime, func() {
 				s.store.Delete("servers", id)
 				s.startUpstream(o, i, id+"'")
 			})
 		}
 	}
-	u, err := rcfakeupstream.Start(cfg)
+	var err error
+	u, err = rcfakeupstream.Start(cfg)
 	require.NoError(s.t, err)
 	s.t.Cleanup(u.Close)
 	s.store.Put("servers", id, map[string]any{
--- a/internal/standin/rcfakecaller/caller.go
+++ b/internal/standin/rcfakecaller/caller.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -19,6 +20,7 @@
 	ID      string
 	Timeout time.Duration // Timeout that the caller announces in the request.
 	Model   string        // Empty for requests to plain services.
+	Part    string        // Entry of one more part of the prompt, before the last one; empty for none.
 	Key     string        // API key; defaults to k1.
 	// Resumes and LastEventID take a stream up: the attempt that brought its first event,
 	// and the last event that the caller has.
@@ -51,7 +53,11 @@
 	r.Header.Set("X-Api-Key", cmp.Or(q.Key, "k1"))
 	if q.Model != "" {
 		r.Header.Set("Radishcrank-Model", q.Model)
-		r.Header.Set("Radishcrank-Prefix-Hash", fmt.Sprintf("aa:2500,b%d:3000,%x:900", len(q.ID)%4, q.ID))
+		parts := []string{"aa:2500", fmt.Sprintf("b%d:3000", len(q.ID)%4), fmt.Sprintf("%x:900", q.ID)}
+		if q.Part != "" {
+			parts = slices.Insert(parts, 2, q.Part)
+		}
+		r.Header.Set("Radishcrank-Prefix-Hash", strings.Join(parts, ","))
 	}
 	if q.LastEventID != "" {
 		r.Header.Set("Last-Event-Id", q.LastEventID)
--- a/internal/standin/rcfakeupstream/delivery.go
+++ b/internal/standin/rcfakeupstream/delivery.go
@@ -104,8 +104,9 @@
 		}
 		return []string{body}, body[:len(body)/2]
 	}
+	mark := u.softwareMark()
 	for n := lastEventID(r) + 1; n <= u.cfg.EventCount; n++ {
-		pieces = append(pieces, u.event(n))
+		pieces = append(pieces, event(n, mark))
 	}
 	if len(pieces) == 0 {
 		return nil, "id: "
--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -75,7 +75,8 @@
 	// Crashes reports whether a request crashes the upstream when it begins to run. Nil
 	// means that none does.
 	Crashes func(r *http.Request) bool
-	OnCrash func() // Called when the upstream has crashed.
+	// OnCrash is called when the upstream crashes. It has to break all connections.
+	OnCrash func()
 	// RejectOrders rejects orders as if the engine were executing another one.
 	RejectOrders bool
 }
@@ -218,10 +219,7 @@
 		u.cfg.OnRequest(id, weights)
 	}
 	if u.cfg.Crashes != nil && u.cfg.Crashes(r) {
-		u.Close()
-		if u.cfg.OnCrash != nil {
-			u.cfg.OnCrash()
-		}
+		u.cfg.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
@@ -281,20 +279,24 @@
 	return last
 }
 
-func (u *Upstream) event(n int) string {
+// softwareMark returns what the upstream adds to the data of its events.
+func (u *Upstream) softwareMark() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	mark := u.software
-	if mark != "" {
-		mark = " by " + mark
+	if u.software == "" {
+		return ""
 	}
+	return " by " + u.software
+}
+
+func event(n int, mark string) string {
 	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, mark)
 }
 
 // stream writes the events after the one in the Last-Event-Id header.
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	last := lastEventID(r)
+	last, mark := lastEventID(r), u.softwareMark()
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= u.cfg.EventCount; i++ {
 		if fault == Truncate && i == (last+u.cfg.EventCount)/2 {
@@ -302,7 +304,7 @@
 			controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		io.WriteString(w, u.event(i)) // A failed write shows when it is flushed.
+		io.WriteString(w, event(i, mark)) // A failed write shows when it is flushed.
 		if controller.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
