Judge crashes in linear time

Found by reading: the judgment ran over all suspects, crashes, runs and convicted sets while requests waited for its lock, ten times a second. With as many crashes and suspects as are kept it would have taken seconds, in just the storm that it is to end. Now the sightings of all parts are collected once, crashes remember that they are explained, 128 are kept, and judgments are 200 ms apart. The decisions are the same.

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -48,6 +48,13 @@
 	evidence float64
 }
 
+// sighting is the presence of a part at the crashes of a cluster.
+type sighting struct {
+	presence
+	cluster int // Index of the cluster.
+	crashes int // Crashes of the cluster at which the part was present.
+}
+
 // judge convicts the parts that explain the known crashes.
 func (t *Tracker) judge(now time.Time) {
 	t.mu.Lock()
@@ -82,12 +89,26 @@
 	if len(crashes) < minBlamedCrashes {
 		return false
 	}
-	var all []candidate
-	for p := range t.suspected {
-		if c := t.weighLocked(p, crashes); c.crashes > 0 {
-			all = append(all, c)
+	clusters := clustersOf(crashes)
+	sightings := map[Key][]sighting{}
+	for n, cluster := range clusters {
+		for _, c := range cluster {
+			for p, seen := range c.presence {
+				found := sightings[p]
+				if len(found) == 0 || found[len(found)-1].cluster != n {
+					found = append(found, sighting{cluster: n})
+				}
+				last := &found[len(found)-1]
+				last.sum, last.reports, last.crashes = last.sum+seen.sum, last.reports+seen.reports, last.crashes+1
+				sightings[p] = found
+			}
 		}
 	}
+	var all []candidate
+	instances := t.cfg.Instances()
+	for p, found := range sightings {
+		all = append(all, weigh(p, found, clusters, instances))
+	}
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.evidence, a.evidence), cmp.Compare(a.part, b.part))
 	})
@@ -95,7 +116,7 @@
 		if !t.isEnoughLocked(c) || !t.othersAnsweredLocked(c.part, crashes) {
 			continue
 		}
-		if slices.ContainsFunc(all[:n], func(stronger candidate) bool { return t.coversLocked(stronger.part, c.part, crashes) }) {
+		if slices.ContainsFunc(all[:n], func(stronger candidate) bool { return covers(stronger.part, c.part, crashes) }) {
 			continue
 		}
 		set := t.companionsLocked(c.part, crashes)
@@ -123,12 +144,12 @@
 	return c.crashes >= minBlamedCrashes && c.clusters >= minClusters && c.evidence >= minEvidence
 }
 
-// coversLocked reports whether a part was present at nearly all crashes of another one, so
+// covers reports whether a part was present at nearly all crashes of another one, so
 // that it may be to blame for them instead.
-func (t *Tracker) coversLocked(p, other Key, crashes []*crash) bool {
+func covers(p, other Key, crashes []*crash) bool {
 	both, all := 0, 0
 	for _, c := range crashes {
-		if _, present := c.presence[other]; !present || t.explainedLocked(c) {
+		if _, present := c.presence[other]; !present || c.explained {
 			continue
 		}
 		all++
@@ -139,48 +160,31 @@
 	return float64(both) >= coverShare*float64(all)
 }
 
-// weighLocked returns the evidence against a part. Of n clusters since its first one it
-// was present at k. The probability of that by chance is at most the number of ways to
-// choose k of n, times the probability for each of the k. Within a cluster, crashes and
-// presence are weighed in the same way.
-func (t *Tracker) weighLocked(p Key, crashes []*crash) candidate {
-	c := candidate{part: p}
+// weigh returns the evidence against a part. Of n clusters since its first one it was
+// present at k. The probability of that by chance is at most the number of ways to choose
+// k of n, times the probability for each of the k. Within a cluster, crashes and presence
+// are weighed in the same way.
+func weigh(p Key, found []sighting, clusters [][]*crash, instances int) candidate {
+	c := candidate{part: p, clusters: len(found), since: len(clusters) - found[0].cluster}
 	var total presence
-	var found [][2]int // Crashes in each cluster with the part, and how many had it.
-	for _, cluster := range t.clustersLocked(crashes) {
-		present := 0
-		for _, cr := range cluster {
-			if seen, ok := cr.presence[p]; ok {
-				total.sum, total.reports, present = total.sum+seen.sum, total.reports+seen.reports, present+1
-			}
-		}
-		if present > 0 {
-			found = append(found, [2]int{len(cluster), present})
-		}
-		if len(found) > 0 {
-			c.since++
-		}
-		c.crashes += present
-	}
-	c.clusters = len(found)
-	if total.reports == 0 {
-		return c
+	for _, f := range found {
+		c.crashes += f.crashes
+		total.sum, total.reports = total.sum+f.sum, total.reports+f.reports
 	}
 	// Requests with a part come at any instance.
-	fleetPresence := total.sum / float64(total.reports) * float64(t.cfg.Instances())
-	c.presence = min(max(fleetPresence, minPresence), 1)
+	c.presence = min(max(total.sum/float64(total.reports)*float64(instances), minPresence), 1)
 	for _, f := range found {
-		unlikely := -float64(f[1])*math.Log(c.presence) - logChoose(f[0], f[1])
+		unlikely := -float64(f.crashes)*math.Log(c.presence) - logChoose(len(clusters[f.cluster]), f.crashes)
 		c.evidence += min(max(unlikely, 0), maxClusterEvidence)
 	}
 	c.evidence -= logChoose(c.since, c.clusters)
 	return c
 }
 
-// clustersLocked groups the crashes that no convicted set explains.
-func (t *Tracker) clustersLocked(crashes []*crash) (clusters [][]*crash) {
+// clustersOf groups the crashes that no convicted set explains.
+func clustersOf(crashes []*crash) (clusters [][]*crash) {
 	for _, c := range crashes {
-		if t.explainedLocked(c) {
+		if c.explained {
 			continue
 		}
 		last := len(clusters) - 1
@@ -211,16 +215,9 @@
 	return len(answers) == minAnswers && answers[0].After(first.knownAt)
 }
 
-// explainedLocked reports whether a run at a crash held all parts of a convicted set.
-func (t *Tracker) explainedLocked(c *crash) bool {
-	for _, set := range t.convicted {
-		for _, run := range c.runs {
-			if containsAll(run, set) {
-				return true
-			}
-		}
-	}
-	return false
+// explain records whether a run at the crash held all parts of a convicted set.
+func (c *crash) explain(set []Key) {
+	c.explained = c.explained || slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
 }
 
 // companionsLocked returns the parts that all runs with p at the crashes hold. If p was
@@ -270,7 +267,7 @@
 	}
 	unaccompanied := 0
 	for _, c := range crashes {
-		if t.explainedLocked(c) {
+		if c.explained {
 			continue
 		}
 		alone := false
@@ -322,6 +319,9 @@
 		t.convicted = t.convicted[1:]
 	}
 	t.convicted = append(t.convicted, set)
+	for _, c := range t.crashes {
+		c.explain(set)
+	}
 	return true
 }
 
--- a/internal/limits/rcblame/tracker.go
+++ b/internal/limits/rcblame/tracker.go
@@ -37,12 +37,12 @@
 	// it is judged. Reports pass two relays in large fleets.
 	settleTime = 600 * time.Millisecond
 	// judgeInterval is the time between two judgments while crashes are known.
-	judgeInterval = 100 * time.Millisecond
+	judgeInterval = 200 * time.Millisecond
 	// crashRetention is how long a crash counts.
 	crashRetention = 10 * time.Minute
 	// maxCrashes, maxRuns and maxSuspects bound the memory for crashes and the size of
 	// reports.
-	maxCrashes  = 256
+	maxCrashes  = 128
 	maxRuns     = 32
 	maxSuspects = 48
 )
@@ -113,6 +113,8 @@
 	reported bool // By this instance.
 	runs     [][]Key
 	presence map[Key]presence
+	// explained means that a run held all parts of a convicted set.
+	explained bool
 }
 
 // presence sums the Suspect.Presence of a part over reports.
@@ -350,6 +352,9 @@
 			c.runs = append(c.runs, parts)
 		}
 	}
+	for _, set := range t.convicted {
+		c.explain(set)
+	}
 }
 
 func (t *Tracker) removeCrashLocked(c *crash) {
