Never blame a part that all requests hold

Cause: nobody is blamed while others get no answer, but that was waived if there were no others, and a part that all requests hold has none. Its presence was underestimated after the start. Now others have to get answers in any case.

TestPartOfAllRequestsIsBlamed failed before and passes.

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -28,8 +28,8 @@
 	// maxClusterEvidence bounds the evidence of one cluster: requests with a part may come
 	// in a burst that coincides with a crash of many upstreams.
 	maxClusterEvidence = 7
-	// minAnswers is the number of complete answers that others have to get meanwhile, if
-	// there are others. While nobody gets an answer, the cause is not in the prompts.
+	// minAnswers is the number of complete answers that others have to get meanwhile. While
+	// nobody gets an answer, the cause is not in the prompts.
 	minAnswers = 3
 	// minPresence bounds the presence of a part from below. Parts that an instance has
 	// hardly seen would be blamed for little.
@@ -198,21 +198,16 @@
 }
 
 // othersAnsweredLocked reports whether requests without a part have got answers since its
-// first crash, or there are none.
+// first crash. If all requests hold the part, they get none, and it is not blamed: the
+// cause may be anything, and nothing could be served any more.
 func (t *Tracker) othersAnsweredLocked(p Key, crashes []*crash) bool {
-	var first *crash
-	others := false
 	for _, c := range crashes {
-		if _, present := c.presence[p]; present && first == nil {
-			first = c
+		if _, present := c.presence[p]; present {
+			answers := t.answers[c.service]
+			return len(answers) == minAnswers && answers[0].After(c.knownAt)
 		}
-		others = others || slices.ContainsFunc(c.runs, func(run []Key) bool { return !slices.Contains(run, p) })
-	}
-	if first == nil || !others {
-		return true
 	}
-	answers := t.answers[first.service]
-	return len(answers) == minAnswers && answers[0].After(first.knownAt)
+	return false
 }
 
 // explain records whether a run at the crash held all parts of a convicted set.
