Let the members' check end before the test of a detected restart asks

IsDead asks for a query, and the check that runs it could fall between the two assertions of one instant. What it requires is unchanged.

--- a/internal/peer/rcmember/tracker_test.go
+++ b/internal/peer/rcmember/tracker_test.go
@@ -246,6 +246,7 @@
 			b.Incarnation = listedIncarnation
 			listed := []radishcrank.Instance{a, b}
 			mergeRepeatedly(trackers[0], listed, 10*time.Second)
+			synctest.Wait() // The check of this second has ended; IsDead asks for a query in the next one.
 			require.False(t, trackers[0].IsDead(b.ID, next.Incarnation))
 			require.False(t, trackers[0].IsDead(b.ID, testIncarnation), "the instance has not been queried yet")
 			mergeRepeatedly(trackers[0], listed, 2*queryInterval)
