Report loads and cached parts compactly, and encode them once for all readers

What an instance had queued while its relay was unreachable was queued again when it did not fit into a message, so that nothing of it arrived any more; a table that did not fit took the loads in the same message with it. Change: reports name upstreams by 32-bit and parts by 64-bit hashes, in binary; a message is encoded once; a relay adds up when it sends; a message holds a bounded number of records, and what is too large is sent apart. Tests: TestBacklogExceedsMessage, TestLargeTableExceedsMessage, TestOnlyRelayCallsStores, TestReportsAreSmall, FuzzReports.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -127,7 +127,8 @@
 		}),
 	})
 	i.kvWatcher = rckvstore.New(rckvstore.Config{
-		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts, Log: i.log,
+		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts,
+		ReliesOnReports: func() bool { return i.peers.reliesOnRelay() }, Log: i.log,
 	})
 	i.peers = newPeerGroup(i)
 	i.blame = rcblame.New(rcblame.Config{
--- a/internal/node/rcinstance/loads.go
+++ b/internal/node/rcinstance/loads.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 )
@@ -16,18 +15,18 @@
 // zone.
 type loadReport struct {
 	zone  string
-	loads map[radishcrank.UpstreamID]rcfleet.Load
+	loads rcfleet.LoadReport
 	at    time.Time
 }
 
 // applyLoads applies the loads that another instance reported. An instance that has a
 // relay receives the sum over all instances, including itself.
-func (p *peerGroup) applyLoads(from rcrpc.Identity, loads map[radishcrank.UpstreamID]rcfleet.Load) {
+func (p *peerGroup) applyLoads(from rcrpc.Identity, loads rcfleet.LoadReport) {
 	p.mu.Lock()
 	if p.usesRelaysLocked() && p.relayForLocked(p.instance.settings.Zone) != nil {
 		p.mu.Unlock()
 		own := p.instance.fleet.LocalLoads()
-		others := make(map[radishcrank.UpstreamID]rcfleet.Load, len(loads))
+		others := make(rcfleet.LoadReport, len(loads))
 		for id, l := range loads {
 			others[id] = l.Sub(own[id])
 		}
@@ -35,6 +34,10 @@
 		return
 	}
 	p.loads[from.Instance] = loadReport{zone: string(from.Zone), loads: loads, at: time.Now()}
+	if p.usesRelaysLocked() {
+		p.mu.Unlock()
+		return // A relay adds up the many reports that it receives when it passes them on.
+	}
 	others := p.sumLoadsLocked("")
 	p.mu.Unlock()
 	p.instance.fleet.SetPeerLoads(others)
@@ -42,8 +45,8 @@
 
 // sumLoadsLocked adds up the loads that other instances reported, in one zone or, if
 // zone is empty, in all zones.
-func (p *peerGroup) sumLoadsLocked(zone string) map[radishcrank.UpstreamID]rcfleet.Load {
-	sum := map[radishcrank.UpstreamID]rcfleet.Load{}
+func (p *peerGroup) sumLoadsLocked(zone string) rcfleet.LoadReport {
+	sum := rcfleet.LoadReport{}
 	for name, report := range p.loads {
 		if time.Since(report.at) > loadReportMaxAge {
 			delete(p.loads, name)
@@ -60,7 +63,7 @@
 }
 
 // addLocalLoads adds this instance's own loads to sum.
-func (p *peerGroup) addLocalLoads(sum map[radishcrank.UpstreamID]rcfleet.Load) map[radishcrank.UpstreamID]rcfleet.Load {
+func (p *peerGroup) addLocalLoads(sum rcfleet.LoadReport) rcfleet.LoadReport {
 	for id, l := range p.instance.fleet.LocalLoads() {
 		sum[id] = sum[id].Add(l)
 	}
--- a/internal/node/rcinstance/message_size_test.go
+++ b/internal/node/rcinstance/message_size_test.go
@@ -12,6 +12,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 )
@@ -27,9 +28,9 @@
 		require.NoError(t, err)
 		return len(text)
 	}
-	loads := map[radishcrank.UpstreamID]rcfleet.Load{}
+	loads := rcfleet.LoadReport{}
 	for i := range 100 {
-		loads[radishcrank.UpstreamID(fmt.Sprintf("i-%010x", i))] = rcfleet.Load{Running: 12, Prefilling: 12345}
+		loads[rcfleet.KeyOf(radishcrank.UpstreamID(fmt.Sprintf("i-%010x", i)))] = rcfleet.Load{Running: 12, Prefilling: 12345}
 	}
 	parts := []radishcrank.PromptPart{{ID: "5c1e07a2", Tokens: 2520}, {ID: "91bd3f06", Tokens: 3780}}
 	empty := size(peerUpdate{})
@@ -39,8 +40,8 @@
 		most int
 	}{
 		{"empty message", peerUpdate{}, 100},
-		{"100 loads", peerUpdate{Loads: loads}, 5000},
-		{"hold", peerUpdate{Holds: []cachedParts{{Upstream: id, Salt: "daka510000/12", Parts: parts}}}, 150},
+		{"100 loads", peerUpdate{Running: loads}, 1000},
+		{"cached parts", peerUpdate{Cached: rcfleet.CachedReport{rcfleet.NewCachedParts(id, "daka510000/12", parts)}}, 50},
 		{"origin of a stream", peerUpdate{Streams: []rcorigin.Record{{Attempt: "5f8d460c199ad427", Origin: rcorigin.Origin{Service: "huvo11a", Software: "v1.1"}}}}, 100},
 	} {
 		n := size(c.n)
@@ -83,3 +84,51 @@
 	}
 	require.Len(t, sent, upstreams*contents+1, "all records are sent in turn")
 }
+
+// TestBacklogExceedsMessage guards against an instance from which nothing arrives any
+// more, because what has queued up while its relay was unreachable is larger than a
+// message and is queued again each time.
+func TestBacklogExceedsMessage(t *testing.T) {
+	all := newPeerGroups(30, 3)
+	p := all[len(all)-1]
+	require.False(t, p.isRelay())
+	for i := range maxQueuedOrigins {
+		p.origins.Record(rcorigin.Record{Attempt: radishcrank.RequestID(fmt.Sprintf("5f8d460c1%07x", i)), Origin: rcorigin.Origin{Service: "huvo11a", Software: "v1.1"}})
+		p.queued.Cached = append(p.queued.Cached, rcfleet.CachedParts{Upstream: 1, Parts: []rcfleet.PartKey{1, 2, 3}})
+	}
+	origins, cachedParts := 0, 0
+	for range maxQueuedOrigins {
+		for _, u := range p.updatesLocked() {
+			messages, lost := u.encode()
+			require.Zero(t, lost)
+			require.Len(t, messages, 1)
+			origins, cachedParts = origins+len(u.Streams), cachedParts+len(u.Cached)
+		}
+	}
+	require.Equal(t, maxQueuedOrigins, origins)
+	require.Equal(t, maxQueuedOrigins, cachedParts)
+}
+
+// TestLargeTableExceedsMessage guards against loads and limits that are lost with a table
+// of the store that does not fit into a message.
+func TestLargeTableExceedsMessage(t *testing.T) {
+	u := peerUpdate{
+		Running: rcfleet.LoadReport{1: {Running: 1}}, Lease: 7,
+		Feeds: []rcfeed.Batch{{Table: "large", Rows: []rcfeed.Row{{Value: make([]byte, rcrpc.MaxMessageBytes)}}}, {Table: "small"}},
+	}
+	messages, lost := u.encode()
+	require.Equal(t, 1, lost)
+	var received peerUpdate
+	for _, m := range messages {
+		var part peerUpdate
+		require.NoError(t, json.Unmarshal(m, &part))
+		received.Feeds = append(received.Feeds, part.Feeds...)
+		received.Lease = max(received.Lease, part.Lease)
+		if part.Running != nil {
+			received.Running = part.Running
+		}
+	}
+	u.Feeds = u.Feeds[1:]
+	u.Running[1] = rcfleet.Load{Running: 1}
+	require.Equal(t, u, received)
+}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -17,6 +17,7 @@
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
@@ -36,8 +37,10 @@
 	// minInstanceCount is the minimum number of instances by which allowances are
 	// divided, used until the other instances are known.
 	minInstanceCount = 6
-	// maxQueuedCachedParts bounds the entries that wait for the next message.
+	// maxQueuedCachedParts bounds the entries that wait for the next messages, of which
+	// each holds maxSentCachedParts from each queue.
 	maxQueuedCachedParts = 2000
+	maxSentCachedParts   = 200
 	// maxQueuedSuspects bounds the suspects in reports of crashes that wait for the next
 	// message, at 65 bytes each. Reports of what was cleared or convicted are always sent.
 	maxQueuedSuspects = 300
@@ -54,28 +57,48 @@
 	crashExchangeInterval = 500 * time.Millisecond
 )
 
-var updateMethod = rcrpc.Method[peerUpdate, struct{}]{Name: "News", Timeout: updateTimeout}
+var (
+	updateMethod        = rcrpc.Method[peerUpdate, struct{}]{Name: "News", Timeout: updateTimeout}
+	encodedUpdateMethod = rcrpc.Method[rcrpc.Params, struct{}]{Name: updateMethod.Name, Timeout: updateTimeout}
+)
 
 // peerUpdate is one message between instances.
 type peerUpdate struct {
-	Engines []rcrollout.EngineUpdate
-	Holds   []cachedParts // Shared prompt parts that upstreams have cached.
-	Crashes []rcpoison.Record
-	Blame   []rcblame.Report `json:",omitempty"` // Prompt parts at crashes of upstreams.
-	Feeds   []rcfeed.Batch
-	// Loads is the load that the sender has on each upstream. A relay sends its zone
+	Engines []rcrollout.EngineUpdate `json:",omitempty"`
+	Cached  rcfleet.CachedReport     `json:",omitzero"` // Shared prompt parts that upstreams have cached.
+	Crashes []rcpoison.Record        `json:",omitempty"`
+	Blame   []rcblame.Report         `json:",omitempty"` // Prompt parts at crashes of upstreams.
+	Feeds   []rcfeed.Batch           `json:",omitempty"`
+	// Running is the load that the sender has on each upstream. A relay sends its zone
 	// the loads of all instances, and other relays those of its zone. Nil means no
 	// report.
-	Loads   map[radishcrank.UpstreamID]rcfleet.Load
+	Running rcfleet.LoadReport    `json:",omitzero"`
 	Streams []rcorigin.Record     `json:",omitempty"` // Where streams began.
 	Limits  []rcquota.Observation `json:",omitempty"` // Rate limits that upstreams have announced, changed or ended.
+	// Stores tells the zone of a relay which KV stores respond.
+	Stores []rckvstore.Report `json:",omitempty"`
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
 	// holder, or by a relay that received it; 0 means no report.
-	Lease uint64
+	Lease uint64 `json:",omitempty"`
+}
+
+// take removes what is to be sent next from a queue.
+func (u *peerUpdate) take() (next peerUpdate) {
+	next, *u = *u, peerUpdate{}
+	next.Cached, u.Cached = splitAt(next.Cached, maxSentCachedParts)
+	next.Streams, u.Streams = splitAt(next.Streams, maxSentOrigins)
+	return next
+}
+
+func splitAt[S ~[]E, E any](s S, n int) (first, rest S) {
+	if len(s) <= n {
+		return s, nil
+	}
+	return s[:n:n], s[n:]
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Holds) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && u.Loads == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && u.Running == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -87,14 +110,6 @@
 	reachedAt    time.Time // Time of the last successful call.
 }
 
-// cachedParts reports that an upstream has shared prompt parts in its cache under a
-// salt.
-type cachedParts struct {
-	Upstream radishcrank.UpstreamID
-	Salt     string
-	Parts    []radishcrank.PromptPart
-}
-
 // peerGroup knows the other instances and exchanges updates with them.
 type peerGroup struct {
 	instance *Instance
@@ -111,7 +126,8 @@
 	fromZone         peerUpdate // Received by a relay from its zone, to be sent to all others.
 	fromOtherZones   peerUpdate // Received by a relay from other relays, to be sent to its zone.
 	self             *peer
-	term             *rclease.Term        // Term of this instance while it holds the lease.
+	term             *rclease.Term // Term of this instance while it holds the lease.
+	storesSentAt     time.Time
 	sentLease        uint64               // Position in the last lease report sent.
 	leaseSentAt      time.Time            // Time of that report.
 	holderReport     rclease.HolderReport // Last report of another holder of the lease.
@@ -193,12 +209,13 @@
 // recordCached records what a dispatch adds to an upstream's cache and reports it to
 // the others if it is new.
 func (p *peerGroup) recordCached(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) {
-	if !p.instance.fleet.RecordCachedParts(id, salt, parts) {
+	report := rcfleet.NewCachedParts(id, salt, parts)
+	if !p.instance.fleet.AddCachedParts(report) {
 		return
 	}
 	p.mu.Lock()
-	if len(p.queued.Holds) < maxQueuedCachedParts {
-		p.queued.Holds = append(p.queued.Holds, cachedParts{id, salt, parts})
+	if len(p.queued.Cached) < maxQueuedCachedParts {
+		p.queued.Cached = append(p.queued.Cached, report)
 	}
 	p.mu.Unlock()
 	p.wakeSender()
@@ -275,8 +292,8 @@
 	for _, b := range update.Feeds {
 		p.instance.directory.offer(b)
 	}
-	if update.Loads != nil {
-		p.applyLoads(from, update.Loads)
+	if update.Running != nil {
+		p.applyLoads(from, update.Running)
 	}
 	p.queueForRelay(string(from.Zone), update)
 	for _, e := range update.Engines {
@@ -288,8 +305,11 @@
 	for _, o := range update.Limits {
 		p.instance.quota.Merge(o)
 	}
-	for _, h := range update.Holds {
-		p.instance.fleet.RecordCachedParts(h.Upstream, h.Salt, h.Parts)
+	for _, c := range update.Cached {
+		p.instance.fleet.AddCachedParts(c)
+	}
+	if len(update.Stores) > 0 {
+		p.instance.kvWatcher.Offer(update.Stores)
 	}
 	for _, r := range update.Blame {
 		p.instance.blame.Merge(r)
@@ -319,8 +339,8 @@
 		}
 	}
 	queue.Engines = append(queue.Engines, update.Engines...)
-	if len(queue.Holds) < maxQueuedCachedParts {
-		queue.Holds = append(queue.Holds, update.Holds...)
+	if len(queue.Cached) < maxQueuedCachedParts {
+		queue.Cached = append(queue.Cached, update.Cached...)
 	}
 	queue.Limits = append(queue.Limits, update.Limits...)
 	queue.Blame = appendBlame(queue.Blame, update.Blame...)
@@ -441,15 +461,11 @@
 		p.mu.Lock()
 		p.queued.Lease = p.leaseReportLocked()
 		if now := time.Now(); now.Sub(loadsAt) >= loadReportInterval {
-			p.queued.Loads, loadsAt = p.instance.fleet.LocalLoads(), now
+			p.queued.Running, loadsAt = p.instance.fleet.LocalLoads(), now
 		}
 		updates := p.updatesLocked()
 		p.mu.Unlock()
-		for to, update := range updates {
-			if !update.empty() {
-				go p.send(ctx, client, to, update)
-			}
-		}
+		p.sendAll(ctx, client, updates)
 		interval := updateInterval
 		if p.usesRelays() {
 			interval = relayUpdateInterval
@@ -460,12 +476,61 @@
 	}
 }
 
-// send makes one call. A peer that misses an update learns the weights from the list of
-// upstreams and everything else from its own requests.
-func (p *peerGroup) send(ctx context.Context, client *rcrpc.Client, to *peer, update *peerUpdate) {
-	_, err := rcrpc.Call(ctx, client, to.Peer, updateMethod, *update)
-	if err != nil {
-		p.instance.metrics.Add(rcmetric.NewsLost, 1)
+// sendAll sends each update to its receiver. Updates with many receivers are encoded
+// once.
+func (p *peerGroup) sendAll(ctx context.Context, client *rcrpc.Client, updates map[*peer]*peerUpdate) {
+	encoded := map[*peerUpdate][]rcrpc.Params{}
+	for to, update := range updates {
+		if update.empty() {
+			continue
+		}
+		messages, ok := encoded[update]
+		if !ok {
+			var lost int
+			messages, lost = update.encode()
+			p.instance.metrics.Add(rcmetric.NewsLost, int64(lost))
+			encoded[update] = messages
+		}
+		go p.send(ctx, client, to, update, messages)
+	}
+}
+
+// encode returns the messages that hold an update: one or, if that would be too large,
+// one for each of its larger parts. lost is the number of parts that are too large
+// nevertheless; their receivers read the store.
+func (u *peerUpdate) encode() (messages []rcrpc.Params, lost int) {
+	if m, err := rcrpc.EncodeParams(u); err == nil {
+		return []rcrpc.Params{m}, 0
+	}
+	rest := *u
+	rest.Feeds, rest.Running, rest.Cached, rest.Streams = nil, nil, nil, nil
+	parts := []peerUpdate{{Running: u.Running}, rest, {Cached: u.Cached}, {Streams: u.Streams}}
+	for _, b := range u.Feeds {
+		parts = append(parts, peerUpdate{Feeds: []rcfeed.Batch{b}})
+	}
+	for _, part := range parts {
+		if part.empty() {
+			continue
+		}
+		m, err := rcrpc.EncodeParams(part)
+		if err != nil {
+			lost++
+			continue
+		}
+		messages = append(messages, m)
+	}
+	return messages, lost
+}
+
+// send makes the calls that hold one update. A peer that misses an update learns the
+// weights from the list of upstreams and everything else from its own requests.
+func (p *peerGroup) send(ctx context.Context, client *rcrpc.Client, to *peer, update *peerUpdate, messages []rcrpc.Params) {
+	var err error
+	for _, m := range messages {
+		if _, err = rcrpc.Call(ctx, client, to.Peer, encodedUpdateMethod, m); err != nil {
+			p.instance.metrics.Add(rcmetric.NewsLost, 1)
+			break
+		}
 	}
 	p.recordSend(to, update, err)
 }
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 )
 
 // With at most maxDirectPeers instances, each sends its updates to all others. Beyond
@@ -40,6 +42,14 @@
 	return p.usesRelaysLocked() && p.relayForLocked(p.instance.settings.Zone) == nil
 }
 
+// reliesOnRelay reports whether a relay tells this instance of what it reads, or may do so
+// once the other instances are known.
+func (p *peerGroup) reliesOnRelay() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.membersRead || p.usesRelaysLocked() && p.relayForLocked(p.instance.settings.Zone) != nil
+}
+
 // relayForLocked returns the relay of a zone, or nil if that is this instance or the
 // zone has none. The relay is the reachable instance with the most CPU; comparePeers
 // breaks ties by name.
@@ -68,8 +78,7 @@
 
 // updatesLocked removes the queued updates and returns them by receiver.
 func (p *peerGroup) updatesLocked() map[*peer]*peerUpdate {
-	own, fromZone, fromOtherZones := p.queued, p.fromZone, p.fromOtherZones
-	p.queued, p.fromZone, p.fromOtherZones = peerUpdate{}, peerUpdate{}, peerUpdate{}
+	own, fromZone, fromOtherZones := p.queued.take(), p.fromZone.take(), p.fromOtherZones.take()
 	updates := map[*peer]*peerUpdate{}
 	if !p.usesRelaysLocked() {
 		for _, m := range p.members {
@@ -87,9 +96,14 @@
 	all := outward.merge(fromOtherZones)
 	outward.Feeds = nil // Each zone's relay reads the store itself.
 	all.Streams = nil   // Instances ask relays.
-	if own.Loads != nil {
-		all.Loads = p.addLocalLoads(p.sumLoadsLocked(""))
-		outward.Loads = p.addLocalLoads(p.sumLoadsLocked(zone))
+	if own.Running != nil {
+		others := p.sumLoadsLocked("")
+		p.instance.fleet.SetPeerLoads(others)
+		all.Running = p.addLocalLoads(others)
+		outward.Running = p.addLocalLoads(p.sumLoadsLocked(zone))
+	}
+	if now := time.Now(); now.Sub(p.storesSentAt) >= rckvstore.ReportInterval {
+		all.Stores, p.storesSentAt = p.instance.kvWatcher.Reports(), now
 	}
 	zones := map[string]bool{zone: true}
 	for _, m := range p.members {
@@ -108,7 +122,7 @@
 func (u peerUpdate) merge(o peerUpdate) peerUpdate {
 	return peerUpdate{
 		Engines: slices.Concat(u.Engines, o.Engines),
-		Holds:   slices.Concat(u.Holds, o.Holds),
+		Cached:  slices.Concat(u.Cached, o.Cached),
 		Crashes: u.Crashes, // The local records already include received ones.
 		Feeds:   u.Feeds,
 		Streams: slices.Concat(u.Streams, o.Streams),
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 	"github.com/radishcrank/radishcrank/platform"
 )
@@ -25,7 +26,7 @@
 	}
 	for _, m := range members {
 		p := &peerGroup{
-			instance: &Instance{settings: platform.Settings{Instance: m.Name, Zone: m.Zone}, fleet: rcfleet.New()},
+			instance: &Instance{settings: platform.Settings{Instance: m.Name, Zone: m.Zone}, fleet: rcfleet.New(), kvWatcher: rckvstore.New(rckvstore.Config{})},
 			members:  map[string]*peer{}, loads: map[radishcrank.InstanceID]loadReport{}, self: &peer{member: m}, wake: make(chan struct{}, 1),
 		}
 		p.origins = &streamOrigins{registry: rcorigin.New(), fleet: p.instance.fleet, peers: p}
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -19,8 +19,10 @@
 	// confirm an origin, and its record reaches relays within two of their intervals.
 	originRetryDelay      = 50 * time.Millisecond
 	relayOriginRetryDelay = 2 * relayUpdateInterval
-	// maxQueuedOrigins bounds the records that wait for the next message.
+	// maxQueuedOrigins bounds the records that wait for the next messages, of which each
+	// holds maxSentOrigins from each queue.
 	maxQueuedOrigins = 2000
+	maxSentOrigins   = 120
 )
 
 type originAnswer struct {
--- a/internal/peer/rcrpc/client.go
+++ b/internal/peer/rcrpc/client.go
@@ -105,14 +105,10 @@
 	if err != nil {
 		return err
 	}
-	raw, err := json.Marshal(params)
+	raw, err := EncodeParams(params)
 	if err != nil {
 		return err
 	}
-	// Writing an oversized message would make jsonrpc2 close the connection.
-	if len(raw) > MaxMessageBytes-envelopeBytes {
-		return &FrameSizeError{Size: len(raw), Limit: MaxMessageBytes - envelopeBytes}
-	}
 	start := time.Now()
 	err = conn.Call(ctx, method, json.RawMessage(raw), result)
 	if errors.Is(err, context.DeadlineExceeded) && time.Since(start) >= minUnresponsiveWait {
@@ -121,6 +117,26 @@
 	return err
 }
 
+// Params are encoded parameters. A caller that sends the same parameters to many
+// instances encodes them once.
+type Params json.RawMessage
+
+// EncodeParams encodes the parameters of a call. It returns a *FrameSizeError if they do
+// not fit into a message, because writing an oversized message would make jsonrpc2 close
+// the connection.
+func EncodeParams(params any) (encoded Params, err error) {
+	encoded, ok := params.(Params)
+	if !ok {
+		if encoded, err = json.Marshal(params); err != nil {
+			return nil, err
+		}
+	}
+	if limit := MaxMessageBytes - envelopeBytes; len(encoded) > limit {
+		return nil, &FrameSizeError{Size: len(encoded), Limit: limit}
+	}
+	return encoded, nil
+}
+
 // envelopeBytes is the space reserved for the members of a JSON-RPC message
 // other than its parameters or result.
 const envelopeBytes = 256
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -72,8 +72,8 @@
 	Model          radishcrank.ModelID
 	Parts          []radishcrank.PromptPart
 	Salt           func(w radishcrank.WeightsVersion) string
-	CachedPrefixes func(salt string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix // Prefixes of the prompt that upstreams and KV stores have cached.
-	KVStores       []KVStore                                                         // Each shared part is kept by one of them.
+	CachedPrefixes func(salt string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix // Prefixes of the prompt that upstreams and KV stores have cached.
+	KVStores       []KVStore                                                      // Each shared part is kept by one of them.
 	Exclude        func(id radishcrank.UpstreamID) bool
 	TargetHistory  rcweights.History // Target weights of the model over time.
 	// MaxReplacedAge is how long weights may be used after newer ones became
@@ -126,8 +126,8 @@
 		preferred = poolFor(total, states)
 	}
 	ranks := rank(req, partKey(shared), states, preferred, now)
-	cached := map[string]map[radishcrank.UpstreamID]rcfleet.CachedPrefix{}
-	cachedFor := func(salt string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix {
+	cached := map[string]map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{}
+	cachedFor := func(salt string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix {
 		prefixes, ok := cached[salt]
 		if !ok && req.CachedPrefixes != nil {
 			prefixes = req.CachedPrefixes(salt)
@@ -151,7 +151,7 @@
 			}
 			c.ReplacedFor = replacedFor(req, c.Weights, now)
 			c.Salt = req.Salt(c.Weights)
-			c.UncachedTokens = total - cachedFor(c.Salt)[s.ID].Tokens
+			c.UncachedTokens = total - cachedFor(c.Salt)[rcfleet.KeyOf(s.ID)].Tokens
 			if c.Owner {
 				c.UncachedTokens = min(c.UncachedTokens, total-sharedTokens)
 			}
@@ -256,13 +256,13 @@
 // request to a dead one costs hundreds, so suspects are excluded. Of several
 // sources the most recent user of the parts is preferred, as it is the least
 // likely to have evicted them.
-func withKVTransfer(c Choice, states []rcfleet.State, cached map[radishcrank.UpstreamID]rcfleet.CachedPrefix, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) Choice {
+func withKVTransfer(c Choice, states []rcfleet.State, cached map[rcfleet.UpstreamKey]rcfleet.CachedPrefix, sharedTokens int, req Request, owner radishcrank.UpstreamID, now time.Time) Choice {
 	store, hasStore := storeFor(partKey(sharedParts(req.Parts)), req.KVStores)
-	stored := hasStore && cached[store.ID].Tokens >= sharedTokens
+	stored := hasStore && cached[rcfleet.KeyOf(store.ID)].Tokens >= sharedTokens
 	if hasStore && !stored {
 		c.KVTarget, c.KVStoreUsed = store.Addr, store.ID
 	}
-	own := cached[c.Upstream.ID]
+	own := cached[rcfleet.KeyOf(c.Upstream.ID)]
 	if own.Tokens >= sharedTokens && own.Age < evictionAge {
 		return c
 	}
@@ -273,7 +273,7 @@
 		if s.ID == c.Upstream.ID || s.Suspect || s.Probing || s.Leaving || s.Loading(now) || s.Weights[req.Model] != c.Weights {
 			continue
 		}
-		h := cached[s.ID]
+		h := cached[rcfleet.KeyOf(s.ID)]
 		if h.Tokens == 0 && s.ID == owner {
 			h.Tokens = assumedOwnerTokens // The owner may have cached the parts for another instance.
 		}
@@ -285,7 +285,7 @@
 	switch {
 	case stored && (best.Tokens < sharedTokens || best.Age >= evictionAge):
 		c.KVSource, c.KVStoreUsed = store.Addr, store.ID
-		best.Tokens = cached[store.ID].Tokens
+		best.Tokens = cached[rcfleet.KeyOf(store.ID)].Tokens
 	case hasStore && !c.KVSource.IsValid():
 		// The store may have the first parts of the prompt from other prompts.
 		c.KVSource = store.Addr
--- a/internal/routing/rcaffinity/choose_test.go
+++ b/internal/routing/rcaffinity/choose_test.go
@@ -154,10 +154,10 @@
 			weights[states[i].Addr] = w
 		}
 		req := request("k")
-		req.CachedPrefixes = func(salt string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix {
-			cached := map[radishcrank.UpstreamID]rcfleet.CachedPrefix{}
+		req.CachedPrefixes = func(salt string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix {
+			cached := map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{}
 			for i := range states {
-				cached[states[i].ID] = rcfleet.CachedPrefix{Tokens: rapid.IntRange(0, 6300).Draw(rt, "held")}
+				cached[rcfleet.KeyOf(states[i].ID)] = rcfleet.CachedPrefix{Tokens: rapid.IntRange(0, 6300).Draw(rt, "held")}
 			}
 			return cached
 		}
@@ -175,13 +175,13 @@
 func TestStoreGetsPartsOnce(t *testing.T) {
 	req := request("k")
 	req.KVStores = []KVStore{{ID: "store/a", Addr: netip.MustParseAddrPort("10.9.0.1:80")}, {ID: "store/b", Addr: netip.MustParseAddrPort("10.9.0.2:80")}}
-	cached := map[radishcrank.UpstreamID]rcfleet.CachedPrefix{}
-	req.CachedPrefixes = func(string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix { return cached }
+	cached := map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{}
+	req.CachedPrefixes = func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix { return cached }
 	states := engines(3)
 	first := choose(t, req, states)
 	require.True(t, first.KVTarget.IsValid())
-	cached[first.KVStoreUsed] = rcfleet.CachedPrefix{Tokens: 6300}
-	cached[first.Upstream.ID] = rcfleet.CachedPrefix{Tokens: 6300, Age: 2 * evictionAge}
+	cached[rcfleet.KeyOf(first.KVStoreUsed)] = rcfleet.CachedPrefix{Tokens: 6300}
+	cached[rcfleet.KeyOf(first.Upstream.ID)] = rcfleet.CachedPrefix{Tokens: 6300, Age: 2 * evictionAge}
 	second := choose(t, req, states)
 	require.False(t, second.KVTarget.IsValid())
 	require.Equal(t, first.KVTarget, second.KVSource)
--- a/internal/routing/rcaffinity/rank_test.go
+++ b/internal/routing/rcaffinity/rank_test.go
@@ -58,13 +58,13 @@
 			states[i].PeerLoad.Prefilling = 100_000 // The prompt goes to another engine.
 		}
 	}
-	cached := map[radishcrank.UpstreamID]rcfleet.CachedPrefix{owner.Upstream.ID: {Tokens: 6300}}
-	req.CachedPrefixes = func(string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix { return cached }
+	cached := map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{rcfleet.KeyOf(owner.Upstream.ID): {Tokens: 6300}}
+	req.CachedPrefixes = func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix { return cached }
 	c := choose(t, req, states)
 	require.False(t, c.Owner)
 	require.True(t, c.KVSource.IsValid())
 	require.Equal(t, 2900, c.UncachedTokens)
-	delete(cached, owner.Upstream.ID)
+	delete(cached, rcfleet.KeyOf(owner.Upstream.ID))
 	require.Equal(t, 9200, choose(t, req, states).UncachedTokens)
 }
 
@@ -74,17 +74,17 @@
 	states := engines(4)
 	req := request("key")
 	owner := choose(t, req, states).Upstream.ID
-	cached := map[radishcrank.UpstreamID]rcfleet.CachedPrefix{}
+	cached := map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{}
 	var mostRecent radishcrank.UpstreamID
 	for _, s := range states {
 		if s.ID != owner {
-			cached[s.ID] = rcfleet.CachedPrefix{Tokens: 6300, Age: time.Duration(len(cached)+1) * 100 * time.Millisecond}
+			cached[rcfleet.KeyOf(s.ID)] = rcfleet.CachedPrefix{Tokens: 6300, Age: time.Duration(len(cached)+1) * 100 * time.Millisecond}
 			if mostRecent == "" {
 				mostRecent = s.ID
 			}
 		}
 	}
-	req.CachedPrefixes = func(string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix { return cached }
+	req.CachedPrefixes = func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix { return cached }
 	c := choose(t, req, states)
 	require.Equal(t, owner, c.Upstream.ID)
 	for _, s := range states {
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -293,7 +293,7 @@
 		Model: x.Model,
 		Parts: x.PromptParts,
 		Salt:  func(w radishcrank.WeightsVersion) string { return CacheSalt(x, w) },
-		CachedPrefixes: func(salt string) map[radishcrank.UpstreamID]rcfleet.CachedPrefix {
+		CachedPrefixes: func(salt string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix {
 			return f.cfg.Fleet.CachedPrefixes(salt, x.PromptParts)
 		},
 		KVStores:       f.cfg.KVStores(),
--- a/internal/state/rcfleet/cachedparts.go
+++ b/internal/state/rcfleet/cachedparts.go
@@ -15,31 +15,25 @@
 	maxCachedParts = 50_000
 )
 
-// partKey identifies a part within its cache scope.
-type partKey struct {
-	salt string
-	part string
-}
-
 // cacheHolder is an upstream that has a part cached.
 type cacheHolder struct {
-	id   radishcrank.UpstreamID
-	used time.Time
+	upstream UpstreamKey
+	used     time.Time
 }
 
 // cachedParts records which upstreams have processed which parts.
 type cachedParts struct {
-	parts map[partKey][]cacheHolder
+	parts map[PartKey][]cacheHolder
 }
 
-func newCachedParts() *cachedParts { return &cachedParts{parts: map[partKey][]cacheHolder{}} }
+func newCachedParts() *cachedParts { return &cachedParts{parts: map[PartKey][]cacheHolder{}} }
 
 // add records a use and reports whether the upstream was not known to have the
 // part cached, or had not used it for half of cachedPartTTL.
-func (c *cachedParts) add(key partKey, id radishcrank.UpstreamID, now time.Time) (added bool) {
+func (c *cachedParts) add(key PartKey, upstream UpstreamKey, now time.Time) (added bool) {
 	list := c.parts[key]
 	for i := range list {
-		if list[i].id == id {
+		if list[i].upstream == upstream {
 			added = now.Sub(list[i].used) >= cachedPartTTL/2
 			list[i].used = now
 			return added
@@ -48,7 +42,7 @@
 	if len(c.parts) >= maxCachedParts {
 		c.sweep(now)
 	}
-	c.parts[key] = append(list, cacheHolder{id: id, used: now})
+	c.parts[key] = append(list, cacheHolder{upstream: upstream, used: now})
 	return true
 }
 
@@ -70,10 +64,10 @@
 }
 
 // forget removes an upstream from the holders of all parts.
-func (c *cachedParts) forget(id radishcrank.UpstreamID) {
+func (c *cachedParts) forget(upstream UpstreamKey) {
 	for key, list := range c.parts {
 		for i := range list {
-			if list[i].id == id {
+			if list[i].upstream == upstream {
 				list[i] = list[len(list)-1]
 				c.parts[key] = list[:len(list)-1]
 				break
@@ -89,11 +83,16 @@
 // under a salt. It reports whether any of them was not known to be cached
 // there, or had not been confirmed for half of cachedPartTTL.
 func (f *Fleet) RecordCachedParts(id radishcrank.UpstreamID, salt string, parts []radishcrank.PromptPart) (added bool) {
+	return f.AddCachedParts(NewCachedParts(id, salt, parts))
+}
+
+// AddCachedParts records a report like RecordCachedParts.
+func (f *Fleet) AddCachedParts(c CachedParts) (added bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for _, p := range parts {
-		if f.cachedParts.add(partKey{salt, p.ID}, id, now) {
+	for _, p := range c.Parts {
+		if f.cachedParts.add(p, c.Upstream, now) {
 			added = true
 		}
 	}
@@ -109,21 +108,21 @@
 
 // CachedPrefixes returns the prefixes of a prompt that upstreams and stores
 // have probably cached.
-func (f *Fleet) CachedPrefixes(salt string, parts []radishcrank.PromptPart) map[radishcrank.UpstreamID]CachedPrefix {
+func (f *Fleet) CachedPrefixes(salt string, parts []radishcrank.PromptPart) map[UpstreamKey]CachedPrefix {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	cached := map[radishcrank.UpstreamID]CachedPrefix{}
+	cached := map[UpstreamKey]CachedPrefix{}
 	tokens := 0
 	for i, p := range parts {
 		found := false
-		for _, holder := range f.cachedParts.parts[partKey{salt, p.ID}] {
+		for _, holder := range f.cachedParts.parts[keyOfPart(salt, p.ID)] {
 			age := now.Sub(holder.used)
 			if age >= cachedPartTTL {
 				continue
 			}
-			if i == 0 || cached[holder.id].Tokens == tokens {
-				cached[holder.id] = CachedPrefix{Tokens: tokens + p.Tokens, Age: age}
+			if i == 0 || cached[holder.upstream].Tokens == tokens {
+				cached[holder.upstream] = CachedPrefix{Tokens: tokens + p.Tokens, Age: age}
 				found = true
 			}
 		}
@@ -140,5 +139,5 @@
 func (f *Fleet) ForgetCachedParts(id radishcrank.UpstreamID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cachedParts.forget(id)
+	f.cachedParts.forget(KeyOf(id))
 }
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -94,27 +94,26 @@
 	}
 }
 
-// LocalLoads returns the load from this instance by upstream.
-func (f *Fleet) LocalLoads() map[radishcrank.UpstreamID]Load {
+// LocalLoads returns the load from this instance.
+func (f *Fleet) LocalLoads() LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	loads := map[radishcrank.UpstreamID]Load{}
-	for id, m := range f.members {
+	loads := LoadReport{}
+	for _, m := range f.members {
 		if m.Running > 0 || m.Prefilling > 0 {
-			loads[id] = Load{Running: m.Running, Prefilling: m.Prefilling}
+			loads[keyOfHash(m.Hash)] = Load{Running: m.Running, Prefilling: m.Prefilling}
 		}
 	}
 	return loads
 }
 
-// SetPeerLoads records the load from all other instances. Upstreams that are
-// missing in loads have none.
-func (f *Fleet) SetPeerLoads(loads map[radishcrank.UpstreamID]Load) {
+// SetPeerLoads records the load from all other instances.
+func (f *Fleet) SetPeerLoads(loads LoadReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for id, m := range f.members {
-		m.PeerLoad, m.peerLoadAt = loads[id], now
+	for _, m := range f.members {
+		m.PeerLoad, m.peerLoadAt = loads[keyOfHash(m.Hash)], now
 	}
 }
 
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -197,7 +197,7 @@
 func (f *Fleet) putLocked(e Entry) {
 	m, ok := f.members[e.ID]
 	if ok && m.Incarnation != e.Incarnation {
-		f.cachedParts.forget(e.ID)
+		f.cachedParts.forget(KeyOf(e.ID))
 		f.dropLocked(m)
 		ok = false
 	}
@@ -332,7 +332,7 @@
 	delete(f.members, m.ID)
 	f.rememberSoftwareLocked(m)
 	f.services[m.Service] = slices.DeleteFunc(f.services[m.Service], func(o *member) bool { return o == m })
-	f.cachedParts.forget(m.ID)
+	f.cachedParts.forget(KeyOf(m.ID))
 	now := time.Now()
 	for id, d := range f.departed {
 		if now.Sub(d.at) > departureRetention {
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -129,8 +129,8 @@
 	require.False(t, f.RecordCachedParts("a", "x", []radishcrank.PromptPart{first, second}))
 	f.RecordCachedParts("b", "x", []radishcrank.PromptPart{second})
 	cached := f.CachedPrefixes("x", []radishcrank.PromptPart{first, second, {ID: "3", Tokens: 5}})
-	require.Equal(t, 30, cached["a"].Tokens)
-	require.Zero(t, cached["b"].Tokens)
+	require.Equal(t, 30, cached[KeyOf("a")].Tokens)
+	require.Zero(t, cached[KeyOf("b")].Tokens)
 	require.Empty(t, f.CachedPrefixes("y", []radishcrank.PromptPart{first}), "parts of another cache scope")
 }
 
--- /dev/null
+++ b/internal/state/rcfleet/report_test.go
@@ -0,0 +1,74 @@
+package rcfleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// TestReportsAreReadBack guards against reports that other instances read as something
+// else.
+func TestReportsAreReadBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		loads := rapid.MapOf(rapid.Custom(func(rt *rapid.T) UpstreamKey { return UpstreamKey(rapid.Uint32().Draw(rt, "key")) }),
+			rapid.Custom(func(rt *rapid.T) Load {
+				return Load{Running: rapid.IntRange(0, 1000).Draw(rt, "running"), Prefilling: prefillingUnit * rapid.IntRange(0, 1<<20).Draw(rt, "prefilling")}
+			})).Draw(rt, "loads")
+		text, err := LoadReport(loads).MarshalText()
+		require.NoError(rt, err)
+		var read LoadReport
+		require.NoError(rt, read.UnmarshalText(text))
+		require.Equal(rt, LoadReport(loads), read)
+
+		var cached CachedReport
+		for range rapid.IntRange(1, 20).Draw(rt, "entries") {
+			c := CachedParts{Upstream: UpstreamKey(rapid.Uint32().Draw(rt, "upstream"))}
+			c.Parts = rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) PartKey { return PartKey(rapid.Uint64().Draw(rt, "part")) }), 1, 5).Draw(rt, "parts")
+			cached = append(cached, c)
+		}
+		text, err = cached.MarshalText()
+		require.NoError(rt, err)
+		var readParts CachedReport
+		require.NoError(rt, readParts.UnmarshalText(text))
+		require.Equal(rt, cached, readParts)
+	})
+}
+
+// TestReportsAreSmall guards against reports to 295 instances several times a second that
+// take more than a few bytes for each upstream.
+func TestReportsAreSmall(t *testing.T) {
+	loads := LoadReport{}
+	for i := range 240 {
+		loads[KeyOf(radishcrank.UpstreamID(fmt.Sprintf("i-%010x", i)))] = Load{Running: 12, Prefilling: 9190}
+	}
+	require.Len(t, loads, 240, "keys collide")
+	text, err := loads.MarshalText()
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(text), 240*10)
+}
+
+// FuzzReports guards against a malformed message that ends an instance or makes it
+// allocate without bound.
+func FuzzReports(f *testing.F) {
+	text, err := LoadReport{5: {Running: 1, Prefilling: 16}}.MarshalText()
+	require.NoError(f, err)
+	f.Add(text)
+	text, err = CachedReport{{Upstream: 5, Parts: []PartKey{1, 2}}}.MarshalText()
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte("/////w8"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var loads LoadReport
+		if loads.UnmarshalText(text) == nil {
+			require.LessOrEqual(t, len(loads), len(text))
+		}
+		var cached CachedReport
+		if cached.UnmarshalText(text) == nil {
+			require.LessOrEqual(t, len(cached), len(text))
+		}
+	})
+}
--- a/internal/state/rckvstore/watch.go
+++ b/internal/state/rckvstore/watch.go
@@ -41,6 +41,10 @@
 	maxBusyInterval = 5 * time.Second
 	// listInterval is the interval at which the list of stores is read.
 	listInterval = 500 * time.Millisecond
+	// ReportInterval is how often relays report the stores. An instance that receives no
+	// report for reportMaxAge calls the stores itself.
+	ReportInterval = 500 * time.Millisecond
+	reportMaxAge   = 2 * time.Second
 )
 
 // Store is an external store of KV cache.
@@ -56,34 +60,110 @@
 	Stores func() []Store
 	// OnDataLoss is called when a store has lost its data.
 	OnDataLoss func(id radishcrank.UpstreamID)
-	Log        zerolog.Logger
+	// ReliesOnReports reports whether another instance calls the stores and reports them
+	// to this one. In large fleets a store would otherwise turn most calls away, and each
+	// of them is a status check and often a new connection. Nil means that none does.
+	ReliesOnReports func() bool
+	Log             zerolog.Logger
+}
+
+// Report is what an instance tells others about a store.
+type Report struct {
+	Store
+	Down      bool   `json:",omitempty"`
+	BootEpoch uint64 // Zero if unknown.
 }
 
 // Watcher tracks which stores respond. It is safe for concurrent use.
 type Watcher struct {
-	cfg  Config
-	mu   sync.Mutex
-	down map[Store]bool
+	cfg    Config
+	mu     sync.Mutex
+	stores map[Store]*storeState
+}
+
+type storeState struct {
+	down       bool
+	bootEpoch  uint64    // Zero if unknown.
+	reportedAt time.Time // Time of the last report, or of the start.
 }
 
 // New returns a Watcher that considers all stores to be up.
-func New(cfg Config) *Watcher { return &Watcher{cfg: cfg, down: map[Store]bool{}} }
+func New(cfg Config) *Watcher {
+	if cfg.ReliesOnReports == nil {
+		cfg.ReliesOnReports = func() bool { return false }
+	}
+	return &Watcher{cfg: cfg, stores: map[Store]*storeState{}}
+}
 
 // Up reports whether engines may use a store.
 func (w *Watcher) Up(s Store) (up bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.down[s]
+	state := w.stores[s]
+	return state == nil || !state.down
+}
+
+// Reports returns what this instance knows about the configured stores.
+func (w *Watcher) Reports() (reports []Report) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for s, state := range w.stores {
+		reports = append(reports, Report{Store: s, Down: state.down, BootEpoch: state.bootEpoch})
+	}
+	return reports
+}
+
+// Offer applies the reports of an instance that calls the stores itself.
+func (w *Watcher) Offer(reports []Report) {
+	if !w.cfg.ReliesOnReports() {
+		return
+	}
+	for _, r := range reports {
+		w.mu.Lock()
+		state, known := w.stores[r.Store]
+		if known {
+			state.reportedAt = time.Now()
+		}
+		w.mu.Unlock()
+		if known {
+			w.observeEpoch(r.Store, r.BootEpoch)
+			w.setDown(r.Store, r.Down)
+		}
+	}
+}
+
+// reported reports whether the reports of another instance tell of a store.
+func (w *Watcher) reported(s Store) bool {
+	if !w.cfg.ReliesOnReports() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state := w.stores[s]
+	return state != nil && time.Since(state.reportedAt) < reportMaxAge
+}
+
+// observeEpoch detects that a store has restarted.
+func (w *Watcher) observeEpoch(s Store, epoch uint64) {
+	w.mu.Lock()
+	state := w.stores[s]
+	restarted := state != nil && epoch != 0 && state.bootEpoch != 0 && epoch != state.bootEpoch
+	if state != nil && epoch != 0 {
+		state.bootEpoch = epoch
+	}
+	w.mu.Unlock()
+	if restarted {
+		w.cfg.OnDataLoss(s.ID)
+	}
 }
 
 // setDown records whether a store is down, and logs changes.
 func (w *Watcher) setDown(s Store, down bool) {
 	w.mu.Lock()
-	changed := w.down[s] != down
-	if down {
-		w.down[s] = true
-	} else {
-		delete(w.down, s)
+	state := w.stores[s]
+	changed := state != nil && state.down != down
+	if changed {
+		state.down = down
 	}
 	w.mu.Unlock()
 	if changed {
@@ -105,6 +185,9 @@
 			if watched[s] == nil {
 				storeCtx, stop := context.WithCancel(ctx)
 				watched[s] = stop
+				w.mu.Lock()
+				w.stores[s] = &storeState{reportedAt: time.Now()}
+				w.mu.Unlock()
 				wg.Go(func() { w.follow(storeCtx, s) })
 			}
 		}
@@ -112,6 +195,9 @@
 			if !listed[s] {
 				stop()
 				delete(watched, s)
+				w.mu.Lock()
+				delete(w.stores, s)
+				w.mu.Unlock()
 			}
 		}
 		if !rcwait.Sleep(ctx, listInterval) {
@@ -122,10 +208,16 @@
 
 // follow waits for the events of one store until ctx ends.
 func (w *Watcher) follow(ctx context.Context, s Store) {
-	defer w.setDown(s, false)
 	var last radishcrank.KVSequence
 	failures, interval := 0, callInterval
 	for ctx.Err() == nil {
+		if w.reported(s) {
+			failures, interval = 0, callInterval
+			if !rcwait.Sleep(ctx, callInterval) {
+				return
+			}
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, eventWait+responseMargin)
 		got, err := w.cfg.Events.Await(callCtx, s.Addr, last.Next, eventWait)
 		cancel()
@@ -147,9 +239,7 @@
 			}
 		default:
 			failures, interval = 0, max(callInterval, interval*9/10) // Instances that share the store converge on a common interval.
-			if last.BootEpoch != 0 && got.BootEpoch != last.BootEpoch {
-				w.cfg.OnDataLoss(s.ID)
-			}
+			w.observeEpoch(s, got.BootEpoch)
 			last = got
 			w.setDown(s, false)
 		}
--- a/internal/state/rckvstore/watch_test.go
+++ b/internal/state/rckvstore/watch_test.go
@@ -182,3 +182,60 @@
 		require.Greater(t, store.served, 58*60/5, "instances call too rarely")
 	})
 }
+
+// TestOnlyRelayCallsStores guards against hundreds of instances that each call every
+// store, against a dead or restarted store that those do not hear of, and against
+// instances that hear nothing after their relay has died.
+func TestOnlyRelayCallsStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, s := &kvStore{boot: 1}, Store{ID: "store/kv", Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		losses := 0
+		start := func(relies func() bool) *Watcher {
+			w := New(Config{
+				Events: store, Stores: func() []Store { return []Store{s} }, ReliesOnReports: relies,
+				OnDataLoss: func(radishcrank.UpstreamID) { losses++ }, Log: zerolog.Nop(),
+			})
+			wg.Go(func() { w.Run(ctx) })
+			return w
+		}
+		relay := start(nil)
+		var others []*Watcher
+		for range 59 {
+			others = append(others, start(func() bool { return true }))
+		}
+		relayCtx, stopRelay := context.WithCancel(ctx)
+		wg.Go(func() {
+			for rcwait.Sleep(relayCtx, ReportInterval) {
+				for _, w := range others {
+					w.Offer(relay.Reports())
+				}
+			}
+		})
+		requireUp := func(up bool) {
+			t.Helper()
+			for _, w := range others {
+				require.Equal(t, up, w.Up(s))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		requireUp(true)
+		require.LessOrEqual(t, store.callCount(), 20, "the relay calls twice a second")
+		store.set("silent", 1)
+		time.Sleep(detectionTime + ReportInterval)
+		requireUp(false)
+		store.set("", 2)
+		time.Sleep(detectionTime + ReportInterval)
+		requireUp(true)
+		require.Equal(t, 60, losses)
+
+		stopRelay()
+		time.Sleep(reportMaxAge)
+		store.set("refusing", 2)
+		time.Sleep(detectionTime + reportMaxAge)
+		requireUp(false)
+		cancel()
+		wg.Wait()
+	})
+}
