Believe removals at once unless entries can have expired

Cause: after any failed call, removals were doubted for 2 s, and members that were kept were dropped only with the next batch. Change: they are doubted only after an outage in which an entry of a live upstream can have expired (three heartbeats, less one, less the two seconds for which upstreams may be late); and what is kept ends with the 2 s, not with the next batch. Test: TestRemovalIsDoubtedOnlyAfterOutage.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -142,6 +142,7 @@
 		fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log,
 		confirmTime: missedHeartbeats*s.UpstreamHeartbeat + restoredHeartbeatDelay,
 	}
+	i.fleet.SetMinOutage(max(0, (missedHeartbeats-1)*s.UpstreamHeartbeat-restoredHeartbeatDelay))
 	i.directory.initFollowers(rcfeed.Config{
 		Source: i.store, Eras: &i.storeEras, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, Log: i.log,
 	})
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -103,7 +103,8 @@
 	goneSoftware     map[string]map[radishcrank.SoftwareVersion]time.Time // When upstreams of a service were last listed with a version, by service.
 	syncedAt         time.Time                                            // When a first complete list had arrived; zero before.
 	unreachableSince time.Time
-	reachableSince   time.Time
+	reachableSince   time.Time     // End of the last outage in which entries may have expired.
+	minOutage        time.Duration // Shortest outage of the list in which entries of live upstreams may expire.
 	changed          chan struct{} // Closed and replaced when an upstream may have become usable.
 	cachedParts      *cachedParts
 }
@@ -318,8 +319,7 @@
 // the time to be listed again.
 func (f *Fleet) removeLocked(m *member) {
 	now := time.Now()
-	unreliable := !f.unreachableSince.IsZero() || now.Sub(f.reachableSince) < removalGrace
-	if !unreliable || m.Leaving {
+	if !f.doubtsRemovalsLocked(now) || m.Leaving {
 		f.dropLocked(m)
 		return
 	}
@@ -342,24 +342,42 @@
 	f.departed[m.ID] = departure{incarnation: m.Incarnation, leaving: m.Leaving, at: now}
 }
 
+// SetMinOutage sets how long the list must have been unreachable for removals to be
+// doubted afterwards. After a shorter time, as when only a connection of this instance was
+// reset, no entry of a live upstream can have expired.
+func (f *Fleet) SetMinOutage(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.minOutage = d
+}
+
 // SetReachable records whether the list can be read.
 func (f *Fleet) SetReachable(ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	switch {
 	case !ok && f.unreachableSince.IsZero():
-		f.unreachableSince = time.Now()
+		f.unreachableSince = now
 	case ok && !f.unreachableSince.IsZero():
-		f.unreachableSince, f.reachableSince = time.Time{}, time.Now()
+		if now.Sub(f.unreachableSince) >= f.minOutage {
+			f.reachableSince = now
+		}
+		f.unreachableSince = time.Time{}
 	}
 }
 
+// doubtsRemovalsLocked reports whether upstreams may be missing in the list because they
+// could not reach it.
+func (f *Fleet) doubtsRemovalsLocked(now time.Time) bool {
+	return !f.unreachableSince.IsZero() || now.Sub(f.reachableSince) < removalGrace
+}
+
 // Expire drops members whose grace period has ended.
 func (f *Fleet) Expire() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	if !f.unreachableSince.IsZero() || now.Sub(f.reachableSince) < removalGrace {
+	if f.doubtsRemovalsLocked(time.Now()) {
 		return
 	}
 	for _, m := range f.members {
@@ -375,7 +393,9 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, m := range f.services[service] {
-		buf = append(buf, m.stateAt(now))
+		if m.Listed || f.doubtsRemovalsLocked(now) {
+			buf = append(buf, m.stateAt(now))
+		}
 	}
 	return buf
 }
@@ -396,11 +416,12 @@
 func (f *Fleet) Get(id radishcrank.UpstreamID) (State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	m, ok := f.members[id]
-	if !ok {
+	if !ok || !m.Listed && !f.doubtsRemovalsLocked(now) {
 		return State{}, false
 	}
-	return m.stateAt(time.Now()), true
+	return m.stateAt(now), true
 }
 
 // stateAt returns the state of the upstream without reports that have expired.
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -221,3 +221,39 @@
 		require.Equal(t, []radishcrank.SoftwareVersion{"b"}, versions)
 	})
 }
+
+// TestRemovalIsDoubtedOnlyAfterOutage guards against work for an upstream that has left,
+// after a reset of this instance's own connection to the list or beyond the time in which
+// live upstreams are listed again, and against a fleet that is lost with its entries in an
+// outage.
+func TestRemovalIsDoubtedOnlyAfterOutage(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		outage         time.Duration
+		removedAfter   time.Duration // After the outage.
+		want, wantLate bool          // Whether the upstream is used then, and removalGrace after the outage.
+	}{
+		{"reset connection", 300 * time.Millisecond, time.Second, false, false},
+		{"outage", 4 * time.Second, 0, true, false},
+		{"long after an outage", 4 * time.Second, removalGrace, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := New()
+				f.SetMinOutage(400 * time.Millisecond)
+				f.Replace([]Entry{entry("a", 1)})
+				time.Sleep(time.Minute)
+				f.SetReachable(false)
+				time.Sleep(c.outage)
+				f.SetReachable(true)
+				time.Sleep(c.removedAfter)
+				f.Remove("a")
+				require.Equal(t, c.want, len(f.AppendStates("s", nil)) == 1)
+				time.Sleep(removalGrace - c.removedAfter)
+				_, ok := f.Get("a")
+				require.Equal(t, c.wantLate, ok)
+				require.Equal(t, c.wantLate, len(f.AppendStates("s", nil)) == 1)
+			})
+		})
+	}
+}
