Send nothing to upstreams that say that they leave

Change: a reply of any kind from the upstream itself, or a report, marks its incarnation as leaving, whatever the list says before or later; the other instances hear of it with the next update. Replies that belong to another server, or to no request, mark nothing.

--- a/exchange.go
+++ b/exchange.go
@@ -121,6 +121,7 @@
 	// all instances together; nil if it states none.
 	RateLimit *float64
 	Weights   WeightsVersion
+	Leaving   bool // The upstream says that it leaves and takes no further requests.
 	// Instance is the upstream that replied to a misdirected exchange.
 	Instance UpstreamID
 	Conn     Connection // Nil if it is unknown on which connection the reply arrives.
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -281,7 +281,8 @@
 		RecordCached:  i.peers.recordCached,
 		KVStores:      i.reachableKVStores,
 		Origins:       i.peers.origins,
-		Incarnation:   (&platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance}).Incarnation,
+		Incarnation:   i.engineClient().Incarnation,
+		OnLeaving:     i.noteLeaving,
 		Log:           i.log,
 		Metrics:       i.metrics,
 	})
@@ -290,6 +291,20 @@
 	}
 }
 
+func (i *Instance) engineClient() *platform.EngineClient {
+	return &platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance, OnLeaving: func(up radishcrank.Upstream) { i.noteLeaving(up, http.StatusOK) }}
+}
+
+// noteLeaving records that an upstream has said itself, with a reply of a status, that it
+// leaves, and tells the other instances with the next update.
+func (i *Instance) noteLeaving(up radishcrank.Upstream, status int) {
+	if i.fleet.SetLeaving(up.ID, up.Incarnation) {
+		i.log.Info().Str("Event", "UpstreamLeaving").Str("Upstream", string(up.ID)).Uint64("Incarnation", uint64(up.Incarnation)).Int("Status", status).Send()
+		i.metrics.Add(rcmetric.UpstreamsLeaving, 1)
+		i.peers.announceLeaving(leavingUpstream{up.ID, up.Incarnation})
+	}
+}
+
 // storeEra returns the newest known era of the store.
 func (i *Instance) storeEra() uint64 {
 	era, _ := i.storeEras.Current()
@@ -359,7 +374,7 @@
 func (i *Instance) runController(ctx context.Context) error {
 	controller := rcrollout.New(rcrollout.Config{
 		Fleet:          i.fleet,
-		Engines:        &platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance},
+		Engines:        i.engineClient(),
 		Mode:           rcrollout.ContinueRequests,
 		DesiredWeights: i.weights.All,
 		ServicesOf:     i.servicesOf,
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -75,6 +75,7 @@
 	Running rcfleet.LoadReport    `json:",omitzero"`
 	Streams []rcorigin.Record     `json:",omitempty"` // Where streams began.
 	Limits  []rcquota.Observation `json:",omitempty"` // Rate limits that upstreams have announced, changed or ended.
+	Leaving []leavingUpstream     `json:",omitempty"` // Upstreams that have said that they leave.
 	// Stores tells the zone of a relay which KV stores respond.
 	Stores []rckvstore.Report `json:",omitempty"`
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
@@ -98,7 +99,7 @@
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && u.Running == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && len(u.Leaving) == 0 && u.Running == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -110,6 +111,12 @@
 	reachedAt    time.Time // Time of the last successful call.
 }
 
+// leavingUpstream is an upstream that has said itself that it leaves.
+type leavingUpstream struct {
+	Upstream    radishcrank.UpstreamID
+	Incarnation radishcrank.Incarnation
+}
+
 // peerGroup knows the other instances and exchanges updates with them.
 type peerGroup struct {
 	instance *Instance
@@ -178,6 +185,13 @@
 	p.wakeSender()
 }
 
+func (p *peerGroup) announceLeaving(l leavingUpstream) {
+	p.mu.Lock()
+	p.queued.Leaving = append(p.queued.Leaving, l)
+	p.mu.Unlock()
+	p.wakeSender()
+}
+
 // announceBlame tells the others of prompt parts at a crash.
 func (p *peerGroup) announceBlame(r rcblame.Report) {
 	p.mu.Lock()
@@ -308,6 +322,9 @@
 	for _, c := range update.Cached {
 		p.instance.fleet.AddCachedParts(c)
 	}
+	for _, l := range update.Leaving {
+		p.instance.fleet.SetLeaving(l.Upstream, l.Incarnation)
+	}
 	if len(update.Stores) > 0 {
 		p.instance.kvWatcher.Offer(update.Stores)
 	}
@@ -343,6 +360,7 @@
 		queue.Cached = append(queue.Cached, update.Cached...)
 	}
 	queue.Limits = append(queue.Limits, update.Limits...)
+	queue.Leaving = append(queue.Leaving, update.Leaving...)
 	queue.Blame = appendBlame(queue.Blame, update.Blame...)
 	queue.Lease = max(queue.Lease, update.Lease)
 }
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -127,6 +127,7 @@
 		Feeds:   u.Feeds,
 		Streams: slices.Concat(u.Streams, o.Streams),
 		Limits:  slices.Concat(u.Limits, o.Limits),
+		Leaving: slices.Concat(u.Leaving, o.Leaving),
 		Blame:   slices.Concat(u.Blame, o.Blame),
 		Lease:   max(u.Lease, o.Lease),
 	}
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -258,12 +258,23 @@
 	if reply.RateLimit != nil {
 		d.f.cfg.Metrics.Add(rcmetric.LimitedReplies, 1)
 	}
-	refusal := reply.Class == radishcrank.ReplyBusy || reply.Class == radishcrank.ReplyMisdirected && reply.Instance == up.ID
-	if reply.Class == radishcrank.ReplyAnswered || refusal && reply.RateLimit != nil {
+	if reply.Class == radishcrank.ReplyAnswered || reply.RateLimit != nil && fromUpstream(up, reply) {
 		d.f.cfg.Quota.Observe(up, reply.RateLimit, d.sentAt)
 	}
 }
 
+// fromUpstream reports whether a reply comes from the upstream that the exchange was sent
+// to, and not from one that now has its address.
+func fromUpstream(up radishcrank.Upstream, reply *radishcrank.Reply) bool {
+	switch reply.Class {
+	case radishcrank.ReplyAnswered, radishcrank.ReplyBusy:
+		return true
+	case radishcrank.ReplyMisdirected:
+		return reply.Instance == up.ID
+	}
+	return false
+}
+
 // updateFleet records the load, the rate limit and the weights that a reply reports for
 // its upstream.
 func (d *dispatch) updateFleet(up radishcrank.Upstream, choice rcaffinity.Choice, reply *radishcrank.Reply) {
@@ -272,6 +283,9 @@
 		fleet.SetQueueReport(up.ID, *reply.Load)
 	}
 	d.observeRateLimit(up, reply)
+	if reply.Leaving && fromUpstream(up, reply) {
+		d.f.cfg.OnLeaving(up, reply.Status)
+	}
 	if d.x.Generates() && reply.Weights != "" && reply.Class == radishcrank.ReplyAnswered {
 		fleet.SetWeights(up.ID, d.x.Model, reply.Weights)
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -91,6 +91,9 @@
 	Origins      Origins
 	// Incarnation asks an upstream which incarnation it is.
 	Incarnation func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error)
+	// OnLeaving is called with the status of each reply that says that its upstream leaves.
+	// The default only records it in Fleet.
+	OnLeaving func(up radishcrank.Upstream, status int)
 	Log         zerolog.Logger
 	Metrics     *rcmetric.Set
 }
@@ -106,6 +109,9 @@
 	if cfg.Quota == nil {
 		cfg.Quota = rcquota.New(rcquota.Config{})
 	}
+	if cfg.OnLeaving == nil {
+		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) { cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
+	}
 	return &Forwarder{cfg: cfg}
 }
 
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -83,15 +83,17 @@
 	// unconfirmedUntil ends the time in which the entry may be that of an upstream
 	// that is gone.
 	unconfirmedUntil time.Time
+	announcedLeaving bool // The upstream itself has said that it leaves.
 	removedAt        time.Time
 	peerLoadAt       time.Time // When PeerLoad was set.
 }
 
 // departure is what remains known of an upstream that is gone.
 type departure struct {
-	incarnation radishcrank.Incarnation
-	leaving     bool // It had announced that it leaves.
-	at          time.Time
+	incarnation      radishcrank.Incarnation
+	leaving          bool // It was listed as leaving.
+	announcedLeaving bool // It had said so itself.
+	at               time.Time
 }
 
 // Fleet tracks all upstreams. It is safe for concurrent use.
@@ -204,11 +206,14 @@
 	}
 	if !ok {
 		m = &member{State: State{Hash: xxhash.Sum64String(string(e.ID))}}
+		d := f.departed[e.ID]
+		m.announcedLeaving = d.announcedLeaving && d.incarnation == e.Incarnation
 		f.members[e.ID] = m
 		f.services[e.Service] = append(f.services[e.Service], m)
 	}
 	weights := m.Weights
 	m.Entry = e
+	m.Leaving = e.Leaving || m.announcedLeaving
 	m.Weights = newestWeights(weights, e.Weights)
 	m.Listed, m.removedAt, m.unconfirmedUntil = true, time.Time{}, time.Time{}
 	m.WarmupUntil = time.Now().Add(e.WarmupTime)
@@ -339,7 +344,7 @@
 			delete(f.departed, id)
 		}
 	}
-	f.departed[m.ID] = departure{incarnation: m.Incarnation, leaving: m.Leaving, at: now}
+	f.departed[m.ID] = departure{incarnation: m.Incarnation, leaving: m.Leaving, announcedLeaving: m.announcedLeaving, at: now}
 }
 
 // SetMinOutage sets how long the list must have been unreachable for removals to be
@@ -452,6 +457,20 @@
 	f.signalLocked()
 }
 
+// SetLeaving records that an incarnation of an upstream has itself said that it leaves. It
+// holds whatever the list says, which may be older, and ends with the incarnation. It
+// reports whether that was not known.
+func (f *Fleet) SetLeaving(id radishcrank.UpstreamID, i radishcrank.Incarnation) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok || m.Incarnation != i || m.announcedLeaving {
+		return false
+	}
+	m.announcedLeaving, m.Leaving = true, true
+	return true
+}
+
 // SetLoading records that an upstream loads weights until about the given time,
 // or, for the zero time, that it no longer does.
 func (f *Fleet) SetLoading(id radishcrank.UpstreamID, until time.Time) {
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -257,3 +257,24 @@
 		})
 	}
 }
+
+// TestAnnouncedLeavingOutlivesList guards against requests to an upstream that has said
+// that it leaves, because an entry arrives later that says otherwise, is written anew after
+// a removal or comes from an older copy.
+func TestAnnouncedLeavingOutlivesList(t *testing.T) {
+	f := New()
+	f.Replace([]Entry{entry("a", 1)})
+	require.False(t, f.SetLeaving("a", 2), "another incarnation")
+	require.False(t, get(t, f, "a").Leaving)
+	require.True(t, f.SetLeaving("a", 1))
+	require.False(t, f.SetLeaving("a", 1))
+	f.Put(entry("a", 1))
+	require.True(t, get(t, f, "a").Leaving)
+	f.Restore([]Entry{entry("a", 1)}, time.Second)
+	require.True(t, get(t, f, "a").Leaving)
+	f.Remove("a")
+	f.Put(entry("a", 1))
+	require.True(t, get(t, f, "a").Leaving)
+	f.Put(entry("a", 2))
+	require.False(t, get(t, f, "a").Leaving)
+}
