--- a/exchange.go
+++ b/exchange.go
@@ -122,6 +122,9 @@
 	RateLimit *float64
 	Weights   WeightsVersion
 	Leaving   bool // The upstream says that it leaves and takes no further requests.
+	// PauseFor is how long the upstream wants no further requests from this instance,
+	// because it has turned this one away; 0 if it does not say.
+	PauseFor time.Duration
 	// Instance is the upstream that replied to a misdirected exchange.
 	Instance UpstreamID
 	Conn     Connection // Nil if it is unknown on which connection the reply arrives.
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -183,7 +183,7 @@
 // used.
 func (d *dispatch) placementValid(choice rcaffinity.Choice) bool {
 	s, ok := d.f.cfg.Fleet.Get(choice.Upstream.ID)
-	if !ok || s.Leaving || s.Incarnation != choice.Upstream.Incarnation {
+	if !ok || s.Leaving || s.Paused(time.Now()) || s.Incarnation != choice.Upstream.Incarnation {
 		return false
 	}
 	if !d.x.Generates() {
@@ -286,6 +286,12 @@
 	if reply.Leaving && fromUpstream(up, reply) {
 		d.f.cfg.OnLeaving(up, reply.Status)
 	}
+	if reply.PauseFor > 0 && fromUpstream(up, reply) {
+		fleet.Pause(up.ID, up.Incarnation, reply.PauseFor)
+		d.f.cfg.Metrics.Add(rcmetric.PausesAsked, 1)
+		d.f.cfg.Log.Info().Str("Event", "UpstreamPaused").Str("Upstream", string(up.ID)).Str("Request", string(d.x.ID)).
+			Int64("PauseMS", reply.PauseFor.Milliseconds()).Send()
+	}
 	if d.x.Generates() && reply.Weights != "" && reply.Class == radishcrank.ReplyAnswered {
 		fleet.SetWeights(up.ID, d.x.Model, reply.Weights)
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -94,8 +94,8 @@
 	// OnLeaving is called with the status of each reply that says that its upstream leaves.
 	// The default only records it in Fleet.
 	OnLeaving func(up radishcrank.Upstream, status int)
-	Log         zerolog.Logger
-	Metrics     *rcmetric.Set
+	Log       zerolog.Logger
+	Metrics   *rcmetric.Set
 }
 
 // Forwarder forwards exchanges to upstreams. It is safe for concurrent use.
@@ -285,6 +285,9 @@
 		if s.Loading(now) {
 			d = s.LoadingUntil.Sub(now)
 		}
+		if s.Paused(now) {
+			d = max(d, s.PausedUntil.Sub(now))
+		}
 		if wait == 0 || d < wait {
 			wait = d
 		}
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -57,6 +57,7 @@
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
 	PeerLoad     Load      // Load from other instances as last reported.
 	Throttled    bool      // No new work because this instance has used its share of the rate limit; set by rcforward.
+	PausedUntil  time.Time // No new work because the upstream has asked this instance for a pause.
 	Suspect      bool      // No new work because of a recent failure.
 	Probing      bool      // The suspicion has ended, but no exchange has succeeded since.
 	FailureRate  float64   // Moving average of failed exchanges.
@@ -72,6 +73,9 @@
 	Prefilling int // Prompt tokens of exchanges without a first event yet.
 }
 
+// Paused reports whether the upstream wants no requests from this instance.
+func (s *State) Paused(now time.Time) bool { return now.Before(s.PausedUntil) }
+
 // Loading reports whether the upstream loads weights or is about to.
 func (s *State) Loading(now time.Time) bool { return now.Before(s.LoadingUntil) }
 
@@ -471,6 +475,18 @@
 	return true
 }
 
+// Pause records that an incarnation of an upstream wants no requests from this instance
+// for a time. A shorter pause than the current one does not end that.
+func (f *Fleet) Pause(id radishcrank.UpstreamID, i radishcrank.Incarnation, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok && m.Incarnation == i {
+		if until := time.Now().Add(d); until.After(m.PausedUntil) {
+			m.PausedUntil = until
+		}
+	}
+}
+
 // SetLoading records that an upstream loads weights until about the given time,
 // or, for the zero time, that it no longer does.
 func (f *Fleet) SetLoading(id radishcrank.UpstreamID, until time.Time) {
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -49,6 +49,7 @@
 	NewsLost               CounterName = "NewsLost"
 	LimitedReplies         CounterName = "LimitedReplies"
 	UpstreamsLeaving       CounterName = "UpstreamsLeaving"
+	PausesAsked            CounterName = "PausesAsked"
 	UnframedReplies        CounterName = "UnframedReplies"
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
 	StreamsUnknown         CounterName = "StreamsUnknown"
@@ -113,6 +114,7 @@
 	{RepeatsDenied, "attempts", "Retries that the fleet's retry budget did not allow.", "Find out why attempts fail; retries would add load."},
 	{SuspectsHeld, "attempts", "Attempts that waited for exclusive use of an upstream, because their content was in flight when upstreams crashed.", "Look for the content in `SuspectHeld` lines."},
 	{UnframedReplies, "replies", "Replies with neither a length nor chunks that ended with their connection.", "Look at `UnframedReply` lines: streams that end inside an event were broken off."},
+	{PausesAsked, "replies", "Replies of upstreams that turned a request away and asked for a pause.", "If `UpstreamPaused` lines name most upstreams of a service, it is overloaded."},
 	{UpstreamsLeaving, "upstreams", "Upstreams that told this instance in a reply that they leave.", "None: they get no further requests. Look for `UpstreamLeaving` lines if too few upstreams are left."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
