Take streams elsewhere when only single bytes or comments arrive

What operators of similar systems saw, stalled streams that send a byte now and then and never end, could happen here: any byte reset the watchdog. Change: an event that is complete and holds a field, or 512 bytes of one, counts as progress. Slow events and a large event on a slow link are left alone.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -379,7 +379,6 @@
 				d.recordBeginning(choice, reply)
 				d.recordCachedParts(choice)
 			}
-			watchdogTimer.reset(d.idleTimeout())
 			out := buf[:n]
 			size += n
 			if resumable {
@@ -390,6 +389,9 @@
 			} else {
 				events.observe(out)
 			}
+			if events.progress(n) || !resumable {
+				watchdogTimer.reset(d.idleTimeout())
+			}
 			if len(out) > 0 {
 				if !d.response.started {
 					d.pinOrigin(up, reply.Conn)
--- a/internal/serving/rcforward/events.go
+++ b/internal/serving/rcforward/events.go
@@ -23,6 +23,24 @@
 	splitter rcsse.Splitter
 	pending  []byte // What follows the last event that was returned.
 	count    int
+	// filled is the number of events among them that hold more than comments, and
+	// reported that of the last progress. since counts the bytes that came after it.
+	filled, reported, since int
+}
+
+// minProgressBytes is how much of an event has to arrive to count as progress. A stalled
+// upstream may send single bytes or comments now and then.
+const minProgressBytes = 512
+
+// progress reports whether the stream goes on with the n bytes that were added last: they
+// completed an event, or brought much of one.
+func (b *eventBuffer) progress(n int) bool {
+	b.since += n
+	if b.filled == b.reported && b.since < minProgressBytes {
+		return false
+	}
+	b.reported, b.since = b.filled, 0
+	return true
 }
 
 // observe follows events that are forwarded as they arrive.
@@ -53,6 +71,9 @@
 			}
 			*lastID = id
 		}
+		if hasField(all[end:scanned]) {
+			b.filled++
+		}
 		b.count++
 		end = scanned
 	}
@@ -84,6 +105,16 @@
 	return "", false
 }
 
+// hasField reports whether an event holds more than comments.
+func hasField(event []byte) bool {
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
 
 // idFollows reports whether event id may follow last. IDs that are not numbers
