Do not repeat load reports that have not changed

A report that has not changed is now repeated after 350 ms only (a lost one is replaced within 800 ms). Test: TestIdleInstancesAreSilent, below 6 messages a second and instance; 8 reports a second in both directions were 16.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -292,17 +292,22 @@
 }
 
 func (i *Instance) engineClient() *platform.EngineClient {
-	return &platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance, OnLeaving: func(up radishcrank.Upstream) { i.noteLeaving(up, http.StatusOK) }}
+	return &platform.EngineClient{Pool: i.pool, Holder: i.settings.Instance, OnLeaving: func(up radishcrank.Upstream) {
+		if i.noteLeaving(up, http.StatusOK) {
+			i.metrics.Add(rcmetric.UpstreamsLeaving, 1)
+		}
+	}}
 }
 
 // noteLeaving records that an upstream has said itself, with a reply of a status, that it
-// leaves, and tells the other instances with the next update.
-func (i *Instance) noteLeaving(up radishcrank.Upstream, status int) {
-	if i.fleet.SetLeaving(up.ID, up.Incarnation) {
+// leaves, and tells the other instances with the next update. It reports whether that is
+// new.
+func (i *Instance) noteLeaving(up radishcrank.Upstream, status int) (changed bool) {
+	if changed = i.fleet.SetLeaving(up.ID, up.Incarnation); changed {
 		i.log.Info().Str("Event", "UpstreamLeaving").Str("Upstream", string(up.ID)).Uint64("Incarnation", uint64(up.Incarnation)).Int("Status", status).Send()
-		i.metrics.Add(rcmetric.UpstreamsLeaving, 1)
 		i.peers.announceLeaving(leavingUpstream{up.ID, up.Incarnation})
 	}
+	return changed
 }
 
 // storeEra returns the newest known era of the store.
--- a/internal/node/rcinstance/loads.go
+++ b/internal/node/rcinstance/loads.go
@@ -1,6 +1,7 @@
 package rcinstance
 
 import (
+	"maps"
 	"time"
 
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
@@ -11,6 +12,27 @@
 // or is cut off are ignored after it.
 const loadReportMaxAge = 800 * time.Millisecond
 
+// maxLoadSilence is how long a report that has not changed is not sent again. A report
+// that is lost is replaced within loadReportMaxAge.
+const maxLoadSilence = 350 * time.Millisecond
+
+// loadReporter selects the reports for one group of receivers. An instance of a large
+// fleet is often idle between two reports, and a message costs its relay as much as a
+// request.
+type loadReporter struct {
+	last rcfleet.LoadReport
+	at   time.Time
+}
+
+// next returns the report to be sent now, or nil for none.
+func (r *loadReporter) next(loads rcfleet.LoadReport, now time.Time) rcfleet.LoadReport {
+	if loads == nil || maps.Equal(loads, r.last) && now.Sub(r.at) < maxLoadSilence {
+		return nil
+	}
+	r.last, r.at = loads, now
+	return loads
+}
+
 // loadReport is the load that one instance reported, or that a relay reported for its
 // zone.
 type loadReport struct {
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -134,6 +134,9 @@
 	fromOtherZones   peerUpdate // Received by a relay from other relays, to be sent to its zone.
 	self             *peer
 	term             *rclease.Term // Term of this instance while it holds the lease.
+	reporter         loadReporter  // For all others or, in large fleets, the relay.
+	zoneReporter     loadReporter  // For the zone of this relay.
+	relayReporter    loadReporter  // For the other relays.
 	storesSentAt     time.Time
 	sentLease        uint64               // Position in the last lease report sent.
 	leaseSentAt      time.Time            // Time of that report.
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -80,7 +80,9 @@
 func (p *peerGroup) updatesLocked() map[*peer]*peerUpdate {
 	own, fromZone, fromOtherZones := p.queued.take(), p.fromZone.take(), p.fromOtherZones.take()
 	updates := map[*peer]*peerUpdate{}
+	now := time.Now()
 	if !p.usesRelaysLocked() {
+		own.Running = p.reporter.next(own.Running, now)
 		for _, m := range p.members {
 			updates[m] = &own
 		}
@@ -89,6 +91,7 @@
 	zone := p.instance.settings.Zone
 	if relay := p.relayForLocked(zone); relay != nil {
 		own.Feeds = nil
+		own.Running = p.reporter.next(own.Running, now)
 		updates[relay] = &own
 		return updates
 	}
@@ -99,10 +102,10 @@
 	if own.Running != nil {
 		others := p.sumLoadsLocked("")
 		p.instance.fleet.SetPeerLoads(others)
-		all.Running = p.addLocalLoads(others)
-		outward.Running = p.addLocalLoads(p.sumLoadsLocked(zone))
+		all.Running = p.zoneReporter.next(p.addLocalLoads(others), now)
+		outward.Running = p.relayReporter.next(p.addLocalLoads(p.sumLoadsLocked(zone)), now)
 	}
-	if now := time.Now(); now.Sub(p.storesSentAt) >= rckvstore.ReportInterval {
+	if now.Sub(p.storesSentAt) >= rckvstore.ReportInterval {
 		all.Stores, p.storesSentAt = p.instance.kvWatcher.Reports(), now
 	}
 	zones := map[string]bool{zone: true}
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -60,7 +61,7 @@
 					continue
 				}
 				sent++
-				_, err := byName[to.Name].handleUpdate(t.Context(), rcrpc.Identity{Zone: radishcrank.AvailabilityZone(p.self.Zone)}, *n)
+				_, err := byName[to.Name].handleUpdate(t.Context(), rcrpc.Identity{Instance: radishcrank.InstanceID(p.self.Name), Zone: radishcrank.AvailabilityZone(p.self.Zone)}, *n)
 				require.NoError(t, err)
 			}
 		}
@@ -170,3 +171,38 @@
 		require.Len(t, update.Streams, 1)
 	}
 }
+
+// TestIdleInstancesAreSilent guards against hundreds of instances that send their relays,
+// and these their zones, the same report several times a second, and against loads that
+// are forgotten because no report tells of them.
+func TestIdleInstancesAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newPeerGroups(60, 3)
+		for _, p := range all {
+			p.instance.fleet.Replace([]rcfleet.Entry{{}})
+		}
+		busy := all[7]
+		exchange := busy.instance.fleet.Begin("", 1600)
+		messages := 0
+		const ticks = 50
+		for n := range ticks {
+			time.Sleep(relayUpdateInterval)
+			for _, p := range all {
+				p.mu.Lock()
+				p.queued.Running = p.instance.fleet.LocalLoads()
+				p.mu.Unlock()
+			}
+			messages += deliverUpdates(t, all)
+			for _, p := range all {
+				s, ok := p.instance.fleet.Get("")
+				require.True(t, ok)
+				if p != busy && n > 3 {
+					require.Equal(t, 1, s.PeerLoad.Running, "%s", p.self.Name)
+				}
+			}
+		}
+		perSecond := float64(messages) / float64(len(all)) / (ticks * relayUpdateInterval.Seconds())
+		require.Less(t, perSecond, 6.0)
+		exchange.End(rcfleet.Succeeded)
+	})
+}
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -283,8 +283,8 @@
 		fleet.SetQueueReport(up.ID, *reply.Load)
 	}
 	d.observeRateLimit(up, reply)
-	if reply.Leaving && fromUpstream(up, reply) {
-		d.f.cfg.OnLeaving(up, reply.Status)
+	if reply.Leaving && fromUpstream(up, reply) && d.f.cfg.OnLeaving(up, reply.Status) {
+		d.f.cfg.Metrics.Add(rcmetric.UpstreamsLeaving, 1)
 	}
 	if reply.PauseFor > 0 && fromUpstream(up, reply) {
 		fleet.Pause(up.ID, up.Incarnation, reply.PauseFor)
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -91,9 +91,9 @@
 	Origins      Origins
 	// Incarnation asks an upstream which incarnation it is.
 	Incarnation func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error)
-	// OnLeaving is called with the status of each reply that says that its upstream leaves.
-	// The default only records it in Fleet.
-	OnLeaving func(up radishcrank.Upstream, status int)
+	// OnLeaving is called with the status of each reply that says that its upstream leaves,
+	// and reports whether that is new. The default only records it in Fleet.
+	OnLeaving func(up radishcrank.Upstream, status int) (changed bool)
 	Log       zerolog.Logger
 	Metrics   *rcmetric.Set
 }
@@ -110,7 +110,7 @@
 		cfg.Quota = rcquota.New(rcquota.Config{})
 	}
 	if cfg.OnLeaving == nil {
-		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) { cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
+		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) bool { return cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
 	}
 	return &Forwarder{cfg: cfg}
 }
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -40,6 +40,8 @@
 	unreadable := math.NaN()
 	unframed := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, Unframed: true}
 	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
+	leaving, pausing := okReply(), busy
+	leaving.Leaving, pausing.PauseFor = true, time.Second
 	unknown, restarted := takenUp(), takenUp()
 	unknown.Resumes, restarted.Resumes = "unknown", "restarted"
 	cases := []struct {
@@ -90,6 +92,8 @@
 		{steps: []step{{hang: true}}, x: nonIdempotent(), disconnected: true, counters: []rcmetric.CounterName{rcmetric.CallerGone}},
 		{steps: []step{{reply: unframed}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UnframedReplies}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
+		{steps: []step{{reply: leaving}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UpstreamsLeaving}},
+		{steps: []step{{reply: pausing}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.PausesAsked}},
 		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
 		{x: nonIdempotent(), convicted: true, counters: []rcmetric.CounterName{rcmetric.RefusedFinally}},
 		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
