--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,10 +23,11 @@
 
 // cases holds the cases by name. A case returns what broke the rule, or "" if it held.
 var cases = map[string]func(d *deployment, trouble bool) (broken string, err error){
-	"silence":   playSilence,
-	"versions":  playVersions,
-	"isolation": playIsolation,
-	"takeup":    playTakeUp,
+	"silence":  playSilence,
+	"versions": playVersions,
+	"takeup":   playTakeUp,
+	"memory":   playMemory,
+	"poison":   playPoison,
 }
 
 func main() { os.Exit(play()) }
