--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -33,6 +33,7 @@
 	registered  bool // The entry of this lifetime has been accepted by the store.
 	silentUntil time.Time
 	running     int
+	waiting     int
 }
 
 // start starts a lifetime of the server with a version of its software, at the address that
@@ -49,7 +50,7 @@
 		return err
 	}
 	s.addr, s.software, s.born, s.down, s.registered = l.Addr().String(), software, time.Now().UnixMilli(), false, false
-	s.running = 0
+	s.running, s.waiting = 0, 0
 	s.http = &http.Server{Handler: s}
 	s.d.rec.add("server %s: started with software %s", s.id, software)
 	go s.http.Serve(l) // Returns only after crash.
@@ -119,6 +120,9 @@
 
 const heartbeatInterval = 1200 * time.Millisecond
 
+// maxWaiting is how many requests wait at a server whose slots are taken.
+const maxWaiting = 192
+
 // prefillTime is how long a server reads a prompt before its answer begins.
 const prefillTime = 30 * time.Millisecond
 
@@ -157,21 +161,22 @@
 	if err != nil {
 		return // The sender has left.
 	}
-	s.mu.Lock()
-	if s.running >= s.slots {
-		s.mu.Unlock()
+	lifetime, admitted := s.admit(r)
+	if !admitted {
 		h.Set("Radishcrank-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.running++
+	s.mu.Lock()
 	software := s.software
-	load := fmt.Sprintf("%d,0,%d", s.running, s.slots)
+	load := fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.slots)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		s.running--
-		s.mu.Unlock()
+		defer s.mu.Unlock()
+		if s.http == lifetime {
+			s.running--
+		}
 	}()
 	h.Set("Radishcrank-Server-Load", load)
 	h.Set("Radishcrank-Response-Seal", "seal."+s.id+"."+id)
@@ -195,6 +200,34 @@
 	s.stream(w, r, software)
 }
 
+// admit waits for a slot. It reports false if the queue is full, if the sender has left, or if
+// this lifetime of the server has ended.
+func (s *server) admit(r *http.Request) (lifetime *http.Server, admitted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lifetime = s.http
+	if s.running >= s.slots && s.waiting >= maxWaiting {
+		return lifetime, false
+	}
+	s.waiting++
+	for s.running >= s.slots {
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		left := r.Context().Err() != nil
+		s.mu.Lock()
+		if s.http != lifetime {
+			return lifetime, false
+		}
+		if left {
+			s.waiting--
+			return lifetime, false
+		}
+	}
+	s.waiting--
+	s.running++
+	return lifetime, true
+}
+
 // stream writes the events after the one that the sender has.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, software string) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/harness/silence.go
+++ b/review/harness/silence.go
@@ -7,17 +7,16 @@
 	"time"
 )
 
-// playSilence stops a machine as planned while streams run, of which some are at the last
-// server of the older software version. With the disruption, that server falls silent for
-// 1.3 s and goes on.
+// playSilence stops a machine as planned while streams run at two servers. With the disruption,
+// one of these falls silent for 1.3 s and goes on.
 func playSilence(d *deployment, trouble bool) (broken string, err error) {
 	const (
-		streams = 40
+		streams = 72
 		events  = 35
 		silence = 1300 * time.Millisecond
 	)
 	d.putConfig(newConfig())
-	for _, software := range []string{"v1", "v2", "v2"} {
+	for _, software := range []string{"v1", "v1"} {
 		s := &server{service: modelService, model: modelName, slots: 64, events: events, eventInterval: 100 * time.Millisecond}
 		if err := d.addServer(s, software); err != nil {
 			return "", err
@@ -33,7 +32,7 @@
 	var wg sync.WaitGroup
 	for k := range streams {
 		wg.Go(func() {
-			time.Sleep(time.Duration(k) * 8 * time.Millisecond)
+			time.Sleep(time.Duration(k) * 5 * time.Millisecond)
 			id := fmt.Sprintf("%04x", k)
 			q := advice(id, "ctnfzs989anu6wsjnban")
 			q.parts = fmt.Sprintf("5c1e07a2:800,91bd%s:410,e44%s:250", id, id)
