--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -127,7 +127,7 @@
 
 type tenant struct {
 	Name     string
-	ApiKeys  []string
+	APIKeys  []string `json:"ApiKeys"`
 	Priority int
 	Isolated bool
 }
@@ -160,8 +160,8 @@
 		},
 		Limits: map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		Tenants: []tenant{
-			{Name: "sese880", ApiKeys: []string{"ctnfzs989anu6wsjnban"}, Priority: 1},
-			{Name: "toto113", ApiKeys: []string{"fqasnmgkcuyj8pjbvk9m"}, Priority: 1},
+			{Name: "sese880", APIKeys: []string{"ctnfzs989anu6wsjnban"}, Priority: 1},
+			{Name: "toto113", APIKeys: []string{"fqasnmgkcuyj8pjbvk9m"}, Priority: 1},
 		},
 	}
 }
--- a/review/harness/poison.go
+++ b/review/harness/poison.go
@@ -14,13 +14,13 @@
 // with a part that crashes each server that begins to write an answer on it.
 func playPoison(d *deployment, trouble bool) (broken string, err error) {
 	const (
-		events    = 30
-		contactMs = 3 * time.Second
-		calm      = 12 * time.Second
-		total     = 60 * time.Second
-		servers   = 3
-		machines  = 6
-		back      = 4 * time.Second // From a crash of a server to its return.
+		events   = 30
+		contact  = 3 * time.Second
+		calm     = 12 * time.Second
+		total    = 60 * time.Second
+		servers  = 3
+		machines = 6
+		back     = 4 * time.Second // From a crash of a server to its return.
 		// Between two requests.
 		soundInterval, badInterval = time.Second / 8, 2 * time.Second / 3
 	)
@@ -101,7 +101,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	if len(crashes) > 0 {
-		from = crashes[min(4, len(crashes)-1)].Add(2 * contactMs)
+		from = crashes[min(4, len(crashes)-1)].Add(2 * contact)
 	}
 	var began, sent [2]int // Before and after.
 	for _, t := range attempts {
@@ -122,16 +122,16 @@
 	}
 	late := 0
 	for _, at := range crashes {
-		if at.After(from.Add(-contactMs)) {
+		if at.After(from.Add(-contact)) {
 			late++
 		}
 	}
-	d.rec.add("crashes %d, %d of them later than %v after the fifth; sound streams that began: %d of %d before, %d of %d from %v after the fifth crash on", len(crashes), late, contactMs, began[0], sent[0], began[1], sent[1], 2*contactMs)
+	d.rec.add("crashes %d, %d of them later than %v after the fifth; sound streams that began: %d of %d before, %d of %d from %v after the fifth crash on", len(crashes), late, contact, began[0], sent[0], began[1], sent[1], 2*contact)
 	if sent[0] < 20 || sent[1] < 20 {
 		return "", fmt.Errorf("too few requests")
 	}
 	if float64(began[1])/float64(sent[1]) < float64(began[0])/float64(sent[0])/2 {
-		return fmt.Sprintf("LOST: %d of %d sound requests began at the first attempt from %v after the fifth crash on, and %d of %d before; the part crashed servers %d times, %d of them later than %v after the fifth", began[1], sent[1], 2*contactMs, began[0], sent[0], len(crashes), late, contactMs), nil
+		return fmt.Sprintf("LOST: %d of %d sound requests began at the first attempt from %v after the fifth crash on, and %d of %d before; the part crashed servers %d times, %d of them later than %v after the fifth", began[1], sent[1], 2*contact, began[0], sent[0], len(crashes), late, contact), nil
 	}
 	return "", nil
 }
--- a/review/harness/takeup.go
+++ b/review/harness/takeup.go
@@ -12,10 +12,10 @@
 // started in turn shortly before, as in a rolling restart.
 func playTakeUp(d *deployment, trouble bool) (broken string, err error) {
 	const (
-		streams   = 24
-		events    = 60
-		limit     = 15 * time.Second
-		contactMs = 3 * time.Second
+		streams = 24
+		events  = 60
+		limit   = 15 * time.Second
+		contact = 3 * time.Second
 		// reconnect is how long a client takes until it opens its next channel.
 		reconnect = 100 * time.Millisecond
 	)
@@ -63,7 +63,7 @@
 			q := ask(id+"b", limit-time.Since(sent))
 			q.body = []byte("prompt of " + id)
 			q.lastEvent, q.resumes = a.last(""), id
-			inTouch := second.upFor() > contactMs
+			inTouch := second.upFor() > contact
 			d.rec.add("client: takes up %s after event %s with %s at machine %s, whose process started %.1f s ago", id, q.lastEvent, q.id, second.name, second.upFor().Seconds())
 			b := send(second.front, q)
 			d.rec.add("client: %s ends: status %d, %d events, whole %v, Retry-After %v, %q, %v", q.id, b.status, len(b.events), b.whole, b.retryAfter, b.body, b.err)
