Log why a request that ends without an answer took no detour

RequestEnded names the obstacle and the attempts that found no connection, and Detour lines name the zone of the other instance.

--- a/internal/serving/rcforward/detour.go
+++ b/internal/serving/rcforward/detour.go
@@ -24,17 +24,40 @@
 	return d.unreached > 0 && d.unreached == d.attempts || rcdetour.OutOfReach(states)
 }
 
+// Reasons for which an exchange takes no detour, or no further one.
+const (
+	detoursUnused    = "Unused" // There are no other instances.
+	detourOfDetour   = "Detoured"
+	detourTaken      = "Taken"
+	detourBegun      = "Begun" // The client has part of the response.
+	detourOutOfTime  = "OutOfTime"
+	detourMayHaveRun = "MayHaveRun"
+	detourInReach    = "InReach" // The upstreams count as within reach.
+)
+
 // mayDetour reports whether the exchange may be sent through another instance: the client
 // has nothing yet, and the exchange has not run or may run again.
-func (d *dispatch) mayDetour() bool {
+func (d *dispatch) mayDetour() bool { return d.detourObstacle() == "" }
+
+// detourObstacle returns why the exchange may not be sent through another instance, or ""
+// if it may.
+func (d *dispatch) detourObstacle() string {
 	x := d.x
-	if d.f.cfg.Detours == nil || x.Detoured || d.detoured || d.response.started || d.failure != nil {
-		return false
-	}
-	if d.ctx.Err() != nil || time.Until(x.Deadline) < minSendTime {
-		return false
+	switch {
+	case d.f.cfg.Detours == nil:
+		return detoursUnused
+	case x.Detoured:
+		return detourOfDetour
+	case d.detoured:
+		return detourTaken
+	case d.response.started || d.failure != nil:
+		return detourBegun
+	case d.ctx.Err() != nil || time.Until(x.Deadline) < minSendTime:
+		return detourOutOfTime
+	case d.runs > 0 && (x.Route.Retry == radishcrank.RetryNever || d.runs >= max(1, x.Route.MaxAttempts)):
+		return detourMayHaveRun
 	}
-	return d.runs == 0 || x.Route.Retry != radishcrank.RetryNever && d.runs < max(1, x.Route.MaxAttempts)
+	return ""
 }
 
 // giveUp ends an exchange that this instance cannot send to any further upstream.
@@ -141,7 +164,7 @@
 }
 
 func (d *dispatch) logDetour(through rcdetour.Instance, status int, err error) {
-	e := d.f.cfg.Log.Info().Str("Event", "Detour").Str("Request", string(d.x.ID)).Str("Through", string(through.ID)).
+	e := d.f.cfg.Log.Info().Str("Event", "Detour").Str("Request", string(d.x.ID)).Str("Through", string(through.ID)).Str("ThroughZone", string(through.Zone)).
 		Int("Status", status).Int64("AgeMS", time.Since(d.x.ReceivedAt).Milliseconds())
 	if err != nil {
 		e = e.Str("Cause", err.Error())
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -4,6 +4,7 @@
 package rcforward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -477,7 +478,7 @@
 	x := d.x
 	e := d.f.cfg.Log.Info().Str("Event", "RequestEnded").Str("Request", string(x.ID)).
 		Str("Outcome", string(outcome)).Int("Status", status).Str("Route", x.Route.Name).Str("Service", x.Service).
-		Int("Arrivals", d.attempts).Int("Runs", d.runs).
+		Int("Arrivals", d.attempts).Int("Runs", d.runs).Int("Unreached", d.unreached).Str("NoDetour", cmp.Or(d.detourObstacle(), detourInReach)).
 		Int64("AgeMS", time.Since(x.ReceivedAt).Milliseconds()).Int64("LeftMS", time.Until(x.Deadline).Milliseconds())
 	if d.cause != nil {
 		e = e.Str("Cause", d.cause.Error())
