--- a/internal/node/rcinstance/cutoff_test.go
+++ b/internal/node/rcinstance/cutoff_test.go
@@ -76,12 +76,15 @@
 
 // cutDeployment starts instances whose links to the upstreams can be cut.
 func cutDeployment(t *testing.T, instances int) (s *deployment, links []*cuttableLinks) {
-	for range instances {
+	return cutDeploymentWith(t, deploymentOptions{instances: instances})
+}
+
+func cutDeploymentWith(t *testing.T, o deploymentOptions) (s *deployment, links []*cuttableLinks) {
+	for range o.instances {
 		links = append(links, &cuttableLinks{conns: map[net.Conn]bool{}})
 	}
-	s = startDeploymentWith(t, deploymentOptions{instances: instances, prepare: func(n int, i *Instance) {
-		i.pool = rcconn.New(rcconn.Config{Dial: links[n].dial})
-	}})
+	o.prepare = func(n int, i *Instance) { i.pool = rcconn.New(rcconn.Config{Dial: links[n].dial}) }
+	s = startDeploymentWith(t, o)
 	s.awaitPeers()
 	return s, links
 }
@@ -90,13 +93,17 @@
 // at the first attempt, and the longest time until one was refused. It checks that answers
 // are whole and that refused bookings have not run.
 func (s *deployment) served(instance, each int, prefix string) (served, sent int, slowest time.Duration) {
+	return s.servedEvery(15*time.Millisecond, instance, each, prefix)
+}
+
+func (s *deployment) servedEvery(interval time.Duration, instance, each int, prefix string) (served, sent int, slowest time.Duration) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, path := range []string{"/book/1", "/look/1", "/advice/1"} {
 		for k := range each {
 			id := fmt.Sprintf("%s-%d-%s-%d", prefix, instance, path[1:5], k)
 			wg.Go(func() {
-				<-time.After(time.Duration(k) * 15 * time.Millisecond)
+				<-time.After(time.Duration(k) * interval)
 				start := time.Now()
 				status, body, signed := s.call(instance, http.MethodPost, path, id)
 				took, runs := time.Since(start), s.runCounter.Runs(id)
@@ -156,6 +163,52 @@
 	}
 }
 
+// TestCallersOfCutOffZone guards against requests that fail because all instances of their
+// availability zone are cut off from all upstreams, although those of other zones reach
+// them. Each instance gets too few requests to try all upstreams during the cut.
+func TestCallersOfCutOffZone(t *testing.T) {
+	const (
+		instances, cut = 18, 9 // Two zones.
+		each           = 8     // Requests of a kind to an instance in each part.
+		interval       = 150 * time.Millisecond
+	)
+	for name, mode := range map[string]cutMode{"Reset": cutReset, "Silent": cutSilent, "NewOnly": cutNewOnly} {
+		t.Run(name, func(t *testing.T) {
+			s, links := cutDeploymentWith(t, deploymentOptions{instances: instances, engines: 40, zone: func(n int) string { return fmt.Sprint("z", n/cut) }})
+			servedByAll := func(instances int, part string) (served, sent int) {
+				var mu sync.Mutex
+				var wg sync.WaitGroup
+				for i := range instances {
+					wg.Go(func() {
+						n, of, _ := s.servedEvery(interval, i, each, part)
+						mu.Lock()
+						defer mu.Unlock()
+						served, sent = served+n, sent+of
+					})
+				}
+				wg.Wait()
+				return served, sent
+			}
+			served, sent := servedByAll(instances, "before")
+			require.Equal(t, sent, served)
+			for _, l := range links[:cut] {
+				l.set(mode)
+			}
+			servedByAll(cut, "cut")
+			<-time.After(cutSettleTime)
+			served, sent = servedByAll(cut, "during")
+			t.Logf("%d of %d requests served", served, sent)
+			require.GreaterOrEqual(t, served, sent*49/50)
+			for _, l := range links[:cut] {
+				l.set(notCut)
+			}
+			<-time.After(cutSettleTime)
+			served, sent = servedByAll(cut, "after")
+			require.Equal(t, sent, served)
+		})
+	}
+}
+
 // TestAllInstancesCutOff guards against requests that wait, or are passed on from instance
 // to instance, while no instance reaches an upstream.
 func TestAllInstancesCutOff(t *testing.T) {
--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -44,7 +44,8 @@
 	stops       []context.CancelFunc
 	stopped     []chan error
 	prepare     func(n int, i *Instance)
-	mu          sync.Mutex // Guards entries.
+	zone        func(n int) string // Of instance n.
+	mu          sync.Mutex         // Guards entries.
 }
 
 const configTemplate = `{"Version":%d,"Routes":[
@@ -82,6 +83,8 @@
 	onRun         func(upstream, id string)
 	delivery      func(id string) rcfakeupstream.Delivery
 	prepare       func(n int, i *Instance) // Called before instance n runs.
+	zone          func(n int) string       // Of instance n; nil means the same for all.
+	engines       int                      // 0 selects engineCount.
 	slots         int                      // Of each upstream; 0 selects 8.
 	serviceDelay  time.Duration            // Of plain services; 0 selects 2 ms.
 	// crashes reports whether a request crashes its engine. The engine is back after
@@ -100,15 +103,19 @@
 }
 
 func startDeploymentWith(t *testing.T, o deploymentOptions) *deployment {
-	s := &deployment{t: t, store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), entries: map[string]map[string]any{}, prepare: o.prepare}
+	s := &deployment{t: t, store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), entries: map[string]map[string]any{}, prepare: o.prepare, zone: func(int) string { return "z" }}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.storeAddr = netip.MustParseAddrPort(server.Listener.Addr().String())
 	s.putConfig(1, "")
 	s.store.Put("op", "version/m", map[string]any{"Model": "m", "Version": 1})
-	for i := range engineCount + serviceCount {
+	if o.zone != nil {
+		s.zone = o.zone
+	}
+	o.engines = cmp.Or(o.engines, engineCount)
+	for i := range o.engines + serviceCount {
 		u := s.startUpstream(o, i, fmt.Sprint("u", i))
-		if i < engineCount {
+		if i < o.engines {
 			s.engines = append(s.engines, u)
 		} else {
 			s.services = append(s.services, u)
@@ -128,7 +135,7 @@
 	return s
 }
 
-// startUpstream starts upstream i, an engine if i is below engineCount.
+// startUpstream starts upstream i, an engine if i is below the number of engines.
 func (s *deployment) startUpstream(o deploymentOptions, i int, id string) *rcfakeupstream.Upstream {
 	cfg := rcfakeupstream.Config{ID: id, Born: time.Now().UnixMilli(), Runs: s.runCounter, Fault: o.fault, Delay: cmp.Or(o.serviceDelay, 2*time.Millisecond), LoadTime: 300 * time.Millisecond, RejectOrders: o.rejectOrders, Delivery: o.delivery}
 	service := "desk"
@@ -146,7 +153,7 @@
 		software = o.software(i)
 	}
 	var u *rcfakeupstream.Upstream
-	if i < engineCount {
+	if i < o.engines {
 		cfg.Model, cfg.EventCount, service = "m", 8, "llm"
 		cfg.Crashes = func(r *http.Request) bool { return o.crashes != nil && o.crashes(r) }
 		cfg.OnCrash = func() {
@@ -190,7 +197,7 @@
 func (s *deployment) tryStart(oldWeightsTTL time.Duration) error {
 	ports := freePorts(s.t, 4)
 	settings := platform.Settings{
-		Instance: fmt.Sprint("i", len(s.instances)), Zone: "z", ClientAddr: ports[0], ReadinessAddr: ports[1], PeerAddr: ports[2], MetricsAddr: ports[3],
+		Instance: fmt.Sprint("i", len(s.instances)), Zone: s.zone(len(s.instances)), ClientAddr: ports[0], ReadinessAddr: ports[1], PeerAddr: ports[2], MetricsAddr: ports[3],
 		StoreAddr:     s.storeAddr,
 		OldWeightsTTL: oldWeightsTTL, TerminationGracePeriod: 8 * time.Second, RetryBudgetRatio: 0.5, RetryBudgetSlack: 1000, RetryBudgetWindow: 10 * time.Second,
 	}
