Find cuts of an instance's links for all upstreams together

Two causes, one class: what an instance learns of its own links is kept for each upstream, and what it learns of other instances for one second each.

An instance counted as cut off only while each of 60 upstreams was suspect at once, which some requests a second cannot bring about: each request found out anew, at 300 ms for each connection that hung. And a detour went to an instance of the same zone, at most three of them, which are all cut off where the zone is.

Links observes all new connections. Three upstreams of a service that cannot be reached, one in the instance's own zone, while none is reached, show a cut; probes end it, not requests, and the suspicions from the cut end with it. A zone in which an instance says that it is cut off is not preferred for a second, and such refusals, which take milliseconds, have a limit of their own.

--- a/internal/node/rcinstance/cutoff_test.go
+++ b/internal/node/rcinstance/cutoff_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
 )
 
@@ -199,6 +200,9 @@
 			served, sent = servedByAll(cut, "during")
 			t.Logf("%d of %d requests served", served, sent)
 			require.GreaterOrEqual(t, served, sent*49/50)
+			if mode != cutNewOnly {
+				require.Positive(t, s.instances[0].metrics.Value(rcmetric.LinkCuts))
+			}
 			for _, l := range links[:cut] {
 				l.set(notCut)
 			}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,7 @@
 	weights       *rcweights.Tracker
 	kvWatcher     *rckvstore.Watcher
 	quota         *rcquota.Quota
+	links         *rcdetour.Links // To upstreams.
 }
 
 // New assembles an instance.
@@ -141,6 +143,11 @@
 	i.quota = rcquota.New(rcquota.Config{
 		Instance: radishcrank.InstanceID(s.Instance), Now: i.storeClock.Now, Others: i.peers.others, Announce: i.peers.announceLimit, Log: i.log,
 	})
+	i.links = rcdetour.NewLinks(rcdetour.LinksConfig{
+		Zone: radishcrank.AvailabilityZone(s.Zone), Upstreams: i.fleet.Upstreams,
+		Connect:  func(ctx context.Context, to netip.AddrPort) error { return i.pool.Connect(ctx, to) },
+		OnChange: i.linksChanged,
+	})
 	i.directory = &directory{
 		fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log,
 		confirmTime: missedHeartbeats*s.UpstreamHeartbeat + restoredHeartbeatDelay,
@@ -172,6 +179,8 @@
 	add(i.followRestores)
 	add(i.kvWatcher.Run)
 	add(i.runController)
+	i.pool.SetObserver(i.links.Observe)
+	add(i.links.Run)
 
 	clientListener, err := net.Listen("tcp", i.settings.ClientAddr.String())
 	if err != nil {
@@ -289,6 +298,7 @@
 		Instances:     i.peers.fleetSize,
 		Detours:       rcdetour.New(rcdetour.Config{Zone: radishcrank.AvailabilityZone(i.settings.Zone), Others: i.peers.detours}),
 		DetourSender:  &platform.DetourSender{Pool: i.peerPool},
+		Links:         i.links,
 		Log:           i.log,
 		Metrics:       i.metrics,
 	})
@@ -320,6 +330,17 @@
 	return changed
 }
 
+// linksChanged records that this instance is cut off from all upstreams of a service, or
+// reaches one again. What failed meanwhile says little of the upstreams.
+func (i *Instance) linksChanged(service string, cut bool, since time.Time) {
+	i.log.Warn().Str("Event", "LinksCut").Str("Service", service).Bool("Cut", cut).Int64("SinceMS", time.Since(since).Milliseconds()).Send()
+	if cut {
+		i.metrics.Add(rcmetric.LinkCuts, 1)
+		return
+	}
+	i.fleet.RetryFailedSince(service, since)
+}
+
 // storeEra returns the newest known era of the store.
 func (i *Instance) storeEra() uint64 {
 	era, _ := i.storeEras.Current()
--- a/internal/routing/rcdetour/detour.go
+++ b/internal/routing/rcdetour/detour.go
@@ -22,9 +22,15 @@
 // OutOfReachValue is the value of Header in a refusal.
 const OutOfReachValue = "OutOfReach"
 
-// avoidTime is how long an instance is avoided that could not be reached or reaches no
-// upstream itself.
-const avoidTime = time.Second
+const (
+	// avoidTime is how long an instance is avoided that could not be reached or reaches no
+	// upstream itself. It is long enough for an instance with few requests to find one of
+	// the others where most are cut off.
+	avoidTime = 3 * time.Second
+	// outOfReachTime is how long what another instance has said of its links counts for
+	// its availability zone and for requests that no upstream can take here.
+	outOfReachTime = time.Second
+)
 
 // OutOfReach reports whether an instance reaches none of the upstreams of a service: each
 // has failed and not succeeded since, and is suspect or being tried by another exchange.
@@ -62,15 +68,15 @@
 
 	mu           sync.Mutex
 	avoidUntil   map[radishcrank.InstanceID]time.Time
-	outOfReachAt time.Time // When another instance last said that it reaches no upstream.
+	outOfReachAt map[radishcrank.AvailabilityZone]time.Time // When another instance of a zone last said that it reaches no upstream.
 }
 
 func New(cfg Config) *Picker {
-	return &Picker{cfg: cfg, avoidUntil: map[radishcrank.InstanceID]time.Time{}}
+	return &Picker{cfg: cfg, avoidUntil: map[radishcrank.InstanceID]time.Time{}, outOfReachAt: map[radishcrank.AvailabilityZone]time.Time{}}
 }
 
-// Pick returns a random instance of the same zone or, if there is none, of any. It skips
-// those in tried.
+// Pick returns a random instance of the same zone or, if there is none or the zone is cut
+// off from the upstreams, of any. It skips those in tried.
 func (p *Picker) Pick(tried []radishcrank.InstanceID) (picked Instance, ok bool) {
 	others := p.cfg.Others()
 	p.mu.Lock()
@@ -80,7 +86,7 @@
 		return slices.Contains(tried, o.ID) || now.Before(p.avoidUntil[o.ID])
 	})
 	near := slices.DeleteFunc(slices.Clone(others), func(o Instance) bool { return o.Zone != p.cfg.Zone })
-	if len(near) > 0 {
+	if len(near) > 0 && now.Sub(p.outOfReachAt[p.cfg.Zone]) >= outOfReachTime {
 		others = near
 	}
 	if len(others) == 0 {
@@ -94,15 +100,20 @@
 func (p *Picker) OutOfReachElsewhere() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.outOfReachAt) < avoidTime
+	for _, at := range p.outOfReachAt {
+		if time.Since(at) < outOfReachTime {
+			return true
+		}
+	}
+	return false
 }
 
 // AvoidOutOfReach records that an instance reaches no upstream either.
-func (p *Picker) AvoidOutOfReach(id radishcrank.InstanceID) {
+func (p *Picker) AvoidOutOfReach(o Instance) {
 	p.mu.Lock()
-	p.outOfReachAt = time.Now()
+	p.outOfReachAt[o.Zone] = time.Now()
 	p.mu.Unlock()
-	p.Avoid(id)
+	p.Avoid(o.ID)
 }
 
 // Avoid records that an instance was of no use.
--- a/internal/routing/rcdetour/detour_test.go
+++ b/internal/routing/rcdetour/detour_test.go
@@ -51,11 +51,17 @@
 		p.Avoid("near")
 		require.EqualValues(t, "far", pick())
 		require.False(t, p.OutOfReachElsewhere())
-		p.AvoidOutOfReach("far")
+		p.AvoidOutOfReach(others[1])
 		require.Empty(t, pick())
 		require.True(t, p.OutOfReachElsewhere())
 		time.Sleep(avoidTime)
 		require.EqualValues(t, "near", pick())
 		require.False(t, p.OutOfReachElsewhere())
+		p.AvoidOutOfReach(Instance{ID: "gone", Zone: "z1"})
+		picked := map[radishcrank.InstanceID]bool{}
+		for range 40 {
+			picked[pick()] = true
+		}
+		require.Len(t, picked, 2, "the zone may be cut off")
 	})
 }
--- a/internal/serving/rcforward/detour.go
+++ b/internal/serving/rcforward/detour.go
@@ -12,8 +12,12 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
-// maxDetours limits the instances through which one exchange is sent.
-const maxDetours = 3
+// maxDetours limits the instances that do not respond to one exchange, and maxOutOfReach
+// those that refuse it because they reach no upstream either, which takes little time.
+const (
+	maxDetours    = 3
+	maxOutOfReach = 10
+)
 
 // errNoDetour reports that the upstreams were out of reach and no other instance helped.
 var errNoDetour = errors.New("upstreams are out of reach, also through other instances")
@@ -21,7 +25,12 @@
 // outOfReach reports whether this instance cannot send the exchange: it reaches no upstream
 // of the service, or none of those that it has tried.
 func (d *dispatch) outOfReach(states []rcfleet.State) bool {
-	return d.unreached > 0 && d.unreached == d.attempts || rcdetour.OutOfReach(states)
+	return d.unreached > 0 && d.unreached == d.attempts || d.cutOff(states)
+}
+
+// cutOff reports whether this instance reaches no upstream of the service.
+func (d *dispatch) cutOff(states []rcfleet.State) bool {
+	return d.f.cfg.Links.Cut(d.x.Service) || rcdetour.OutOfReach(states)
 }
 
 // Reasons for which an exchange takes no detour, or no further one.
@@ -80,7 +89,7 @@
 func (d *dispatch) detour() (done bool, err error) {
 	d.detoured = true
 	var tried []radishcrank.InstanceID
-	for len(tried) < maxDetours && d.ctx.Err() == nil {
+	for d.outOfReachElsewhere < maxOutOfReach && len(tried)-d.outOfReachElsewhere < maxDetours && d.ctx.Err() == nil {
 		if d.runs > 0 && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return false, nil
@@ -121,7 +130,8 @@
 	d.logDetour(through, reply.Status, nil)
 	switch {
 	case reply.Class == radishcrank.ReplyMisdirected && reply.Header.Get(rcdetour.Header) == rcdetour.OutOfReachValue:
-		cfg.Detours.AvoidOutOfReach(through.ID)
+		cfg.Detours.AvoidOutOfReach(through)
+		d.outOfReachElsewhere++
 		return false, nil
 	case reply.Class == radishcrank.ReplyMisdirected:
 		cfg.Detours.Avoid(through.ID)
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -102,8 +102,11 @@
 	// reach. Nil means that there are none.
 	Detours      *rcdetour.Picker
 	DetourSender radishcrank.DetourSender
-	Log          zerolog.Logger
-	Metrics      *rcmetric.Set
+	// Links tells whether this instance is cut off from all upstreams of a service. Nil
+	// means that it never is.
+	Links   *rcdetour.Links
+	Log     zerolog.Logger
+	Metrics *rcmetric.Set
 }
 
 // Forwarder forwards exchanges to upstreams. It is safe for concurrent use.
@@ -135,18 +138,19 @@
 	guardRequest radishcrank.Request
 	partKeys     []rcpoison.Key // Of the prompt's parts that other requests may hold.
 
-	attempts    int       // Upstreams that the exchange was sent to.
-	runs        int       // Attempts that may have executed the exchange.
-	unreached   int       // Attempts that found no connection.
-	noneHealthy bool      // No upstream with room is known to be within reach.
-	detoured    bool      // It was sent through other instances.
-	sentAt      time.Time // When the current attempt was sent.
-	tried       map[radishcrank.UpstreamID]bool
-	response    clientResponse // What the client has received.
-	origin      streamOrigin
-	failure     *radishcrank.Reply
-	failureBody []byte
-	cause       error // Error of the last attempt.
+	attempts            int       // Upstreams that the exchange was sent to.
+	runs                int       // Attempts that may have executed the exchange.
+	unreached           int       // Attempts that found no connection.
+	noneHealthy         bool      // No upstream with room is known to be within reach.
+	detoured            bool      // It was sent through other instances.
+	outOfReachElsewhere int       // Other instances that refused it because they reach no upstream either.
+	sentAt              time.Time // When the current attempt was sent.
+	tried               map[radishcrank.UpstreamID]bool
+	response            clientResponse // What the client has received.
+	origin              streamOrigin
+	failure             *radishcrank.Reply
+	failureBody         []byte
+	cause               error // Error of the last attempt.
 }
 
 // Serve forwards an exchange and writes the response to w. ctx must be done
@@ -182,7 +186,7 @@
 			if done, err := d.detour(); done {
 				return err
 			}
-			if d.f.cfg.Detours.OutOfReachElsewhere() || !d.mayRetry() {
+			if d.f.cfg.Links.Cut(d.x.Service) || d.f.cfg.Detours.OutOfReachElsewhere() || !d.mayRetry() {
 				return d.finishWithoutAnswer()
 			}
 			continue // An upstream may come within reach soon.
@@ -262,7 +266,7 @@
 		buf = d.eligible(f.appendStates(x.Service, buf[:0]))
 		excluded, _, released := f.cfg.Guard.ExcludedUpstreams(d.guardRequest)
 		now := time.Now()
-		if rcdetour.OutOfReach(buf) && (x.Detoured || d.mayDetour()) {
+		if d.cutOff(buf) && (x.Detoured || d.mayDetour()) {
 			return choice, false // Other instances may reach an upstream now.
 		}
 		req := d.affinityRequest(excluded)
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -70,6 +70,19 @@
 	m.failures, m.suspectUntil = 0, time.Time{}
 }
 
+// RetryFailedSince ends the suspicion of upstreams of a service that first failed at a time
+// or later, because this instance could not reach any. Each is tried by one exchange first.
+func (f *Fleet) RetryFailedSince(service string, t time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.services[service] {
+		if m.failures > 0 && !m.failingSince.Before(t) {
+			m.failures, m.suspectUntil = 1, time.Time{}
+		}
+	}
+	f.signalLocked()
+}
+
 // End records the outcome of the exchange. It must be called once.
 func (e *Exchange) End(o Outcome) {
 	e.fleet.mu.Lock()
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -87,6 +87,7 @@
 type member struct {
 	State
 	failures     int
+	failingSince time.Time // When the first of them was; meaningless without failures.
 	suspectUntil time.Time
 	// unconfirmedUntil ends the time in which the entry may be that of an upstream
 	// that is gone.
@@ -419,6 +420,18 @@
 	return buf
 }
 
+// Upstreams returns all upstreams that are not leaving.
+func (f *Fleet) Upstreams() (ups []radishcrank.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if !m.Leaving {
+			ups = append(ups, m.Upstream)
+		}
+	}
+	return ups
+}
+
 // All returns the states of all upstreams.
 func (f *Fleet) All() []State {
 	f.mu.Lock()
@@ -525,6 +538,9 @@
 	if now.Before(m.suspectUntil) {
 		return // Exchanges that fail together count as one failure.
 	}
+	if m.failures == 0 {
+		m.failingSince = now
+	}
 	m.failures++
 	m.suspectUntil = now.Add(min(initialSuspicion<<min(m.failures-1, 8), maxSuspicion))
 }
--- a/internal/state/rcfleet/fleet_test.go
+++ b/internal/state/rcfleet/fleet_test.go
@@ -280,3 +280,24 @@
 	f.Put(entry("a", 3))
 	require.False(t, get(t, f, "a").Leaving)
 }
+
+// TestFailuresOfCutAreKept guards against upstreams that stay suspect after a cut of this
+// instance's own links, and against a failure from before it that is forgotten.
+func TestFailuresOfCutAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New()
+		for _, id := range []string{"before", "during"} {
+			f.Put(Entry{Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(id), Service: "s"}})
+		}
+		f.MarkSuspect("before")
+		time.Sleep(time.Millisecond)
+		since := time.Now()
+		f.MarkSuspect("during")
+		f.RetryFailedSince("s", since)
+		before, _ := f.Get("before")
+		during, _ := f.Get("during")
+		require.True(t, before.Suspect)
+		require.False(t, during.Suspect)
+		require.True(t, during.Probing, "one exchange tries it first")
+	})
+}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -51,6 +51,7 @@
 	UpstreamsLeaving       CounterName = "UpstreamsLeaving"
 	PausesAsked            CounterName = "PausesAsked"
 	Detours                CounterName = "Detours"
+	LinkCuts               CounterName = "LinkCuts"
 	BrittleReplies         CounterName = "BrittleReplies"
 	UnframedReplies        CounterName = "UnframedReplies"
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
@@ -119,6 +120,7 @@
 	{PausesAsked, "replies", "Replies of upstreams that turned a request away and asked for a pause.", "If `UpstreamPaused` lines name most upstreams of a service, it is overloaded."},
 	{BrittleReplies, "replies", "Replies of upstreams that say that they are brittle.", "Look for `UpstreamBrittle` lines; relieve the service, its upstreams get less than they have room for."},
 	{Detours, "attempts", "Requests sent through another instance because this one reached no upstream.", "Look for the links between this instance and the upstreams; `Detour` lines name the other instances."},
+	{LinkCuts, "cuts", "Times at which this instance was found to be cut off from all upstreams of a service.", "Look for the links of this instance; `LinksCut` lines say how long it took to notice, and how long the cut lasted."},
 	{UpstreamsLeaving, "upstreams", "Upstreams that told this instance in a reply that they leave.", "None: they get no further requests. Look for `UpstreamLeaving` lines if too few upstreams are left."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -66,10 +66,25 @@
 type Pool struct {
 	cfg Config
 
+	observer atomic.Pointer[Observer]
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 }
 
+// Observer is called when an upstream was reached, by a new connection or a reply, or when
+// no connection to it could be opened. It must not block.
+type Observer func(addr netip.AddrPort, reached bool)
+
+// SetObserver replaces the observer.
+func (p *Pool) SetObserver(o Observer) { p.observer.Store(&o) }
+
+func (p *Pool) observe(addr netip.AddrPort, reached bool) {
+	if o := p.observer.Load(); o != nil {
+		(*o)(addr, reached)
+	}
+}
+
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
@@ -181,6 +196,7 @@
 	if err != nil {
 		return fail(errors.Join(writeErr, err))
 	}
+	p.observe(req.Addr, true)
 	if writeErr != nil {
 		resp.Close = true
 	}
@@ -189,10 +205,24 @@
 	return resp, nil
 }
 
+// Connect opens a connection for a later request.
+func (p *Pool) Connect(ctx context.Context, addr netip.AddrPort) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	c.idleTimeout = maxIdleTime
+	p.putIdle(addr, c)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
 	nc, err := p.cfg.Dial(dialCtx, addr)
+	if err == nil || ctx.Err() == nil { // Otherwise the caller has given up.
+		p.observe(addr, err == nil)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, radishcrank.ErrNotSent, err)
 	}
