Attribute requests of a soak to the instance that sent them

A proxy looked up where a connection came from when it accepted it, which could be before the proxy ahead of it had recorded that, so it found the instance that had the port before. Origins are now found when the request arrives, after all proxies have recorded them. Requests that a cut-off instance does not serve are named.

--- a/internal/eval/rcsoak/callers.go
+++ b/internal/eval/rcsoak/callers.go
@@ -130,7 +130,7 @@
 	c.sent.Add(1)
 	c.s.recordTold(i, r)
 	c.s.recordToldLeaving(i, r)
-	c.s.countServed(i, start, r.Status == http.StatusOK && r.Err == nil)
+	c.s.countServed(i, id, start, r.Status == http.StatusOK && r.Err == nil)
 	nonIdempotent := path == "/book/1"
 	if n := c.s.env.runCounter.Runs(id); nonIdempotent && n > 1 {
 		c.s.violation("at most once", "%s ran %d times", id, n)
--- a/internal/eval/rcsoak/proxy.go
+++ b/internal/eval/rcsoak/proxy.go
@@ -26,10 +26,26 @@
 // slowLinkDelay is the delay of each chunk on a slow link.
 const slowLinkDelay = 60 * time.Millisecond
 
-// connOrigins holds from which instance the connections of proxies come, by the address from
-// which the proxy opened them.
+// connOrigins holds where the connections of proxies come from, by the address from which the
+// proxy opened them: an instance or, of a proxy behind others, the address of the connection
+// that it serves. An entry is written before any data passes.
 var connOrigins sync.Map
 
+// connOrigin returns the instance from which a connection comes, through any number of
+// proxies. It returns nil if that is not known.
+func connOrigin(remoteAddr string) *instance {
+	for {
+		switch origin, _ := connOrigins.Load(remoteAddr); o := origin.(type) {
+		case *instance:
+			return o
+		case string:
+			remoteAddr = o
+		default:
+			return nil
+		}
+	}
+}
+
 // proxy is a TCP proxy on loopback that injects link faults.
 type proxy struct {
 	listener net.Listener
@@ -166,12 +182,10 @@
 		return
 	}
 	server := c.(*net.TCPConn)
-	origin, _ := connOrigins.Load(client.RemoteAddr().String())
 	if p.origin != nil {
-		origin = p.origin
-	}
-	if origin != nil {
-		connOrigins.Store(server.LocalAddr().String(), origin)
+		connOrigins.Store(server.LocalAddr().String(), p.origin)
+	} else {
+		connOrigins.Store(server.LocalAddr().String(), client.RemoteAddr().String())
 	}
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -197,7 +197,7 @@
 // recordSender records which instance has sent a request to an upstream. It may be another
 // one than its caller has asked.
 func (s *soak) recordSender(id, remoteAddr string) {
-	if origin, ok := connOrigins.Load(remoteAddr); ok {
+	if origin := connOrigin(remoteAddr); origin != nil {
 		s.senders.Store(id, origin)
 	}
 }
--- a/internal/eval/rcsoak/views.go
+++ b/internal/eval/rcsoak/views.go
@@ -156,7 +156,7 @@
 // countServed counts a request in the time in which nothing but cuts from upstreams is wrong:
 // apart those to instances that have been cut off for faultGracePeriod and still are, while
 // another instance is sound.
-func (s *soak) countServed(i *instance, start time.Time, served bool) {
+func (s *soak) countServed(i *instance, id string, start time.Time, served bool) {
 	since := start.Add(-faultGracePeriod)
 	cutSince, until := i.cuts.span()
 	isCut := time.Now().Before(until)
@@ -176,6 +176,8 @@
 	to.sent.Add(1)
 	if served {
 		to.served.Add(1)
+	} else if isCut {
+		s.logf("%s  not served while %s is cut off from upstreams: %s", s.elapsed(start), i.name(), id)
 	}
 }
 
