Keep what an instance says of its links to the service that it is about

The new log lines show that detours found nobody: another instance had refused one because each upstream of that service had failed lately, although it reached them, said so as if it were cut off, and was then left alone for a second for all services, and each later refusal renewed that. With two other instances nobody was left.

An instance says that it is cut off only if it is; if its upstreams have failed, a request from another instance waits as its own do. What it says holds for that service. An instance that may be of no use is asked if there is no other one.

TestPick expected nobody while one instance was avoided for a failure: that one is now asked once; the test says so with instances that are cut off. TestOnlyInstanceIsAvoided fails on the code before.

--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -182,14 +182,15 @@
 	return names, p.membersRead
 }
 
-// detours returns the instances through which exchanges may go: those that have not failed
-// to respond lately.
+// detours returns the instances through which exchanges may go.
 func (p *peerGroup) detours() (found []rcdetour.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if m.failedAt.IsZero() && m.Callers.IsValid() {
-			found = append(found, rcdetour.Instance{ID: radishcrank.InstanceID(m.Name), Zone: radishcrank.AvailabilityZone(m.Zone), Addr: m.Callers})
+		if m.Callers.IsValid() {
+			found = append(found, rcdetour.Instance{
+				ID: radishcrank.InstanceID(m.Name), Zone: radishcrank.AvailabilityZone(m.Zone), Addr: m.Callers, Failing: !m.failedAt.IsZero(),
+			})
 		}
 	}
 	return found
--- a/internal/routing/rcdetour/detour.go
+++ b/internal/routing/rcdetour/detour.go
@@ -4,6 +4,7 @@
 package rcdetour
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -27,8 +28,9 @@
 	// upstream itself. It is long enough for an instance with few requests to find one of
 	// the others where most are cut off.
 	avoidTime = 3 * time.Second
-	// outOfReachTime is how long what another instance has said of its links counts for
-	// its availability zone and for requests that no upstream can take here.
+	// outOfReachTime is how long what another instance has said of its links to the upstreams
+	// of a service counts for its availability zone and for requests that no upstream can
+	// take here.
 	outOfReachTime = time.Second
 )
 
@@ -54,77 +56,123 @@
 	ID   radishcrank.InstanceID
 	Zone radishcrank.AvailabilityZone
 	Addr netip.AddrPort // Where it listens for callers.
+	// Failing means that it has not responded to this instance lately.
+	Failing bool
 }
 
 // Config configures a Picker.
 type Config struct {
 	Zone   radishcrank.AvailabilityZone // Of this instance.
-	Others func() []Instance            // Instances that respond to this one.
+	Others func() []Instance            // The other registered instances.
 }
 
 // Picker picks the instances through which exchanges go. It is safe for concurrent use.
 type Picker struct {
 	cfg Config
 
-	mu           sync.Mutex
-	avoidUntil   map[radishcrank.InstanceID]time.Time
-	outOfReachAt map[radishcrank.AvailabilityZone]time.Time // When another instance of a zone last said that it reaches no upstream.
+	mu         sync.Mutex
+	avoidUntil map[avoided]time.Time
+	// outOfReachAt is when an instance of a zone last said that it reaches no upstream of a
+	// service.
+	outOfReachAt map[serviceZone]time.Time
+}
+
+// avoided is an instance that is of no use for a service, or for any if that is empty.
+type avoided struct {
+	id      radishcrank.InstanceID
+	service string
+}
+
+type serviceZone struct {
+	service string
+	zone    radishcrank.AvailabilityZone
 }
 
 func New(cfg Config) *Picker {
-	return &Picker{cfg: cfg, avoidUntil: map[radishcrank.InstanceID]time.Time{}, outOfReachAt: map[radishcrank.AvailabilityZone]time.Time{}}
+	return &Picker{cfg: cfg, avoidUntil: map[avoided]time.Time{}, outOfReachAt: map[serviceZone]time.Time{}}
+}
+
+// avoidedUntilLocked returns until when an instance is avoided for a service.
+func (p *Picker) avoidedUntilLocked(id radishcrank.InstanceID, service string) time.Time {
+	until := p.avoidUntil[avoided{id, service}]
+	if always := p.avoidUntil[avoided{id: id}]; always.After(until) {
+		return always
+	}
+	return until
+}
+
+func (p *Picker) outOfReachLocked(service string, zone radishcrank.AvailabilityZone) bool {
+	return time.Since(p.outOfReachAt[serviceZone{service, zone}]) < outOfReachTime
 }
 
 // Pick returns a random instance of the same zone or, if there is none or the zone is cut
-// off from the upstreams, of any. It skips those in tried.
-func (p *Picker) Pick(tried []radishcrank.InstanceID) (picked Instance, ok bool) {
+// off from the upstreams of a service, of any. It skips those in tried. An instance that may
+// be of no use is picked only if there is no other one and none has been tried.
+func (p *Picker) Pick(service string, tried []radishcrank.InstanceID) (picked Instance, ok bool) {
 	others := p.cfg.Others()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	others = slices.DeleteFunc(others, func(o Instance) bool {
-		return slices.Contains(tried, o.ID) || now.Before(p.avoidUntil[o.ID])
+	useful := slices.DeleteFunc(slices.Clone(others), func(o Instance) bool {
+		return o.Failing || slices.Contains(tried, o.ID) || now.Before(p.avoidedUntilLocked(o.ID, service))
 	})
-	near := slices.DeleteFunc(slices.Clone(others), func(o Instance) bool { return o.Zone != p.cfg.Zone })
-	if len(near) > 0 && now.Sub(p.outOfReachAt[p.cfg.Zone]) >= outOfReachTime {
-		others = near
+	near := slices.DeleteFunc(slices.Clone(useful), func(o Instance) bool { return o.Zone != p.cfg.Zone })
+	if len(near) > 0 && !p.outOfReachLocked(service, p.cfg.Zone) {
+		useful = near
 	}
-	if len(others) == 0 {
+	if len(useful) == 0 && len(tried) == 0 {
+		useful = p.lastResortLocked(service, others)
+	}
+	if len(useful) == 0 {
 		return picked, false
 	}
-	return others[rand.IntN(len(others))], true
+	return useful[rand.IntN(len(useful))], true
+}
+
+// lastResortLocked returns the instance that has been avoided for the longest time, unless
+// others have just said that they are cut off.
+func (p *Picker) lastResortLocked(service string, others []Instance) []Instance {
+	others = slices.DeleteFunc(others, func(o Instance) bool { return p.outOfReachLocked(service, o.Zone) })
+	if len(others) == 0 {
+		return nil
+	}
+	return []Instance{slices.MinFunc(others, func(a, b Instance) int {
+		return p.avoidedUntilLocked(a.ID, service).Compare(p.avoidedUntilLocked(b.ID, service))
+	})}
 }
 
 // OutOfReachElsewhere reports whether another instance has said lately that it reaches no
-// upstream either. A request that no upstream can take here is then refused at once.
-func (p *Picker) OutOfReachElsewhere() bool {
+// upstream of a service either. A request that no upstream can take here is then refused at
+// once.
+func (p *Picker) OutOfReachElsewhere(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, at := range p.outOfReachAt {
-		if time.Since(at) < outOfReachTime {
+	for of, at := range p.outOfReachAt {
+		if of.service == service && time.Since(at) < outOfReachTime {
 			return true
 		}
 	}
 	return false
 }
 
-// AvoidOutOfReach records that an instance reaches no upstream either.
-func (p *Picker) AvoidOutOfReach(o Instance) {
+// AvoidOutOfReach records that an instance reaches no upstream of a service either.
+func (p *Picker) AvoidOutOfReach(o Instance, service string) {
 	p.mu.Lock()
-	p.outOfReachAt[o.Zone] = time.Now()
-	p.mu.Unlock()
-	p.Avoid(o.ID)
+	defer p.mu.Unlock()
+	p.outOfReachAt[serviceZone{service, o.Zone}] = time.Now()
+	p.avoidLocked(avoided{o.ID, service})
 }
 
 // Avoid records that an instance was of no use.
 func (p *Picker) Avoid(id radishcrank.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.avoidLocked(avoided{id: id})
+}
+
+func (p *Picker) avoidLocked(a avoided) {
 	now := time.Now()
-	for o, until := range p.avoidUntil {
-		if now.After(until) {
-			delete(p.avoidUntil, o)
-		}
-	}
-	p.avoidUntil[id] = now.Add(avoidTime)
+	maps.DeleteFunc(p.avoidUntil, func(_ avoided, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(p.outOfReachAt, func(_ serviceZone, at time.Time) bool { return now.Sub(at) > outOfReachTime })
+	p.avoidUntil[a] = now.Add(avoidTime)
 }
--- a/internal/routing/rcdetour/detour_test.go
+++ b/internal/routing/rcdetour/detour_test.go
@@ -40,7 +40,7 @@
 		others := []Instance{{ID: "near", Zone: "z1"}, {ID: "far", Zone: "z2"}}
 		p := New(Config{Zone: "z1", Others: func() []Instance { return append([]Instance(nil), others...) }})
 		pick := func(tried ...radishcrank.InstanceID) radishcrank.InstanceID {
-			picked, _ := p.Pick(tried)
+			picked, _ := p.Pick("s", tried)
 			return picked.ID
 		}
 		for range 20 {
@@ -50,14 +50,15 @@
 		require.Empty(t, pick("near", "far"))
 		p.Avoid("near")
 		require.EqualValues(t, "far", pick())
-		require.False(t, p.OutOfReachElsewhere())
-		p.AvoidOutOfReach(others[1])
+		require.False(t, p.OutOfReachElsewhere("s"))
+		p.AvoidOutOfReach(others[0], "s")
+		p.AvoidOutOfReach(others[1], "s")
 		require.Empty(t, pick())
-		require.True(t, p.OutOfReachElsewhere())
+		require.True(t, p.OutOfReachElsewhere("s"))
 		time.Sleep(avoidTime)
 		require.EqualValues(t, "near", pick())
-		require.False(t, p.OutOfReachElsewhere())
-		p.AvoidOutOfReach(Instance{ID: "gone", Zone: "z1"})
+		require.False(t, p.OutOfReachElsewhere("s"))
+		p.AvoidOutOfReach(Instance{ID: "gone", Zone: "z1"}, "s")
 		picked := map[radishcrank.InstanceID]bool{}
 		for range 40 {
 			picked[pick()] = true
@@ -65,3 +66,30 @@
 		require.Len(t, picked, 2, "the zone may be cut off")
 	})
 }
+
+// TestOnlyInstanceIsAvoided guards against requests that are refused because the only other
+// instances have been of no use some seconds ago.
+func TestOnlyInstanceIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		others := []Instance{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2", Failing: true}}
+		p := New(Config{Zone: "z1", Others: func() []Instance { return append([]Instance(nil), others...) }})
+		pick := func(tried ...radishcrank.InstanceID) radishcrank.InstanceID {
+			picked, _ := p.Pick("s", tried)
+			return picked.ID
+		}
+		require.EqualValues(t, "a", pick())
+		p.Avoid("a")
+		require.EqualValues(t, "b", pick())
+		require.Empty(t, pick("b"), "one request tries one such instance")
+		p.Avoid("b")
+		require.EqualValues(t, "a", pick(), "it was avoided first")
+		p.AvoidOutOfReach(others[0], "s")
+		require.EqualValues(t, "b", pick())
+		p.AvoidOutOfReach(others[1], "s")
+		require.Empty(t, pick(), "nobody reaches upstreams")
+		require.False(t, p.OutOfReachElsewhere("other"))
+		time.Sleep(outOfReachTime)
+		_, ok := p.Pick("other", nil)
+		require.True(t, ok, "what an instance says of one service holds for no other")
+	})
+}
--- a/internal/serving/rcforward/detour.go
+++ b/internal/serving/rcforward/detour.go
@@ -28,6 +28,12 @@
 	return d.unreached > 0 && d.unreached == d.attempts || d.cutOff(states)
 }
 
+// saysOutOfReach reports whether a refusal tells the instance that sent the exchange here that
+// this one is cut off, too. Upstreams that have failed for another reason are busy.
+func (d *dispatch) saysOutOfReach() bool {
+	return d.x.Detoured && (d.f.cfg.Links.Cut(d.x.Service) || d.unreached > 0 && (d.noneHealthy || d.unreached == d.attempts))
+}
+
 // cutOff reports whether this instance reaches no upstream of the service.
 func (d *dispatch) cutOff(states []rcfleet.State) bool {
 	return d.f.cfg.Links.Cut(d.x.Service) || rcdetour.OutOfReach(states)
@@ -94,7 +100,7 @@
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return false, nil
 		}
-		through, ok := d.f.cfg.Detours.Pick(tried)
+		through, ok := d.f.cfg.Detours.Pick(d.x.Service, tried)
 		if !ok {
 			break
 		}
@@ -130,7 +136,7 @@
 	d.logDetour(through, reply.Status, nil)
 	switch {
 	case reply.Class == radishcrank.ReplyMisdirected && reply.Header.Get(rcdetour.Header) == rcdetour.OutOfReachValue:
-		cfg.Detours.AvoidOutOfReach(through)
+		cfg.Detours.AvoidOutOfReach(through, d.x.Service)
 		d.outOfReachElsewhere++
 		return false, nil
 	case reply.Class == radishcrank.ReplyMisdirected:
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -186,7 +186,7 @@
 			if done, err := d.detour(); done {
 				return err
 			}
-			if d.f.cfg.Links.Cut(d.x.Service) || d.f.cfg.Detours.OutOfReachElsewhere() || !d.mayRetry() {
+			if d.f.cfg.Links.Cut(d.x.Service) || d.f.cfg.Detours.OutOfReachElsewhere(d.x.Service) || !d.mayRetry() {
 				return d.finishWithoutAnswer()
 			}
 			continue // An upstream may come within reach soon.
@@ -266,7 +266,7 @@
 		buf = d.eligible(f.appendStates(x.Service, buf[:0]))
 		excluded, _, released := f.cfg.Guard.ExcludedUpstreams(d.guardRequest)
 		now := time.Now()
-		if d.cutOff(buf) && (x.Detoured || d.mayDetour()) {
+		if x.Detoured && f.cfg.Links.Cut(x.Service) || d.mayDetour() && d.cutOff(buf) {
 			return choice, false // Other instances may reach an upstream now.
 		}
 		req := d.affinityRequest(excluded)
@@ -451,7 +451,7 @@
 	d.cause = errors.Join(errors.New(why), d.cause)
 	d.logEnd(rcmetric.Refused, http.StatusServiceUnavailable)
 	d.f.cfg.Metrics.Record(rcmetric.RefusalTime, time.Since(d.x.ReceivedAt))
-	if d.x.Detoured && (d.noneHealthy || d.outOfReach(d.states())) {
+	if d.saysOutOfReach() {
 		d.w.Header().Set(rcdetour.Header, rcdetour.OutOfReachValue)
 	}
 	d.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
