Divide the slots of brittle upstreams exactly

Each instance was allowed its share of the slots, and at least one: 24 instances had 24 requests at an upstream with room for 3.

rcslots gives the slots left after an equal division to the instances that rank highest for the upstream, so that all shares together are the number of slots. An instance that owns none sends its requests through an owner. What one upstream says holds for its service, and replies to detours say it, too, since such an instance asks no upstream. The number of requests under way is checked and raised in one step.

TestBrittleUpstreamsFall played 3 instances for 3 slots, where rounding up changes nothing.

--- a/internal/node/rcinstance/brittle_test.go
+++ b/internal/node/rcinstance/brittle_test.go
@@ -50,12 +50,16 @@
 // TestBrittleUpstreamsFall guards against upstreams that say that they are brittle and fall
 // over, because instances together send more than they have room for.
 func TestBrittleUpstreamsFall(t *testing.T) {
-	t.Parallel()
+	for _, instances := range []int{3, 12, 24} {
+		t.Run(fmt.Sprint(instances, "Instances"), func(t *testing.T) { testBrittleUpstreams(t, instances) })
+	}
+}
+
+func testBrittleUpstreams(t *testing.T, instances int) {
 	const (
-		instances = 3
-		learned   = time.Second
-		length    = 4 * time.Second
-		maxFalls  = 2
+		learned  = time.Second
+		length   = 4 * time.Second
+		maxFalls = 2
 	)
 	b := &brittleServers{admitted: map[string][]time.Time{}, refused: map[string][]time.Time{}}
 	s := startDeploymentWith(t, deploymentOptions{instances: instances, slots: brittleRoom, serviceDelay: brittleRunTime, admit: func(upstream, id string) (time.Duration, bool) {
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
+	"github.com/radishcrank/radishcrank/internal/limits/rcslots"
 	"github.com/radishcrank/radishcrank/internal/limits/rcverdict"
 	"github.com/radishcrank/radishcrank/internal/record/rclease"
 	"github.com/radishcrank/radishcrank/internal/record/rcrollout"
@@ -295,7 +296,7 @@
 		Origins:       i.peers.origins,
 		Incarnation:   i.engineClient().Incarnation,
 		OnLeaving:     i.noteLeaving,
-		Instances:     i.peers.fleetSize,
+		Slots:         rcslots.New(rcslots.Config{Instance: radishcrank.InstanceID(i.settings.Instance), Others: i.peers.others}),
 		Detours:       rcdetour.New(rcdetour.Config{Zone: radishcrank.AvailabilityZone(i.settings.Zone), Others: i.peers.detours}),
 		DetourSender:  &platform.DetourSender{Pool: i.peerPool},
 		Links:         i.links,
--- a/internal/routing/rcdetour/detour.go
+++ b/internal/routing/rcdetour/detour.go
@@ -6,8 +6,10 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,12 +18,29 @@
 )
 
 // Header marks a request that comes from another instance, which sends it on no further
-// detour, and with the value OutOfReach the refusal of an instance that does not reach the
-// upstreams either. A client that sets it only forgoes detours.
+// detour, and the refusal of an instance that cannot serve such a request. A client that sets
+// it only forgoes detours.
 const Header = "Router-Detour"
 
-// OutOfReachValue is the value of Header in a refusal.
-const OutOfReachValue = "OutOfReach"
+// Values of Header in refusals.
+const (
+	OutOfReachValue = "OutOfReach" // The instance reaches no upstream either.
+	NoSlotsValue    = "NoSlots"    // The instance owns no slots of the upstreams, which are brittle.
+)
+
+// brittleHeader tells in the response to a detoured request that the upstreams are brittle.
+const brittleHeader = "Router-Brittle"
+
+// SetBrittle adds to the response to a detoured request that the upstreams are brittle, and
+// how many requests each can turn away in a second.
+func SetBrittle(h http.Header, refusals int) { h.Set(brittleHeader, strconv.Itoa(refusals)) }
+
+// TakeBrittle removes what SetBrittle has added and returns it, or 0.
+func TakeBrittle(h http.Header) (refusals int) {
+	refusals, _ = strconv.Atoi(h.Get(brittleHeader)) // Absent from older builds.
+	h.Del(brittleHeader)
+	return max(0, refusals)
+}
 
 const (
 	// avoidTime is how long an instance is avoided that could not be reached or reaches no
@@ -129,6 +148,26 @@
 	return useful[rand.IntN(len(useful))], true
 }
 
+// PickOwner returns a random one of the owners of slots, which holds one as often as it owns
+// one. It skips those in tried and those that are of no use.
+func (p *Picker) PickOwner(service string, owners, tried []radishcrank.InstanceID) (picked Instance, ok bool) {
+	others := map[radishcrank.InstanceID]Instance{}
+	for _, o := range p.cfg.Others() {
+		others[o.ID] = o
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	owners = slices.DeleteFunc(slices.Clone(owners), func(id radishcrank.InstanceID) bool {
+		o, known := others[id]
+		return !known || o.Failing || slices.Contains(tried, id) || now.Before(p.avoidedUntilLocked(id, service))
+	})
+	if len(owners) == 0 {
+		return picked, false
+	}
+	return others[owners[rand.IntN(len(owners))]], true
+}
+
 // lastResortLocked returns the instance that has been avoided for the longest time, unless
 // others have just said that they are cut off.
 func (p *Picker) lastResortLocked(service string, others []Instance) []Instance {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -41,6 +42,9 @@
 // errFull reports that the chosen upstream is brittle and has no room for this instance.
 var errFull = errors.New("upstream is brittle, and this instance's share of it is in use")
 
+// errPaused reports that the chosen upstream has asked for a pause since.
+var errPaused = errors.New("upstream has asked for a pause")
+
 // errUnconfirmed reports that an upstream may run other software than the list says.
 var errUnconfirmed = errors.New("upstream has restarted, or did not confirm that it has not")
 
@@ -64,12 +68,23 @@
 		d.cause = errPlacementExpired
 		return false, nil
 	}
-	if !d.roomLeft(choice) {
+	if s, ok := f.cfg.Fleet.Get(up.ID); ok && s.Paused(time.Now()) {
+		end(false, false)
+		d.withdraw(up.ID, errPaused)
+		return false, nil
+	}
+	limit := math.MaxInt
+	if choice.Upstream.Brittle > 0 {
+		limit = f.slotShare(&choice.Upstream)
+	}
+	run, ok := f.cfg.Fleet.BeginWithin(up.ID, choice.UncachedTokens, limit)
+	if !ok {
 		end(false, false)
 		d.withdraw(up.ID, errFull)
 		return false, nil
 	}
 	if !f.cfg.Quota.Take(up) {
+		run.End(rcfleet.Canceled)
 		end(false, false)
 		d.withdraw(up.ID, errThrottled)
 		return false, nil
@@ -78,7 +93,6 @@
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
 	}
-	run := f.cfg.Fleet.Begin(up.ID, choice.UncachedTokens)
 	blame := f.cfg.Blame.Begin(d.partKeys, x.Service, up)
 	outcome, crashed := rcfleet.Canceled, false
 	defer func() {
@@ -343,6 +357,7 @@
 
 func (d *dispatch) writeBuffered(reply *radishcrank.Reply, body []byte) {
 	copyHeader(d.w.Header(), reply.Header)
+	d.tellBrittle()
 	d.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	d.w.WriteHeader(reply.Status)
 	d.w.Write(body) // A write error means that the client has disconnected.
@@ -407,6 +422,7 @@
 				if !d.response.started {
 					d.pinOrigin(up, reply.Conn)
 					copyHeader(d.w.Header(), reply.Header)
+					d.tellBrittle()
 					d.w.WriteHeader(reply.Status)
 					d.response.started = true
 					d.f.cfg.Metrics.Record(rcmetric.FirstEventTime, time.Since(d.x.ReceivedAt))
@@ -430,6 +446,7 @@
 		case whole:
 			if !d.response.started {
 				copyHeader(d.w.Header(), reply.Header)
+				d.tellBrittle()
 				d.w.WriteHeader(reply.Status)
 			}
 			d.w.Write(events.pending) // Comments. A write error means that the client has disconnected.
--- a/internal/serving/rcforward/detour.go
+++ b/internal/serving/rcforward/detour.go
@@ -12,13 +12,17 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
-// maxDetours limits the instances that do not respond to one exchange, and maxOutOfReach
-// those that refuse it because they reach no upstream either, which takes little time.
+// maxDetours limits the instances that do not respond to one exchange, and maxRefusedDetours
+// those that refuse it because they cannot serve it either, which takes little time.
 const (
-	maxDetours    = 3
-	maxOutOfReach = 10
+	maxDetours        = 3
+	maxRefusedDetours = 10
 )
 
+// errNoSlots reports that the upstreams are brittle, and that no instance that owns slots of
+// them helped.
+var errNoSlots = errors.New("upstreams are brittle, and no instance with a share of them took it")
+
 // errNoDetour reports that the upstreams were out of reach and no other instance helped.
 var errNoDetour = errors.New("upstreams are out of reach, also through other instances")
 
@@ -93,14 +97,37 @@
 // detour sends the exchange through other instances, one after the other, until it may have
 // run. done reports that the client has its final response.
 func (d *dispatch) detour() (done bool, err error) {
+	done, err = d.detourThroughAny(func(tried []radishcrank.InstanceID) (rcdetour.Instance, bool) {
+		return d.f.cfg.Detours.Pick(d.x.Service, tried)
+	})
+	if !done && (d.runs == 0 || d.x.Route.Retry != radishcrank.RetryNever) {
+		d.cause = errors.Join(errNoDetour, d.cause)
+	}
+	return done, err
+}
+
+// detourToOwner sends the exchange through instances that own slots of the upstreams, which
+// are brittle.
+func (d *dispatch) detourToOwner(states []rcfleet.State) (done bool, err error) {
+	owners := d.slotOwners(states)
+	done, err = d.detourThroughAny(func(tried []radishcrank.InstanceID) (rcdetour.Instance, bool) {
+		return d.f.cfg.Detours.PickOwner(d.x.Service, owners, tried)
+	})
+	if !done {
+		d.cause = errors.Join(errNoSlots, d.cause)
+	}
+	return done, err
+}
+
+func (d *dispatch) detourThroughAny(pick func(tried []radishcrank.InstanceID) (rcdetour.Instance, bool)) (done bool, err error) {
 	d.detoured = true
 	var tried []radishcrank.InstanceID
-	for d.outOfReachElsewhere < maxOutOfReach && len(tried)-d.outOfReachElsewhere < maxDetours && d.ctx.Err() == nil {
+	for d.refusedDetours < maxRefusedDetours && len(tried)-d.refusedDetours < maxDetours && d.ctx.Err() == nil {
 		if d.runs > 0 && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return false, nil
 		}
-		through, ok := d.f.cfg.Detours.Pick(d.x.Service, tried)
+		through, ok := pick(tried)
 		if !ok {
 			break
 		}
@@ -112,7 +139,6 @@
 			return false, nil
 		}
 	}
-	d.cause = errors.Join(errNoDetour, d.cause)
 	return false, nil
 }
 
@@ -120,6 +146,7 @@
 func (d *dispatch) detourThrough(through rcdetour.Instance) (done bool, err error) {
 	cfg, x := &d.f.cfg, d.x
 	cfg.Metrics.Add(rcmetric.Detours, 1)
+	d.sentAt = time.Now()
 	reply, err := cfg.DetourSender.SendThrough(d.ctx, through.Addr, x, time.Until(x.Deadline))
 	if err != nil {
 		d.cause = err
@@ -134,10 +161,16 @@
 	}
 	defer reply.Body.Close()
 	d.logDetour(through, reply.Status, nil)
+	if reply.Class != radishcrank.ReplyInvalid {
+		d.setBrittle(x.Service, reply.Brittle)
+	}
 	switch {
 	case reply.Class == radishcrank.ReplyMisdirected && reply.Header.Get(rcdetour.Header) == rcdetour.OutOfReachValue:
 		cfg.Detours.AvoidOutOfReach(through, d.x.Service)
-		d.outOfReachElsewhere++
+		d.refusedDetours++
+		return false, nil
+	case reply.Class == radishcrank.ReplyMisdirected && reply.Header.Get(rcdetour.Header) == rcdetour.NoSlotsValue:
+		d.refusedDetours++
 		return false, nil
 	case reply.Class == radishcrank.ReplyMisdirected:
 		cfg.Detours.Avoid(through.ID)
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
+	"github.com/radishcrank/radishcrank/internal/limits/rcslots"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdetour"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
@@ -96,8 +97,9 @@
 	// OnLeaving is called with the status of each reply that says that its upstream leaves,
 	// and reports whether that is new. The default only records it in Fleet.
 	OnLeaving func(up radishcrank.Upstream, status int) (changed bool)
-	// Instances returns the number of instances that share the upstreams. Nil means one.
-	Instances func() int
+	// Slots divides the slots of brittle upstreams among the instances. Nil means that this
+	// is the only one.
+	Slots *rcslots.Divider
 	// Detours picks the instances through which exchanges go while the upstreams are out of
 	// reach. Nil means that there are none.
 	Detours      *rcdetour.Picker
@@ -123,9 +125,6 @@
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) bool { return cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
 	}
-	if cfg.Instances == nil {
-		cfg.Instances = func() int { return 1 }
-	}
 	return &Forwarder{cfg: cfg}
 }
 
@@ -138,19 +137,19 @@
 	guardRequest radishcrank.Request
 	partKeys     []rcpoison.Key // Of the prompt's parts that other requests may hold.
 
-	attempts            int       // Upstreams that the exchange was sent to.
-	runs                int       // Attempts that may have executed the exchange.
-	unreached           int       // Attempts that found no connection.
-	noneHealthy         bool      // No upstream with room is known to be within reach.
-	detoured            bool      // It was sent through other instances.
-	outOfReachElsewhere int       // Other instances that refused it because they reach no upstream either.
-	sentAt              time.Time // When the current attempt was sent.
-	tried               map[radishcrank.UpstreamID]bool
-	response            clientResponse // What the client has received.
-	origin              streamOrigin
-	failure             *radishcrank.Reply
-	failureBody         []byte
-	cause               error // Error of the last attempt.
+	attempts       int       // Upstreams that the exchange was sent to.
+	runs           int       // Attempts that may have executed the exchange.
+	unreached      int       // Attempts that found no connection.
+	noneHealthy    bool      // No upstream with room is known to be within reach.
+	detoured       bool      // It was sent through other instances.
+	refusedDetours int       // Other instances that refused it because they cannot serve it either.
+	sentAt         time.Time // When the current attempt was sent.
+	tried          map[radishcrank.UpstreamID]bool
+	response       clientResponse // What the client has received.
+	origin         streamOrigin
+	failure        *radishcrank.Reply
+	failureBody    []byte
+	cause          error // Error of the last attempt.
 }
 
 // Serve forwards an exchange and writes the response to w. ctx must be done
@@ -182,14 +181,22 @@
 func (d *dispatch) run() error {
 	for {
 		choice, ok := d.selectUpstream()
-		if !ok && !d.detoured && d.mayDetour() && d.outOfReach(d.states()) {
-			if done, err := d.detour(); done {
-				return err
-			}
-			if d.f.cfg.Links.Cut(d.x.Service) || d.f.cfg.Detours.OutOfReachElsewhere(d.x.Service) || !d.mayRetry() {
+		if !ok && d.mayDetour() {
+			switch states := d.states(); {
+			case d.ownsNoSlots(states):
+				if done, err := d.detourToOwner(states); done {
+					return err
+				}
 				return d.finishWithoutAnswer()
+			case d.outOfReach(states):
+				if done, err := d.detour(); done {
+					return err
+				}
+				if d.f.cfg.Links.Cut(d.x.Service) || d.f.cfg.Detours.OutOfReachElsewhere(d.x.Service) || !d.mayRetry() {
+					return d.finishWithoutAnswer()
+				}
+				continue // An upstream may come within reach soon.
 			}
-			continue // An upstream may come within reach soon.
 		}
 		if !ok {
 			return d.finishWithoutAnswer()
@@ -269,6 +276,9 @@
 		if x.Detoured && f.cfg.Links.Cut(x.Service) || d.mayDetour() && d.cutOff(buf) {
 			return choice, false // Other instances may reach an upstream now.
 		}
+		if d.ownsNoSlots(buf) {
+			return choice, false
+		}
 		req := d.affinityRequest(excluded)
 		choice, ok = rcaffinity.Choose(req, buf, now)
 		if ok {
@@ -298,7 +308,7 @@
 	buf = f.cfg.Fleet.AppendStates(service, buf)
 	for i := range buf {
 		_, buf[i].Throttled = f.cfg.Quota.Throttled(buf[i].Upstream)
-		buf[i].Full = fillsShare(&buf[i], f.cfg.Instances)
+		buf[i].Full = buf[i].Brittle > 0 && buf[i].Running >= f.slotShare(&buf[i])
 	}
 	return buf
 }
@@ -451,8 +461,11 @@
 	d.cause = errors.Join(errors.New(why), d.cause)
 	d.logEnd(rcmetric.Refused, http.StatusServiceUnavailable)
 	d.f.cfg.Metrics.Record(rcmetric.RefusalTime, time.Since(d.x.ReceivedAt))
-	if d.saysOutOfReach() {
+	switch {
+	case d.saysOutOfReach():
 		d.w.Header().Set(rcdetour.Header, rcdetour.OutOfReachValue)
+	case d.x.Detoured && d.ownsNoSlots(d.states()):
+		d.w.Header().Set(rcdetour.Header, rcdetour.NoSlotsValue)
 	}
 	d.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	d.writeError(http.StatusServiceUnavailable, "not run: "+why)
@@ -469,6 +482,7 @@
 
 func (d *dispatch) writeError(status int, message string) {
 	h := d.w.Header()
+	d.tellBrittle()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(message)+1))
 	d.w.WriteHeader(status)
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -1,6 +1,7 @@
 package rcfleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
@@ -34,15 +35,25 @@
 // Begin records the start of an exchange that has to prefill a number of
 // tokens.
 func (f *Fleet) Begin(id radishcrank.UpstreamID, tokens int) *Exchange {
+	e, _ := f.BeginWithin(id, tokens, math.MaxInt)
+	return e
+}
+
+// BeginWithin is like Begin, but begins nothing if this instance has a number of exchanges
+// at the upstream already.
+func (f *Fleet) BeginWithin(id radishcrank.UpstreamID, tokens, limit int) (e *Exchange, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := &Exchange{fleet: f, id: id, tokens: tokens}
+	e = &Exchange{fleet: f, id: id, tokens: tokens}
 	if m, ok := f.members[id]; ok {
+		if m.Running >= limit {
+			return nil, false
+		}
 		m.Running++
 		m.Prefilling += tokens
 		e.incarnation = m.Incarnation
 	}
-	return e
+	return e, true
 }
 
 // currentMemberLocked returns the upstream, or nil if it has restarted or was
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -57,7 +57,7 @@
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
 	PeerLoad     Load      // Load from other instances as last reported.
-	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if it does not say so.
+	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if no upstream of its service says so.
 	Full         bool      // No new work because it is brittle and has this instance's share of its slots in use; set by rcforward.
 	Throttled    bool      // No new work because this instance has used its share of the rate limit; set by rcforward.
 	PausedUntil  time.Time // No new work because the upstream has asked this instance for a pause.
@@ -112,6 +112,7 @@
 	departed               map[radishcrank.UpstreamID]departure
 	announcements          map[radishcrank.UpstreamID][]*announcement
 	announcementsExpiredAt time.Time
+	brittle                map[string]brittleness                               // Services whose upstreams are brittle.
 	goneSoftware           map[string]map[radishcrank.SoftwareVersion]time.Time // When upstreams of a service were last listed with a version, by service.
 	syncedAt               time.Time                                            // When a first complete list had arrived; zero before.
 	unreachableSince       time.Time
@@ -128,6 +129,7 @@
 		services:      map[string][]*member{},
 		departed:      map[radishcrank.UpstreamID]departure{},
 		announcements: map[radishcrank.UpstreamID][]*announcement{},
+		brittle:       map[string]brittleness{},
 		goneSoftware:  map[string]map[radishcrank.SoftwareVersion]time.Time{},
 		changed:       make(chan struct{}),
 		cachedParts:   newCachedParts(),
@@ -414,7 +416,7 @@
 	now := time.Now()
 	for _, m := range f.services[service] {
 		if m.Listed || f.doubtsRemovalsLocked(now) {
-			buf = append(buf, m.stateAt(now))
+			buf = append(buf, f.stateLocked(m, now))
 		}
 	}
 	return buf
@@ -439,7 +441,7 @@
 	now := time.Now()
 	states := make([]State, 0, len(f.members))
 	for _, m := range f.members {
-		states = append(states, m.stateAt(now))
+		states = append(states, f.stateLocked(m, now))
 	}
 	return states
 }
@@ -453,12 +455,13 @@
 	if !ok || !m.Listed && !f.doubtsRemovalsLocked(now) {
 		return State{}, false
 	}
-	return m.stateAt(now), true
+	return f.stateLocked(m, now), true
 }
 
-// stateAt returns the state of the upstream without reports that have expired.
-func (m *member) stateAt(now time.Time) State {
+// stateLocked returns the state of an upstream without reports that have expired.
+func (f *Fleet) stateLocked(m *member, now time.Time) State {
 	s := m.State
+	s.Brittle = f.brittle[m.Service].refusals
 	s.SuspectUntil = m.suspectUntil
 	if m.unconfirmedUntil.After(m.suspectUntil) {
 		s.SuspectUntil = m.unconfirmedUntil
@@ -501,18 +504,36 @@
 	f.signalLocked()
 }
 
-// SetBrittle records whether an incarnation of an upstream says that it is brittle, as in
-// State. It reports whether that has begun or ended.
-func (f *Fleet) SetBrittle(id radishcrank.UpstreamID, i radishcrank.Incarnation, n int) (changed bool) {
+// brittleness is what the upstreams of a service say of how brittle they are.
+type brittleness struct {
+	refusals int
+	heardAt  time.Time
+}
+
+// SetBrittle records whether an upstream of a service says that it is brittle, as in State,
+// in reply to a request. It holds for all upstreams of the service, until the reply to a later
+// request says otherwise. It reports whether that has begun or ended.
+func (f *Fleet) SetBrittle(service string, n int, sentAt time.Time) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[id]
-	if !ok || m.Incarnation != i {
-		return false
+	b, known := f.brittle[service]
+	switch {
+	case n > 0:
+		f.brittle[service] = brittleness{n, time.Now()}
+		return !known
+	case known && sentAt.After(b.heardAt):
+		delete(f.brittle, service)
+		return true
 	}
-	changed = (m.Brittle > 0) != (n > 0)
-	m.Brittle = n
-	return changed
+	return false
+}
+
+// Brittle returns the number of requests that each upstream of a service can turn away in a
+// second before it falls over; 0 if they do not say that they are brittle.
+func (f *Fleet) Brittle(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.brittle[service].refusals
 }
 
 // SetQueueReport records the queue report that an upstream sent with an answer.
