Compare the list with the store before a stream goes on by what it says

Class: a copy of unknown age is taken for the present.

The only listed version counts only if nothing newer contradicts it. An origin that only the list says names the incarnation; before the stream goes on, at this or another instance, the newest list or, if the store cannot be read, the upstream itself must confirm it. While the list cannot be read, upstreams confirm at the start.

--- a/internal/node/rcinstance/directory.go
+++ b/internal/node/rcinstance/directory.go
@@ -125,6 +125,20 @@
 	d.fleet.Remove(radishcrank.UpstreamID(row.Key))
 }
 
+// newerEntries returns what the store lists of upstreams, as of a time after the call, that has
+// not been applied yet: entries, and the IDs of upstreams that are gone.
+func (d *directory) newerEntries(ctx context.Context) (entries []rcfleet.Entry, gone []radishcrank.UpstreamID, err error) {
+	rows, err := d.upstreams.Confirm(ctx)
+	for _, row := range rows {
+		if e, ok := d.parseEntry(row); ok {
+			entries = append(entries, e)
+		} else {
+			gone = append(gone, radishcrank.UpstreamID(row.Key))
+		}
+	}
+	return entries, gone, err
+}
+
 // parseEntry returns the upstream that a row describes, if the row is valid.
 func (d *directory) parseEntry(row rcfeed.Row) (e rcfleet.Entry, ok bool) {
 	if row.Removed {
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
@@ -39,6 +40,10 @@
 	registry *rcorigin.Registry
 	fleet    *rcfleet.Fleet
 	peers    *peerGroup
+	// newerEntries returns what the store lists of upstreams that fleet does not know yet.
+	newerEntries func(ctx context.Context) (entries []rcfleet.Entry, gone []radishcrank.UpstreamID, err error)
+	// incarnation asks an upstream which incarnation it is.
+	incarnation func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error)
 }
 
 // Record implements rcforward.Origins.
@@ -53,19 +58,28 @@
 
 // Find implements rcforward.Origins.
 func (s *streamOrigins) Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
-	if o, known = s.get(q); known {
-		return o, true
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	if o, known = s.get(ctx, q); !known {
+		o, known = s.findElsewhere(ctx, q)
 	}
+	if known && o.Listed() {
+		known = s.Verify(ctx, o)
+		o.Upstream, o.Incarnation = "", 0
+	}
+	return o, known
+}
+
+// findElsewhere asks the other instances, and keeps what they know.
+func (s *streamOrigins) findElsewhere(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	if versions, _ := s.fleet.SoftwareVersions(q.Service, q.Within); q.Service != "" && len(versions) != 1 {
 		q.Service = "" // Other instances have not heard yet that it has several.
 	}
 	if q.Attempt == "" && q.Service == "" {
 		return o, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
 	if o, known = s.ask(ctx, q); !known && q.Attempt != "" && rcwait.Sleep(ctx, s.retryDelay()) {
-		if o, known = s.get(q); !known {
+		if o, known = s.get(ctx, q); !known {
 			o, known = s.ask(ctx, q)
 		}
 	}
@@ -84,7 +98,7 @@
 
 // get answers a query from what this instance knows: the record of the attempt, or that
 // the service has had one software version for as long as the stream may last.
-func (s *streamOrigins) get(q rcorigin.Query) (o rcorigin.Origin, known bool) {
+func (s *streamOrigins) get(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	if o, known = s.registry.Get(q.Attempt); known || q.Service == "" {
 		return o, known
 	}
@@ -92,9 +106,64 @@
 	if !complete || len(versions) != 1 || versions[0] == "" {
 		return o, false
 	}
+	if !s.isOnlyVersion(ctx, q.Service, versions[0]) {
+		return o, false
+	}
 	return rcorigin.Origin{Service: q.Service, Software: versions[0]}, true
 }
 
+// isOnlyVersion reports whether the newest list names no other software version of a service.
+// The stream may have begun, at another instance, on an upstream that this one has not heard
+// of.
+func (s *streamOrigins) isOnlyVersion(ctx context.Context, service string, version radishcrank.SoftwareVersion) bool {
+	if s.newerEntries == nil {
+		return true
+	}
+	entries, gone, err := s.newerEntries(ctx)
+	if err != nil {
+		return false
+	}
+	for _, e := range entries {
+		if e.Service == service && e.Software != version {
+			return false
+		}
+	}
+	for _, id := range gone {
+		if _, ok := s.fleet.Get(id); !ok {
+			return false // It came and went unseen.
+		}
+	}
+	return true
+}
+
+// Verify implements rcforward.Origins. The listed incarnation is the one that began the stream
+// if the newest list still names it, or no successor, or one with the same software. If the
+// store cannot be read, the upstream itself may say that it has been running all the time.
+func (s *streamOrigins) Verify(ctx context.Context, o rcorigin.Origin) bool {
+	if s.newerEntries == nil {
+		return true
+	}
+	entries, _, err := s.newerEntries(ctx)
+	if listed, ok := s.fleet.Get(o.Upstream); ok {
+		entries = append(entries, listed.Entry)
+	}
+	for _, e := range entries {
+		if e.ID == o.Upstream && e.Incarnation != o.Incarnation && e.Software != o.Software {
+			return false
+		}
+	}
+	if err == nil {
+		return true
+	}
+	s.peers.instance.log.Info().Str("Event", "OriginInDoubt").Str("Upstream", string(o.Upstream)).Err(err).Send()
+	listed, ok := s.fleet.Get(o.Upstream)
+	if !ok {
+		return false
+	}
+	incarnation, err := s.incarnation(ctx, listed.Upstream)
+	return err == nil && incarnation == o.Incarnation
+}
+
 // ask asks all instances that get records, at the same time, and returns the first
 // origin that one of them knows.
 func (s *streamOrigins) ask(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
@@ -143,7 +212,7 @@
 	return holders
 }
 
-func (s *streamOrigins) handleQuery(_ context.Context, _ rcrpc.Identity, q rcorigin.Query) (a originAnswer, err error) {
-	a.Origin, a.Known = s.get(q)
+func (s *streamOrigins) handleQuery(ctx context.Context, _ rcrpc.Identity, q rcorigin.Query) (a originAnswer, err error) {
+	a.Origin, a.Known = s.get(ctx, q)
 	return a, nil
 }
--- a/internal/node/rcinstance/streams_test.go
+++ b/internal/node/rcinstance/streams_test.go
@@ -1,6 +1,8 @@
 package rcinstance
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +51,77 @@
 		require.False(t, known(""), "entries without a version")
 	})
 }
+
+// TestStaleListDecidesOrigin guards against a stream that is taken up at an instance which is
+// out of step, and goes on at the only software version that its old list names.
+func TestStaleListDecidesOrigin(t *testing.T) {
+	entry := func(id radishcrank.UpstreamID, version radishcrank.SoftwareVersion) rcfleet.Entry {
+		return rcfleet.Entry{Upstream: radishcrank.Upstream{ID: id, Service: "s", Software: version, Incarnation: 1}}
+	}
+	for name, c := range map[string]struct {
+		newer []rcfleet.Entry
+		gone  []radishcrank.UpstreamID
+		err   error
+		want  bool
+	}{
+		"nothing is newer":                 {want: true},
+		"an upstream of the same version":  {newer: []rcfleet.Entry{entry("a1", "a")}, want: true},
+		"a known upstream is gone":         {gone: []radishcrank.UpstreamID{"a0"}, want: true},
+		"one of another version":           {newer: []rcfleet.Entry{entry("b0", "b")}},
+		"one has come and gone":            {gone: []radishcrank.UpstreamID{"b0"}},
+		"the store cannot be read":         {err: errors.New("silent")},
+		"another version under a known ID": {newer: []rcfleet.Entry{entry("a0", "b")}},
+		"one of another service is listed": {newer: []rcfleet.Entry{{Upstream: radishcrank.Upstream{ID: "c", Service: "other", Software: "c"}}}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPeerGroups(1, 1)[0]
+				p.origins.newerEntries = func(context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) {
+					return c.newer, c.gone, c.err
+				}
+				p.instance.fleet.Replace([]rcfleet.Entry{entry("a0", "a")})
+				time.Sleep(time.Minute)
+				_, known := p.origins.Find(t.Context(), rcorigin.Query{Attempt: "r0", Service: "s", Within: 6 * time.Second})
+				require.Equal(t, c.want, known)
+			})
+		})
+	}
+}
+
+// TestListedOriginIsTrusted guards against a stream that began at an upstream which had
+// restarted with other software under its ID, and goes on at the version that was listed.
+func TestListedOriginIsTrusted(t *testing.T) {
+	entry := func(incarnation radishcrank.Incarnation, version radishcrank.SoftwareVersion) rcfleet.Entry {
+		return rcfleet.Entry{Upstream: radishcrank.Upstream{ID: "u", Service: "s", Software: version, Incarnation: incarnation}}
+	}
+	down := errors.New("silent")
+	for name, c := range map[string]struct {
+		newer   []rcfleet.Entry
+		err     error
+		running radishcrank.Incarnation // What the upstream says itself; 0 if it does not answer.
+		want    bool
+	}{
+		"still listed":                          {want: true},
+		"restarted with the same software":      {newer: []rcfleet.Entry{entry(2, "a")}, want: true},
+		"restarted with other software":         {newer: []rcfleet.Entry{entry(2, "b")}},
+		"store is down, the upstream runs on":   {err: down, running: 1, want: true},
+		"store is down, the upstream restarted": {err: down, running: 2},
+		"store is down, the upstream is silent": {err: down},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeerGroups(1, 1)[0]
+			p.instance.fleet.Replace([]rcfleet.Entry{entry(1, "a")})
+			p.origins.newerEntries = func(context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) { return c.newer, nil, c.err }
+			p.origins.incarnation = func(context.Context, radishcrank.Upstream) (radishcrank.Incarnation, error) {
+				if c.running == 0 {
+					return 0, down
+				}
+				return c.running, nil
+			}
+			p.origins.Record(rcorigin.Record{Attempt: "r", Origin: rcorigin.Origin{Service: "s", Software: "a", Upstream: "u", Incarnation: 1}})
+			o, known := p.origins.Find(t.Context(), rcorigin.Query{Attempt: "r"})
+			require.Equal(t, c.want, known)
+			require.Equal(t, rcorigin.Origin{Service: "s", Software: "a"}, o)
+		})
+	}
+}
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -80,6 +80,8 @@
 
 func (stubOrigins) Record(rcorigin.Record) {}
 
+func (stubOrigins) Verify(context.Context, rcorigin.Origin) bool { return true }
+
 func (s stubOrigins) Find(_ context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	o, known = s[q.Attempt]
 	return o, known
--- a/internal/serving/rcforward/origin.go
+++ b/internal/serving/rcforward/origin.go
@@ -24,9 +24,11 @@
 type Origins interface {
 	// Record records the origin of the stream whose first event an attempt has brought.
 	Record(rec rcorigin.Record)
-	// Find returns the origin of a stream, and asks the other instances if this one does
-	// not know it.
+	// Find returns the origin of a stream if it is certain, and asks the other instances if
+	// this one does not know it.
 	Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool)
+	// Verify reports whether an origin that only the list of upstreams says is certain by now.
+	Verify(ctx context.Context, o rcorigin.Origin) bool
 }
 
 // streamOrigin is where the stream of a dispatch began. What two software versions write
@@ -39,7 +41,7 @@
 }
 
 // originKnown reports whether it is certain where the stream began. It waits for an
-// upstream that has been asked.
+// upstream that has been asked, or for the newest list.
 func (d *dispatch) originKnown() bool {
 	if d.origin.settled != nil {
 		select {
@@ -47,6 +49,10 @@
 		case <-d.ctx.Done():
 		}
 	}
+	if d.origin.known.Load() && d.origin.Listed() {
+		d.origin.known.Store(d.f.cfg.Origins.Verify(d.ctx, d.origin.Origin))
+		d.origin.Upstream = ""
+	}
 	return d.origin.known.Load()
 }
 
@@ -82,9 +88,10 @@
 	return slices.DeleteFunc(states, func(s rcfleet.State) bool { return s.Software != d.origin.Software })
 }
 
-// pinOrigin records where the stream begins, right before its first event is forwarded.
-// While a service has several versions, the listed one is uncertain until the upstream
-// confirms it, since it may have restarted with another one.
+// pinOrigin records where the stream begins, right before its first event is forwarded. The
+// listed version is uncertain, since the upstream may have restarted with another one. While
+// a service has one version, it is verified when the stream is to go on elsewhere; otherwise,
+// and while the list cannot be read, the upstream has to confirm it now.
 func (d *dispatch) pinOrigin(up radishcrank.Upstream, conn radishcrank.Connection) {
 	if d.origin.pinned {
 		return
@@ -98,7 +105,12 @@
 		d.origin.known.Store(true)
 		d.f.cfg.Origins.Record(rcorigin.Record{Attempt: d.x.ID, Origin: d.origin.Origin})
 	}
-	if versions, _ := d.f.cfg.Fleet.SoftwareVersions(d.x.Service, defaultStreamTime); len(versions) == 1 || confirmed(up, conn) {
+	if confirmed(up, conn) {
+		record()
+		return
+	}
+	if versions, _ := d.f.cfg.Fleet.SoftwareVersions(d.x.Service, defaultStreamTime); len(versions) == 1 && d.f.cfg.Fleet.Reachable() {
+		d.origin.Upstream, d.origin.Incarnation = up.ID, up.Incarnation
 		record()
 		return
 	}
--- a/internal/serving/rcforward/origin_test.go
+++ b/internal/serving/rcforward/origin_test.go
@@ -27,6 +27,7 @@
 type recordingOrigins struct {
 	mu      sync.Mutex
 	records map[radishcrank.RequestID]rcorigin.Origin
+	doubted bool // What only the list says is wrong.
 }
 
 func (r *recordingOrigins) Record(rec rcorigin.Record) {
@@ -35,6 +36,8 @@
 	r.records[rec.Attempt] = rec.Origin
 }
 
+func (r *recordingOrigins) Verify(context.Context, rcorigin.Origin) bool { return !r.doubted }
+
 func (r *recordingOrigins) Find(_ context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -206,3 +209,21 @@
 		})
 	}
 }
+
+// TestStreamGoesOnAtListedVersion guards against a broken stream that goes on at the version
+// that was listed when it began, although that is not the one that began it.
+func TestStreamGoesOnAtListedVersion(t *testing.T) {
+	for _, doubted := range []bool{false, true} {
+		v := newVersionedFleet(map[radishcrank.UpstreamID]radishcrank.SoftwareVersion{"a0": "a", "a1": "a"}, firstEvents(), otherEvents())
+		v.origins.doubted = doubted
+		_, err := v.serve(t, streaming(radishcrank.RetryResume))
+		if doubted {
+			require.ErrorIs(t, err, ErrTruncated)
+			require.Len(t, v.sender.sent, 1)
+		} else {
+			require.NoError(t, err)
+			require.Len(t, v.sender.sent, 2)
+		}
+		require.True(t, v.origins.records["r1"].Listed())
+	}
+}
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -165,6 +166,9 @@
 	// lost, and beforeRestore is the time of the last response before it.
 	rewrittenUntil time.Time
 	beforeRestore  time.Time
+
+	applied  atomic.Pointer[position] // What has been passed on.
+	confirms confirmations
 }
 
 // New returns a Follower that is started by Run.
@@ -263,6 +267,7 @@
 	}
 	f.cfg.OnReset(resp.Rows, Provenance{Since: f.responseAt, Relayed: relayed, Restored: restored})
 	f.version, f.era, f.synced, f.responseAt, f.contiguous = resp.Version, resp.Era, true, resp.At, true
+	f.applied.Store(&position{version: f.version, era: f.era})
 	return restored
 }
 
@@ -296,6 +301,7 @@
 		}
 	}
 	f.version, f.responseAt = max(f.version, resp.Version), resp.At
+	f.applied.Store(&position{version: f.version, era: f.era})
 }
 
 // Offer passes a batch from a relay to the follower. It does nothing if there
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -389,6 +389,13 @@
 	}
 }
 
+// Reachable reports whether the list could be read at the last attempt.
+func (f *Fleet) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unreachableSince.IsZero()
+}
+
 // doubtsRemovalsLocked reports whether upstreams may be missing in the list because they
 // could not reach it.
 func (f *Fleet) doubtsRemovalsLocked(now time.Time) bool {
--- a/internal/state/rcorigin/registry.go
+++ b/internal/state/rcorigin/registry.go
@@ -19,8 +19,15 @@
 type Origin struct {
 	Service  string
 	Software radishcrank.SoftwareVersion
+	// Upstream and Incarnation are set if only the list of upstreams says so: the software is
+	// that of the incarnation that was listed, which may have been replaced already.
+	Upstream    radishcrank.UpstreamID  `json:",omitzero"`
+	Incarnation radishcrank.Incarnation `json:",omitzero"`
 }
 
+// Listed reports whether only the list of upstreams says where the stream began.
+func (o Origin) Listed() bool { return o.Upstream != "" }
+
 // Record is the origin of the stream whose first event an attempt brought.
 type Record struct {
 	Attempt radishcrank.RequestID
