Ask for the records of streams that an instance has missed

An instance that starts, becomes a relay or has failed to reach another one asks for the records that it may have missed, no older than streams may last: one other instance for all, the others for those of their own streams. The one that is asked asks in return, since it may have missed some, too.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -137,7 +137,9 @@
 		ReliesOnReports: func() bool { return i.peers.reliesOnRelay() }, Log: i.log,
 	})
 	i.peers = newPeerGroup(i)
-	i.peers.origins.newerEntries = func(ctx context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) { return i.directory.newerEntries(ctx) }
+	i.peers.origins.newerEntries = func(ctx context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) {
+		return i.directory.newerEntries(ctx)
+	}
 	i.peers.origins.incarnation = i.engineClient().Incarnation
 	i.blame = rcblame.New(rcblame.Config{
 		Instance: radishcrank.InstanceID(s.Instance), Instances: i.peers.fleetSize, Upstreams: i.fleet.Available, Announce: i.peers.announceBlame,
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -110,6 +110,11 @@
 	failingSince time.Time // Time of the first failed call since the last successful one.
 	failures     int
 	reachedAt    time.Time // Time of the last successful call.
+	// fetchedOrigins reports whether this instance has got the records of streams that the
+	// other one may not have sent it, and fetchOriginsAt is when it may ask again.
+	fetchedOrigins bool
+	fetchInReturn  bool // It has asked this one.
+	fetchOriginsAt time.Time
 }
 
 // leavingUpstream is an upstream that has said itself that it leaves.
@@ -153,6 +158,7 @@
 	p.origins = &streamOrigins{registry: rcorigin.New(), fleet: i.fleet, peers: p}
 	rcrpc.Handle(p.handlers, updateMethod, p.handleUpdate)
 	rcrpc.Handle(p.handlers, originMethod, p.origins.handleQuery)
+	rcrpc.Handle(p.handlers, originsPageMethod, p.origins.handlePage)
 	return p
 }
 
@@ -432,6 +438,7 @@
 	defer wg.Wait()
 	wg.Go(func() { _ = rcrpc.NewServer(listener, cfg).Run(ctx) }) // Returns only when ctx is done.
 	wg.Go(func() { p.sendUpdates(ctx, client) })
+	wg.Go(func() { p.origins.fetchMissed(ctx, client) })
 	registered := make(chan struct{})
 	wg.Go(func() {
 		select {
--- a/internal/node/rcinstance/removal.go
+++ b/internal/node/rcinstance/removal.go
@@ -37,6 +37,7 @@
 	}
 	m.failedAt = now
 	m.failures++
+	m.fetchedOrigins, m.fetchInReturn = false, false
 }
 
 // presumedDead reports whether an instance has been unreachable for so long that its
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -48,7 +48,7 @@
 
 // Record implements rcforward.Origins.
 func (s *streamOrigins) Record(rec rcorigin.Record) {
-	s.registry.Add(rec)
+	s.registry.AddOwn(rec)
 	s.peers.mu.Lock()
 	defer s.peers.mu.Unlock()
 	if len(s.peers.queued.Streams) < maxQueuedOrigins {
--- a/internal/node/rcinstance/streams_test.go
+++ b/internal/node/rcinstance/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,41 @@
 		})
 	}
 }
+
+// TestRestartLosesOrigins guards against streams that cannot be taken up because the
+// instances that know where they began have been stopped one after the other.
+func TestRestartLosesOrigins(t *testing.T) {
+	t.Parallel()
+	s := startDeployment(t, 3, nil)
+	s.awaitPeers()
+	stop := func(n int) {
+		s.stops[n]()
+		<-s.stopped[n]
+	}
+	origin := rcorigin.Origin{Service: "llm", Software: "v1"}
+	record := func(n int, prefix string) {
+		for k := range 2 * maxSentOrigins {
+			s.instances[n].peers.origins.Record(rcorigin.Record{Attempt: radishcrank.RequestID(fmt.Sprint(prefix, k)), Origin: origin})
+		}
+	}
+	requireKnown := func(n int, prefix string) {
+		t.Helper()
+		for k := range 2 * maxSentOrigins {
+			_, known := s.instances[n].peers.origins.registry.Get(radishcrank.RequestID(fmt.Sprint(prefix, k)))
+			require.True(t, known, "%s%d at instance %d", prefix, k, n)
+		}
+	}
+	stop(2)
+	record(0, "a")
+	record(1, "b")
+	<-time.After(5 * loadReportInterval) // They are sent.
+	s.start(10 * time.Second)            // Instance 3.
+	require.Eventually(t, func() bool {
+		_, known := s.instances[3].peers.origins.registry.Get(radishcrank.RequestID(fmt.Sprint("b", 2*maxSentOrigins-1)))
+		return known
+	}, 3*time.Second, 20*time.Millisecond)
+	stop(0)
+	stop(1)
+	requireKnown(3, "a")
+	requireKnown(3, "b")
+}
--- a/internal/state/rcorigin/registry.go
+++ b/internal/state/rcorigin/registry.go
@@ -5,6 +5,8 @@
 package rcorigin
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,28 +48,70 @@
 // Registry holds origins. It is safe for concurrent use.
 type Registry struct {
 	mu        sync.Mutex
-	current   map[radishcrank.RequestID]Origin
-	previous  map[radishcrank.RequestID]Origin // Origins that are older than current.
+	current   map[radishcrank.RequestID]entry
+	previous  map[radishcrank.RequestID]entry // Those that are older than current.
 	rotatedAt time.Time
 }
 
+// entry is an origin with what selects it for instances that lack it.
+type entry struct {
+	Origin
+	addedAt time.Time
+	own     bool // The stream began at this instance.
+}
+
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{current: map[radishcrank.RequestID]Origin{}, rotatedAt: time.Now()}
+	return &Registry{current: map[radishcrank.RequestID]entry{}, rotatedAt: time.Now()}
 }
 
-// Add adds records. The first origin of an attempt is kept.
-func (r *Registry) Add(records ...Record) {
+// Add adds records of other instances. The first origin of an attempt is kept.
+func (r *Registry) Add(records ...Record) { r.add(false, records...) }
+
+// AddOwn adds the record of a stream that began at this instance.
+func (r *Registry) AddOwn(rec Record) { r.add(true, rec) }
+
+func (r *Registry) add(own bool, records ...Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotateLocked()
+	now := time.Now()
 	for _, rec := range records {
 		if _, known := r.getLocked(rec.Attempt); !known {
-			r.current[rec.Attempt] = rec.Origin
+			r.current[rec.Attempt] = entry{rec.Origin, now, own}
 		}
 	}
 }
 
+// Selection selects records for an instance that lacks them.
+type Selection struct {
+	Own    bool                  // Only those of streams that began at the instance that is asked.
+	MaxAge time.Duration         // Since they were added.
+	After  radishcrank.RequestID // Attempts in order; the last one of the page before.
+	// InReturn means that the instance that is asked has asked this one before. Without it,
+	// that one may have missed records of this one, too.
+	InReturn bool `json:",omitempty"`
+}
+
+// Page returns the first records of a selection, up to a number, and whether there are more.
+func (r *Registry) Page(s Selection, limit int) (records []Record, more bool) {
+	r.mu.Lock()
+	now := time.Now()
+	for _, entries := range []map[radishcrank.RequestID]entry{r.previous, r.current} {
+		for attempt, e := range entries {
+			if attempt > s.After && now.Sub(e.addedAt) <= s.MaxAge && (e.own || !s.Own) {
+				records = append(records, Record{Attempt: attempt, Origin: e.Origin})
+			}
+		}
+	}
+	r.mu.Unlock()
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	if len(records) > limit {
+		return records[:limit], true
+	}
+	return records, false
+}
+
 // Get returns the origin of the stream that an attempt began, if it is known.
 func (r *Registry) Get(attempt radishcrank.RequestID) (o Origin, known bool) {
 	r.mu.Lock()
@@ -76,10 +120,11 @@
 }
 
 func (r *Registry) getLocked(attempt radishcrank.RequestID) (o Origin, known bool) {
-	if o, known = r.current[attempt]; !known {
-		o, known = r.previous[attempt]
+	e, known := r.current[attempt]
+	if !known {
+		e, known = r.previous[attempt]
 	}
-	return o, known
+	return e.Origin, known
 }
 
 // rotateLocked forgets origins that are older than retention.
@@ -87,5 +132,5 @@
 	if time.Since(r.rotatedAt) < retention {
 		return
 	}
-	r.previous, r.current, r.rotatedAt = r.current, map[radishcrank.RequestID]Origin{}, time.Now()
+	r.previous, r.current, r.rotatedAt = r.current, map[radishcrank.RequestID]entry{}, time.Now()
 }
