Give up a silent upstream only if the request can go on elsewhere

The watchdog of an attempt now asks first, takes the retry from the budget with the decision, and otherwise waits on and asks again; the upstream gets no new requests for a while. A dead upstream is still found by its connection.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -103,7 +103,7 @@
 
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
-	watchdogTimer := newWatchdog(d.responseTimeout(choice.Cost), func() { cancel(errUpstreamIdle) })
+	watchdogTimer := newWatchdog(d.responseTimeout(choice.Cost), d.onSilence(up, func() { cancel(errUpstreamIdle) }))
 	defer watchdogTimer.stop()
 	weights := d.watchWeights(choice.Weights, cancel)
 	defer weights.stop()
@@ -420,6 +420,7 @@
 			}
 			if len(out) > 0 {
 				if !d.response.started {
+					d.begun.Store(true)
 					d.pinOrigin(up, reply.Conn)
 					copyHeader(d.w.Header(), reply.Header)
 					d.tellBrittle()
--- a/internal/serving/rcforward/drip_test.go
+++ b/internal/serving/rcforward/drip_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 )
 
 // pacedBody returns its pieces at an interval, then EOF or, without end, the last piece
@@ -101,3 +102,43 @@
 		})
 	}
 }
+
+// TestSilentStreamIsCut guards against a stream of an upstream that is silent for a second or
+// so and is given up, although it cannot go on anywhere else.
+func TestSilentStreamIsCut(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(f *Forwarder)
+		sends  int
+	}{
+		{"goes on elsewhere", func(*Forwarder) {}, 2},
+		{"no retry is left", func(f *Forwarder) { f.cfg.Budget = stubBudget{empty: true} }, 1},
+		{"no other upstream is usable", func(f *Forwarder) {
+			time.AfterFunc(100*time.Millisecond, func() {
+				for _, s := range f.cfg.Fleet.All() {
+					f.cfg.Fleet.Pause(s.ID, s.Incarnation, time.Minute)
+				}
+			})
+		}, 1},
+		{"its origin is in doubt", func(f *Forwarder) {
+			f.cfg.Origins = &recordingOrigins{records: map[radishcrank.RequestID]rcorigin.Origin{}, doubted: true}
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole := []string{event(1, "a"), event(2, "b")}
+				silent := &pacedBody{interval: 1300 * time.Millisecond, pieces: whole}
+				s := &pacedSender{bodies: []*pacedBody{silent, {interval: time.Millisecond, pieces: whole[1:]}}}
+				f := newThrottlingForwarder(s)
+				c.change(f)
+				x := streaming(radishcrank.RetryResume) // Pauses of up to 300 ms are normal.
+				x.ID, x.Service, x.Method, x.Target = "r", "s", http.MethodPost, "/p"
+				x.ReceivedAt, x.Deadline = time.Now(), time.Now().Add(time.Minute)
+				w := httptest.NewRecorder()
+				require.NoError(t, f.Serve(t.Context(), w, &x))
+				require.Equal(t, c.sends, s.sent)
+				require.Equal(t, strings.Join(whole, ""), w.Body.String())
+			})
+		})
+	}
+}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -147,6 +148,8 @@
 	tried          map[radishcrank.UpstreamID]bool
 	response       clientResponse // What the client has received.
 	origin         streamOrigin
+	begun          atomic.Bool // The client has part of a stream.
+	retryGranted   atomic.Bool // A retry was taken from the budget when the last attempt was given up.
 	failure        *radishcrank.Reply
 	failureBody    []byte
 	cause          error // Error of the last attempt.
