--- a/internal/eval/rcsoak/proxy.go
+++ b/internal/eval/rcsoak/proxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // linkFault is a fault of a network link.
@@ -98,27 +100,41 @@
 
 func (p *proxy) addr() string { return p.address }
 
-// refuse resets all connections and refuses new ones until accepting is called.
+// refuse resets all connections and refuses new ones until accepting is called. The socket
+// keeps its port meanwhile, which other processes would take.
 func (p *proxy) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.listener.Close()
+	_ = p.controlListener(func(fd int) error { // Fails only after close.
+		// Others may bind the port of a socket that does not listen unless this is off.
+		return errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0), unix.Shutdown(fd, unix.SHUT_RD))
+	})
 	p.resetLocked()
 }
 
-// accepting reopens the listener after refuse.
+// accepting makes the socket listen again after refuse.
 func (p *proxy) accepting() error {
-	l, err := net.Listen("tcp", p.address)
-	if err != nil {
+	if err := p.controlListener(func(fd int) error {
+		return errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1), unix.Listen(fd, listenBacklog))
+	}); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.listener = l
-	p.mu.Unlock()
-	go p.accept(l)
+	go p.accept(p.listener)
 	return nil
 }
 
+const listenBacklog = 128
+
+func (p *proxy) controlListener(f func(fd int) error) error {
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var callErr error
+	err = raw.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(err, callErr)
+}
+
 // setFault changes the fault of the link.
 func (p *proxy) setFault(f linkFault) {
 	p.mu.Lock()
--- a/internal/eval/rcsoak/proxy_test.go
+++ b/internal/eval/rcsoak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,3 +50,35 @@
 		link.close()
 	}
 }
+
+// TestRefusingProxyLosesPort guards against a link that cannot be restored because another
+// process has taken its port, and against one that does not refuse connections.
+func TestRefusingProxyLosesPort(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer target.Close()
+	p, err := newStableProxy(target.Addr().String(), &instance{})
+	require.NoError(t, err)
+	defer p.close()
+	dial := func() error {
+		c, err := net.Dial("tcp", p.addr())
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}
+	for range 3 {
+		require.NoError(t, dial())
+		p.refuse()
+		require.ErrorIs(t, dial(), syscall.ECONNREFUSED)
+		_, err := net.Listen("tcp", p.addr())
+		require.ErrorIs(t, err, syscall.EADDRINUSE)
+		require.NoError(t, p.accepting())
+	}
+	require.NoError(t, dial())
+	c, err := net.Dial("tcp", p.addr())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = target.Accept()
+	require.NoError(t, err)
+}
