Use the retry that was taken when a silent upstream was given up

The decision to give a silent upstream up takes a retry from the budget, but the next attempt took a second one: the stream was cut if none was left, and the budget was used up twice as fast. The next attempt now uses the one that was taken. TestSilentStreamIsCut, "the last retry is used", fails before.

--- a/internal/serving/rcforward/drip_test.go
+++ b/internal/serving/rcforward/drip_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// singleRetry is a budget of one retry.
+type singleRetry struct{ used bool }
+
+func (*singleRetry) RecordRequest(string) {}
+
+func (b *singleRetry) AllowRetry(string) (allowed bool) {
+	allowed, b.used = !b.used, true
+	return allowed
+}
+
 // TestSilentStreamIsCut guards against a stream of an upstream that is silent for a second or
 // so and is given up, although it cannot go on anywhere else.
 func TestSilentStreamIsCut(t *testing.T) {
@@ -112,6 +122,7 @@
 		sends  int
 	}{
 		{"goes on elsewhere", func(*Forwarder) {}, 2},
+		{"the last retry is used", func(f *Forwarder) { f.cfg.Budget = &singleRetry{} }, 2},
 		{"no retry is left", func(f *Forwarder) { f.cfg.Budget = stubBudget{empty: true} }, 1},
 		{"no other upstream is usable", func(f *Forwarder) {
 			time.AfterFunc(100*time.Millisecond, func() {
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -217,7 +217,7 @@
 			d.cause = fmt.Errorf("expected wait %v exceeds limit %v", c.ExpectedWait, c.MaxWait())
 			return d.refuse("it would begin too late", c.RetryAfter(rand.Float64()))
 		}
-		if d.attempts+d.runs > 0 && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
+		if d.attempts+d.runs > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return d.giveUp()
 		}
