Convict parts on answers that have begun at any instance

Cause: a conviction needed three complete answers that this one instance had seen since the part's first crash. With answers of seconds and a crash each second none completes, and an instance of a large fleet sees few in any case. Behind it lay a second one: each instance that reported a crash multiplied its own run with the part by the number of instances, as if all had one. In a fleet of 60 that run alone made the part's presence 1 and its evidence 0.

Answers now count when they begin, and instances tell each other of as many as are needed after each crash that nothing explains. An answer that outlasts its beginning clears its parts as a complete one does. Presence is pooled over the reports, weighted by the time that each instance has watched, and the runs at the crashes count once. No constant has changed. Reports stay compatible: older instances ignore what is new, and their own count as before.

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -28,8 +28,8 @@
 	// maxClusterEvidence bounds the evidence of one cluster: requests with a part may come
 	// in a burst that coincides with a crash of many upstreams.
 	maxClusterEvidence = 7
-	// minAnswers is the number of complete answers that others have to get meanwhile. While
-	// nobody gets an answer, the cause is not in the prompts.
+	// minAnswers is the number of answers to others that have to begin meanwhile, at any
+	// instance. While nobody gets an answer, the cause is not in the prompts.
 	minAnswers = 3
 	// minPresence bounds the presence of a part from below. Parts that an instance has
 	// hardly seen would be blamed for little.
@@ -99,7 +99,7 @@
 					found = append(found, sighting{cluster: n})
 				}
 				last := &found[len(found)-1]
-				last.sum, last.reports, last.crashes = last.sum+seen.sum, last.reports+seen.reports, last.crashes+1
+				last.presence, last.crashes = last.plus(seen), last.crashes+1
 				sightings[p] = found
 			}
 		}
@@ -169,10 +169,10 @@
 	var total presence
 	for _, f := range found {
 		c.crashes += f.crashes
-		total.sum, total.reports = total.sum+f.sum, total.reports+f.reports
+		total = total.plus(f.presence)
 	}
 	// Requests with a part come at any instance.
-	c.presence = min(max(total.sum/float64(total.reports)*float64(instances), minPresence), 1)
+	c.presence = min(max(total.mean()*float64(instances), minPresence), 1)
 	for _, f := range found {
 		unlikely := -float64(f.crashes)*math.Log(c.presence) - logChoose(len(clusters[f.cluster]), f.crashes)
 		c.evidence += min(max(unlikely, 0), maxClusterEvidence)
@@ -197,19 +197,29 @@
 	return clusters
 }
 
-// othersAnsweredLocked reports whether requests without a part have got answers since its
-// first crash. If all requests hold the part, they get none, and it is not blamed: the
-// cause may be anything, and nothing could be served any more.
+// othersAnsweredLocked reports whether answers to requests without a part have begun since
+// its first crash. If all requests hold the part, none has, and it is not blamed: the cause
+// may be anything, and nothing could be served any more.
 func (t *Tracker) othersAnsweredLocked(p Key, crashes []*crash) bool {
 	for _, c := range crashes {
 		if _, present := c.presence[p]; present {
-			answers := t.answers[c.service]
-			return len(answers) == minAnswers && answers[0].After(c.knownAt)
+			return t.answersWithoutLocked(p, c) >= minAnswers
 		}
 	}
 	return false
 }
 
+// answersWithoutLocked counts the answers to requests without a part that have begun since a
+// crash of their service.
+func (t *Tracker) answersWithoutLocked(p Key, since *crash) (n int) {
+	for _, a := range t.answers[since.service] {
+		if a.at.After(since.knownAt) && !slices.Contains(a.parts, p) {
+			n++
+		}
+	}
+	return n
+}
+
 // explain records whether a run at the crash held all parts of a convicted set.
 func (c *crash) explain(set []Key) {
 	c.explained = c.explained || slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
--- a/internal/limits/rcblame/tracker.go
+++ b/internal/limits/rcblame/tracker.go
@@ -2,15 +2,17 @@
 // them, although no two requests with such a part are alike.
 //
 // All parts in a prompt that was beginning on an upstream when it crashed become
-// suspects; instances report them to each other. A complete answer clears the parts of
-// its prompt. What remains is judged by chance: a part that many requests hold is often
+// suspects; instances report them to each other. An answer that outlasts its beginning
+// clears the parts of its prompt. What remains is judged by chance: a part that many requests hold is often
 // present at a crash with another cause, a rare one hardly ever, and hardly ever again
 // and again. A crash that is explained by a convicted part counts against no other.
 package rcblame
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,10 +29,10 @@
 	// assumedRun is for how long an instance that has just started assumes to have had a
 	// beginning run with each part.
 	assumedRun = 100 * time.Millisecond
-	// soundTime is how long a complete answer also clears the parts of its prompt of
-	// crashes that are reported after it, since reports and answers overtake each other.
+	// soundTime is how long an answer also clears the parts of its prompt of crashes that
+	// are reported after it, since reports and answers overtake each other.
 	soundTime = time.Second
-	// answeredTime is how long a part that has had a complete answer is blamed only alone,
+	// answeredTime is how long a part that an answer has cleared is blamed only alone,
 	// and not because it comes together with another one.
 	answeredTime = time.Minute
 	// settleTime is how long a crash waits for the reports and answers of others before
@@ -45,6 +47,8 @@
 	maxCrashes  = 128
 	maxRuns     = 32
 	maxSuspects = 48
+	// maxAnswers bounds the answers of a service that are known to have begun.
+	maxAnswers = 64
 )
 
 // Key identifies a part of the prompts of one account.
@@ -54,8 +58,10 @@
 type Suspect struct {
 	Part Key
 	// Presence is the mean fraction of the service's upstreams on which the reporting
-	// instance has a beginning run with the part.
+	// instance has a beginning run with the part. Own is how much of that is due to the
+	// runs at the crash.
 	Presence float64
+	Own      float64 `json:",omitempty"`
 }
 
 // Report is what an instance tells the others.
@@ -63,9 +69,12 @@
 	Crash    string    `json:",omitempty"` // Upstream and incarnation that crashed; empty if none did.
 	Service  string    `json:",omitempty"`
 	Suspects []Suspect `json:",omitempty"`
-	Runs     [][]int   `json:",omitempty"` // Beginning runs on it, as indices of Suspects.
-	Sound    []Key     `json:",omitempty"` // Suspects that a complete answer has cleared.
-	Alive    []string  `json:",omitempty"` // Crashes that were none: the process still answers.
+	// Watched is the time over which the sender knows the presence of the suspects.
+	Watched time.Duration `json:",omitempty"`
+	Runs    [][]int       `json:",omitempty"` // Beginning runs on it, as indices of Suspects.
+	Sound   []Key         `json:",omitempty"` // Suspects that an answer has cleared.
+	Begun   []Key         `json:",omitempty"` // Parts of the prompt of an answer of Service that has begun.
+	Alive   []string      `json:",omitempty"` // Crashes that were none: the process still answers.
 	// Convicted are parts that crash upstreams when a prompt holds all of them.
 	Convicted []Key `json:",omitempty"`
 }
@@ -96,10 +105,10 @@
 	runs      map[radishcrank.UpstreamID]map[*Run]bool
 	crashes   []*crash // By the time at which they became known.
 	suspected map[Key]int
-	sound     recentParts // Cleared by a complete answer not longer than soundTime ago.
+	sound     recentParts // Cleared by an answer not longer than soundTime ago.
 	answered  recentParts // The same, not longer than answeredTime ago.
 	usage     usage
-	answers   map[string][]time.Time // Times of the last complete answers of this instance, by service.
+	answers   map[string][]answer // The last ones that have begun at any instance, by service.
 	convicted [][]Key
 	// unknownCrashes counts crashes of upstreams whose incarnation is unknown.
 	unknownCrashes int
@@ -117,12 +126,27 @@
 	explained bool
 }
 
-// presence sums the Suspect.Presence of a part over reports.
+// answer is an answer that has begun.
+type answer struct {
+	at    time.Time
+	parts []Key // Of its prompt.
+}
+
+// presence pools the Suspect.Presence of a part over reports. An instance that has watched
+// for longer knows better. An instance reports a part because it had a run with it at the
+// crash, which says little of how often the others have one; so such runs count once.
 type presence struct {
-	sum     float64
-	reports int
+	watched time.Duration
+	others  float64 // Sum of Suspect.Presence without Suspect.Own, times the seconds watched.
+	own     float64 // Largest Suspect.Own, times the seconds watched.
+}
+
+func (p presence) plus(o presence) presence {
+	return presence{p.watched + o.watched, p.others + o.others, max(p.own, o.own)}
 }
 
+func (p presence) mean() float64 { return (p.others + p.own) / p.watched.Seconds() }
+
 // Run is a run of a request on an upstream.
 type Run struct {
 	t            *Tracker
@@ -131,13 +155,14 @@
 	up           radishcrank.Upstream
 	startedAt    time.Time
 	firstEventAt time.Time
+	cleared      bool // The answer has outlasted its beginning, and its parts are cleared.
 }
 
 // New returns a Tracker.
 func New(cfg Config) *Tracker {
 	return &Tracker{
 		cfg: cfg, runs: map[radishcrank.UpstreamID]map[*Run]bool{}, suspected: map[Key]int{},
-		answers: map[string][]time.Time{},
+		answers: map[string][]answer{},
 		sound:   recentParts{lifetime: soundTime}, answered: recentParts{lifetime: answeredTime}, usage: newUsage(),
 	}
 }
@@ -158,14 +183,24 @@
 	return r
 }
 
-// FirstEvent records that the answer has begun to arrive.
-func (r *Run) FirstEvent() {
-	if r == nil {
+// Received records that part of the answer has arrived. It must not be called concurrently.
+func (r *Run) Received() {
+	if r == nil || r.cleared {
+		return
+	}
+	now := time.Now()
+	if !r.firstEventAt.IsZero() && r.beginning(now) {
 		return
 	}
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
-	r.firstEventAt = time.Now()
+	if r.firstEventAt.IsZero() {
+		r.firstEventAt = now
+		r.t.recordAnswerLocked(r.service, r.parts, now)
+		return
+	}
+	r.cleared = true
+	r.t.clearLocked(r.parts, now)
 }
 
 // beginning reports whether the run may have crashed its upstream by beginning.
@@ -192,8 +227,9 @@
 	defer t.mu.Unlock()
 	switch {
 	case whole:
-		answers := append(t.answers[r.service], now)
-		t.answers[r.service] = answers[max(0, len(answers)-minAnswers):]
+		if r.firstEventAt.IsZero() {
+			t.recordAnswerLocked(r.service, r.parts, now)
+		}
 		t.clearLocked(r.parts, now)
 	case crashed:
 		t.reportLocked(r, now)
@@ -205,7 +241,35 @@
 	}
 }
 
-// clearLocked clears the parts of a complete answer, and tells the others of those that
+// recordAnswerLocked records that an answer has begun. The others are told of as many as are
+// needed after the last crash that nothing explains: each instance has few of its own while
+// most upstreams are down.
+func (t *Tracker) recordAnswerLocked(service string, parts []Key, now time.Time) {
+	needed := t.answersNeededLocked(service)
+	t.addAnswerLocked(service, answer{at: now, parts: parts})
+	if needed {
+		t.cfg.Announce(Report{Service: service, Begun: parts})
+	}
+}
+
+func (t *Tracker) addAnswerLocked(service string, a answer) {
+	answers := append(t.answers[service], a)
+	t.answers[service] = answers[max(0, len(answers)-maxAnswers):]
+}
+
+// answersNeededLocked reports whether fewer answers than minAnswers have begun since the last
+// crash that nothing explains.
+func (t *Tracker) answersNeededLocked(service string) bool {
+	for n := len(t.crashes) - 1; n >= 0; n-- {
+		if c := t.crashes[n]; c.service == service && !c.explained {
+			answers := t.answers[service]
+			return len(answers) < minAnswers || answers[len(answers)-minAnswers].at.Before(c.knownAt)
+		}
+	}
+	return false
+}
+
+// clearLocked clears the parts of an answer, and tells the others of those that
 // are suspects.
 func (t *Tracker) clearLocked(parts []Key, now time.Time) {
 	var news []Key
@@ -247,7 +311,7 @@
 	if c := t.crashLocked(id); c != nil && c.reported {
 		return
 	}
-	report := Report{Crash: id, Service: r.service}
+	report := Report{Crash: id, Service: r.service, Watched: t.usage.span(now)}
 	index := map[Key]int{}
 	for other := range t.runs[r.up.ID] {
 		if other.up.Incarnation != r.up.Incarnation || !other.beginning(now) || len(report.Runs) >= maxRuns {
@@ -259,7 +323,7 @@
 			if !known && len(report.Suspects) < maxSuspects && !t.sound.has(p, now) {
 				i, known = len(report.Suspects), true
 				index[p] = i
-				report.Suspects = append(report.Suspects, Suspect{Part: p, Presence: t.presenceLocked(p, r.service, now)})
+				report.Suspects = append(report.Suspects, t.suspectLocked(p, r, now))
 			}
 			if known {
 				run = append(run, i)
@@ -274,25 +338,28 @@
 	t.cfg.Announce(report)
 }
 
-// presenceLocked returns the mean fraction of the upstreams of a service on which this
-// instance has a beginning run with a part. An instance that has just started has seen none
-// of most parts, and assumes that it has seen a run with each.
-func (t *Tracker) presenceLocked(p Key, service string, now time.Time) float64 {
+// suspectLocked returns a part with its presence at a crash. An instance that has just started
+// has seen none of most parts, and assumes that it has seen a run with each.
+func (t *Tracker) suspectLocked(p Key, crashed *Run, now time.Time) Suspect {
 	span := t.usage.span(now)
-	busy := t.usage.busy(p)
+	busy, own := t.usage.busy(p), time.Duration(0)
 	if unseen := 1 - span.Seconds()/usageWindow.Seconds(); unseen > 0 {
 		busy += time.Duration(unseen * float64(assumedRun))
 	}
-	for _, runs := range t.runs {
+	for id, runs := range t.runs {
 		for r := range runs {
-			for _, q := range r.parts {
-				if q == p {
-					busy += r.beginDuration(now)
-				}
+			if !slices.Contains(r.parts, p) {
+				continue
+			}
+			d := r.beginDuration(now)
+			busy += d
+			if id == crashed.up.ID {
+				own += d
 			}
 		}
 	}
-	return busy.Seconds() / (span.Seconds() * float64(max(1, t.cfg.Upstreams(service))))
+	watched := span.Seconds() * float64(max(1, t.cfg.Upstreams(crashed.service)))
+	return Suspect{Part: p, Presence: busy.Seconds() / watched, Own: own.Seconds() / watched}
 }
 
 // crashIDLocked identifies a crash on all instances. If the incarnation is unknown, each
@@ -326,6 +393,7 @@
 		c = &crash{id: r.Crash, service: r.Service, knownAt: now, presence: map[Key]presence{}}
 		t.crashes = append(t.crashes, c)
 	}
+	watched := cmp.Or(r.Watched, usageWindow)
 	for i, s := range r.Suspects[:min(len(r.Suspects), maxSuspects)] {
 		if t.sound.has(s.Part, now) {
 			r.Suspects[i].Part = ""
@@ -339,7 +407,7 @@
 			}
 			t.suspected[s.Part]++
 		}
-		c.presence[s.Part] = presence{seen.sum + s.Presence, seen.reports + 1}
+		c.presence[s.Part] = seen.plus(presence{watched, (s.Presence - s.Own) * watched.Seconds(), s.Own * watched.Seconds()})
 	}
 	for _, run := range r.Runs[:min(len(r.Runs), maxRuns)] {
 		var parts []Key
@@ -412,6 +480,9 @@
 	if r.Crash != "" {
 		t.addCrashLocked(r, now)
 	}
+	if len(r.Begun) > 0 {
+		t.addAnswerLocked(r.Service, answer{at: now, parts: r.Begun})
+	}
 	if len(r.Convicted) > 0 {
 		t.convictLocked(r.Convicted, false)
 	}
--- a/internal/limits/rcblame/tracker_test.go
+++ b/internal/limits/rcblame/tracker_test.go
@@ -1,6 +1,7 @@
 package rcblame
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -32,6 +33,8 @@
 	outage               time.Duration
 	downTime             time.Duration // 0 is 2.5 s.
 	length               time.Duration // 0 is 30 s.
+	answer               time.Duration // Length of a whole answer; 0 is 0.3 to 0.9 s.
+	calm                 time.Duration // Until the first request with a crashing part; 0 is 5 s.
 }
 
 type simulation struct {
@@ -224,13 +227,24 @@
 		run.End(true, false)
 		return
 	}
-	run.FirstEvent()
-	if wait(time.Duration(300+s.int(600)) * time.Millisecond) {
-		run.End(false, true)
-		s.mu.Lock()
-		s.whole++
-		s.mu.Unlock()
+	length := s.answer
+	if length == 0 {
+		length = time.Duration(300+s.int(600)) * time.Millisecond
 	}
+	for end := time.Now().Add(length); ; {
+		run.Received()
+		left := time.Until(end)
+		if left <= 0 {
+			break
+		}
+		if !wait(min(left, 100*time.Millisecond)) {
+			return
+		}
+	}
+	run.End(false, true)
+	s.mu.Lock()
+	s.whole++
+	s.mu.Unlock()
 }
 
 // every calls f at a mean rate per second until the end.
@@ -250,7 +264,7 @@
 	wg.Go(func() { s.every(s.otherRate, func() { s.crash(s.int(len(s.servers))) }) })
 	for k := range s.crashing {
 		wg.Go(func() {
-			time.Sleep(5 * time.Second)
+			time.Sleep(cmp.Or(s.calm, 5*time.Second))
 			crashing := Key(fmt.Sprint("x", k))
 			for range s.burst {
 				go s.request(crashing)
@@ -276,12 +290,6 @@
 // sound requests that are refused because of the parts that they share with those, or
 // because upstreams crash for other reasons.
 func TestBlame(t *testing.T) {
-	const (
-		contact    = 3 * time.Second // The platform's ContactMs.
-		maxCrashes = 5
-		maxLate    = 3
-		seeds      = 3
-	)
 	small := scenario{instances: 6, upstreams: 12, soundRate: 70, delay: 20 * time.Millisecond}
 	large := scenario{instances: 60, upstreams: 60, soundRate: 300, delay: 380 * time.Millisecond}
 	with := func(sc scenario, f func(*scenario)) scenario {
@@ -313,30 +321,69 @@
 		"both":                with(small, func(s *scenario) { s.otherRate, s.crashing, s.rate = 0.5, 1, 2 }),
 		"large, others":       with(large, func(s *scenario) { s.otherRate, s.hot = 6, 0.4 }),
 	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(seeds) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					defer cancel()
-					s := newSimulation(ctx, sc, seed)
-					s.run()
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					require.Zero(t, s.refused, "seed %d: sound requests were refused; %d were answered", seed, s.whole)
-					for crashing, times := range s.crashes {
-						if len(times) < maxCrashes {
-							continue
-						}
-						late := 0
-						for _, at := range s.begun[crashing] {
-							if at.After(times[maxCrashes-1].Add(contact)) {
-								late++
-							}
-						}
-						t.Logf("seed %d: %s crashed %d, %d late", seed, crashing, len(times), late)
-						require.LessOrEqual(t, late, maxLate, "seed %d: %s crashed %d upstreams", seed, crashing, len(times))
+		t.Run(name, func(t *testing.T) { requireBlame(t, sc) })
+	}
+}
+
+// TestPartIsNotConvictedWhileNoAnswerCompletes guards against a part that keeps all upstreams
+// down and is never convicted, since no answer lasts until its end or no instance sees enough.
+func TestPartIsNotConvictedWhileNoAnswerCompletes(t *testing.T) {
+	// Three upstreams take longer to return than the part to crash the next one.
+	allDown := func(instances int, rate float64, answer time.Duration) scenario {
+		return scenario{
+			instances: instances, upstreams: 3, soundRate: 8, hot: 0.5, crashing: 1, rate: rate, base: true,
+			downTime: 4 * time.Second, answer: answer, length: time.Minute, delay: 20 * time.Millisecond,
+		}
+	}
+	large := func(sc scenario) scenario {
+		sc.instances, sc.delay, sc.calm = 60, 380*time.Millisecond, 20*time.Second
+		return sc
+	}
+	for name, sc := range map[string]scenario{
+		"usual":                    allDown(6, 1.5, 3*time.Second),
+		"rare":                     allDown(6, 1, 3*time.Second),
+		"frequent":                 allDown(6, 3, 3*time.Second),
+		"short answers":            allDown(6, 1.5, 100*time.Millisecond),
+		"long answers":             allDown(6, 3, 5*time.Second),
+		"two instances":            allDown(2, 1.5, 3*time.Second),
+		"two instances, frequent":  allDown(2, 3, 5*time.Second),
+		"many instances":           large(allDown(60, 1.5, 3*time.Second)),
+		"many instances, frequent": large(allDown(60, 3, 5*time.Second)),
+	} {
+		t.Run(name, func(t *testing.T) { requireBlame(t, sc) })
+	}
+}
+
+// requireBlame plays a scenario and requires that parts that crash upstreams soon stop
+// reaching them, and that no sound request is refused.
+func requireBlame(t *testing.T, sc scenario) {
+	const (
+		contact    = 3 * time.Second // The platform's ContactMs.
+		maxCrashes = 5
+		maxLate    = 3
+		seeds      = 3
+	)
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s := newSimulation(ctx, sc, seed)
+			s.run()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			require.Zero(t, s.refused, "seed %d: sound requests were refused; %d were answered", seed, s.whole)
+			for crashing, times := range s.crashes {
+				if len(times) < maxCrashes {
+					continue
+				}
+				late := 0
+				for _, at := range s.begun[crashing] {
+					if at.After(times[maxCrashes-1].Add(contact)) {
+						late++
 					}
-				})
+				}
+				t.Logf("seed %d: %s crashed %d, %d late", seed, crashing, len(times), late)
+				require.LessOrEqual(t, late, maxLate, "seed %d: %s crashed %d upstreams", seed, crashing, len(times))
 			}
 		})
 	}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -225,12 +225,13 @@
 }
 
 func appendBlame(queue []rcblame.Report, reports ...rcblame.Report) []rcblame.Report {
-	suspects := 0
+	parts := func(r rcblame.Report) int { return len(r.Suspects) + len(r.Begun) }
+	queued := 0
 	for _, r := range queue {
-		suspects += len(r.Suspects)
+		queued += parts(r)
 	}
 	for _, r := range reports {
-		if suspects += len(r.Suspects); len(r.Suspects) == 0 || suspects <= maxQueuedSuspects {
+		if queued += parts(r); parts(r) == 0 || queued <= maxQueuedSuspects {
 			queue = append(queue, r)
 		}
 	}
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -150,11 +150,13 @@
 			d.logAttempt(up, rcmetric.AttemptUnconfirmed, reply.Status, errUnconfirmed)
 			return false, nil
 		}
-		begun := func() {
-			run.FirstEventReceived()
-			blame.FirstEvent()
+		received := func(first bool) {
+			if first {
+				run.FirstEventReceived()
+			}
+			blame.Received()
 		}
-		done, outcome, crashed = d.forwardStream(ctx, reply, begun, watchdogTimer, weights, choice)
+		done, outcome, crashed = d.forwardStream(ctx, reply, received, watchdogTimer, weights, choice)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
@@ -380,7 +382,7 @@
 
 // forwardStream forwards events as they arrive. For a resumable stream it
 // forwards only complete events, so that another upstream can continue it.
-func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, begun func(), watchdogTimer *watchdog, weights *weightsWatch, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
+func (d *dispatch) forwardStream(ctx context.Context, reply *radishcrank.Reply, received func(first bool), watchdogTimer *watchdog, weights *weightsWatch, choice rcaffinity.Choice) (done bool, o rcfleet.Outcome, crashed bool) {
 	up := choice.Upstream.Upstream
 	resumable := d.x.Route.Retry == radishcrank.RetryResume
 	flusher := http.NewResponseController(d.w)
@@ -398,10 +400,10 @@
 		n, err := reply.Body.Read(buf)
 		if n > 0 {
 			gaps.event(time.Now())
+			received(first)
 			if first {
 				first = false
 				weights.stop()
-				begun()
 				d.recordBeginning(choice, reply)
 				d.recordCachedParts(choice)
 			}
