Believe a reply that names no request only as the first on its connection

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run or were running (REFUSED), or they ran at a second server (TWICE).

It can happen here, if the copy names no request: a 503, 429 or 421 without an ID was believed on any connection, also when it arrived after the next request had been written. A copy that names an earlier request was told by its ID before. A copy with the same ID needs the request to be sent again on the connection that refused it; that did not happen, but only since nobody read a refusal to its end. Reports and the answers to orders name no request at all, and a late copy of an earlier one was taken for the present: a load that is over, an order that holds.

Class: bytes that were written for another request. A reply without an ID counts only as the first response on its connection; a connection that carried a refusal is closed; reports and orders use a connection of their own.

Servers name the request in their replies (PROTOCOL), so nothing else changes for them.

--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -93,6 +93,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // Idle time that the upstream allows, less a margin.
 	incarnation atomic.Uint64 // Of the upstream; 0 if it has not been confirmed.
+	responded   bool          // A response has arrived on it.
 }
 
 // headLimit reads from a connection. While it is limited, it fails after a number of
@@ -163,6 +164,10 @@
 	Head      []byte
 	Body      []byte
 	FreshConn bool // Use only a new connection or one idle for at most maxFreshIdleTime.
+	// OwnConn uses a new connection, and closes it afterwards. Responses that do not name
+	// their request need it: on a connection that is kept, a faulty upstream may write an
+	// earlier response once more.
+	OwnConn bool
 }
 
 // Do sends a request and reads the status and headers of its response. The
@@ -170,7 +175,10 @@
 // connection, which cancels the run. ctx applies until the body is closed. An
 // error that wraps ErrNotSent means that the upstream did not receive the request.
 func (p *Pool) Do(ctx context.Context, req Request) (resp *http.Response, err error) {
-	c := p.takeIdle(req.Addr, req.FreshConn)
+	var c *conn
+	if !req.OwnConn {
+		c = p.takeIdle(req.Addr, req.FreshConn)
+	}
 	if c == nil {
 		if c, err = p.dial(ctx, req.Addr); err != nil {
 			return nil, err
@@ -197,11 +205,12 @@
 		return fail(errors.Join(writeErr, err))
 	}
 	p.observe(req.Addr, true)
-	if writeErr != nil {
-		resp.Close = true
-	}
 	c.idleTimeout = parseIdleTimeout(resp.Header)
-	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, addr: req.Addr, stopCancel: stop, reuse: !resp.Close}
+	resp.Body = &body{
+		ReadCloser: resp.Body, pool: p, conn: c, addr: req.Addr, stopCancel: stop,
+		reuse: !resp.Close && !req.OwnConn && writeErr == nil, first: !c.responded,
+	}
+	c.responded = true
 	return resp, nil
 }
 
@@ -322,6 +331,7 @@
 	addr       netip.AddrPort
 	stopCancel func() bool
 	reuse      bool
+	first      bool // No response has arrived on the connection before.
 	atEOF      bool
 	once       sync.Once
 }
@@ -329,6 +339,16 @@
 // Connection returns the connection on which a response of Do arrives.
 func Connection(resp *http.Response) radishcrank.Connection { return resp.Body.(*body).conn }
 
+// First reports whether a response of Do is the first one on its connection, so that it cannot
+// be an earlier one that the upstream has written once more. Other responses count as first.
+func First(resp *http.Response) bool {
+	b, ok := resp.Body.(*body)
+	return !ok || b.first
+}
+
+// Discard closes the connection of a response of Do when its body is closed, also after EOF.
+func Discard(resp *http.Response) { resp.Body.(*body).reuse = false }
+
 // Incarnation implements radishcrank.Connection.
 func (c *conn) Incarnation() radishcrank.Incarnation {
 	return radishcrank.Incarnation(c.incarnation.Load())
