Continue a stream only with events of the same kind

Report of another operator: a stream had begun and broke off, and the next server answered with an error.

It can happen here: any reply with status 200 whose type is not JSON was forwarded as the rest of the stream. Statuses other than 200 were kept from the client before.

Cause: what a reply is was decided as for a new stream. A reply now continues a stream only if its status is 200 and it holds events, or has the type of the reply that began the stream; and an event without an ID is not a part of it, since events follow each other by their IDs. Otherwise the attempt has failed, and the next upstream goes on, or the client's connection is broken.

--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -48,6 +48,10 @@
 // errUnconfirmed reports that an upstream may run other software than the list says.
 var errUnconfirmed = errors.New("upstream has restarted, or did not confirm that it has not")
 
+// errNoContinuation reports that an upstream answered with something else than the rest of a
+// stream.
+var errNoContinuation = errors.New("reply does not continue the stream")
+
 // errUpstreamIdle is the cancellation cause of an attempt whose upstream sent
 // nothing before its timeout.
 var errUpstreamIdle = errors.New("upstream sent nothing before its timeout")
@@ -144,6 +148,11 @@
 		return false, nil
 	}
 	d.runs++
+	if d.response.started && !d.response.continuedBy(reply) {
+		d.logAttempt(up, rcmetric.AttemptUpstreamFailure, reply.Status, errNoContinuation)
+		outcome = rcfleet.Failed
+		return false, nil
+	}
 	if x.Route.Stream && reply.Status == http.StatusOK && !rcframing.IsJSON(reply.Header) {
 		if d.origin.pinned && !d.confirm(ctx, up, reply.Conn) {
 			d.cause = errUnconfirmed
@@ -324,7 +333,8 @@
 	}
 }
 
-// forwardBuffered forwards a response that is not an event stream. A failure of
+// forwardBuffered forwards a response that is not an event stream to a client that has
+// received nothing yet. A failure of
 // a retryable exchange is kept while another upstream may still succeed.
 func (d *dispatch) forwardBuffered(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
 	body, err := d.f.bodies.read(reply.Body)
@@ -339,18 +349,12 @@
 	if reply.Status >= http.StatusInternalServerError {
 		d.logAttempt(up, rcmetric.AttemptUpstreamFailure, reply.Status, nil)
 		d.failure, d.failureBody = reply, body
-		if d.x.Route.Retry != radishcrank.RetryNever && !d.response.started && d.mayRetry() {
-			return false, rcfleet.Failed, false
-		}
-		if d.response.started {
+		if d.x.Route.Retry != radishcrank.RetryNever && d.mayRetry() {
 			return false, rcfleet.Failed, false
 		}
 		d.writeBuffered(reply, body)
 		return true, rcfleet.Failed, false
 	}
-	if d.response.started {
-		return false, rcfleet.Failed, false
-	}
 	d.writeBuffered(reply, body)
 	d.f.cfg.Metrics.Add(rcmetric.Answered, 1)
 	d.f.cfg.Metrics.Record(rcmetric.AnswerTime, time.Since(d.x.ReceivedAt))
@@ -378,6 +382,13 @@
 type clientResponse struct {
 	started     bool
 	lastEventID string // ID of the last complete event.
+	contentType string
+}
+
+// continuedBy reports whether a reply may hold the rest of the stream that the client has
+// begun to receive. An error of the upstream does not, whatever its status.
+func (c *clientResponse) continuedBy(reply *radishcrank.Reply) bool {
+	return reply.Status == http.StatusOK && (rcframing.IsEventStream(reply.Header) || reply.Header.Get("Content-Type") == c.contentType)
 }
 
 // forwardStream forwards events as they arrive. For a resumable stream it
@@ -387,7 +398,7 @@
 	resumable := d.x.Route.Retry == radishcrank.RetryResume
 	flusher := http.NewResponseController(d.w)
 	buf := make([]byte, 4<<10)
-	var events eventBuffer
+	events := eventBuffer{continues: d.response.started}
 	size := 0
 	first := true
 	var gaps gapTracker
@@ -428,6 +439,7 @@
 					d.tellBrittle()
 					d.w.WriteHeader(reply.Status)
 					d.response.started = true
+					d.response.contentType = reply.Header.Get("Content-Type")
 					d.f.cfg.Metrics.Record(rcmetric.FirstEventTime, time.Since(d.x.ReceivedAt))
 				}
 				_, werr := d.w.Write(out)
--- a/internal/serving/rcforward/events.go
+++ b/internal/serving/rcforward/events.go
@@ -16,6 +16,7 @@
 var (
 	errEventTooLarge    = errors.New("event exceeds 256 KiB")
 	errEventsOutOfOrder = errors.New("resumed stream is out of order")
+	errEventWithoutID   = errors.New("resumed stream holds an event without an ID")
 )
 
 // eventBuffer follows the events of one reply.
@@ -23,6 +24,9 @@
 	splitter rcsse.Splitter
 	pending  []byte // What follows the last event that was returned.
 	count    int
+	// continues means that the client has the events before, whose IDs tell what follows
+	// them. What has no ID may be the text of an error.
+	continues bool
 	// filled is the number of events among them that hold more than comments, and
 	// reported that of the last progress. since counts the bytes that came after it.
 	filled, reported, since int
@@ -65,13 +69,16 @@
 		if !ended {
 			break
 		}
-		if id, ok := eventID(all[end:scanned]); ok {
-			if !idFollows(*lastID, id) {
-				return all[:end:end], errEventsOutOfOrder
-			}
+		filled := hasField(all[end:scanned])
+		switch id, ok := eventID(all[end:scanned]); {
+		case ok && !idFollows(*lastID, id):
+			return all[:end:end], errEventsOutOfOrder
+		case ok:
 			*lastID = id
+		case filled && b.continues && *lastID != "":
+			return all[:end:end], errEventWithoutID
 		}
-		if hasField(all[end:scanned]) {
+		if filled {
 			b.filled++
 		}
 		b.count++
