Test responses whose head is broken off at each byte

It cannot happen here with heads: TestCutHeadIsTakenForResponse ends six responses (with a length, chunks, neither, no body, an interim response, bare newlines) after each byte of their heads, and each is an error. It passes on the code before, too. Reports, orders, the store, KV stores and other instances are read by the same function, rcconn.Pool.Do.

--- /dev/null
+++ b/internal/upstream/rcconn/head_test.go
@@ -0,0 +1,50 @@
+package rcconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCutHeadIsTakenForResponse guards against a response whose head its upstream broke off
+// that is taken for one without a body, wherever the head ends and whatever came before it.
+func TestCutHeadIsTakenForResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\nX-Folded: a\r\n b\r\n\r\nwhole answer",
+		"chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n",
+		"unframed": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\nwhole answer",
+		"no body":  "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+		"interim":  "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nwhole answer",
+		"newlines": "HTTP/1.1 200 OK\nContent-Length: 12\nX-A: b\n\nwhole answer",
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := strings.Index(response, "whole answer")
+			if head < 0 {
+				head = len(response)
+			}
+			if name == "chunks" {
+				head -= len("c\r\n")
+			}
+			for cut := range head {
+				addr, _ := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err == nil {
+						io.WriteString(c, response[:cut])
+					}
+				})
+				p := New(Config{})
+				resp, err := p.Do(context.Background(), Request{Addr: addr, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")})
+				if err == nil {
+					resp.Body.Close()
+				}
+				require.Error(t, err, "%q", response[:cut])
+				p.Close()
+			}
+		})
+	}
+}
