Judge a part's company by the crash, not by the run

Now a crash counts so only if no other suspect that was in several crashes was there at all.

TestSoundPartIsConvictedForItsCompany fails before.

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -256,15 +256,15 @@
 	return 0
 }
 
-// accompliceLocked returns the part that was most often together with p, if nearly all runs
-// with p held some part that has had no answer and was in several crashes: p may only have
-// come along with several crashing parts.
+// accompliceLocked returns the part that was most often at a crash together with p, if some
+// part that has had no answer and was in several crashes was at nearly all crashes with p: p
+// may only have come along with several crashing parts, or have been in other runs beside them.
 func (t *Tracker) accompliceLocked(p Key, crashes []*crash, all []candidate) (best Key, found bool) {
 	now := time.Now()
 	if !t.answered.any(now) {
 		return best, false // Nothing tells sound parts from others.
 	}
-	together := map[Key]int{} // Runs with p and another such part.
+	together := map[Key]int{} // Crashes with p and another such part.
 	for _, c := range all {
 		if c.part != p && c.crashes > 1 && !t.answered.has(c.part, now) {
 			together[c.part] = 0
@@ -272,23 +272,16 @@
 	}
 	unaccompanied := 0
 	for _, c := range crashes {
-		if c.explained {
+		if _, present := c.presence[p]; !present || c.explained {
 			continue
 		}
-		alone := false
-		for _, run := range c.runs {
-			if !slices.Contains(run, p) {
-				continue
-			}
-			accompanied := false
-			for _, q := range run {
-				if n, ok := together[q]; ok {
-					together[q], accompanied = n+1, true
-				}
+		accompanied := false
+		for q := range c.presence {
+			if n, ok := together[q]; ok {
+				together[q], accompanied = n+1, true
 			}
-			alone = alone || !accompanied
 		}
-		if alone {
+		if !accompanied {
 			unaccompanied++
 		}
 	}
--- a/internal/limits/rcblame/judge_test.go
+++ b/internal/limits/rcblame/judge_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
 )
 
 // BenchmarkJudge judges as many crashes and suspects as are kept. Requests wait meanwhile.
@@ -48,3 +50,39 @@
 		tracker.judge(time.Now())
 	})
 }
+
+// TestSoundPartIsConvictedForItsCompany guards against a sound part that comes along with
+// several crashing ones, and in runs beside them, and that is convicted in their place.
+func TestSoundPartIsConvictedForItsCompany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var convicted [][]Key
+		tracker := New(Config{
+			Instance: "i", Instances: func() int { return 3 }, Upstreams: func(string) int { return 5 },
+			Announce: func(Report) {}, Convict: func(set []Key) { convicted = append(convicted, set) }, Log: zerolog.Nop(),
+		})
+		answer := func(parts ...Key) {
+			run := tracker.Begin(parts, "s", radishcrank.Upstream{ID: "u"})
+			run.Received()
+			run.End(false, true)
+		}
+		answer("all", "other")
+		for n := range 10 {
+			crashing := Key(fmt.Sprint("x", n%2))
+			tracker.Merge(Report{
+				Crash: fmt.Sprint("u", n), Service: "s",
+				Suspects: []Suspect{{Part: "all", Presence: 0.3}, {Part: "b", Presence: 0.004}, {Part: crashing, Presence: 0.004}},
+				Runs:     [][]int{{0, 1, 2}, {0, 1}},
+			})
+			time.Sleep(300 * time.Millisecond)
+			answer("all", "other")
+			tracker.judge(time.Now())
+		}
+		time.Sleep(settleTime)
+		tracker.judge(time.Now())
+		require.NotEmpty(t, convicted)
+		for _, set := range convicted {
+			require.Subset(t, []Key{"b", "x0", "x1"}, set)
+			require.NotEqual(t, []Key{"b"}, set, "the sound part is refused")
+		}
+	})
+}
