Look again whether a request is convicted before it is sent again

It is now checked before each attempt after the first one, and before the first one if it has waited. What has not run is refused for good, what has may have run.

TestConvictedRequestIsRetried fails in both cases before.

--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -172,7 +172,7 @@
 	}
 	d.partKeys = rcpoison.PartKeys(d.guardRequest)
 	if err := f.cfg.Guard.Check(d.guardRequest); err != nil {
-		return d.refuseFinally("its content crashes upstreams")
+		return d.refuseFinally(crashesUpstreams)
 	}
 	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
 		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
@@ -217,6 +217,13 @@
 			d.cause = fmt.Errorf("expected wait %v exceeds limit %v", c.ExpectedWait, c.MaxWait())
 			return d.refuse("it would begin too late", c.RetryAfter(rand.Float64()))
 		}
+		if d.convictedMeanwhile() {
+			if d.mayRefuse() {
+				return d.refuseFinally(crashesUpstreams)
+			}
+			d.cause = errors.Join(errors.New(crashesUpstreams), d.cause)
+			return d.finishWithoutAnswer()
+		}
 		if d.attempts+d.runs > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return d.giveUp()
@@ -233,6 +240,16 @@
 	}
 }
 
+// crashesUpstreams is why an exchange is refused for good.
+const crashesUpstreams = "its content crashes upstreams"
+
+// convictedMeanwhile reports whether the content was found to crash upstreams while the
+// exchange waited or ran.
+func (d *dispatch) convictedMeanwhile() bool {
+	waited := d.attempts > 0 || time.Since(d.x.ReceivedAt) >= busyPollInterval
+	return waited && d.f.cfg.Guard.Check(d.guardRequest) != nil
+}
+
 // mayRefuse reports whether the exchange has certainly not run and the client
 // has received nothing yet, so that a refusal is correct.
 func (d *dispatch) mayRefuse() bool { return d.runs == 0 && !d.response.started && d.failure == nil }
--- a/internal/serving/rcforward/waiting_test.go
+++ b/internal/serving/rcforward/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -104,3 +105,42 @@
 		})
 	}
 }
+
+// lateGuard convicts all contents once one has run.
+type lateGuard struct {
+	Guard
+	ran bool
+}
+
+func (g *lateGuard) Check(req radishcrank.Request) error {
+	if g.ran {
+		return &radishcrank.Refusal{Status: http.StatusUnprocessableEntity}
+	}
+	return nil
+}
+
+func (g *lateGuard) StartRun(ctx context.Context, req radishcrank.Request, up radishcrank.Upstream) (func(crashed, finished bool), error) {
+	g.ran = true
+	return g.Guard.StartRun(ctx, req, up)
+}
+
+// TestConvictedRequestIsRetried guards against a request that crashes one more upstream
+// although its content was convicted while it ran or waited.
+func TestConvictedRequestIsRetried(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  step
+		status int
+	}{
+		"ran":     {step{err: errReset}, http.StatusBadGateway},
+		"refused": {step{reply: radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}}, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedSender{steps: []step{c.first, {reply: okReply(), body: strings.NewReader("ok")}}}
+			guard := &lateGuard{Guard: rcpoison.New(rcpoison.Config{Board: rcboard.New()})}
+			got := serveWith(guard, s, 3, stubBudget{}, idempotent())
+			require.NoError(t, got.err)
+			require.Equal(t, c.status, got.Code)
+			require.Len(t, s.sent, 1)
+		})
+	}
+}
