Let a request through now and then to try a conviction

A wrong conviction of prompt parts refused sound requests for good, with a status that tells clients never to come again: the refusals kept away the answers that would have shown it wrong, and nothing could take it back.

Two minutes after a conviction the instance that ranks first for it lets one request through. If its answer is complete, the conviction is lifted on all instances and in the table of verdicts; if it crashes its upstream, it is not sent to another one, and the next trial follows after twice the time, up to 64 minutes. A request that began before the conviction and gets a complete answer lifts it, too. A conviction is now three crash entries of the part's record, named alike on all instances, so that lifting it is voiding them, as with whole contents; records stay readable for older instances. The crashes that led to a lifted conviction count no more.

--- a/internal/limits/rcblame/judge_test.go
+++ b/internal/limits/rcblame/judge_test.go
@@ -86,3 +86,37 @@
 		}
 	})
 }
+
+// TestLiftedConvictionIsRepeated guards against a conviction that was lifted and that the same
+// crashes lead to again, and against a part that cannot be convicted any more.
+func TestLiftedConvictionIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var current [][]Key
+		tracker := New(Config{
+			Instance: "i", Instances: func() int { return 1 }, Upstreams: func(string) int { return 4 },
+			Announce: func(Report) {}, Log: zerolog.Nop(),
+			Convict: func(set []Key) { current = append(current, set) }, Convicted: func() [][]Key { return current },
+		})
+		crashAll := func() {
+			for range 6 {
+				tracker.Merge(Report{Crash: fmt.Sprint(time.Now().UnixMilli()), Service: "s", Suspects: []Suspect{{Part: "p", Presence: 0.001}}, Runs: [][]int{{0}}})
+				time.Sleep(200 * time.Millisecond)
+				run := tracker.Begin([]Key{"other"}, "s", radishcrank.Upstream{ID: "u"})
+				run.Received()
+				run.End(false, true)
+			}
+			time.Sleep(settleTime)
+			tracker.judge(time.Now())
+		}
+		crashAll()
+		require.Equal(t, [][]Key{{"p"}}, current)
+		current = nil
+		for range 5 {
+			time.Sleep(time.Second)
+			tracker.judge(time.Now())
+		}
+		require.Empty(t, current)
+		crashAll()
+		require.Equal(t, [][]Key{{"p"}}, current)
+	})
+}
--- a/internal/limits/rcpoison/parts.go
+++ b/internal/limits/rcpoison/parts.go
@@ -27,16 +27,16 @@
 
 // Convict refuses requests that hold all of the parts.
 func (t *Tracker) Convict(parts []Key) {
-	t.Merge([]Record{{Key: partsKey(parts), Verdict: true, Updated: time.Now()}})
 	t.mu.Lock()
-	if _, pending := t.pending[partsKey(parts)]; pending {
-		t.pending[partsKey(parts)] = time.Now().Add(-t.cfg.StoreDelay) // It waits for no other records.
-	}
-	t.mu.Unlock()
-	select {
-	case t.storeNow <- struct{}{}:
-	default:
+	defer t.mu.Unlock()
+	r := t.recordLocked(partsKey(parts))
+	if r.Verdict {
+		return
 	}
+	r.Updated = time.Now()
+	r.convict(r.Updated)
+	t.updateRowLocked(r)
+	t.storeSoonLocked(r.Key)
 }
 
 // partsKey returns the key of the record of a set of parts.
@@ -88,15 +88,3 @@
 	}
 	return all
 }
-
-// holdsConvictedLocked reports whether the parts contain a convicted set.
-func (t *Tracker) holdsConvictedLocked(parts []Key) bool {
-	for _, p := range parts {
-		for _, set := range t.convictedParts[p] {
-			if !slices.ContainsFunc(set, func(q Key) bool { return !slices.Contains(parts, q) }) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/limits/rcpoison/sync.go
+++ b/internal/limits/rcpoison/sync.go
@@ -21,6 +21,9 @@
 	return out
 }
 
+// Merge merges the record of another instance into this one.
+func (r *Record) Merge(o Record) { r.merge(o) }
+
 // Merge merges records of a peer, a snapshot or the table service.
 func (t *Tracker) Merge(records []Record) {
 	t.mu.Lock()
@@ -86,18 +89,20 @@
 		return
 	}
 	for _, r := range records {
-		delete(t.pending, r.Key)
+		if known, ok := t.records[r.Key]; !ok || known.Verdict == r.Verdict {
+			delete(t.pending, r.Key)
+		}
 	}
 }
 
-// StoreAgain stores all verdicts again. It must be called when the store may have lost
+// StoreAgain stores all verdicts and lifted convictions again. It must be called when the store may have lost
 // some, since instances that restart know of no others.
 func (t *Tracker) StoreAgain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.losses++
 	for key, r := range t.records {
-		if r.Verdict {
+		if r.Verdict || len(partsOf(key)) > 0 {
 			t.pending[key] = time.Now().Add(-t.cfg.StoreDelay)
 		}
 	}
--- a/internal/limits/rcpoison/tracker.go
+++ b/internal/limits/rcpoison/tracker.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
@@ -39,6 +40,10 @@
 	// stored verdict is final, so the delay must leave enough time for records of
 	// other instances to arrive, which can withdraw the verdict.
 	StoreDelay time.Duration
+	// OwnsTrial reports whether this instance is the one that lets requests through to try
+	// the conviction with a key. Nil means that it is.
+	OwnsTrial func(key string) bool
+	Log       zerolog.Logger
 }
 
 const (
@@ -73,7 +78,8 @@
 	storeNow  chan struct{}     // Wakes Run to store what is pending.
 	// convictedParts holds the convicted sets of prompt parts by their first part.
 	convictedParts map[Key][][]Key
-	crashCount     uint64 // Number of crashes seen; makes IDs of crashes without an incarnation unique.
+	trials         map[Key]trial // By the key of the record.
+	crashCount     uint64        // Number of crashes seen; makes IDs of crashes without an incarnation unique.
 }
 
 // occupancy holds the runs of this instance on one upstream.
@@ -85,6 +91,7 @@
 
 // run is one run of a content on an upstream.
 type run struct {
+	req     radishcrank.Request
 	key     Key
 	up      radishcrank.Upstream
 	counted bool // The crash was already counted when another run reported it.
@@ -93,6 +100,9 @@
 // New returns a Tracker.
 func New(cfg Config) *Tracker {
 	cfg.StoreDelay = cmp.Or(cfg.StoreDelay, defaultStoreDelay)
+	if cfg.OwnsTrial == nil {
+		cfg.OwnsTrial = func(string) bool { return true }
+	}
 	return &Tracker{
 		cfg:       cfg,
 		records:   make(map[Key]*Record),
@@ -102,6 +112,7 @@
 		storeNow:  make(chan struct{}, 1),
 
 		convictedParts: make(map[Key][][]Key),
+		trials:         make(map[Key]trial),
 	}
 }
 
@@ -111,9 +122,10 @@
 func (t *Tracker) Check(req radishcrank.Request) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[KeyOf(req)]
-	if (!ok || !r.Verdict) && (len(t.convictedParts) == 0 || !t.holdsConvictedLocked(PartKeys(req))) {
-		return nil
+	if r, ok := t.records[KeyOf(req)]; !ok || !r.Verdict {
+		if held := t.heldLocked(req); len(held) == 0 || t.mayTryLocked(req, held) {
+			return nil
+		}
 	}
 	return &radishcrank.Refusal{
 		Status:  http.StatusUnprocessableEntity,
@@ -218,7 +230,7 @@
 		t.mu.Unlock()
 		return nil, fmt.Errorf("%w: upstream %s is reserved for a suspect request", radishcrank.ErrUpstreamBusy, up.ID)
 	}
-	cur := &run{key: key, up: up}
+	cur := &run{req: req, key: key, up: up}
 	alone := t.crashesLocked(key) >= IsolationThreshold
 	if alone {
 		o.reserved = cur
@@ -255,6 +267,7 @@
 	if finished {
 		t.voidCrashesLocked(cur.key)
 	}
+	t.endTrialLocked(cur.req, crashed, finished)
 	delete(o.runs, cur)
 	if o.reserved == cur {
 		o.reserved = nil
@@ -310,6 +323,9 @@
 // time; which of the two caused the crash is unknown. Both run in isolation again,
 // and a harmless content then completes.
 func (t *Tracker) voidAmbiguousLocked(r *Record) {
+	if len(partsOf(r.Key)) > 0 {
+		return // Its crashes stand for a conviction.
+	}
 	for _, c := range slices.Clone(r.Crashes) {
 		if !c.Alone {
 			continue
@@ -373,6 +389,7 @@
 	t.indexPartsLocked(key, false)
 	delete(t.records, key)
 	delete(t.pending, key)
+	delete(t.trials, key)
 	t.cfg.Board.Suspects.Delete(string(key))
 }
 
@@ -388,7 +405,9 @@
 		}
 	}
 	if row.Crashes == 0 && !row.Verdict {
-		delete(t.pending, r.Key)
+		if len(partsOf(r.Key)) == 0 { // Otherwise a conviction was lifted, which is stored.
+			delete(t.pending, r.Key)
+		}
 		t.cfg.Board.Suspects.Delete(string(r.Key))
 		return
 	}
--- a/internal/limits/rcverdict/store.go
+++ b/internal/limits/rcverdict/store.go
@@ -74,25 +74,43 @@
 // Expire implements rcpoison.VerdictStore.
 func (s *Store) Expire() { s.loadedAt = time.Time{} }
 
-// Store implements rcpoison.VerdictStore. A stored verdict never changes, so an
-// existing row counts as success.
+// Store implements rcpoison.VerdictStore. An existing row with the same verdict counts as
+// success; otherwise the records are merged, since a conviction may have been lifted.
 func (s *Store) Store(ctx context.Context, r rcpoison.Record) (err error) {
 	defer func() {
 		if err != nil {
 			err = trace.Wrap(err, "verdict %s", r.Key)
 		}
 	}()
+	key := prefix + string(r.Key)
+	if err = s.write(ctx, key, 0, r); !errors.Is(err, radishcrank.ErrConflict) {
+		return err
+	}
+	rows, err := s.cfg.Table.Get(ctx, key)
+	if err != nil || len(rows) == 0 || rows[0].Version == 0 {
+		return err
+	}
+	var stored rcpoison.Record
+	if err := msgpack.Unmarshal(rows[0].Value, &stored); err != nil {
+		return err
+	}
+	verdict := stored.Verdict
+	if stored.Merge(r); stored.Verdict == verdict {
+		return nil
+	}
+	if err = s.write(ctx, key, rows[0].Version, stored); errors.Is(err, radishcrank.ErrConflict) {
+		return nil // Another instance has just stored its own.
+	}
+	return err
+}
+
+func (s *Store) write(ctx context.Context, key string, version uint64, r rcpoison.Record) error {
 	data, err := msgpack.Marshal(r)
 	if err != nil {
 		return err
 	}
-	key := prefix + string(r.Key)
-	err = s.cfg.Table.Commit(ctx, radishcrank.Transaction{
-		Checks: []radishcrank.Check{{Key: key}},
+	return s.cfg.Table.Commit(ctx, radishcrank.Transaction{
+		Checks: []radishcrank.Check{{Key: key, Version: version}},
 		Writes: []radishcrank.Write{{Key: key, Value: data}},
 	})
-	if errors.Is(err, radishcrank.ErrConflict) {
-		return nil
-	}
-	return err
 }
--- a/internal/limits/rcverdict/store_test.go
+++ b/internal/limits/rcverdict/store_test.go
@@ -72,3 +72,33 @@
 		require.Error(t, cutOff.Check(req))
 	})
 }
+
+// TestLiftedConvictionIsBackAfterRestart guards against a conviction that was lifted and that
+// an instance finds in the table when it starts.
+func TestLiftedConvictionIsBackAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := rcfaketable.New()
+		start := func() *rcpoison.Tracker {
+			tracker := rcpoison.New(rcpoison.Config{
+				Board: rcboard.New(), StoreDelay: 1500 * time.Millisecond, VerdictStore: New(Config{Table: table, Interval: time.Second}),
+			})
+			go tracker.Run(t.Context())
+			time.Sleep(10 * time.Second)
+			return tracker
+		}
+		req := radishcrank.Request{ID: "r", Account: "a", Parts: []string{"p"}, Prompt: "own"}
+		tracker := start()
+		for range 2 {
+			tracker.Convict(rcpoison.PartKeys(req))
+			time.Sleep(10 * time.Second)
+			require.Error(t, start().Check(req))
+			time.Sleep(5 * time.Minute)
+			require.NoError(t, tracker.Check(req))
+			end, err := tracker.StartRun(t.Context(), req, radishcrank.Upstream{ID: "u", Incarnation: 1})
+			require.NoError(t, err)
+			end(false, true)
+			time.Sleep(10 * time.Second)
+			require.NoError(t, start().Check(req))
+		}
+	})
+}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -127,7 +127,8 @@
 		Table: &platform.Table{Store: i.store, Name: weightsTable}, Now: i.storeClock.Now, Log: i.log,
 	})
 	i.poisonTracker = rcpoison.New(rcpoison.Config{
-		Board: i.board, Instance: radishcrank.InstanceID(s.Instance), StoreDelay: crashRecordDelay,
+		Board: i.board, Instance: radishcrank.InstanceID(s.Instance), StoreDelay: crashRecordDelay, Log: i.log,
+		OwnsTrial: func(key string) bool { return i.peers.ranksFirst(key) },
 		VerdictStore: rcverdict.New(rcverdict.Config{
 			Table: &platform.Table{Store: i.store, Name: verdictsTable}, Interval: verdictReadInterval,
 		}),
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
@@ -177,6 +179,20 @@
 	return len(p.members) + 1
 }
 
+// ranksFirst reports whether this instance ranks first for a key, by rendezvous hashing.
+func (p *peerGroup) ranksFirst(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := func(instance string) uint64 { return xxhash.Sum64String(key + "/" + instance) }
+	own := rank(p.instance.settings.Instance)
+	for name := range p.members {
+		if rank(name) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // others returns the registered instances besides this one. ok is false until their
 // rows have been read.
 func (p *peerGroup) others() (names []radishcrank.InstanceID, ok bool) {
