--- a/internal/limits/rcblame/tracker.go
+++ b/internal/limits/rcblame/tracker.go
@@ -3,9 +3,10 @@
 //
 // All parts in a prompt that was beginning on an upstream when it crashed become
 // suspects; instances report them to each other. An answer that outlasts its beginning
-// clears the parts of its prompt. What remains is judged by chance: a part that many requests hold is often
-// present at a crash with another cause, a rare one hardly ever, and hardly ever again
-// and again. A crash that is explained by a convicted part counts against no other.
+// clears the parts of its prompt. What remains is judged by chance: a part that many
+// requests hold is often present at a crash with another cause, a rare one hardly ever,
+// and hardly ever again and again. A crash that is explained by a convicted part counts
+// against no other.
 package rcblame
 
 import (
