Take only parts of the same requests for a part's company

Since a part's company is judged by the crash, a sound part that was in other runs at the crashes counted as company, if this instance had not seen it answered; of twenty parts an instance of six sees ten. The crashing part was convicted only together with it, and no request holds both.

Company are now only parts that were in a run together with the part; where they were at a crash, also in another run, it is explained by them.

TestCrashingPartIsConvictedWithStrangers fails before ({b0, x} is convicted); TestSoundPartIsConvictedForItsCompany still holds.

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -258,20 +258,33 @@
 	return 0
 }
 
-// accompliceLocked returns the part that was most often at a crash together with p, if some
-// part that has had no answer and was in several crashes was at nearly all crashes with p: p
-// may only have come along with several crashing parts, or have been in other runs beside them.
+// accompliceLocked returns the part that was most often in a run together with p, if parts of
+// such runs that have had no answer and were in several crashes were at nearly all crashes with
+// p: p may only have come along with several crashing parts, and have been in other runs beside
+// them.
 func (t *Tracker) accompliceLocked(p Key, crashes []*crash, all []candidate) (best Key, found bool) {
 	now := time.Now()
 	if !t.answered.any(now) {
 		return best, false // Nothing tells sound parts from others.
 	}
-	together := map[Key]int{} // Crashes with p and another such part.
+	together := map[Key]int{} // Runs with p and another such part.
 	for _, c := range all {
 		if c.part != p && c.crashes > 1 && !t.answered.has(c.part, now) {
 			together[c.part] = 0
 		}
 	}
+	for _, c := range crashes {
+		for _, run := range c.runs {
+			if c.explained || !slices.Contains(run, p) {
+				continue
+			}
+			for _, q := range run {
+				if n, ok := together[q]; ok {
+					together[q] = n + 1
+				}
+			}
+		}
+	}
 	unaccompanied := 0
 	for _, c := range crashes {
 		if _, present := c.presence[p]; !present || c.explained {
@@ -279,9 +292,7 @@
 		}
 		accompanied := false
 		for q := range c.presence {
-			if n, ok := together[q]; ok {
-				together[q], accompanied = n+1, true
-			}
+			accompanied = accompanied || together[q] > 0
 		}
 		if !accompanied {
 			unaccompanied++
--- a/internal/limits/rcblame/judge_test.go
+++ b/internal/limits/rcblame/judge_test.go
@@ -120,3 +120,33 @@
 		require.Equal(t, [][]Key{{"p"}}, current)
 	})
 }
+
+// TestCrashingPartIsConvictedWithStrangers guards against a crashing part that is convicted only
+// together with sound ones that this instance has not seen answered, and that no request with
+// it holds.
+func TestCrashingPartIsConvictedWithStrangers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var convicted [][]Key
+		tracker := New(Config{
+			Instance: "i", Instances: func() int { return 6 }, Upstreams: func(string) int { return 3 },
+			Announce: func(Report) {}, Convict: func(set []Key) { convicted = append(convicted, set) }, Log: zerolog.Nop(),
+		})
+		answer := func() {
+			run := tracker.Begin([]Key{"all", "other"}, "s", radishcrank.Upstream{ID: "u"})
+			run.Received()
+			run.End(false, true)
+		}
+		answer()
+		for n := range 8 {
+			tracker.Merge(Report{
+				Crash: fmt.Sprint("u", n), Service: "s",
+				Suspects: []Suspect{{Part: "x", Presence: 0.004}, {Part: Key(fmt.Sprint("b", n%2)), Presence: 0.04}},
+				Runs:     [][]int{{0}, {1}},
+			})
+			time.Sleep(300 * time.Millisecond)
+			answer()
+			tracker.judge(time.Now())
+		}
+		require.Equal(t, [][]Key{{"x"}}, convicted)
+	})
+}
