Let late streams yield to those that are in time

Under demand above capacity every exchange waited its turn at an engine, so that nearly all began after their latency targets. A stream that is past its target, or cannot begin within it by the expected wait, is now sent with a priority below all those that streaming routes and accounts have. Others no longer count it as work ahead of them: load reports carry the late part after the loads, where older versions ignore it.

--- a/exchange.go
+++ b/exchange.go
@@ -64,6 +64,7 @@
 	OutputTokens int       // Limit on the generated tokens.
 	LengthHint   int       // Client's estimate of the number of generated tokens; 0 if unknown.
 	Priority     int       // Priority of the account or route; 0 is the most urgent.
+	LatePriority int       // Priority if the response begins after its latency target; not above Priority if it is the same.
 	LastEventID  string    // Last event that the client has of a stream that it takes up again.
 	Resumes      RequestID // Attempt that delivered the first event of that stream; empty if the client does not name it.
 	ReceivedAt   time.Time
@@ -81,6 +82,7 @@
 	KVTarget    netip.AddrPort // KV store to copy the prompt's parts to after prefill; the zero value means none.
 	LastEventID string         // Last event that the client received.
 	Timeout     time.Duration  // Time limit for the upstream.
+	Priority    int            // Priority at an engine; 0 is the most urgent.
 	FreshConn   bool           // Use only a new or recently used connection.
 }
 
--- /dev/null
+++ b/internal/limits/rcadmission/defer.go
@@ -0,0 +1,64 @@
+package rcadmission
+
+import (
+	"slices"
+	"time"
+)
+
+// lowestPriority is the numerically highest priority that engines know.
+const lowestPriority = 9
+
+// maxOwnPrefillFraction limits how much of the latency target the prefill of the
+// exchange's own prompt may take up in the decision whether it is late. Otherwise a
+// prompt that takes longer to read than its target would be deferred by idle engines.
+const maxOwnPrefillFraction = 0.5
+
+// Start is what is known about when an exchange begins.
+type Start struct {
+	Elapsed       time.Duration // Since the exchange was received.
+	ExpectedWait  time.Duration // Until the upstream begins to read the prompt.
+	OwnPrefill    time.Duration // For the exchange's own prompt.
+	LatencyTarget time.Duration // Of the route; 0 means none.
+}
+
+// Late reports whether the answer begins, or has not begun, after the latency target.
+//
+// It addresses demand above capacity for some seconds: in order of arrival every
+// exchange then waits as long as the queue lets it and nearly all begin late. If those
+// that are late already yield, the others remain in time.
+func (s Start) Late() bool {
+	if s.LatencyTarget <= 0 {
+		return false
+	}
+	own := min(s.OwnPrefill, time.Duration(maxOwnPrefillFraction*float64(s.LatencyTarget)))
+	return s.Elapsed+s.ExpectedWait+own > s.LatencyTarget
+}
+
+// LatePriorities maps each priority in use to the one that late exchanges get: after all
+// priorities in use, in the same order. If there are fewer free priorities than
+// priorities in use, neighbors share one. If there is none, late exchanges do not yield
+// and the map is empty.
+func LatePriorities(inUse []int) map[int]int {
+	sorted := make([]int, 0, len(inUse))
+	for _, p := range inUse {
+		sorted = append(sorted, min(max(p, 0), lowestPriority))
+	}
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	late := map[int]int{}
+	if len(sorted) == 0 {
+		return late
+	}
+	last := sorted[len(sorted)-1]
+	free := lowestPriority - last
+	if free == 0 {
+		return late
+	}
+	for rank, p := range sorted {
+		if len(sorted) > free {
+			rank = rank * free / len(sorted)
+		}
+		late[p] = last + 1 + rank
+	}
+	return late
+}
--- /dev/null
+++ b/internal/limits/rcadmission/replay_test.go
@@ -0,0 +1,398 @@
+package rcadmission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
+)
+
+// The replay is a small event loop in virtual time: callers at several instances, and
+// engines that admit by priority and read one prompt after another. Instances know the
+// loads of others as they were some time ago.
+const (
+	replayEngines   = 12
+	replayTokens    = 64000 // Tokens that fit into the memory of an engine.
+	replaySlots     = 32
+	replayRate      = 40 // Prompt tokens that an engine reads in a millisecond.
+	replayStaleness = 3  // Age of the loads of others in reports.
+	reportInterval  = 100 * time.Millisecond
+	replayEnd       = 12 * time.Second
+	burstBegin      = 3 * time.Second
+	burstEnd        = 8 * time.Second
+)
+
+// replayRoute is a route of the replayed load.
+type replayRoute struct {
+	name                   string
+	target, abandon, total time.Duration
+	priority, late         int
+	tokens, output         int
+	share                  float64 // Of the engines' capacity at its usual rate.
+}
+
+var replayRoutes = []replayRoute{
+	{"long", 1000 * time.Millisecond, 5 * time.Second, 6 * time.Second, 2, 4, 9200, 9, 0.7},
+	{"chat", 600 * time.Millisecond, 2400 * time.Millisecond, 15 * time.Second, 0, 3, 830, 45, 0.1},
+}
+
+type policy struct {
+	deferLate bool
+}
+
+type replayLoad struct {
+	instances int
+	burst     float64 // Times the usual rate, between burstBegin and burstEnd.
+	usual     float64 // Factor of all rates; 0 means 1.
+}
+
+type replayCall struct {
+	route    *replayRoute
+	instance int
+	account  int
+	tokens   int
+	uncached int // Prompt tokens to read, as instances count them.
+	work     int // The same with what a copy takes.
+	key      string
+	sentAt   time.Duration // First.
+	receipt  time.Duration // Of the current attempt of the caller.
+	returned bool
+	priority int
+	engine   int
+	deferred bool
+	seq      int
+	begun    bool
+	gone     bool
+}
+
+type tally struct{ sent, inTime, late, refused, gone int }
+
+type replayResult struct {
+	classes  map[string]tally
+	deferred int
+}
+
+func (r replayResult) add(c *replayCall, f func(*tally)) {
+	size := "usual size"
+	switch ratio := float64(c.tokens) / float64(c.route.tokens); {
+	case ratio > 1.4:
+		size = "largest tenth"
+	case ratio > 1.2:
+		size = "fifth below it"
+	}
+	for _, name := range []string{"all", c.route.name, fmt.Sprintf("account %d", c.account), size} {
+		t := r.classes[name]
+		f(&t)
+		r.classes[name] = t
+	}
+}
+
+func (r replayResult) inTime() int   { return r.classes["all"].inTime }
+func (r replayResult) answered() int { return r.classes["all"].inTime + r.classes["all"].late }
+func (r replayResult) String() string {
+	return fmt.Sprintf("%+v deferred %d", r.classes["all"], r.deferred)
+}
+
+// requireFair checks that no class, account or prompt size is served less than half as
+// often as all together.
+func (r replayResult) requireFair(t *testing.T) {
+	t.Helper()
+	share := func(c tally) float64 { return float64(c.inTime+c.late) / float64(max(1, c.sent)) }
+	all := share(r.classes["all"])
+	for name, c := range r.classes {
+		require.GreaterOrEqual(t, share(c), all/2, "%s: %+v of %+v", name, c, r.classes["all"])
+	}
+}
+
+type replayEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type replayQueue []replayEvent
+
+func (q replayQueue) Len() int { return len(q) }
+func (q replayQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q replayQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *replayQueue) Push(x any)   { *q = append(*q, x.(replayEvent)) }
+func (q *replayQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+type replayEngine struct {
+	running int
+	used    int // Tokens of the admitted calls.
+	waiting []*replayCall
+	reading []*replayCall // Admitted, in order.
+	busy    bool
+}
+
+type replay struct {
+	load    replayLoad
+	policy  policy
+	now     time.Duration
+	queue   replayQueue
+	seq     int
+	rnd     *rand.Rand
+	engines [replayEngines]replayEngine
+	states  []rcfleet.State
+	own     [][replayEngines]rcfleet.Load
+	total   [][replayEngines]rcfleet.Load   // Of all instances, at the last reports.
+	ownThen [][][replayEngines]rcfleet.Load // Of each instance, at the same times.
+	owners  map[string]rcfleet.UpstreamKey
+	result  replayResult
+}
+
+func (l replayLoad) run(p policy) replayResult {
+	r := &replay{
+		owners: map[string]rcfleet.UpstreamKey{},
+		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)),
+		own: make([][replayEngines]rcfleet.Load, l.instances), result: replayResult{classes: map[string]tally{}},
+	}
+	for i := range replayEngines {
+		id := radishcrank.UpstreamID(fmt.Sprint("e", i))
+		r.states = append(r.states, rcfleet.State{
+			Entry: rcfleet.Entry{
+				Upstream: radishcrank.Upstream{ID: id, Service: "s"}, Slots: replaySlots,
+				Weights: map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+			},
+			Hash: xxhash.Sum64String(string(id)),
+		})
+	}
+	for i := range replayRoutes {
+		r.arrive(&replayRoutes[i])
+	}
+	for at := time.Duration(0); at < replayEnd; at += reportInterval {
+		r.at(at, r.report)
+	}
+	for r.queue.Len() > 0 {
+		e := heap.Pop(&r.queue).(replayEvent)
+		r.now = e.at
+		e.do()
+	}
+	return r.result
+}
+
+func (r *replay) at(t time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.queue, replayEvent{t, r.seq, do})
+}
+
+// arrive sends the calls of a route.
+func (r *replay) arrive(route *replayRoute) {
+	perSecond := replayEngines * replayRate * 1000 * route.share / float64(route.tokens/2) // Owners have half of each prompt cached.
+	if r.load.usual > 0 {
+		perSecond *= r.load.usual
+	}
+	if r.now >= burstBegin && r.now < burstEnd {
+		perSecond *= r.load.burst
+	}
+	next := r.now + time.Duration(r.rnd.ExpFloat64()/perSecond*float64(time.Second))
+	if next > replayEnd {
+		return
+	}
+	r.at(next, func() {
+		size := 0.5 + r.rnd.Float64()*1 // 0.5 to 1.5 of the route's usual size.
+		c := &replayCall{
+			route: route, instance: r.rnd.IntN(r.load.instances), account: r.rnd.IntN(8),
+			tokens: int(size * float64(route.tokens)), key: fmt.Sprint(route.name, r.rnd.IntN(40)), sentAt: r.now, receipt: r.now,
+		}
+		r.result.add(c, func(t *tally) { t.sent++ })
+		r.receive(c)
+		r.arrive(route)
+	})
+}
+
+// report records what instances hear of each other.
+func (r *replay) report() {
+	var sum [replayEngines]rcfleet.Load
+	then := append([][replayEngines]rcfleet.Load(nil), r.own...)
+	for i := range then {
+		for e := range sum {
+			sum[e] = sum[e].Add(then[i][e])
+		}
+	}
+	r.total, r.ownThen = append(r.total, sum), append(r.ownThen, then)
+}
+
+// view returns the states of the engines as an instance knows them.
+func (r *replay) view(instance int) []rcfleet.State {
+	old := max(0, len(r.total)-replayStaleness)
+	for e := range r.states {
+		s, own := &r.states[e], r.own[instance][e]
+		s.Running, s.Prefilling, s.Late = own.Running, own.Prefilling, own.Late
+		s.PeerLoad = rcfleet.Load{}
+		if old < len(r.total) {
+			s.PeerLoad = r.total[old][e].Sub(r.ownThen[old][instance][e])
+		}
+	}
+	return r.states
+}
+
+// receive decides about a call as rcforward does.
+func (r *replay) receive(c *replayCall) {
+	parts := []radishcrank.PromptPart{{ID: c.key, Tokens: c.tokens / 2}, {ID: fmt.Sprint(c.seq), Tokens: c.tokens - c.tokens/2}}
+	p := Params{StartTimeout: c.route.abandon - (r.now - c.receipt), TimeToDeadline: c.route.total - (r.now - c.sentAt)}
+	req := rcaffinity.Request{
+		Model: "m", Parts: parts, Salt: func(radishcrank.WeightsVersion) string { return "" },
+		TargetHistory: rcweights.History{}, MaxWait: p.MaxWait(),
+		CachedPrefixes: func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix {
+			return map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{r.owner(c.key): {Tokens: parts[0].Tokens}}
+		},
+	}
+	now := time.Unix(0, 0).Add(r.now)
+	choice, _ := rcaffinity.Choose(req, r.view(c.instance), now)
+	c.priority, c.deferred = c.route.priority, false
+	start := Start{Elapsed: r.now - c.receipt, ExpectedWait: choice.QueueWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
+	if r.policy.deferLate && start.Late() {
+		req.Deferred, c.deferred, c.priority = true, true, c.route.late
+		choice, _ = rcaffinity.Choose(req, r.view(c.instance), now)
+	}
+	if p.ExpectedWait = choice.MinQueueWait; p.ShouldRefuse() {
+		r.refuse(c, p.RetryAfter(r.rnd.Float64()))
+		return
+	}
+	if c.deferred {
+		r.result.deferred++
+	}
+	for e := range r.states {
+		if r.states[e].ID == choice.Upstream.ID {
+			c.engine = e
+		}
+	}
+	c.uncached = choice.UncachedTokens
+	if c.work = c.uncached; !choice.Owner {
+		c.work += parts[0].Tokens / 10 // A copy takes a tenth of the time of reading.
+	}
+	r.send(c)
+}
+
+// owner returns the engine that has the shared part of a prompt in its cache.
+func (r *replay) owner(key string) rcfleet.UpstreamKey {
+	owner, ok := r.owners[key]
+	if !ok {
+		idle := make([]rcfleet.State, len(r.states))
+		for i := range idle {
+			idle[i] = rcfleet.State{Entry: r.states[i].Entry, Hash: r.states[i].Hash}
+		}
+		choice, _ := rcaffinity.Choose(rcaffinity.Request{
+			Model: "m", Parts: []radishcrank.PromptPart{{ID: key, Tokens: 1000}, {}},
+			Salt: func(radishcrank.WeightsVersion) string { return "" },
+		}, idle, time.Unix(0, 0))
+		owner = rcfleet.KeyOf(choice.Upstream.ID)
+		r.owners[key] = owner
+	}
+	return owner
+}
+
+// refuse lets a caller return once.
+func (r *replay) refuse(c *replayCall, after time.Duration) {
+	if c.returned || after > (c.route.total-(r.now-c.sentAt))/3 {
+		r.result.add(c, func(t *tally) { t.refused++ })
+		return
+	}
+	c.returned = true
+	r.at(r.now+after, func() { c.receipt = r.now; r.receive(c) })
+}
+
+func (r *replay) change(c *replayCall, running, prefilling int) {
+	l := &r.own[c.instance][c.engine]
+	l.Running += running
+	l.Prefilling += prefilling
+	if c.deferred && prefilling != 0 {
+		l.Late.Running += prefilling / max(1, abs(prefilling))
+		l.Late.Prefilling += prefilling
+	}
+}
+
+func abs(n int) int { return max(n, -n) }
+
+func (r *replay) send(c *replayCall) {
+	r.seq++
+	c.seq = r.seq
+	r.change(c, 1, c.uncached)
+	e := &r.engines[c.engine]
+	e.waiting = append(e.waiting, c)
+	r.at(min(c.receipt+c.route.abandon, c.sentAt+c.route.total), func() { r.leave(c) })
+	r.step(e)
+}
+
+// leave ends a call whose answer has not begun when its caller gives up.
+func (r *replay) leave(c *replayCall) {
+	if c.begun {
+		return
+	}
+	c.gone = true
+	r.change(c, -1, -c.uncached)
+	r.result.add(c, func(t *tally) { t.gone++ })
+}
+
+// step lets an engine admit calls and read the next prompt.
+func (r *replay) step(e *replayEngine) {
+	sort.SliceStable(e.waiting, func(i, j int) bool { return e.waiting[i].priority < e.waiting[j].priority })
+	for len(e.waiting) > 0 && (e.waiting[0].gone || e.used+e.waiting[0].tokens <= replayTokens && e.running < replaySlots) {
+		c := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if !c.gone {
+			e.used += c.tokens
+			e.running++
+			e.reading = append(e.reading, c)
+		}
+	}
+	for !e.busy && len(e.reading) > 0 {
+		c := e.reading[0]
+		e.reading = e.reading[1:]
+		if c.gone {
+			e.end(c)
+			continue
+		}
+		e.busy = true
+		r.at(r.now+time.Duration(c.work)*time.Millisecond/replayRate, func() {
+			e.busy = false
+			r.begin(c, e)
+			r.step(e)
+		})
+	}
+}
+
+// end frees what a call that was admitted took up.
+func (e *replayEngine) end(c *replayCall) {
+	e.used -= c.tokens
+	e.running--
+}
+
+// begin delivers the first event of a call whose prompt has been read.
+func (r *replay) begin(c *replayCall, e *replayEngine) {
+	if c.gone {
+		e.end(c)
+		return
+	}
+	c.begun = true
+	r.change(c, 0, -c.uncached)
+	if r.now-c.receipt <= c.route.target && !c.returned {
+		r.result.add(c, func(t *tally) { t.inTime++ })
+	} else {
+		r.result.add(c, func(t *tally) { t.late++ })
+	}
+	r.at(r.now+time.Duration(c.route.output)*40*time.Millisecond, func() {
+		e.end(c)
+		r.change(c, -1, 0)
+		r.step(e)
+	})
+}
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -80,6 +80,9 @@
 	// the target. Zero means no limit.
 	MaxReplacedAge time.Duration
 	PauseRatio     float64 // Share of the recent streams with a pause that was too long.
+	// Deferred means that the exchange is read after those that are in time, so that it
+	// waits for the deferred ones before it, too.
+	Deferred bool
 	// MaxWait is the longest acceptable queue wait. Healthy upstreams with a
 	// longer one are chosen only if all of them exceed it. Zero means no limit.
 	MaxWait time.Duration
@@ -106,6 +109,7 @@
 	KVStoreUsed    radishcrank.UpstreamID
 	Cost           time.Duration
 	QueueWait      time.Duration // Expected time until the upstream begins the exchange.
+	Prefill        time.Duration // Expected time to read the tokens that are not cached.
 	MinQueueWait   time.Duration // Shortest QueueWait of all upstreams that have not just failed.
 	Owner          bool          // The upstream owns the shared part.
 	UncachedTokens int           // Expected number of prompt tokens to prefill.
@@ -156,7 +160,7 @@
 				c.UncachedTokens = min(c.UncachedTokens, total-sharedTokens)
 			}
 		}
-		c.QueueWait = queueWait(req, s)
+		c.QueueWait, c.Prefill = queueWait(req, s), prefillTime(c.UncachedTokens)
 		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
 			continue // The exchange would begin after the old weights expire.
@@ -199,8 +203,9 @@
 	if req.Model == "" {
 		return 0
 	}
-	d = prefillTime(s.Prefilling+s.PeerLoad.Prefilling) + time.Duration(s.Reported.Waiting)*queuedRequestCost
-	if over := s.Running + s.PeerLoad.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
+	running, prefilling, waiting := s.Ahead(req.Deferred)
+	d = prefillTime(prefilling) + time.Duration(waiting)*queuedRequestCost
+	if over := running + 1 - s.Slots; s.Slots > 0 && over > 0 {
 		d += time.Duration(over) * slotWaitCost
 	}
 	return d
--- a/internal/routing/rcroute/table.go
+++ b/internal/routing/rcroute/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 )
 
 // Route maps requests for a host and path prefix to services.
@@ -66,6 +67,7 @@
 	hosts         map[string][]*Route
 	services      map[string]*Service
 	accountsByKey map[string]*Account
+	latePriority  map[int]int
 }
 
 // BuildIndex builds the lookup maps of the table and returns it.
@@ -89,9 +91,31 @@
 			t.accountsByKey[key] = &t.Accounts[i]
 		}
 	}
+	var priorities []int
+	for i := range t.Routes {
+		if r := &t.Routes[i]; r.Stream {
+			priorities = append(priorities, r.Priority)
+		}
+	}
+	for i := range t.Accounts {
+		if p := t.Accounts[i].Priority; p != nil {
+			priorities = append(priorities, *p)
+		}
+	}
+	t.latePriority = rcadmission.LatePriorities(priorities)
 	return t
 }
 
+// LatePriority returns the priority of a stream that is past its latency target, below all
+// priorities that streaming routes and accounts have, or the priority itself if none is
+// free.
+func (t *Table) LatePriority(priority int) int {
+	if late, ok := t.latePriority[priority]; ok {
+		return late
+	}
+	return priority
+}
+
 // Match returns the route of the host with the longest matching path prefix.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	host = strings.ToLower(host)
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -93,6 +93,10 @@
 		d.withdraw(up.ID, errThrottled)
 		return false, nil
 	}
+	if d.deferred {
+		run.Defer()
+		f.cfg.Metrics.Add(rcmetric.Deferred, 1)
+	}
 	d.logPlacement(choice)
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -120,6 +124,7 @@
 		KVTarget:    choice.KVTarget,
 		LastEventID: d.lastEventID(),
 		Timeout:     time.Until(x.Deadline),
+		Priority:    d.priority(),
 		FreshConn:   x.Route.Retry == radishcrank.RetryNever,
 	})
 	if err != nil {
@@ -498,7 +503,8 @@
 	if x.Generates() {
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
-			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid())
+			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
+			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Bool("Deferred", d.deferred)
 	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
--- /dev/null
+++ b/internal/serving/rcforward/defer.go
@@ -0,0 +1,45 @@
+package rcforward
+
+import (
+	"time"
+
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+// choose places the exchange. One that is late is placed by the whole backlog of the
+// engines, since it is read after what is in time.
+func (d *dispatch) choose(req rcaffinity.Request, states []rcfleet.State, now time.Time) (choice rcaffinity.Choice, ok bool) {
+	choice, ok = rcaffinity.Choose(req, states, now)
+	if d.deferred = ok && d.mayDefer() && d.start(choice, now).Late(); d.deferred {
+		req.Deferred = true
+		choice, ok = rcaffinity.Choose(req, states, now)
+	}
+	return choice, ok
+}
+
+// mayDefer reports whether the exchange is given a lower priority if it is late. The
+// latency target applies to the first event; a stream that the client has begun to
+// receive must go on without a gap.
+func (d *dispatch) mayDefer() bool {
+	x := d.x
+	return x.Generates() && x.Route.Stream && x.LatePriority > x.Priority && !d.response.started && x.LastEventID == ""
+}
+
+func (d *dispatch) start(choice rcaffinity.Choice, now time.Time) rcadmission.Start {
+	return rcadmission.Start{
+		Elapsed:       now.Sub(d.x.ReceivedAt),
+		ExpectedWait:  choice.QueueWait,
+		OwnPrefill:    choice.Prefill,
+		LatencyTarget: d.x.Route.LatencyTarget,
+	}
+}
+
+// priority returns the priority of the exchange at an engine.
+func (d *dispatch) priority() int {
+	if d.deferred {
+		return d.x.LatePriority
+	}
+	return d.x.Priority
+}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -140,6 +140,7 @@
 
 	attempts       int       // Upstreams that the exchange was sent to.
 	runs           int       // Attempts that may have executed the exchange.
+	deferred       bool      // The chosen engine gets it with the priority of late exchanges.
 	unreached      int       // Attempts that found no connection.
 	noneHealthy    bool      // No upstream with room is known to be within reach.
 	detoured       bool      // It was sent through other instances.
@@ -300,7 +301,7 @@
 			return choice, false
 		}
 		req := d.affinityRequest(excluded)
-		choice, ok = rcaffinity.Choose(req, buf, now)
+		choice, ok = d.choose(req, buf, now)
 		if ok {
 			return choice, true
 		}
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -99,6 +99,10 @@
 		{x: nonIdempotent(), convicted: true, counters: []rcmetric.CounterName{rcmetric.RefusedFinally}},
 		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
 		{steps: []step{{reply: okReply()}, {reply: okReply()}}, x: restarted, counters: []rcmetric.CounterName{rcmetric.AttemptUnconfirmed}},
+		{
+			steps: []step{{reply: busy, after: 700 * time.Millisecond}, {reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: yielding(),
+			counters: []rcmetric.CounterName{rcmetric.Deferred},
+		},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -30,6 +30,7 @@
 	id          radishcrank.UpstreamID
 	incarnation radishcrank.Incarnation
 	tokens      int // Prompt tokens that count as prefilling until the first event.
+	late        Late
 }
 
 // Begin records the start of an exchange that has to prefill a number of
@@ -66,15 +67,26 @@
 	return m
 }
 
+// Defer records that the exchange is late and that the upstream begins it last.
+func (e *Exchange) Defer() {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if m := e.currentMemberLocked(); m != nil && e.late.Running == 0 {
+		e.late = Late{Running: 1, Prefilling: e.tokens}
+		m.Late = m.Late.add(e.late)
+	}
+}
+
 // FirstEventReceived records that the first event of the answer has arrived.
 func (e *Exchange) FirstEventReceived() {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	if m := e.currentMemberLocked(); m != nil {
 		m.Prefilling -= e.tokens
+		m.Late = m.Late.sub(e.late)
 		m.recordSuccess()
 	}
-	e.tokens = 0
+	e.tokens, e.late = 0, Late{}
 }
 
 func (m *member) recordSuccess() {
@@ -104,7 +116,8 @@
 	}
 	m.Running--
 	m.Prefilling -= e.tokens
-	e.tokens = 0
+	m.Late = m.Late.sub(e.late)
+	e.tokens, e.late = 0, Late{}
 	switch o {
 	case Succeeded:
 		m.recordSuccess()
@@ -125,7 +138,7 @@
 	loads := LoadReport{}
 	for _, m := range f.members {
 		if m.Running > 0 || m.Prefilling > 0 {
-			loads[keyOfHash(m.Hash)] = Load{Running: m.Running, Prefilling: m.Prefilling}
+			loads[keyOfHash(m.Hash)] = Load{Running: m.Running, Prefilling: m.Prefilling, Late: m.Late}
 		}
 	}
 	return loads
@@ -143,11 +156,19 @@
 
 // Add returns the sum of two loads.
 func (l Load) Add(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling}
+	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling, Late: l.Late.add(o.Late)}
 }
 
 // Sub subtracts a load that is part of a sum. Counts do not fall below zero,
 // since the part may have changed after it was added.
 func (l Load) Sub(o Load) Load {
-	return Load{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling)}
+	return Load{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling), Late: l.Late.sub(o.Late)}
+}
+
+func (l Late) add(o Late) Late {
+	return Late{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling}
+}
+
+func (l Late) sub(o Late) Late {
+	return Late{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling)}
 }
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -56,6 +56,7 @@
 	Listed       bool      // False during the grace period after a removal that may be wrong.
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
+	Late         Late      // The part of Running and Prefilling that the upstream begins last.
 	PeerLoad     Load      // Load from other instances as last reported.
 	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if no upstream of its service says so.
 	Full         bool      // No new work because it is brittle and has this instance's share of its slots in use; set by rcforward.
@@ -75,6 +76,26 @@
 type Load struct {
 	Running    int
 	Prefilling int // Prompt tokens of exchanges without a first event yet.
+	Late       Late
+}
+
+// Late is the part of a load that upstreams begin after all other work, because it is past
+// its latency target: exchanges without a first event yet, and their prompt tokens.
+type Late struct {
+	Running    int
+	Prefilling int
+}
+
+// Ahead returns what an upstream does before an exchange, by all instances' loads and its
+// own report: running requests, prompt tokens to read and waiting requests. deferred means
+// that the exchange is late, so that others that are late come before it.
+func (s *State) Ahead(deferred bool) (running, prefilling, waiting int) {
+	running, prefilling, waiting = s.Running+s.PeerLoad.Running, s.Prefilling+s.PeerLoad.Prefilling, s.Reported.Waiting
+	if !deferred {
+		late := s.Late.add(s.PeerLoad.Late)
+		running, prefilling, waiting = max(0, running-late.Running), max(0, prefilling-late.Prefilling), max(0, waiting-late.Running)
+	}
+	return running, prefilling, waiting
 }
 
 // Paused reports whether the upstream wants no requests from this instance.
--- a/internal/state/rcfleet/report.go
+++ b/internal/state/rcfleet/report.go
@@ -51,7 +51,12 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (r LoadReport) MarshalText() ([]byte, error) {
-	data := binary.AppendUvarint(nil, uint64(len(r)))
+	data := r.appendLoads(nil)
+	return base64.RawStdEncoding.AppendEncode(nil, r.appendLate(data)), nil
+}
+
+func (r LoadReport) appendLoads(data []byte) []byte {
+	data = binary.AppendUvarint(data, uint64(len(r)))
 	last := UpstreamKey(0)
 	for _, key := range slices.Sorted(maps.Keys(r)) {
 		l := r[key]
@@ -60,7 +65,22 @@
 		data = binary.AppendUvarint(data, uint64(max(0, l.Prefilling)+prefillingUnit-1)/prefillingUnit)
 		last = key
 	}
-	return base64.RawStdEncoding.AppendEncode(nil, data), nil
+	return data
+}
+
+// appendLate appends the late part of the loads. Instances of versions that know none
+// ignore what follows the loads.
+func (r LoadReport) appendLate(data []byte) []byte {
+	late := LoadReport{}
+	for key, l := range r {
+		if l.Late != (Late{}) {
+			late[key] = Load{Running: l.Late.Running, Prefilling: l.Late.Prefilling}
+		}
+	}
+	if len(late) == 0 {
+		return data
+	}
+	return late.appendLoads(data)
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
@@ -69,15 +89,28 @@
 	if err != nil {
 		return err
 	}
+	report := d.loads()
+	if len(d.data) > 0 {
+		for key, late := range d.loads() {
+			if l, ok := report[key]; ok {
+				l.Late = Late{Running: late.Running, Prefilling: late.Prefilling}
+				report[key] = l
+			}
+		}
+	}
+	*r = report
+	return d.err
+}
+
+func (d *reportReader) loads() LoadReport {
 	n := d.count()
-	report := make(LoadReport, n)
+	loads := make(LoadReport, n)
 	key := UpstreamKey(0)
 	for range n {
 		key += UpstreamKey(d.uvarint())
-		report[key] = Load{Running: d.int(), Prefilling: d.int() * prefillingUnit}
+		loads[key] = Load{Running: d.int(), Prefilling: d.int() * prefillingUnit}
 	}
-	*r = report
-	return d.err
+	return loads
 }
 
 // CachedParts reports that an upstream or KV store has prompt parts in its cache.
--- a/internal/state/rcfleet/report_test.go
+++ b/internal/state/rcfleet/report_test.go
@@ -72,3 +72,38 @@
 		}
 	})
 }
+
+// TestLateLoadsAreReported guards against late work that is lost in reports, and against
+// reports that versions without it cannot read: these read the loads and ignore the rest.
+func TestLateLoadsAreReported(t *testing.T) {
+	loads := LoadReport{1: {Running: 2, Prefilling: 64, Late: Late{Running: 1, Prefilling: 32}}, 9: {Running: 3, Prefilling: 160}}
+	text, err := loads.MarshalText()
+	require.NoError(t, err)
+	var read LoadReport
+	require.NoError(t, read.UnmarshalText(text))
+	require.Equal(t, loads, read)
+	d, err := newReportReader(text)
+	require.NoError(t, err)
+	require.Equal(t, LoadReport{1: {Running: 2, Prefilling: 64}, 9: {Running: 3, Prefilling: 160}}, d.loads())
+}
+
+// TestLateWorkIsNotAhead guards against exchanges in time that avoid an engine whose only
+// backlog is late, and against late work that still counts after it has begun.
+func TestLateWorkIsNotAhead(t *testing.T) {
+	f := New()
+	f.Put(Entry{Upstream: radishcrank.Upstream{ID: "u", Service: "s"}})
+	f.Begin("u", 100)
+	e := f.Begin("u", 1000)
+	e.Defer()
+	ahead := func(deferred bool) [2]int {
+		s, _ := f.Get("u")
+		running, prefilling, _ := s.Ahead(deferred)
+		return [2]int{running, prefilling}
+	}
+	require.Equal(t, [2]int{1, 100}, ahead(false))
+	require.Equal(t, [2]int{2, 1100}, ahead(true))
+	e.FirstEventReceived()
+	require.Equal(t, [2]int{2, 100}, ahead(false))
+	e.End(Succeeded)
+	require.Equal(t, [2]int{1, 100}, ahead(false))
+}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -57,6 +57,7 @@
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
 	StreamsUnknown         CounterName = "StreamsUnknown"
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
+	Deferred               CounterName = "Deferred"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -126,6 +127,7 @@
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
 	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
 	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
+	{Deferred, "attempts", "Attempts sent with a lower priority because their response begins after the latency target.", "Demand exceeds the capacity of the engines; see the runbook on overload."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
