Count what comes first as the wait, and book the returns of rejected callers

Urgent streams counted the queue of deferrable prompts as ahead of them, although engines admit them first, so they were judged late and rejected first. They now count only their share of the queue in time, by the mix of priorities that the instance sends. A late stream is rejected at half of the time that its callers wait, or that callers of more urgent routes do if that is less. Rejected callers get return times at half the rate at which streams begin at the instance.

--- a/internal/limits/rcadmission/admission.go
+++ b/internal/limits/rcadmission/admission.go
@@ -15,6 +15,10 @@
 	// Params.StartTimeout. The rest covers the prefill of the exchange's own prompt,
 	// which follows the wait, and waits that grow when engines preempt requests.
 	maxWaitFraction = 0.75
+	// maxLateWaitFraction is the same for exchanges that are late. Those in time that
+	// arrive during the wait go before them, so the wait grows. In the replay of a burst,
+	// 0.375 and less leaves engines idle and 0.75 lets twice as many callers wait in vain.
+	maxLateWaitFraction = 0.5
 	// minRetryAfter is the shortest delay of a retry. Load reports arrive several
 	// times per second; a retry before the next report would meet the same decision.
 	minRetryAfter = 200 * time.Millisecond
@@ -34,11 +38,24 @@
 	StartTimeout time.Duration
 	// TimeToDeadline is the time until the caller's deadline.
 	TimeToDeadline time.Duration
+	// Late means that the exchange yields to those that are in time.
+	Late bool
+	// UrgentTimeout is the shortest time that callers of more urgent exchanges wait for the
+	// start of the answer; 0 if there are none. A late exchange is admitted at no wait at
+	// which they would be refused.
+	UrgentTimeout time.Duration
 }
 
 // MaxWait returns the longest expected wait at which the exchange is admitted.
 func (p Params) MaxWait() time.Duration {
-	return max(time.Duration(maxWaitFraction*float64(p.StartTimeout)), 0)
+	if !p.Late {
+		return max(time.Duration(maxWaitFraction*float64(p.StartTimeout)), 0)
+	}
+	timeout := p.StartTimeout
+	if p.UrgentTimeout > 0 {
+		timeout = min(timeout, p.UrgentTimeout)
+	}
+	return max(time.Duration(maxLateWaitFraction*float64(timeout)), 0)
 }
 
 // ShouldRefuse reports whether the caller would probably cancel the exchange before
--- a/internal/limits/rcadmission/defer_test.go
+++ b/internal/limits/rcadmission/defer_test.go
@@ -35,7 +35,7 @@
 	for _, instances := range []int{3, 12, 88} {
 		for _, burst := range []float64{1.7, 2.4} {
 			load := replayLoad{instances: instances, burst: burst}
-			today, now := load.run(policy{}), load.run(policy{deferLate: true})
+			today, now := load.run(policy{}), load.run(complete)
 			t.Logf("%d instances, %.1f times: today %v; deferring %v", instances, burst, today, now)
 			require.Greater(t, now.inTime(), today.inTime())
 			require.GreaterOrEqual(t, now.answered()*100, today.answered()*95, "answers are lost")
@@ -47,7 +47,7 @@
 // TestLowLoadIsAsToday guards against decisions that change where there is no shortage.
 func TestLowLoadIsAsToday(t *testing.T) {
 	load := replayLoad{instances: 12, burst: 1, usual: 0.5}
-	today, now := load.run(policy{}), load.run(policy{deferLate: true})
+	today, now := load.run(policy{}), load.run(complete)
 	require.Equal(t, today, now)
 	require.Zero(t, now.deferred)
 }
--- a/internal/limits/rcadmission/replay_test.go
+++ b/internal/limits/rcadmission/replay_test.go
@@ -47,9 +47,14 @@
 }
 
 type policy struct {
-	deferLate bool
+	deferLate  bool // Late exchanges yield.
+	byPriority bool // The wait of urgent exchanges leaves out what is less urgent.
+	book       bool // Returns of rejected callers are booked.
 }
 
+// complete is what rcforward does.
+var complete = policy{deferLate: true, byPriority: true, book: true}
+
 type replayLoad struct {
 	instances int
 	burst     float64 // Times the usual rate, between burstBegin and burstEnd.
@@ -144,25 +149,28 @@
 }
 
 type replay struct {
-	load    replayLoad
-	policy  policy
-	now     time.Duration
-	queue   replayQueue
-	seq     int
-	rnd     *rand.Rand
-	engines [replayEngines]replayEngine
-	states  []rcfleet.State
-	own     [][replayEngines]rcfleet.Load
-	total   [][replayEngines]rcfleet.Load   // Of all instances, at the last reports.
-	ownThen [][][replayEngines]rcfleet.Load // Of each instance, at the same times.
-	owners  map[string]rcfleet.UpstreamKey
-	result  replayResult
+	load      replayLoad
+	policy    policy
+	now       time.Duration
+	queue     replayQueue
+	seq       int
+	rnd       *rand.Rand // For arrivals, which are the same with all policies.
+	decisions *rand.Rand
+	returns   []Returns
+	mixes     []Mix
+	engines   [replayEngines]replayEngine
+	states    []rcfleet.State
+	own       [][replayEngines]rcfleet.Load
+	total     [][replayEngines]rcfleet.Load   // Of all instances, at the last reports.
+	ownThen   [][][replayEngines]rcfleet.Load // Of each instance, at the same times.
+	owners    map[string]rcfleet.UpstreamKey
+	result    replayResult
 }
 
 func (l replayLoad) run(p policy) replayResult {
 	r := &replay{
 		owners: map[string]rcfleet.UpstreamKey{},
-		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)),
+		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)), decisions: rand.New(rand.NewPCG(3, 4)), returns: make([]Returns, l.instances), mixes: make([]Mix, l.instances),
 		own: make([][replayEngines]rcfleet.Load, l.instances), result: replayResult{classes: map[string]tally{}},
 	}
 	for i := range replayEngines {
@@ -260,12 +268,25 @@
 	choice, _ := rcaffinity.Choose(req, r.view(c.instance), now)
 	c.priority, c.deferred = c.route.priority, false
 	start := Start{Elapsed: r.now - c.receipt, ExpectedWait: choice.QueueWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
+	ahead := 1.0
+	if r.policy.byPriority {
+		ahead = r.mixes[c.instance].Ahead(c.route.priority, now)
+	}
+	start.ExpectedWait = time.Duration(ahead * float64(start.ExpectedWait))
 	if r.policy.deferLate && start.Late() {
 		req.Deferred, c.deferred, c.priority = true, true, c.route.late
 		choice, _ = rcaffinity.Choose(req, r.view(c.instance), now)
 	}
-	if p.ExpectedWait = choice.MinQueueWait; p.ShouldRefuse() {
-		r.refuse(c, p.RetryAfter(r.rnd.Float64()))
+	if c.deferred {
+		ahead = 1
+		p.Late, p.UrgentTimeout = true, r.mixes[c.instance].UrgentTimeout(c.route.priority)
+	}
+	if p.ExpectedWait = time.Duration(ahead * float64(choice.MinQueueWait)); p.ShouldRefuse() {
+		after := p.RetryAfter(r.decisions.Float64())
+		if r.policy.book {
+			after = r.returns[c.instance].Book(p, r.decisions.Float64(), now)
+		}
+		r.refuse(c, after)
 		return
 	}
 	if c.deferred {
@@ -277,6 +298,9 @@
 		}
 	}
 	c.uncached = choice.UncachedTokens
+	if !c.deferred {
+		r.mixes[c.instance].Record(c.priority, c.uncached, c.route.abandon, now)
+	}
 	if c.work = c.uncached; !choice.Owner {
 		c.work += parts[0].Tokens / 10 // A copy takes a tenth of the time of reading.
 	}
@@ -384,6 +408,7 @@
 		return
 	}
 	c.begun = true
+	r.returns[c.instance].RecordBegin(time.Unix(0, 0).Add(r.now))
 	r.change(c, 0, -c.uncached)
 	if r.now-c.receipt <= c.route.target && !c.returned {
 		r.result.add(c, func(t *tally) { t.inTime++ })
--- /dev/null
+++ b/internal/serving/rcforward/admit.go
@@ -0,0 +1,70 @@
+package rcforward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+)
+
+// admission is what the decisions about exchanges with one service go by.
+type admission struct {
+	mix     rcadmission.Mix
+	returns rcadmission.Returns
+}
+
+// admissions holds the admission of each service. It is safe for concurrent use.
+type admissions struct {
+	mu        sync.Mutex
+	byService map[string]*admission
+}
+
+func (a *admissions) of(service string) *admission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byService == nil {
+		a.byService = map[string]*admission{}
+	}
+	s, ok := a.byService[service]
+	if !ok {
+		s = &admission{}
+		a.byService[service] = s
+	}
+	return s
+}
+
+// admissionFor returns the input of the admission check for the chosen upstream. It goes by
+// the upstream that would start the exchange first.
+func (d *dispatch) admissionFor(choice rcaffinity.Choice) rcadmission.Params {
+	p := d.admissionParams(d.waitOf(choice.MinQueueWait, time.Now()))
+	if d.deferred {
+		p.Late, p.UrgentTimeout = true, d.f.admissions.of(d.x.Service).mix.UrgentTimeout(d.x.Priority)
+	}
+	return p
+}
+
+// waitOf returns the part of the wait in a queue that is for exchanges that come before
+// this one. A late exchange comes after all.
+func (d *dispatch) waitOf(queue time.Duration, now time.Time) time.Duration {
+	if d.deferred || !d.mayDefer() {
+		return queue
+	}
+	return time.Duration(d.f.admissions.of(d.x.Service).mix.Ahead(d.x.Priority, now) * float64(queue))
+}
+
+// recordSent records an exchange that is sent to an engine.
+func (d *dispatch) recordSent(choice rcaffinity.Choice) {
+	if d.mayDefer() && !d.deferred {
+		d.f.admissions.of(d.x.Service).mix.Record(d.x.Priority, choice.UncachedTokens, d.x.Route.AbandonAfter, time.Now())
+	}
+}
+
+// recordBegin records the first event of a stream.
+func (d *dispatch) recordBegin() { d.f.admissions.of(d.x.Service).returns.RecordBegin(time.Now()) }
+
+// returnTime returns when the caller of a rejected exchange should return.
+func (d *dispatch) returnTime(p rcadmission.Params) time.Duration {
+	return d.f.admissions.of(d.x.Service).returns.Book(p, rand.Float64(), time.Now())
+}
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -93,6 +93,7 @@
 		d.withdraw(up.ID, errThrottled)
 		return false, nil
 	}
+	d.recordSent(choice)
 	if d.deferred {
 		run.Defer()
 		f.cfg.Metrics.Add(rcmetric.Deferred, 1)
@@ -167,6 +168,7 @@
 		received := func(first bool) {
 			if first {
 				run.FirstEventReceived()
+				d.recordBegin()
 			}
 			blame.Received()
 		}
@@ -504,7 +506,7 @@
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
-			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Bool("Deferred", d.deferred)
+			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Bool("Deferred", d.deferred).Int("Priority", d.priority())
 	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
--- a/internal/serving/rcforward/defer.go
+++ b/internal/serving/rcforward/defer.go
@@ -11,6 +11,7 @@
 // choose places the exchange. One that is late is placed by the whole backlog of the
 // engines, since it is read after what is in time.
 func (d *dispatch) choose(req rcaffinity.Request, states []rcfleet.State, now time.Time) (choice rcaffinity.Choice, ok bool) {
+	d.deferred = false
 	choice, ok = rcaffinity.Choose(req, states, now)
 	if d.deferred = ok && d.mayDefer() && d.start(choice, now).Late(); d.deferred {
 		req.Deferred = true
@@ -30,7 +31,7 @@
 func (d *dispatch) start(choice rcaffinity.Choice, now time.Time) rcadmission.Start {
 	return rcadmission.Start{
 		Elapsed:       now.Sub(d.x.ReceivedAt),
-		ExpectedWait:  choice.QueueWait,
+		ExpectedWait:  d.waitOf(choice.QueueWait, now),
 		OwnPrefill:    choice.Prefill,
 		LatencyTarget: d.x.Route.LatencyTarget,
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -117,6 +117,7 @@
 	cfg          Config
 	longGapRatio movingAverage
 	bodies       bodyBuffers
+	admissions   admissions
 }
 
 func New(cfg Config) *Forwarder {
@@ -205,7 +206,7 @@
 		if !ok {
 			return d.finishWithoutAnswer()
 		}
-		if c := d.admissionParams(choice.MinQueueWait); d.mayRefuse() && c.ShouldRefuse() {
+		if c := d.admissionFor(choice); d.mayRefuse() && c.ShouldRefuse() {
 			// Others that this instance does not reach may have room.
 			if d.noneHealthy = choice.Upstream.Probing || d.unreached > 0; d.noneHealthy && d.mayDetour() {
 				if done, err := d.detour(); done {
@@ -216,7 +217,7 @@
 				}
 			}
 			d.cause = fmt.Errorf("expected wait %v exceeds limit %v", c.ExpectedWait, c.MaxWait())
-			return d.refuse("it would begin too late", c.RetryAfter(rand.Float64()))
+			return d.refuse("it would begin too late", d.returnTime(c))
 		}
 		if d.convictedMeanwhile() {
 			if d.mayRefuse() {
