Let excess demand and early returns pay first in a shortage

An account that sent many times its usual demand made all accounts late alike, and a rejected caller that retried at once was served before those that waited as told. Where the queue is longer than half of the latency target, the excess of an account over its usual demand at this instance, and a request whose caller was rejected here and returns early, now yield as late ones do.

--- a/internal/limits/rcadmission/defer.go
+++ b/internal/limits/rcadmission/defer.go
@@ -13,12 +13,17 @@
 // prompt that takes longer to read than its target would be deferred by idle engines.
 const maxOwnPrefillFraction = 0.5
 
+// paysFirstFraction of the latency target is the time after which exchanges that pay first
+// are late. Queues that long are the beginning of a shortage.
+const paysFirstFraction = 0.5
+
 // Start is what is known about when an exchange begins.
 type Start struct {
 	Elapsed       time.Duration // Since the exchange was received.
 	ExpectedWait  time.Duration // Until the upstream begins to read the prompt.
 	OwnPrefill    time.Duration // For the exchange's own prompt.
 	LatencyTarget time.Duration // Of the route; 0 means none.
+	PaysFirst     bool          // It yields before others do, if there is a shortage.
 }
 
 // Late reports whether the answer begins, or has not begun, after the latency target.
@@ -30,8 +35,12 @@
 	if s.LatencyTarget <= 0 {
 		return false
 	}
-	own := min(s.OwnPrefill, time.Duration(maxOwnPrefillFraction*float64(s.LatencyTarget)))
-	return s.Elapsed+s.ExpectedWait+own > s.LatencyTarget
+	target := s.LatencyTarget
+	if s.PaysFirst {
+		target = time.Duration(paysFirstFraction * float64(target))
+	}
+	own := min(s.OwnPrefill, time.Duration(maxOwnPrefillFraction*float64(target)))
+	return s.Elapsed+s.ExpectedWait+own > target
 }
 
 // LatePriorities maps each priority in use to the one that late exchanges get: after all
--- a/internal/limits/rcadmission/replay_test.go
+++ b/internal/limits/rcadmission/replay_test.go
@@ -23,6 +23,7 @@
 const (
 	replayEngines   = 12
 	replayTokens    = 64000 // Tokens that fit into the memory of an engine.
+	replayAccounts  = 8
 	replaySlots     = 32
 	replayRate      = 40 // Prompt tokens that an engine reads in a millisecond.
 	replayStaleness = 3  // Age of the loads of others in reports.
@@ -46,19 +47,32 @@
 	{"chat", 600 * time.Millisecond, 2400 * time.Millisecond, 15 * time.Second, 0, 3, 830, 45, 0.1},
 }
 
+// perSecond is the usual rate. Owners have half of each prompt cached.
+func (r *replayRoute) perSecond() float64 {
+	return replayEngines * replayRate * 1000 * r.share / float64(r.tokens/2)
+}
+
+var replayBegin = time.Unix(1000, 0)
+
 type policy struct {
 	deferLate  bool // Late exchanges yield.
 	byPriority bool // The wait of urgent exchanges leaves out what is less urgent.
 	book       bool // Returns of rejected callers are booked.
+	payFirst   bool // Excess demand of accounts and early returns yield first.
 }
 
 // complete is what rcforward does.
-var complete = policy{deferLate: true, byPriority: true, book: true}
+var complete = policy{deferLate: true, byPriority: true, book: true, payFirst: true}
 
 type replayLoad struct {
 	instances int
 	burst     float64 // Times the usual rate, between burstBegin and burstEnd.
 	usual     float64 // Factor of all rates; 0 means 1.
+	surge     float64 // Of account 0 in the burst; 0 means as others.
+	moved     bool    // Half of a zone's callers move to another zone in the burst.
+	zoneGone  bool    // A third of the engines and instances are gone in the burst.
+	hotKey    bool    // A quarter of the prompts share one part in the burst.
+	impatient bool    // A third of the callers retry at once, up to three times.
 }
 
 type replayCall struct {
@@ -71,7 +85,8 @@
 	key      string
 	sentAt   time.Duration // First.
 	receipt  time.Duration // Of the current attempt of the caller.
-	returned bool
+	returns  int
+	excess   bool // Exceeds the usual demand of its account.
 	priority int
 	engine   int
 	deferred bool
@@ -158,6 +173,7 @@
 	decisions *rand.Rand
 	returns   []Returns
 	mixes     []Mix
+	accounts  []Accounts
 	engines   [replayEngines]replayEngine
 	states    []rcfleet.State
 	own       [][replayEngines]rcfleet.Load
@@ -170,7 +186,7 @@
 func (l replayLoad) run(p policy) replayResult {
 	r := &replay{
 		owners: map[string]rcfleet.UpstreamKey{},
-		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)), decisions: rand.New(rand.NewPCG(3, 4)), returns: make([]Returns, l.instances), mixes: make([]Mix, l.instances),
+		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)), decisions: rand.New(rand.NewPCG(3, 4)), returns: make([]Returns, l.instances), mixes: make([]Mix, l.instances), accounts: make([]Accounts, l.instances),
 		own: make([][replayEngines]rcfleet.Load, l.instances), result: replayResult{classes: map[string]tally{}},
 	}
 	for i := range replayEngines {
@@ -183,6 +199,7 @@
 			Hash: xxhash.Sum64String(string(id)),
 		})
 	}
+	r.usualDemand()
 	for i := range replayRoutes {
 		r.arrive(&replayRoutes[i])
 	}
@@ -204,12 +221,15 @@
 
 // arrive sends the calls of a route.
 func (r *replay) arrive(route *replayRoute) {
-	perSecond := replayEngines * replayRate * 1000 * route.share / float64(route.tokens/2) // Owners have half of each prompt cached.
+	perSecond := route.perSecond()
 	if r.load.usual > 0 {
 		perSecond *= r.load.usual
 	}
-	if r.now >= burstBegin && r.now < burstEnd {
+	if r.inBurst() {
 		perSecond *= r.load.burst
+		if s := r.load.surge; s > 0 {
+			perSecond *= (replayAccounts - 1 + s) / replayAccounts
+		}
 	}
 	next := r.now + time.Duration(r.rnd.ExpFloat64()/perSecond*float64(time.Second))
 	if next > replayEnd {
@@ -218,15 +238,67 @@
 	r.at(next, func() {
 		size := 0.5 + r.rnd.Float64()*1 // 0.5 to 1.5 of the route's usual size.
 		c := &replayCall{
-			route: route, instance: r.rnd.IntN(r.load.instances), account: r.rnd.IntN(8),
+			seq: r.seq, route: route, instance: r.rnd.IntN(r.load.instances), account: r.account(),
 			tokens: int(size * float64(route.tokens)), key: fmt.Sprint(route.name, r.rnd.IntN(40)), sentAt: r.now, receipt: r.now,
 		}
+		r.disturb(c)
 		r.result.add(c, func(t *tally) { t.sent++ })
+		excess := r.accounts[c.instance].Record(radishcrank.ClientAccountID(fmt.Sprint(c.account)), replayBegin.Add(r.now))
+		c.excess = r.decisions.Float64() < excess
 		r.receive(c)
 		r.arrive(route)
 	})
 }
 
+func (r *replay) inBurst() bool { return r.now >= burstBegin && r.now < burstEnd }
+
+// account draws the account of a call. The usual demand of all is the same.
+func (r *replay) account() int {
+	if s := r.load.surge; s > 0 && r.inBurst() {
+		// The rate of all calls is higher by what account 0 sends in excess.
+		x := r.rnd.Float64() * (replayAccounts - 1 + s)
+		if x < s {
+			return 0
+		}
+		return 1 + int(x-s)
+	}
+	return r.rnd.IntN(replayAccounts)
+}
+
+// disturb applies what happens in the burst to a call.
+func (r *replay) disturb(c *replayCall) {
+	if !r.inBurst() {
+		return
+	}
+	zone := c.instance % 3
+	if zone == 0 && r.load.instances >= 3 && (r.load.zoneGone || r.load.moved && c.seq%2 == 0) {
+		c.instance++
+	}
+	if c.instance >= r.load.instances {
+		c.instance = 1
+	}
+	if r.load.hotKey && c.seq%4 == 0 {
+		c.key = c.route.name + "hot"
+	}
+}
+
+// usualDemand records the demand of accounts before the replay.
+func (r *replay) usualDemand() {
+	perSecond := 0.0
+	for _, route := range replayRoutes {
+		perSecond += route.perSecond()
+	}
+	perAccount := perSecond / float64(r.load.instances*replayAccounts)
+	for i := range r.accounts {
+		for n := range int(20 * perAccount) {
+			for account := range replayAccounts {
+				at := time.Duration(float64(n) / perAccount * float64(time.Second))
+				r.accounts[i].Record(radishcrank.ClientAccountID(fmt.Sprint(account)), replayBegin.Add(-20*time.Second).Add(at))
+			}
+		}
+	}
+}
+
 // report records what instances hear of each other.
 func (r *replay) report() {
 	var sum [replayEngines]rcfleet.Load
@@ -246,6 +318,7 @@
 		s, own := &r.states[e], r.own[instance][e]
 		s.Running, s.Prefilling, s.Late = own.Running, own.Prefilling, own.Late
 		s.PeerLoad = rcfleet.Load{}
+		s.Suspect = r.load.zoneGone && r.inBurst() && e%3 == 0
 		if old < len(r.total) {
 			s.PeerLoad = r.total[old][e].Sub(r.ownThen[old][instance][e])
 		}
@@ -264,10 +337,12 @@
 			return map[rcfleet.UpstreamKey]rcfleet.CachedPrefix{r.owner(c.key): {Tokens: parts[0].Tokens}}
 		},
 	}
-	now := time.Unix(0, 0).Add(r.now)
+	now := replayBegin.Add(r.now)
 	choice, _ := rcaffinity.Choose(req, r.view(c.instance), now)
 	c.priority, c.deferred = c.route.priority, false
-	start := Start{Elapsed: r.now - c.receipt, ExpectedWait: choice.QueueWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
+	content := xxhash.Sum64String(fmt.Sprint(c.sentAt, c.tokens))
+	paysFirst := r.policy.payFirst && (c.excess || r.returns[c.instance].Early(content, now))
+	start := Start{PaysFirst: paysFirst, Elapsed: r.now - c.receipt, ExpectedWait: choice.QueueWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
 	ahead := 1.0
 	if r.policy.byPriority {
 		ahead = r.mixes[c.instance].Ahead(c.route.priority, now)
@@ -286,6 +361,9 @@
 		if r.policy.book {
 			after = r.returns[c.instance].Book(p, r.decisions.Float64(), now)
 		}
+		if r.policy.payFirst {
+			r.returns[c.instance].Tell(content, after, now)
+		}
 		r.refuse(c, after)
 		return
 	}
@@ -318,7 +396,7 @@
 		choice, _ := rcaffinity.Choose(rcaffinity.Request{
 			Model: "m", Parts: []radishcrank.PromptPart{{ID: key, Tokens: 1000}, {}},
 			Salt: func(radishcrank.WeightsVersion) string { return "" },
-		}, idle, time.Unix(0, 0))
+		}, idle, replayBegin)
 		owner = rcfleet.KeyOf(choice.Upstream.ID)
 		r.owners[key] = owner
 	}
@@ -327,11 +405,15 @@
 
 // refuse lets a caller return once.
 func (r *replay) refuse(c *replayCall, after time.Duration) {
-	if c.returned || after > (c.route.total-(r.now-c.sentAt))/3 {
+	maxReturns := 1
+	if r.load.impatient && c.seq%3 == 0 {
+		after, maxReturns = 10*time.Millisecond, 3
+	}
+	if c.returns >= maxReturns || after > (c.route.total-(r.now-c.sentAt))/3 {
 		r.result.add(c, func(t *tally) { t.refused++ })
 		return
 	}
-	c.returned = true
+	c.returns++
 	r.at(r.now+after, func() { c.receipt = r.now; r.receive(c) })
 }
 
@@ -348,8 +430,6 @@
 func abs(n int) int { return max(n, -n) }
 
 func (r *replay) send(c *replayCall) {
-	r.seq++
-	c.seq = r.seq
 	r.change(c, 1, c.uncached)
 	e := &r.engines[c.engine]
 	e.waiting = append(e.waiting, c)
@@ -408,9 +488,9 @@
 		return
 	}
 	c.begun = true
-	r.returns[c.instance].RecordBegin(time.Unix(0, 0).Add(r.now))
+	r.returns[c.instance].RecordBegin(replayBegin.Add(r.now))
 	r.change(c, 0, -c.uncached)
-	if r.now-c.receipt <= c.route.target && !c.returned {
+	if r.now-c.receipt <= c.route.target && c.returns == 0 {
 		r.result.add(c, func(t *tally) { t.inTime++ })
 	} else {
 		r.result.add(c, func(t *tally) { t.late++ })
--- a/internal/limits/rcadmission/returns.go
+++ b/internal/limits/rcadmission/returns.go
@@ -23,7 +23,8 @@
 type Returns struct {
 	mu       sync.Mutex
 	begins   rate
-	nextSlot time.Time // Before it all slots are taken.
+	nextSlot time.Time            // Before it all slots are taken.
+	told     map[uint64]time.Time // When rejected requests should return, by their contents.
 }
 
 // RecordBegin records that the answer to an exchange has begun.
@@ -33,6 +34,44 @@
 	r.begins.add(1, now, beginRateTime)
 }
 
+const (
+	// maxTold bounds the memory for rejected requests.
+	maxTold = 4096
+	// earlyTolerance is how much earlier than told a caller may return.
+	earlyTolerance = 50 * time.Millisecond
+)
+
+// Tell records when the caller of a request with a content was told to return.
+func (r *Returns) Tell(content uint64, after time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.told) >= maxTold {
+		for c, at := range r.told {
+			if !now.Before(at) {
+				delete(r.told, c)
+			}
+		}
+	}
+	if r.told == nil {
+		r.told = map[uint64]time.Time{}
+	}
+	if len(r.told) < maxTold {
+		r.told[content] = now.Add(after)
+	}
+}
+
+// Early reports whether the caller of a request with a content was rejected here and returns
+// before the time that it was told.
+func (r *Returns) Early(content uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.told[content]
+	if ok && !now.Before(at) {
+		delete(r.told, content)
+	}
+	return ok && now.Before(at.Add(-earlyTolerance))
+}
+
 // Book returns when a rejected caller should return. random is uniform in [0, 1).
 // If all slots are taken until the caller can no longer come back, it returns a time in
 // the later half of those that are left, in which the shortage is most likely to end.
--- a/internal/serving/rcforward/admit.go
+++ b/internal/serving/rcforward/admit.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 )
@@ -13,6 +15,7 @@
 type admission struct {
 	mix     rcadmission.Mix
 	returns rcadmission.Returns
+	demand  rcadmission.Accounts
 }
 
 // admissions holds the admission of each service. It is safe for concurrent use.
@@ -66,5 +69,33 @@
 
 // returnTime returns when the caller of a rejected exchange should return.
 func (d *dispatch) returnTime(p rcadmission.Params) time.Duration {
-	return d.f.admissions.of(d.x.Service).returns.Book(p, rand.Float64(), time.Now())
+	returns, now := &d.f.admissions.of(d.x.Service).returns, time.Now()
+	after := returns.Book(p, rand.Float64(), now)
+	if d.mayDefer() {
+		returns.Tell(d.content(), after, now)
+	}
+	return after
+}
+
+// recordDemand records the demand of the account, and draws whether the exchange is in
+// excess of what is usual.
+func (d *dispatch) recordDemand() {
+	if d.mayDefer() {
+		excess := d.f.admissions.of(d.x.Service).demand.Record(d.x.Account, time.Now())
+		d.excess = excess > 0 && rand.Float64() < excess
+	}
+}
+
+// content identifies what a request asks for, for whom.
+func (d *dispatch) content() uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, text := range []string{string(d.x.Account), d.x.Method, d.x.Target, string(d.x.Model)} {
+		h.WriteString(text + "\x00")
+	}
+	for _, p := range d.x.PromptParts {
+		h.WriteString(p.ID + "\x00")
+	}
+	h.Write(d.x.Body)
+	return h.Sum64()
 }
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -97,6 +97,9 @@
 	if d.deferred {
 		run.Defer()
 		f.cfg.Metrics.Add(rcmetric.Deferred, 1)
+		if d.deferral != deferredLate {
+			f.cfg.Metrics.Add(rcmetric.DeferredFirst, 1)
+		}
 	}
 	d.logPlacement(choice)
 	if d.attempts == 1 {
@@ -506,7 +509,7 @@
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
-			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Bool("Deferred", d.deferred).Int("Priority", d.priority())
+			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Str("Deferred", d.deferral).Int("Priority", d.priority())
 	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
--- a/internal/serving/rcforward/defer.go
+++ b/internal/serving/rcforward/defer.go
@@ -11,15 +11,42 @@
 // choose places the exchange. One that is late is placed by the whole backlog of the
 // engines, since it is read after what is in time.
 func (d *dispatch) choose(req rcaffinity.Request, states []rcfleet.State, now time.Time) (choice rcaffinity.Choice, ok bool) {
-	d.deferred = false
+	d.deferred, d.deferral = false, ""
 	choice, ok = rcaffinity.Choose(req, states, now)
-	if d.deferred = ok && d.mayDefer() && d.start(choice, now).Late(); d.deferred {
+	if ok && d.mayDefer() {
+		d.deferral = d.deferralFor(d.start(choice, now), now)
+	}
+	if d.deferred = d.deferral != ""; d.deferred {
 		req.Deferred = true
 		choice, ok = rcaffinity.Choose(req, states, now)
 	}
 	return choice, ok
 }
 
+// Reasons why an exchange yields, in log lines.
+const (
+	deferredLate   = "Late"
+	deferredExcess = "Excess" // Its account's demand is many times the usual, and there is a shortage.
+	deferredEarly  = "Early"  // Its caller was rejected and returns before it was told to, in a shortage.
+)
+
+// deferralFor returns why an exchange yields, or "" if it does not.
+func (d *dispatch) deferralFor(s rcadmission.Start, now time.Time) string {
+	if s.Late() {
+		return deferredLate
+	}
+	if s.PaysFirst = true; !s.Late() {
+		return ""
+	}
+	switch {
+	case d.excess:
+		return deferredExcess
+	case d.f.admissions.of(d.x.Service).returns.Early(d.content(), now):
+		return deferredEarly
+	}
+	return ""
+}
+
 // mayDefer reports whether the exchange is given a lower priority if it is late. The
 // latency target applies to the first event; a stream that the client has begun to
 // receive must go on without a gap.
--- a/internal/serving/rcforward/defer_test.go
+++ b/internal/serving/rcforward/defer_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
+	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcboard"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
 // yielding returns a stream that gets another priority when it is late.
@@ -47,3 +55,68 @@
 		})
 	}
 }
+
+// TestWhoPaysFirst guards against callers that return earlier than told, and accounts that
+// send many times their usual demand, that are served like all others in a shortage, and
+// against any difference without one.
+func TestWhoPaysFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, metrics := rcfleet.New(), &rcmetric.Set{}
+		fleet.Put(rcfleet.Entry{
+			Upstream: radishcrank.Upstream{ID: "u", Service: "s", Software: "v1"},
+			Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+		})
+		s := &scriptedSender{}
+		f := New(Config{
+			Fleet: fleet, Sender: s, Budget: stubBudget{}, Guard: rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
+			Weights:       func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
+			OldWeightsTTL: func() time.Duration { return 0 },
+			KVStores:      func() []rcaffinity.KVStore { return nil },
+			RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
+			Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+			Metrics: metrics, Log: zerolog.Nop(),
+		})
+		// send returns the priority at the engine, or -1 for a rejection.
+		send := func(account radishcrank.ClientAccountID, body string) int {
+			x := yielding()
+			x.ID, x.Service, x.Account, x.Body = "r", "s", account, []byte(body)
+			x.ReceivedAt, x.Deadline = time.Now(), time.Now().Add(4*time.Second)
+			s.steps = append(s.steps, step{reply: okReply(), body: strings.NewReader("id: 1\n\n")})
+			before := len(s.sent)
+			require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+			if len(s.sent) == before {
+				s.steps = s.steps[:before]
+				return -1
+			}
+			return s.sent[before].o.Priority
+		}
+		backlog := fleet.Begin("u", 4*40000) // 4 s.
+		require.Equal(t, -1, send("a", "rejected"))
+		backlog.End(rcfleet.Canceled)
+		require.Equal(t, 1, send("a", "rejected"), "no shortage")
+		fleet.Begin("u", 350*40) // More than half of the target.
+		require.Equal(t, 1, send("a", "new"))
+		require.Equal(t, 4, send("a", "rejected"), "returned early")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, send("a", "rejected"), "returned as told")
+
+		demand := &f.admissions.of("s").demand
+		for range 20 {
+			time.Sleep(time.Second)
+			demand.Record("a", time.Now())
+			demand.Record("b", time.Now())
+		}
+		for range 100 {
+			demand.Record("a", time.Now())
+		}
+		deferred := 0
+		for range 20 {
+			if send("a", "new") == 4 {
+				deferred++
+			}
+			require.Equal(t, 1, send("b", "new"))
+		}
+		require.Greater(t, deferred, 10, "most of the demand is in excess")
+		require.EqualValues(t, deferred+1, metrics.Value(rcmetric.DeferredFirst))
+	})
+}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -142,6 +142,8 @@
 	attempts       int       // Upstreams that the exchange was sent to.
 	runs           int       // Attempts that may have executed the exchange.
 	deferred       bool      // The chosen engine gets it with the priority of late exchanges.
+	deferral       string    // Why it does; empty if it does not.
+	excess         bool      // It exceeds the usual demand of its account.
 	unreached      int       // Attempts that found no connection.
 	noneHealthy    bool      // No upstream with room is known to be within reach.
 	detoured       bool      // It was sent through other instances.
@@ -179,6 +181,7 @@
 	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
 		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
 	}
+	d.recordDemand()
 	return d.run()
 }
 
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -140,6 +140,6 @@
 			}
 		})
 	}
-	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts")
+	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true, rcmetric.DeferredFirst: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts, TestWhoPaysFirst DeferredFirst")
 	require.Equal(t, map[rcmetric.HistogramName]bool{rcmetric.StoreTime: true}, untestedTimings)
 }
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -58,6 +58,7 @@
 	StreamsUnknown         CounterName = "StreamsUnknown"
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
 	Deferred               CounterName = "Deferred"
+	DeferredFirst          CounterName = "DeferredFirst"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -128,6 +129,7 @@
 	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
 	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
 	{Deferred, "attempts", "Attempts sent with a lower priority because their response begins after the latency target.", "Demand exceeds the capacity of the engines; see the runbook on overload."},
+	{DeferredFirst, "attempts", "Attempts sent with a lower priority although not late yet, because the demand of their account is many times its usual, or their caller returned earlier than told, in a shortage.", "`Placed` lines say which (`Deferred`); talk to the account."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
