Wait for a place at plain servers instead of trying all of them at once

A call that a server with a full queue rejected was tried at the other servers within milliseconds, rejected there, and then rejected to its caller, although a slot was about to be free. It now waits a part of the usual time of a reply before it tries again, longer after each rejection and while most attempts are rejected, within the time that exchanges may wait for an upstream. Calls that arrive meanwhile wait once before their first attempt.

--- a/internal/serving/rcforward/admit.go
+++ b/internal/serving/rcforward/admit.go
@@ -7,8 +7,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // admission is what the decisions about exchanges with one service go by.
@@ -16,6 +19,7 @@
 	mix     rcadmission.Mix
 	returns rcadmission.Returns
 	demand  rcadmission.Accounts
+	places  rcadmission.Places
 }
 
 // admissions holds the admission of each service. It is safe for concurrent use.
@@ -99,3 +103,39 @@
 	h.Write(d.x.Body)
 	return h.Sum64()
 }
+
+// awaitPlace marks all upstreams of a plain service as full while the exchange waits for a
+// place. At the end of the time that it may wait it tries one anyway.
+func (d *dispatch) awaitPlace(states []rcfleet.State, now, limit time.Time) {
+	if d.x.Generates() {
+		return
+	}
+	places := &d.f.admissions.of(d.x.Service).places
+	if d.attempts == 0 && d.placeAt.IsZero() && places.Full(now) {
+		d.placeAt = now.Add(places.Wait(d.x.Route.LatencyTarget, 0, rand.Float64()))
+	}
+	if now.Before(d.placeAt) && now.Add(fullPollInterval).Before(limit) {
+		for i := range states {
+			states[i].Full = true
+		}
+	}
+}
+
+// observePlaces records what a reply says about the places of a plain upstream. One that has
+// rejected the exchange may be tried again.
+func (d *dispatch) observePlaces(up radishcrank.Upstream, reply *radishcrank.Reply) {
+	if d.x.Generates() || !fromUpstream(up, reply) {
+		return
+	}
+	places := &d.f.admissions.of(up.Service).places
+	switch {
+	case reply.Class == radishcrank.ReplyAnswered:
+		places.Replied(time.Since(d.sentAt))
+	case reply.Class == radishcrank.ReplyBusy && reply.Load != nil && reply.PauseFor == 0 && reply.Brittle == 0:
+		wait, now := places.Wait(d.x.Route.LatencyTarget, d.attempts, rand.Float64()), time.Now()
+		places.Rejected(wait, now)
+		d.placeAt = now.Add(wait)
+		delete(d.tried, up.ID)
+		d.f.cfg.Metrics.Add(rcmetric.PlacesAwaited, 1)
+	}
+}
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -145,6 +145,7 @@
 		f.cfg.Blame.Reply(up, reply.Conn.OpenedAt(), d.sentAt)
 	}
 	d.updateFleet(up, choice, reply)
+	d.observePlaces(up, reply)
 	switch reply.Class {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
 		outcome = rcfleet.Refused
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -143,6 +143,7 @@
 	runs           int       // Attempts that may have executed the exchange.
 	deferred       bool      // The chosen engine gets it with the priority of late exchanges.
 	deferral       string    // Why it does; empty if it does not.
+	placeAt        time.Time // Until when it waits for a place at a plain upstream; zero if it does not.
 	excess         bool      // It exceeds the usual demand of its account.
 	unreached      int       // Attempts that found no connection.
 	noneHealthy    bool      // No upstream with room is known to be within reach.
@@ -304,6 +305,7 @@
 		if d.ownsNoSlots(buf) {
 			return choice, false
 		}
+		d.awaitPlace(buf, now, limit)
 		req := d.affinityRequest(excluded)
 		choice, ok = d.choose(req, buf, now)
 		if ok {
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -37,6 +37,8 @@
 func TestMetricsAreRecorded(t *testing.T) {
 	failure := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusInternalServerError, Header: http.Header{}}
 	busy := radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}
+	full := busy
+	full.Load = &radishcrank.QueueReport{Running: 6, Waiting: 4, Slots: 6}
 	unreadable := math.NaN()
 	unframed := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, Unframed: true}
 	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
@@ -103,6 +105,7 @@
 			steps: []step{{reply: busy, after: 700 * time.Millisecond}, {reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: yielding(),
 			counters: []rcmetric.CounterName{rcmetric.Deferred},
 		},
+		{steps: []step{{reply: full}, {reply: okReply()}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.PlacesAwaited}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -59,6 +59,7 @@
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
 	Deferred               CounterName = "Deferred"
 	DeferredFirst          CounterName = "DeferredFirst"
+	PlacesAwaited          CounterName = "PlacesAwaited"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -130,6 +131,7 @@
 	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
 	{Deferred, "attempts", "Attempts sent with a lower priority because their response begins after the latency target.", "Demand exceeds the capacity of the engines; see the runbook on overload."},
 	{DeferredFirst, "attempts", "Attempts sent with a lower priority although not late yet, because the demand of their account is many times its usual, or their caller returned earlier than told, in a shortage.", "`Placed` lines say which (`Deferred`); talk to the account."},
+	{PlacesAwaited, "replies", "Rejections of plain upstreams after which this instance waits until a place there may be free.", "If it rises for longer than a burst, add servers to the service; see the runbook on overload."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
