--- a/internal/limits/rcadmission/admission.go
+++ b/internal/limits/rcadmission/admission.go
@@ -17,7 +17,8 @@
 	maxWaitFraction = 0.75
 	// maxLateWaitFraction is the same for exchanges that are late. Those in time that
 	// arrive during the wait go before them, so the wait grows. In the replay of a burst,
-	// 0.375 and less leaves engines idle and 0.75 lets twice as many callers wait in vain.
+	// 0.75 lets up to twice as many callers wait in vain for as many answers, and 0.25
+	// answers up to 4% fewer.
 	maxLateWaitFraction = 0.5
 	// minRetryAfter is the shortest delay of a retry. Load reports arrive several
 	// times per second; a retry before the next report would meet the same decision.
--- a/internal/limits/rcadmission/replay_test.go
+++ b/internal/limits/rcadmission/replay_test.go
@@ -1,6 +1,7 @@
 package rcadmission
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -222,9 +223,7 @@
 // arrive sends the calls of a route.
 func (r *replay) arrive(route *replayRoute) {
 	perSecond := route.perSecond()
-	if r.load.usual > 0 {
-		perSecond *= r.load.usual
-	}
+	perSecond *= cmp.Or(r.load.usual, 1)
 	if r.inBurst() {
 		perSecond *= r.load.burst
 		if s := r.load.surge; s > 0 {
@@ -422,13 +421,11 @@
 	l.Running += running
 	l.Prefilling += prefilling
 	if c.deferred && prefilling != 0 {
-		l.Late.Running += prefilling / max(1, abs(prefilling))
+		l.Late.Running += max(-1, min(1, prefilling))
 		l.Late.Prefilling += prefilling
 	}
 }
 
-func abs(n int) int { return max(n, -n) }
-
 func (r *replay) send(c *replayCall) {
 	r.change(c, 1, c.uncached)
 	e := &r.engines[c.engine]
--- a/internal/serving/rcforward/defer.go
+++ b/internal/serving/rcforward/defer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
@@ -47,6 +48,17 @@
 	return ""
 }
 
+// silentByOrder reports whether an upstream from which nothing is heard may be sound and read
+// those in time first. Only what others hear of it tells then: without this, exchanges that
+// yield would take engines that are merely full out of use.
+func (d *dispatch) silentByOrder(up radishcrank.Upstream) bool {
+	if !d.deferred || d.begun.Load() {
+		return false
+	}
+	s, ok := d.f.cfg.Fleet.Get(up.ID)
+	return ok && s.Incarnation == up.Incarnation && !s.Suspect && !s.Probing
+}
+
 // mayDefer reports whether the exchange is given a lower priority if it is late. The
 // latency target applies to the first event; a stream that the client has begun to
 // receive must go on without a gap.
--- a/internal/serving/rcforward/defer_test.go
+++ b/internal/serving/rcforward/defer_test.go
@@ -56,26 +56,68 @@
 	}
 }
 
+// newEngineForwarder returns a forwarder with engines.
+func newEngineForwarder(s radishcrank.Sender, ids ...radishcrank.UpstreamID) *Forwarder {
+	fleet := rcfleet.New()
+	for _, id := range ids {
+		fleet.Put(rcfleet.Entry{
+			Upstream: radishcrank.Upstream{ID: id, Service: "s", Software: "v1"},
+			Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+		})
+	}
+	return New(Config{
+		Fleet: fleet, Sender: s, Budget: stubBudget{}, Guard: rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
+		Weights:       func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
+		OldWeightsTTL: func() time.Duration { return 0 },
+		KVStores:      func() []rcaffinity.KVStore { return nil },
+		RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
+		Origins:       stubOrigins{}, Incarnation: listedIncarnation,
+		Metrics: &rcmetric.Set{}, Log: zerolog.Nop(),
+	})
+}
+
+// TestYieldingIsNoSilence guards against engines that are taken out of use because streams
+// that yield have not begun there, and against streams that stay at an engine of which
+// others have heard nothing either.
+func TestYieldingIsNoSilence(t *testing.T) {
+	for _, suspected := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &scriptedSender{steps: []step{{hang: true}, {reply: okReply(), body: strings.NewReader("id: 1\n\n")}}}
+			f := newEngineForwarder(s, "u0", "u1")
+			for _, id := range []radishcrank.UpstreamID{"u0", "u1"} {
+				f.cfg.Fleet.Begin(id, 700*40) // More than the latency target.
+			}
+			x := yielding()
+			x.ID, x.Service, x.ReceivedAt, x.Deadline = "r", "s", time.Now(), time.Now().Add(4*time.Second)
+			if suspected {
+				time.AfterFunc(2*time.Second, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					f.cfg.Fleet.MarkSuspect(s.sent[0].up)
+				})
+			}
+			require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+			require.Equal(t, 4, s.sent[0].o.Priority)
+			if suspected {
+				require.Len(t, s.sent, 2)
+				return
+			}
+			require.Len(t, s.sent, 1)
+			for _, state := range f.cfg.Fleet.All() {
+				require.False(t, state.Suspect || state.Probing)
+			}
+		})
+	}
+}
+
 // TestWhoPaysFirst guards against callers that return earlier than told, and accounts that
 // send many times their usual demand, that are served like all others in a shortage, and
 // against any difference without one.
 func TestWhoPaysFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet, metrics := rcfleet.New(), &rcmetric.Set{}
-		fleet.Put(rcfleet.Entry{
-			Upstream: radishcrank.Upstream{ID: "u", Service: "s", Software: "v1"},
-			Weights:  map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
-		})
 		s := &scriptedSender{}
-		f := New(Config{
-			Fleet: fleet, Sender: s, Budget: stubBudget{}, Guard: rcpoison.New(rcpoison.Config{Board: rcboard.New()}),
-			Weights:       func(radishcrank.ModelID) rcweights.History { return rcweights.History{} },
-			OldWeightsTTL: func() time.Duration { return 0 },
-			KVStores:      func() []rcaffinity.KVStore { return nil },
-			RecordCached:  func(radishcrank.UpstreamID, string, []radishcrank.PromptPart) {},
-			Origins:       stubOrigins{}, Incarnation: listedIncarnation,
-			Metrics: metrics, Log: zerolog.Nop(),
-		})
+		f := newEngineForwarder(s, "u")
+		fleet, metrics := f.cfg.Fleet, f.cfg.Metrics
 		// send returns the priority at the engine, or -1 for a rejection.
 		send := func(account radishcrank.ClientAccountID, body string) int {
 			x := yielding()
--- a/internal/serving/rcforward/idle.go
+++ b/internal/serving/rcforward/idle.go
@@ -38,6 +38,9 @@
 func (d *dispatch) onSilence(up radishcrank.Upstream, giveUp func()) (acted func() bool) {
 	reported := false
 	return func() bool {
+		if d.silentByOrder(up) {
+			return false
+		}
 		if d.replaceable(up) {
 			giveUp()
 			return true
