Count requests that wait at an engine once when judging lateness

The queue wait adds the prompts that are to be read to the queue that the engine reports, which holds the same requests and may be 2 s old. As a time it is too long, so streams that could be in time would have yielded. Placement still uses the sum.

--- a/internal/limits/rcadmission/replay_test.go
+++ b/internal/limits/rcadmission/replay_test.go
@@ -111,7 +111,7 @@
 	case ratio > 1.2:
 		size = "fifth below it"
 	}
-	for _, name := range []string{"all", c.route.name, fmt.Sprintf("account %d", c.account), size} {
+	for _, name := range []string{"all", c.route.name, fmt.Sprintf("account %d", c.account), size, fmt.Sprintf("zone %d", c.instance%3)} {
 		t := r.classes[name]
 		f(&t)
 		r.classes[name] = t
@@ -124,7 +124,7 @@
 	return fmt.Sprintf("%+v deferred %d", r.classes["all"], r.deferred)
 }
 
-// requireFair checks that no class, account or prompt size is served less than half as
+// requireFair checks that no class, account, prompt size or zone is served less than half as
 // often as all together.
 func (r replayResult) requireFair(t *testing.T) {
 	t.Helper()
@@ -341,7 +341,7 @@
 	c.priority, c.deferred = c.route.priority, false
 	content := xxhash.Sum64String(fmt.Sprint(c.sentAt, c.tokens))
 	paysFirst := r.policy.payFirst && (c.excess || r.returns[c.instance].Early(content, now))
-	start := Start{PaysFirst: paysFirst, Elapsed: r.now - c.receipt, ExpectedWait: choice.QueueWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
+	start := Start{PaysFirst: paysFirst, Elapsed: r.now - c.receipt, ExpectedWait: choice.StartWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
 	ahead := 1.0
 	if r.policy.byPriority {
 		ahead = r.mixes[c.instance].Ahead(c.route.priority, now)
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -109,6 +109,7 @@
 	KVStoreUsed    radishcrank.UpstreamID
 	Cost           time.Duration
 	QueueWait      time.Duration // Expected time until the upstream begins the exchange.
+	StartWait      time.Duration // QueueWait without what it counts twice.
 	Prefill        time.Duration // Expected time to read the tokens that are not cached.
 	MinQueueWait   time.Duration // Shortest QueueWait of all upstreams that have not just failed.
 	Owner          bool          // The upstream owns the shared part.
@@ -161,6 +162,7 @@
 			}
 		}
 		c.QueueWait, c.Prefill = queueWait(req, s), prefillTime(c.UncachedTokens)
+		c.StartWait = startWait(req, s, c.QueueWait)
 		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
 			continue // The exchange would begin after the old weights expire.
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -510,7 +510,7 @@
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
-			Int64("QueueWaitMS", c.QueueWait.Milliseconds()).Str("Deferred", d.deferral).Int("Priority", d.priority())
+			Int64("StartWaitMS", c.StartWait.Milliseconds()).Str("Deferred", d.deferral).Int("Priority", d.priority())
 	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
--- a/internal/serving/rcforward/defer.go
+++ b/internal/serving/rcforward/defer.go
@@ -70,7 +70,7 @@
 func (d *dispatch) start(choice rcaffinity.Choice, now time.Time) rcadmission.Start {
 	return rcadmission.Start{
 		Elapsed:       now.Sub(d.x.ReceivedAt),
-		ExpectedWait:  d.waitOf(choice.QueueWait, now),
+		ExpectedWait:  d.waitOf(choice.StartWait, now),
 		OwnPrefill:    choice.Prefill,
 		LatencyTarget: d.x.Route.LatencyTarget,
 	}
--- a/internal/serving/rcforward/defer_test.go
+++ b/internal/serving/rcforward/defer_test.go
@@ -162,3 +162,19 @@
 		require.EqualValues(t, deferred+1, metrics.Value(rcmetric.DeferredFirst))
 	})
 }
+
+// TestWaitingRequestsCountOnce guards against streams that yield although they can be in
+// time, because the requests ahead count by their prompts and again by the queue that the
+// engine reports.
+func TestWaitingRequestsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSender{steps: []step{{reply: okReply(), body: strings.NewReader("id: 1\n\n")}}}
+		f := newEngineForwarder(s, "u")
+		f.cfg.Fleet.Begin("u", 400*40)
+		f.cfg.Fleet.SetQueueReport("u", radishcrank.QueueReport{Running: 2, Waiting: 8, Slots: 32})
+		x := yielding()
+		x.ID, x.Service, x.ReceivedAt, x.Deadline = "r", "s", time.Now(), time.Now().Add(4*time.Second)
+		require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+		require.Equal(t, 1, s.sent[0].o.Priority)
+	})
+}
