--- a/internal/routing/rcroute/table.go
+++ b/internal/routing/rcroute/table.go
@@ -4,12 +4,14 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 )
 
 // Route maps requests for a host and path prefix to services.
@@ -66,6 +68,8 @@
 	hosts         map[string][]*Route
 	services      map[string]*Service
 	accountsByKey map[string]*Account
+	priorities    map[rcadmission.Urgency]int
+	latePriority  map[int]int
 }
 
 // BuildIndex builds the lookup maps of the table and returns it.
@@ -89,9 +93,51 @@
 			t.accountsByKey[key] = &t.Accounts[i]
 		}
 	}
+	t.priorities = rcadmission.EnginePriorities(t.urgencies())
+	t.latePriority = rcadmission.LatePriorities(slices.Collect(maps.Values(t.priorities)))
 	return t
 }
 
+// urgencies returns those that the streams of the routes and accounts can have.
+func (t *Table) urgencies() (inUse []rcadmission.Urgency) {
+	accounts := map[int]bool{}
+	for i := range t.Accounts {
+		if p := t.Accounts[i].Priority; p != nil {
+			accounts[*p] = true
+		}
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !r.Stream {
+			continue
+		}
+		inUse = append(inUse, rcadmission.Urgency{Priority: r.Priority, Route: r.Priority})
+		for p := range accounts {
+			inUse = append(inUse, rcadmission.Urgency{Priority: p, Route: r.Priority})
+		}
+	}
+	return inUse
+}
+
+// EnginePriority returns the priority with which engines queue a stream of a route.
+// priority is that of its account or, if it has none, of the route.
+func (t *Table) EnginePriority(priority, route int) int {
+	if p, ok := t.priorities[rcadmission.Urgency{Priority: priority, Route: route}]; ok {
+		return p
+	}
+	return min(max(priority, 0), rcadmission.LowestPriority)
+}
+
+// LatePriority returns the priority of a stream that is past its latency target, below all
+// that streams in time have, or the priority itself if none is
+// free.
+func (t *Table) LatePriority(priority int) int {
+	if late, ok := t.latePriority[priority]; ok {
+		return late
+	}
+	return priority
+}
+
 // Match returns the route of the host with the longest matching path prefix.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	host = strings.ToLower(host)
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -93,6 +93,14 @@
 		d.withdraw(up.ID, errThrottled)
 		return false, nil
 	}
+	d.recordSent(choice)
+	if d.deferred {
+		run.Defer()
+		f.cfg.Metrics.Add(rcmetric.Deferred, 1)
+		if d.deferral != deferredLate {
+			f.cfg.Metrics.Add(rcmetric.DeferredFirst, 1)
+		}
+	}
 	d.logPlacement(choice)
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -120,6 +128,7 @@
 		KVTarget:    choice.KVTarget,
 		LastEventID: d.lastEventID(),
 		Timeout:     time.Until(x.Deadline),
+		Priority:    d.priority(),
 		FreshConn:   x.Route.Retry == radishcrank.RetryNever,
 	})
 	if err != nil {
@@ -136,6 +145,7 @@
 		f.cfg.Blame.Reply(up, reply.Conn.OpenedAt(), d.sentAt)
 	}
 	d.updateFleet(up, choice, reply)
+	d.observePlaces(up, reply)
 	switch reply.Class {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
 		outcome = rcfleet.Refused
@@ -162,6 +172,7 @@
 		received := func(first bool) {
 			if first {
 				run.FirstEventReceived()
+				d.recordBegin()
 			}
 			blame.Received()
 		}
@@ -498,7 +509,8 @@
 	if x.Generates() {
 		e = e.Str("Weights", string(c.Weights)).Int64("ReplacedAgeMS", c.ReplacedFor.Milliseconds()).
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
-			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid())
+			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
+			Int64("StartWaitMS", c.StartWait.Milliseconds()).Str("Deferred", d.deferral).Int("Priority", d.priority())
 	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -117,6 +117,7 @@
 	cfg          Config
 	longGapRatio movingAverage
 	bodies       bodyBuffers
+	admissions   admissions
 }
 
 func New(cfg Config) *Forwarder {
@@ -140,6 +141,10 @@
 
 	attempts       int       // Upstreams that the exchange was sent to.
 	runs           int       // Attempts that may have executed the exchange.
+	deferred       bool      // The chosen engine gets it with the priority of late exchanges.
+	deferral       string    // Why it does; empty if it does not.
+	placeAt        time.Time // Until when it waits for a place at a plain upstream; zero if it does not.
+	excess         bool      // It exceeds the usual demand of its account.
 	unreached      int       // Attempts that found no connection.
 	noneHealthy    bool      // No upstream with room is known to be within reach.
 	detoured       bool      // It was sent through other instances.
@@ -177,6 +182,7 @@
 	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
 		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
 	}
+	d.recordDemand()
 	return d.run()
 }
 
@@ -204,7 +210,7 @@
 		if !ok {
 			return d.finishWithoutAnswer()
 		}
-		if c := d.admissionParams(choice.MinQueueWait); d.mayRefuse() && c.ShouldRefuse() {
+		if c := d.admissionFor(choice); d.mayRefuse() && c.ShouldRefuse() {
 			// Others that this instance does not reach may have room.
 			if d.noneHealthy = choice.Upstream.Probing || d.unreached > 0; d.noneHealthy && d.mayDetour() {
 				if done, err := d.detour(); done {
@@ -215,7 +221,7 @@
 				}
 			}
 			d.cause = fmt.Errorf("expected wait %v exceeds limit %v", c.ExpectedWait, c.MaxWait())
-			return d.refuse("it would begin too late", c.RetryAfter(rand.Float64()))
+			return d.refuse("it would begin too late", d.returnTime(c))
 		}
 		if d.convictedMeanwhile() {
 			if d.mayRefuse() {
@@ -299,8 +305,9 @@
 		if d.ownsNoSlots(buf) {
 			return choice, false
 		}
+		d.awaitPlace(buf, now, limit)
 		req := d.affinityRequest(excluded)
-		choice, ok = rcaffinity.Choose(req, buf, now)
+		choice, ok = d.choose(req, buf, now)
 		if ok {
 			return choice, true
 		}
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -37,6 +37,8 @@
 func TestMetricsAreRecorded(t *testing.T) {
 	failure := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusInternalServerError, Header: http.Header{}}
 	busy := radishcrank.Reply{Class: radishcrank.ReplyBusy, Status: http.StatusServiceUnavailable}
+	full := busy
+	full.Load = &radishcrank.QueueReport{Running: 6, Waiting: 4, Slots: 6}
 	unreadable := math.NaN()
 	unframed := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, Unframed: true}
 	limited := radishcrank.Reply{Class: radishcrank.ReplyAnswered, Status: http.StatusOK, Header: http.Header{}, RateLimit: &unreadable}
@@ -99,6 +101,11 @@
 		{x: nonIdempotent(), convicted: true, counters: []rcmetric.CounterName{rcmetric.RefusedFinally}},
 		{x: unknown, counters: []rcmetric.CounterName{rcmetric.StreamsUnknown}},
 		{steps: []step{{reply: okReply()}, {reply: okReply()}}, x: restarted, counters: []rcmetric.CounterName{rcmetric.AttemptUnconfirmed}},
+		{
+			steps: []step{{reply: busy, after: 700 * time.Millisecond}, {reply: okReply(), body: strings.NewReader("id: 1\n\n")}}, x: yielding(),
+			counters: []rcmetric.CounterName{rcmetric.Deferred},
+		},
+		{steps: []step{{reply: full}, {reply: okReply()}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.PlacesAwaited}},
 		{x: nonIdempotent(), reserved: true, counters: []rcmetric.CounterName{rcmetric.SuspectsHeld}},
 	}
 	untested := map[rcmetric.CounterName]bool{}
@@ -136,6 +143,6 @@
 			}
 		})
 	}
-	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts")
+	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true, rcmetric.DeferredFirst: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts, TestWhoPaysFirst DeferredFirst")
 	require.Equal(t, map[rcmetric.HistogramName]bool{rcmetric.StoreTime: true}, untestedTimings)
 }
