Place requests by the reported speed and the slots of upstreams

Cause: a load report with four values was dropped, and placement counted every upstream as one type of engine: 40 tokens/ms, 32 slots. Engines of one service that run at 0.6, 1.0 and 1.6 times the usual speed got about the same work.

Change: the fourth value is read. rcfleet keeps its mean over 2 s, pooled over instances by an addition to the load reports that earlier versions skip. rcaffinity divides prefill, queue and slot costs by the speed, takes the wait for a slot from the number of slots, counts the prompt tokens in flight at an engine against its KV capacity, and divides requests to plain upstreams by free slots and speed instead of sending them all to the one that seems emptiest. Without a fourth value nothing of that applies.

--- a/exchange.go
+++ b/exchange.go
@@ -89,6 +89,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work currently takes on the upstream's machine, 100 is usual; 0
+	// if the upstream does not say.
+	Slowness float64
 }
 
 // ReplyClass classifies a reply by what it proves about the exchange.
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -355,6 +355,13 @@
 
 func (i *Instance) setRoutes(t *rcroute.Table) {
 	i.routes.Store(t)
+	capacities := map[string]int{}
+	for _, s := range t.Services {
+		if s.CacheTokens > 0 {
+			capacities[s.Name] = s.CacheTokens
+		}
+	}
+	i.fleet.SetCacheTokens(capacities)
 	i.log.Info().Str("Event", "Config").Int64("Version", t.Version).Int("Routes", len(t.Routes)).Int("Accounts", len(t.Accounts)).Send()
 }
 
--- /dev/null
+++ b/internal/routing/rcaffinity/capacity.go
@@ -0,0 +1,107 @@
+package rcaffinity
+
+import (
+	"math"
+	"time"
+
+	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
+)
+
+// Upstreams of one service may differ in speed and slots. Where any of them reports its
+// speed, costs follow the speed and the slots of each. Otherwise all count as one type of
+// engine at the usual speed.
+const (
+	// usualSlots is the number of slots for which slotWaitCost holds.
+	usualSlots = 32
+	// answerTime is how long an answer occupies its slot and memory, as in slotWaitCost.
+	answerTime = usualSlots * slotWaitCost
+	// minFreeSlots is the weight of an upstream without a free slot, which may have one by
+	// the time the request arrives.
+	minFreeSlots = 0.25
+)
+
+// fleetCapacity is what the upstreams of a service have in common.
+type fleetCapacity struct {
+	scaled      bool // One of them has reported its speed.
+	peersActive bool // Other instances send requests to them.
+}
+
+// capacity is what one upstream can do.
+type capacity struct {
+	speed    float64       // 1 is usual.
+	slotWait time.Duration // Wait for each request beyond its slots.
+}
+
+func fleetCapacityOf(states []rcfleet.State) (f fleetCapacity) {
+	for i := range states {
+		f.scaled = f.scaled || states[i].Speed > 0
+		f.peersActive = f.peersActive || states[i].PeerLoad.Running > 0
+	}
+	return f
+}
+
+// of returns the capacity of one of the upstreams.
+func (f fleetCapacity) of(s *rcfleet.State) capacity {
+	c := capacity{speed: s.SpeedFactor(), slotWait: slotWaitCost}
+	if f.scaled && s.Slots > 0 {
+		c.slotWait = answerTime / time.Duration(s.Slots)
+	}
+	c.slotWait = c.time(c.slotWait)
+	return c
+}
+
+// time returns how long work takes that takes d at the usual speed.
+func (c capacity) time(d time.Duration) time.Duration {
+	if c.speed == 1 {
+		return d
+	}
+	return time.Duration(float64(d) / c.speed)
+}
+
+// prefillTime returns how long a number of tokens takes to prefill.
+func (c capacity) prefillTime(n int) time.Duration { return c.time(prefillTime(n)) }
+
+// memoryCost returns the delay by the tokens that an engine cannot keep in its memory while
+// an exchange that adds a number of tokens runs: it waits until answers end, or preempts
+// requests, at least one, whose tokens are prefilled again. An engine that runs nothing has room.
+func (c capacity) memoryCost(s *rcfleet.State, added int) time.Duration {
+	held := s.Held + s.PeerLoad.Held
+	over := held + added - s.CacheTokens
+	if s.Speed == 0 || s.CacheTokens == 0 || held <= 0 || over <= 0 {
+		return 0
+	}
+	wait := time.Duration(float64(answerTime) * float64(over) / float64(s.CacheTokens))
+	preempted := held / max(1, s.Running+s.PeerLoad.Running)
+	return c.time(wait) + c.prefillTime(max(over, preempted))
+}
+
+// plainCost returns the cost of an upstream that serves no model.
+func (c capacity) plainCost(req Request, s *rcfleet.State, f fleetCapacity) time.Duration {
+	if f.scaled && f.peersActive {
+		return c.spreadCost(req, s)
+	}
+	queue := max(s.Running+s.PeerLoad.Running, s.Reported.Running+s.Reported.Waiting)
+	d := time.Duration(queue) * runningRequestCost
+	if s.Slots > 0 && queue >= s.Slots {
+		d += time.Duration(queue-s.Slots+1) * queuedRequestCost
+	}
+	if !f.scaled {
+		return d
+	}
+	return c.time(d+runningRequestCost) - runningRequestCost
+}
+
+// spreadCost returns a cost by which requests divide among upstreams in proportion to their
+// free slots and the square of their speed: once for how soon a slot is free again, and once
+// for how soon the answer ends. All instances see loads of the same age, which is longer
+// than many answers take, so that the upstream that seems to have most room would get the
+// requests of all instances at once and turn most of them away.
+func (c capacity) spreadCost(req Request, s *rcfleet.State) time.Duration {
+	queue := s.Running + s.PeerLoad.Running
+	weight := c.speed * c.speed / float64(1+queue)
+	if s.Slots > 0 {
+		weight = c.speed * c.speed * max(minFreeSlots, float64(s.Slots-queue))
+	}
+	uniform := (float64(mix(req.Spread^s.Hash)>>11) + 0.5) / (1 << 53)
+	return time.Duration(-math.Log(uniform) / weight * float64(runningRequestCost))
+}
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -79,6 +79,7 @@
 	// MaxReplacedAge is how long weights may be used after newer ones became
 	// the target. Zero means no limit.
 	MaxReplacedAge time.Duration
+	Spread         uint64
 	PauseRatio     float64 // Share of the recent streams with a pause that was too long.
 	// MaxWait is the longest acceptable queue wait. Healthy upstreams with a
 	// longer one are chosen only if all of them exceed it. Zero means no limit.
@@ -109,6 +110,7 @@
 	MinQueueWait   time.Duration // Shortest QueueWait of all upstreams that have not just failed.
 	Owner          bool          // The upstream owns the shared part.
 	UncachedTokens int           // Expected number of prompt tokens to prefill.
+	HeldTokens     int           // Expected number of prompt tokens that it adds to the memory of the engine.
 }
 
 // Usable reports whether an upstream accepts new work at all.
@@ -135,6 +137,7 @@
 		}
 		return prefixes
 	}
+	fleet := fleetCapacityOf(states)
 	var bestInTime Choice
 	var minQueueWait time.Duration
 	anyInTime, anyHealthy := false, false
@@ -156,8 +159,10 @@
 				c.UncachedTokens = min(c.UncachedTokens, total-sharedTokens)
 			}
 		}
-		c.QueueWait = queueWait(req, s)
-		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now)
+		c.HeldTokens = c.UncachedTokens
+		limits := fleet.of(s)
+		c.QueueWait = queueWait(req, s, limits)
+		c.Cost = cost(req, s, c, limits, fleet, ranks.rankByID[s.ID], sharedTokens, now)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
 			continue // The exchange would begin after the old weights expire.
 		}
@@ -195,13 +200,13 @@
 // queueWait returns the expected time until an engine begins an exchange. It is
 // 0 for upstreams without a model, which refuse requests that exceed their
 // capacity.
-func queueWait(req Request, s *rcfleet.State) (d time.Duration) {
+func queueWait(req Request, s *rcfleet.State, limits capacity) (d time.Duration) {
 	if req.Model == "" {
 		return 0
 	}
-	d = prefillTime(s.Prefilling+s.PeerLoad.Prefilling) + time.Duration(s.Reported.Waiting)*queuedRequestCost
+	d = limits.prefillTime(s.Prefilling+s.PeerLoad.Prefilling) + limits.time(time.Duration(s.Reported.Waiting)*queuedRequestCost)
 	if over := s.Running + s.PeerLoad.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
-		d += time.Duration(over) * slotWaitCost
+		d += time.Duration(over) * limits.slotWait
 	}
 	return d
 }
@@ -215,10 +220,10 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, limits capacity, fleet fleetCapacity, rank int, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = c.QueueWait + prefillTime(c.UncachedTokens)
+		d = c.QueueWait + limits.prefillTime(c.UncachedTokens) + limits.memoryCost(s, c.HeldTokens)
 		if !c.Owner && c.UncachedTokens > 0 && sharedTokens > 0 {
 			// Parts that could be copied count as if they were prefilled, since
 			// each copy evicts other parts from the memory of the engine.
@@ -228,11 +233,7 @@
 			d += replacedCost
 		}
 	} else {
-		queue := max(s.Running+s.PeerLoad.Running, s.Reported.Running+s.Reported.Waiting)
-		d = time.Duration(queue) * runningRequestCost
-		if s.Slots > 0 && queue >= s.Slots {
-			d += time.Duration(queue-s.Slots+1) * queuedRequestCost
-		}
+		d = limits.plainCost(req, s, fleet)
 	}
 	if s.Zone != req.Zone {
 		d += crossZoneCost
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -93,6 +93,7 @@
 		d.withdraw(up.ID, errThrottled)
 		return false, nil
 	}
+	run.Hold(choice.HeldTokens)
 	d.logPlacement(choice)
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -316,6 +317,9 @@
 	fleet := d.f.cfg.Fleet
 	if reply.Load != nil {
 		fleet.SetQueueReport(up.ID, *reply.Load)
+		if fromUpstream(up, reply) {
+			fleet.ObserveSlowness(up.ID, up.Incarnation, reply.Load.Slowness)
+		}
 	}
 	d.observeRateLimit(up, reply)
 	if reply.Leaving && fromUpstream(up, reply) && d.f.cfg.OnLeaving(up, reply.Status) {
@@ -500,6 +504,12 @@
 			Bool("Owner", c.Owner).Int("Missing", c.UncachedTokens).
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid())
 	}
+	if s.Speed > 0 {
+		e = e.Float64("Speed", math.Round(100*s.Speed)/100)
+		if x.Generates() {
+			e = e.Int("Held", s.Held).Int("OthersHeld", s.PeerLoad.Held)
+		}
+	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
@@ -402,6 +403,7 @@
 			}
 			return false
 		},
+		Spread:     xxhash.Sum64String(string(x.ID)),
 		PauseRatio: f.longGapRatio.value(),
 		MaxWait:    d.admissionParams(0).MaxWait(),
 	}
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -30,6 +30,7 @@
 	id          radishcrank.UpstreamID
 	incarnation radishcrank.Incarnation
 	tokens      int // Prompt tokens that count as prefilling until the first event.
+	held        int // Prompt tokens that it adds to the memory of the upstream.
 }
 
 // Begin records the start of an exchange that has to prefill a number of
@@ -104,7 +105,8 @@
 	}
 	m.Running--
 	m.Prefilling -= e.tokens
-	e.tokens = 0
+	m.Held -= e.held
+	e.tokens, e.held = 0, 0
 	switch o {
 	case Succeeded:
 		m.recordSuccess()
@@ -122,10 +124,14 @@
 func (f *Fleet) LocalLoads() LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	loads := LoadReport{}
+	loads, now := LoadReport{}, time.Now()
 	for _, m := range f.members {
-		if m.Running > 0 || m.Prefilling > 0 {
-			loads[keyOfHash(m.Hash)] = Load{Running: m.Running, Prefilling: m.Prefilling}
+		l := Load{Running: m.Running, Prefilling: m.Prefilling, Speed: m.speed.own(now)}
+		if m.speed.speed > 0 && f.cacheTokens[m.Service] > 0 {
+			l.Held = m.Held
+		}
+		if l != (Load{}) {
+			loads[keyOfHash(m.Hash)] = l
 		}
 	}
 	return loads
@@ -143,11 +149,14 @@
 
 // Add returns the sum of two loads.
 func (l Load) Add(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling}
+	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling, Held: l.Held + o.Held, Speed: l.Speed.add(o.Speed)}
 }
 
 // Sub subtracts a load that is part of a sum. Counts do not fall below zero,
 // since the part may have changed after it was added.
 func (l Load) Sub(o Load) Load {
-	return Load{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling)}
+	return Load{
+		Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling),
+		Held: max(0, l.Held-o.Held), Speed: l.Speed.sub(o.Speed),
+	}
 }
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -56,7 +56,10 @@
 	Listed       bool      // False during the grace period after a removal that may be wrong.
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
+	Held         int       // Prompt tokens that exchanges of this instance add to its memory.
 	PeerLoad     Load      // Load from other instances as last reported.
+	Speed        float64   // Speed factor as reported in the last seconds, 1 is usual; 0 if it is unknown.
+	CacheTokens  int       // KV cache capacity; 0 if it is unknown.
 	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if no upstream of its service says so.
 	Full         bool      // No new work because it is brittle and has this instance's share of its slots in use; set by rcforward.
 	Throttled    bool      // No new work because this instance has used its share of the rate limit; set by rcforward.
@@ -75,6 +78,8 @@
 type Load struct {
 	Running    int
 	Prefilling int // Prompt tokens of exchanges without a first event yet.
+	Held       int // Prompt tokens added to its memory; 0 if it does not report its speed.
+	Speed      SpeedSamples
 }
 
 // Paused reports whether the upstream wants no requests from this instance.
@@ -95,6 +100,7 @@
 	listedLeaving    bool // Its entry says that it leaves.
 	removedAt        time.Time
 	peerLoadAt       time.Time // When PeerLoad was set.
+	speed            speedTracker
 }
 
 // departure is what remains known of an upstream that is gone.
@@ -113,6 +119,7 @@
 	announcements          map[radishcrank.UpstreamID][]*announcement
 	announcementsExpiredAt time.Time
 	brittle                map[string]brittleness                               // Services whose upstreams are brittle.
+	cacheTokens            map[string]int                                       // KV cache capacities of engines by service.
 	goneSoftware           map[string]map[radishcrank.SoftwareVersion]time.Time // When upstreams of a service were last listed with a version, by service.
 	syncedAt               time.Time                                            // When a first complete list had arrived; zero before.
 	unreachableSince       time.Time
@@ -212,13 +219,17 @@
 
 func (f *Fleet) putLocked(e Entry) {
 	m, ok := f.members[e.ID]
-	if ok && m.Incarnation != e.Incarnation {
+	restarted := ok && m.Incarnation != e.Incarnation
+	if restarted {
 		f.cachedParts.forget(KeyOf(e.ID))
 		f.dropLocked(m)
 		ok = false
 	}
 	if !ok {
 		m = &member{State: State{Hash: xxhash.Sum64String(string(e.ID))}}
+		if restarted {
+			m.speed.peersAfter = time.Now().Add(speedIntervals*speedInterval + peerLoadTTL)
+		}
 		f.members[e.ID] = m
 		f.services[e.Service] = append(f.services[e.Service], m)
 	}
@@ -478,6 +489,8 @@
 	if now.Sub(m.peerLoadAt) > peerLoadTTL {
 		s.PeerLoad = Load{}
 	}
+	s.Speed = m.speed.update(s.PeerLoad.Speed, now)
+	s.CacheTokens = f.cacheTokens[m.Service]
 	if now.Sub(s.ReportedAt) > queueReportTTL {
 		s.Reported = radishcrank.QueueReport{}
 	}
--- a/internal/state/rcfleet/report.go
+++ b/internal/state/rcfleet/report.go
@@ -53,16 +53,61 @@
 func (r LoadReport) MarshalText() ([]byte, error) {
 	data := binary.AppendUvarint(nil, uint64(len(r)))
 	last := UpstreamKey(0)
-	for _, key := range slices.Sorted(maps.Keys(r)) {
+	keys := slices.Sorted(maps.Keys(r))
+	for _, key := range keys {
 		l := r[key]
 		data = binary.AppendUvarint(data, uint64(key-last))
 		data = binary.AppendUvarint(data, uint64(max(0, l.Running)))
 		data = binary.AppendUvarint(data, uint64(max(0, l.Prefilling)+prefillingUnit-1)/prefillingUnit)
 		last = key
 	}
+	data = r.appendCapacities(data, keys)
 	return base64.RawStdEncoding.AppendEncode(nil, data), nil
 }
 
+// heldUnit is the unit in which reports count the tokens in memory, rounded up.
+const heldUnit = 64
+
+// appendCapacities appends what the report says of speed and memory, if anything. It follows
+// the loads, where instances that do not know of it stop reading. Upstreams are named by
+// their places in the list, since a key takes four bytes.
+func (r LoadReport) appendCapacities(data []byte, keys []UpstreamKey) []byte {
+	last := -1
+	for i, key := range keys {
+		l := r[key]
+		if l.Held <= 0 && l.Speed.Count <= 0 {
+			continue
+		}
+		data = binary.AppendUvarint(data, uint64(i-last))
+		data = binary.AppendUvarint(data, uint64(max(0, l.Held)+heldUnit-1)/heldUnit)
+		data = binary.AppendUvarint(data, uint64(max(0, l.Speed.Count)))
+		if l.Speed.Count > 0 {
+			data = binary.AppendUvarint(data, uint64(max(0, l.Speed.Sum)))
+		}
+		last = i
+	}
+	return data
+}
+
+// readCapacities reads what appendCapacities wrote for the upstreams in the order of the
+// list.
+func (r LoadReport) readCapacities(d *reportReader, keys []UpstreamKey) {
+	for i := -1; len(d.data) > 0; {
+		step := d.int()
+		if step < 1 || step > len(keys)-1-i {
+			d.next(0)
+			return
+		}
+		i += step
+		l := r[keys[i]]
+		l.Held = d.int() * heldUnit
+		if l.Speed.Count = d.int(); l.Speed.Count > 0 {
+			l.Speed.Sum = d.int()
+		}
+		r[keys[i]] = l
+	}
+}
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (r *LoadReport) UnmarshalText(text []byte) error {
 	d, err := newReportReader(text)
@@ -71,11 +116,14 @@
 	}
 	n := d.count()
 	report := make(LoadReport, n)
+	keys := make([]UpstreamKey, 0, n)
 	key := UpstreamKey(0)
 	for range n {
 		key += UpstreamKey(d.uvarint())
 		report[key] = Load{Running: d.int(), Prefilling: d.int() * prefillingUnit}
+		keys = append(keys, key)
 	}
+	report.readCapacities(d, keys)
 	*r = report
 	return d.err
 }
