Weigh what a prompt costs the streams of an engine

Cause: placement counted only what an engine does to a request, not what the request does to the others there, and took the load of other instances from one report: while it is 0.3 s old, all instances send their requests to the engine that seemed idle in it. In a replay with 88 instances the p95 of short prompts was 1.8 to 2.3 times that with one instance (mixes 1 to 1, burst, one account).

Change: where upstreams report their speed, prefilling a prompt costs in addition the delay of the requests in flight at the engine, weighed by latency target over gap target of the route; the load of other instances is a mean that follows a fall within 0.4 s and a rise within 0.2 s; requests for one part divide between its owner and the next engines over the cost of one rank. Pools stay as they are: in the replay a cost that leads long prompts to fixed engines, and pools without a trigger, were worse than none on most mixes.

--- a/internal/routing/rcaffinity/capacity.go
+++ b/internal/routing/rcaffinity/capacity.go
@@ -22,34 +22,42 @@
 
 // fleetCapacity is what the upstreams of a service have in common.
 type fleetCapacity struct {
-	scaled      bool // One of them has reported its speed.
-	peersActive bool // Other instances send requests to them.
+	scaled       bool    // One of them has reported its speed.
+	peersActive  bool    // Other instances send requests to them.
+	interference float64 // Weight of the delays that the request causes to others.
 }
 
 // capacity is what one upstream can do.
 type capacity struct {
-	speed    float64       // 1 is usual.
-	slotWait time.Duration // Wait for each request beyond its slots.
+	speed float64 // 1 is usual.
+	slots int     // usualSlots if none reports its speed.
 }
 
-func fleetCapacityOf(states []rcfleet.State) (f fleetCapacity) {
-	for i := range states {
+func fleetCapacityOf(req Request, states []rcfleet.State) (f fleetCapacity) {
+	for i := 0; i < len(states) && !(f.scaled && f.peersActive); i++ {
 		f.scaled = f.scaled || states[i].Speed > 0
 		f.peersActive = f.peersActive || states[i].PeerLoad.Running > 0
 	}
+	if f.scaled && req.Model != "" {
+		f.interference = interferenceWeight(req)
+	}
 	return f
 }
 
 // of returns the capacity of one of the upstreams.
 func (f fleetCapacity) of(s *rcfleet.State) capacity {
-	c := capacity{speed: s.SpeedFactor(), slotWait: slotWaitCost}
+	c := capacity{speed: s.SpeedFactor(), slots: usualSlots}
 	if f.scaled && s.Slots > 0 {
-		c.slotWait = answerTime / time.Duration(s.Slots)
+		c.slots = s.Slots
 	}
-	c.slotWait = c.time(c.slotWait)
 	return c
 }
 
+// slotWait returns the wait for a number of requests beyond the slots.
+func (c capacity) slotWait(over int) time.Duration {
+	return c.time(time.Duration(over) * answerTime / time.Duration(c.slots))
+}
+
 // time returns how long work takes that takes d at the usual speed.
 func (c capacity) time(d time.Duration) time.Duration {
 	if c.speed == 1 {
@@ -75,6 +83,21 @@
 	return c.time(wait) + c.prefillTime(max(over, preempted))
 }
 
+// rankSpread returns a cost by which requests for one part divide between its owner and the
+// engines after it as the owner fills up. Without it all instances leave the owner together,
+// between one load report and the next. It never exceeds the cost of one rank.
+func (f fleetCapacity) rankSpread(req Request, s *rcfleet.State) time.Duration {
+	if !f.scaled || !f.peersActive {
+		return 0
+	}
+	return time.Duration(spread(req, s) * float64(rankCost))
+}
+
+// spread returns a number between 0 and 1 that depends on the request and the upstream.
+func spread(req Request, s *rcfleet.State) float64 {
+	return (float64(mix(req.Spread^s.Hash)>>11) + 0.5) / (1 << 53)
+}
+
 // plainCost returns the cost of an upstream that serves no model.
 func (c capacity) plainCost(req Request, s *rcfleet.State, f fleetCapacity) time.Duration {
 	if f.scaled && f.peersActive {
@@ -102,6 +125,5 @@
 	if s.Slots > 0 {
 		weight = c.speed * c.speed * max(minFreeSlots, float64(s.Slots-queue))
 	}
-	uniform := (float64(mix(req.Spread^s.Hash)>>11) + 0.5) / (1 << 53)
-	return time.Duration(-math.Log(uniform) / weight * float64(runningRequestCost))
+	return time.Duration(-math.Log(spread(req, s)) / weight * float64(runningRequestCost))
 }
--- a/internal/routing/rcaffinity/capacity_test.go
+++ b/internal/routing/rcaffinity/capacity_test.go
@@ -28,7 +28,7 @@
 		var before, after float64
 		for _, known := range []bool{false, true} {
 			r := newReplay(24, instances, unevenSpeed)
-			r.speedKnown = known
+			r.speedKnown, r.weighTargets = known, known
 			rng := rand.New(rand.NewPCG(7, 7))
 			short := replayLoad(rng, 90, 20, instances, 60, replayShort)
 			long := replayLoad(rng, 90, 20, instances, 60, replayLong)
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -80,7 +80,9 @@
 	// the target. Zero means no limit.
 	MaxReplacedAge time.Duration
 	Spread         uint64
-	PauseRatio     float64 // Share of the recent streams with a pause that was too long.
+	LatencyTarget  time.Duration // Of the request's route.
+	MaxEventGap    time.Duration // Of the request's route; 0 if it has no target for gaps.
+	PauseRatio     float64       // Share of the recent streams with a pause that was too long.
 	// MaxWait is the longest acceptable queue wait. Healthy upstreams with a
 	// longer one are chosen only if all of them exceed it. Zero means no limit.
 	MaxWait time.Duration
@@ -137,7 +139,7 @@
 		}
 		return prefixes
 	}
-	fleet := fleetCapacityOf(states)
+	fleet := fleetCapacityOf(req, states)
 	var bestInTime Choice
 	var minQueueWait time.Duration
 	anyInTime, anyHealthy := false, false
@@ -166,6 +168,9 @@
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
 			continue // The exchange would begin after the old weights expire.
 		}
+		if req.Model != "" {
+			c.Cost += limits.interferenceCost(s, fleet, c.UncachedTokens) + fleet.rankSpread(req, s)
+		}
 		if !preferred.has(s.ID) {
 			c.Cost += poolLeaveCost(req.PauseRatio)
 		}
@@ -206,7 +211,7 @@
 	}
 	d = limits.prefillTime(s.Prefilling+s.PeerLoad.Prefilling) + limits.time(time.Duration(s.Reported.Waiting)*queuedRequestCost)
 	if over := s.Running + s.PeerLoad.Running + 1 - s.Slots; s.Slots > 0 && over > 0 {
-		d += time.Duration(over) * limits.slotWait
+		d += limits.slotWait(over)
 	}
 	return d
 }
--- a/internal/routing/rcaffinity/replay_test.go
+++ b/internal/routing/rcaffinity/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -31,10 +32,9 @@
 	decoding          []*replayRequest
 	cached            map[string]bool
 	perInstance       []rcfleet.Load // In flight.
-	reported          []rcfleet.Load // The same as in the last load reports.
-	reportedSum       rcfleet.Load
-	slowness, samples float64 // Moving sums of the reported slowness.
-	work              float64 // Tokens prefilled.
+	reported          []rcfleet.Load // Of the other instances, as each of them knows it.
+	slowness, samples float64        // Moving sums of the reported slowness.
+	work              float64        // Tokens prefilled.
 }
 
 const (
@@ -98,8 +98,8 @@
 	instances       int
 	slots, capacity int
 	speedKnown      bool // Engines report their slowness.
+	weighTargets    bool // Requests tell the targets of their routes.
 	pauseRatio      float64
-	change          func(req *Request, q *replayRequest) // Sets further inputs; may be nil.
 }
 
 func newReplay(engines, instances int, speed func(engine int, at float64) float64) *replay {
@@ -113,7 +113,24 @@
 	return r
 }
 
-// run serves requests and returns the times to their first events by class.
+// others returns what is known of the load from other instances after a report. Where engines
+// report their speed, rcfleet takes its mean.
+func (r *replay) others(known, reported rcfleet.Load) rcfleet.Load {
+	if !r.speedKnown {
+		return reported
+	}
+	follow := func(mean, value int) int {
+		constant := 400.0
+		if value > mean {
+			constant = 200
+		}
+		return value + int(float64(mean-value)*math.Exp(-replayReportAge/constant))
+	}
+	reported.Running, reported.Prefilling = follow(known.Running, reported.Running), follow(known.Prefilling, reported.Prefilling)
+	return reported
+}
+
+// run serves requests.
 func (r *replay) run(requests []*replayRequest) {
 	slices.SortFunc(requests, func(a, b *replayRequest) int { return cmp.Compare(a.at, b.at) })
 	states := engines(len(r.engines))
@@ -122,9 +139,12 @@
 		for ; reportAt <= q.at; reportAt += replayReportAge {
 			r.advance(reportAt)
 			for _, e := range r.engines {
-				e.reportedSum = rcfleet.Load{}
+				sum := rcfleet.Load{}
+				for _, l := range e.perInstance {
+					sum = sum.Add(l)
+				}
 				for i, l := range e.perInstance {
-					e.reported[i], e.reportedSum = l, e.reportedSum.Add(l)
+					e.reported[i] = r.others(e.reported[i], sum.Sub(l))
 				}
 				e.slowness, e.samples = 0.8*e.slowness+100/e.speed(reportAt), 0.8*e.samples+1
 			}
@@ -134,12 +154,16 @@
 			s, own := &states[i], e.perInstance[q.instance]
 			s.Slots, s.CacheTokens = r.slots, r.capacity
 			s.Running, s.Prefilling, s.Held = own.Running, own.Prefilling, own.Held
-			s.PeerLoad = e.reportedSum.Sub(e.reported[q.instance])
+			s.PeerLoad = e.reported[q.instance]
 			if r.speedKnown {
 				s.Speed = 100 * e.samples / e.slowness
 			}
 		}
 		req := request(q.key)
+		req.Spread = mix(uint64(q.at * 1e6))
+		if r.weighTargets {
+			req.LatencyTarget, req.MaxEventGap = time.Duration(q.target)*time.Millisecond, time.Duration(q.gapAim)*time.Millisecond
+		}
 		req.Parts = []radishcrank.PromptPart{{ID: q.key, Tokens: q.prompt * 2 / 3}, {ID: "own", Tokens: q.prompt - q.prompt*2/3}}
 		req.PauseRatio = r.pauseRatio
 		req.CachedPrefixes = func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix {
@@ -151,9 +175,6 @@
 			}
 			return cached
 		}
-		if r.change != nil {
-			r.change(&req, q)
-		}
 		c, _ := Choose(req, states, now)
 		at := slices.IndexFunc(states, func(s rcfleet.State) bool { return s.ID == c.Upstream.ID })
 		e := r.engines[at]
@@ -178,7 +199,7 @@
 
 // replayLoad returns requests of one class at a rate per second for a number of seconds.
 func replayLoad(rng *rand.Rand, rate, seconds float64, instances, keys int, class replayRequest) (list []*replayRequest) {
-	for at := 0.0; ; {
+	for at := 0.0; rate > 0; {
 		if at += rng.ExpFloat64() * 1000 / rate; at > seconds*1000 {
 			return list
 		}
@@ -186,6 +207,7 @@
 		q.at, q.instance, q.key = class.at+at, rng.IntN(instances), fmt.Sprintf("%s%d", class.key, rng.IntN(keys))
 		list = append(list, &q)
 	}
+	return nil
 }
 
 var (
@@ -196,6 +218,9 @@
 // p95 returns the time to the first event that 95 in 100 requests do not exceed, and the
 // share of those within their target.
 func p95(requests []*replayRequest) (ms, onTime float64) {
+	if len(requests) == 0 {
+		return 0, 1
+	}
 	var times []float64
 	for _, q := range requests {
 		times = append(times, q.first-q.at)
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -403,9 +403,11 @@
 			}
 			return false
 		},
-		Spread:     xxhash.Sum64String(string(x.ID)),
-		PauseRatio: f.longGapRatio.value(),
-		MaxWait:    d.admissionParams(0).MaxWait(),
+		Spread:        xxhash.Sum64String(string(x.ID)),
+		LatencyTarget: x.Route.LatencyTarget,
+		MaxEventGap:   x.Route.MaxEventGap,
+		PauseRatio:    f.longGapRatio.value(),
+		MaxWait:       d.admissionParams(0).MaxWait(),
 	}
 }
 
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -143,7 +143,9 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, m := range f.members {
-		m.PeerLoad, m.peerLoadAt = loads[keyOfHash(m.Hash)], now
+		load := loads[keyOfHash(m.Hash)]
+		m.peerMean.add(load, m.peerLoadAt, now)
+		m.PeerLoad, m.peerLoadAt = load, now
 	}
 }
 
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -57,7 +57,7 @@
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
 	Held         int       // Prompt tokens that exchanges of this instance add to its memory.
-	PeerLoad     Load      // Load from other instances as last reported.
+	PeerLoad     Load      // Load from other instances as last reported, or its mean if Speed is known.
 	Speed        float64   // Speed factor as reported in the last seconds, 1 is usual; 0 if it is unknown.
 	CacheTokens  int       // KV cache capacity; 0 if it is unknown.
 	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if no upstream of its service says so.
@@ -100,6 +100,7 @@
 	listedLeaving    bool // Its entry says that it leaves.
 	removedAt        time.Time
 	peerLoadAt       time.Time // When PeerLoad was set.
+	peerMean         peerMean  // Of PeerLoad.
 	speed            speedTracker
 }
 
@@ -486,10 +487,13 @@
 	}
 	s.Suspect = now.Before(s.SuspectUntil)
 	s.Probing = m.failures > 0 && !s.Suspect
-	if now.Sub(m.peerLoadAt) > peerLoadTTL {
+	peersHeard := now.Sub(m.peerLoadAt) <= peerLoadTTL
+	if !peersHeard {
 		s.PeerLoad = Load{}
 	}
-	s.Speed = m.speed.update(s.PeerLoad.Speed, now)
+	if s.Speed = m.speed.update(s.PeerLoad.Speed, now); s.Speed > 0 && peersHeard {
+		s.PeerLoad.Running, s.PeerLoad.Prefilling = int(m.peerMean.running+0.5), int(m.peerMean.prefilling)
+	}
 	s.CacheTokens = f.cacheTokens[m.Service]
 	if now.Sub(s.ReportedAt) > queueReportTTL {
 		s.Reported = radishcrank.QueueReport{}
--- /dev/null
+++ b/internal/state/rcfleet/peermean.go
@@ -0,0 +1,43 @@
+package rcfleet
+
+import (
+	"math"
+	"time"
+)
+
+// Load reports are as old as it takes to prefill a few long prompts. An upstream that seems
+// idle in a report gets the requests of all instances until the next one, and seems full
+// then. The mean follows a rise faster than a fall, since a request at an upstream that is
+// full waits, and one that avoids an idle upstream does not.
+const (
+	peerRiseTime = 200 * time.Millisecond
+	peerFallTime = 400 * time.Millisecond
+)
+
+// peerMean is the moving mean of the load that other instances report.
+type peerMean struct {
+	running, prefilling float64
+}
+
+// add adds a report. The previous one was made at a time that is zero if there was none.
+func (p *peerMean) add(l Load, previous, now time.Time) {
+	since := now.Sub(previous)
+	if previous.IsZero() || since > peerLoadTTL {
+		p.running, p.prefilling = float64(l.Running), float64(l.Prefilling)
+		return
+	}
+	p.running = follow(p.running, float64(l.Running), since)
+	p.prefilling = follow(p.prefilling, float64(l.Prefilling), since)
+}
+
+// follow returns the mean after a value that holds since a time.
+func follow(mean, value float64, since time.Duration) float64 {
+	if value == mean {
+		return mean
+	}
+	constant := peerFallTime
+	if value > mean {
+		constant = peerRiseTime
+	}
+	return value + (mean-value)*math.Exp(-float64(since)/float64(constant))
+}
--- a/internal/state/rcfleet/speed_test.go
+++ b/internal/state/rcfleet/speed_test.go
@@ -50,6 +50,41 @@
 	})
 }
 
+// TestPeerLoadIsMean guards against an upstream that seems idle in one load report and gets
+// the requests of all instances until the next, and against a mean of reports that ended.
+func TestPeerLoadIsMean(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, known := range []bool{false, true} {
+			f := New()
+			f.Put(Entry{Upstream: radishcrank.Upstream{ID: "u", Incarnation: 1}})
+			if known {
+				f.ObserveSlowness("u", 1, 100)
+			}
+			report := func(n int, pause time.Duration) Load {
+				time.Sleep(pause)
+				f.SetPeerLoads(LoadReport{KeyOf("u"): {Running: n, Prefilling: 100 * n}})
+				s, _ := f.Get("u")
+				return s.PeerLoad
+			}
+			require.Equal(t, Load{Running: 20, Prefilling: 2000}, report(20, 0), "the first report")
+			fallen, risen := report(0, 200*time.Millisecond), report(30, 200*time.Millisecond)
+			if !known {
+				require.Equal(t, Load{}, fallen)
+				require.Equal(t, Load{Running: 30, Prefilling: 3000}, risen)
+				continue
+			}
+			require.Equal(t, 12, fallen.Running)
+			require.Greater(t, risen.Running, 20)
+			require.Less(t, risen.Running, 30)
+			require.Zero(t, report(0, 2*time.Second).Running)
+			report(20, 100*time.Millisecond)
+			time.Sleep(peerLoadTTL + time.Millisecond)
+			s, _ := f.Get("u")
+			require.Zero(t, s.PeerLoad)
+		}
+	})
+}
+
 // TestCapacitiesAreReadBack guards against reports that earlier versions cannot read, and
 // against speeds and memory that reach another upstream.
 func TestCapacitiesAreReadBack(t *testing.T) {
