Merge speed of upstreams and mixed prompts

A load report holds the late part first, empty if there is none, and then speeds and memory. The mean of the peers' load covers the late part, too.

--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -79,7 +79,10 @@
 	// MaxReplacedAge is how long weights may be used after newer ones became
 	// the target. Zero means no limit.
 	MaxReplacedAge time.Duration
-	PauseRatio     float64 // Share of the recent streams with a pause that was too long.
+	Spread         uint64
+	LatencyTarget  time.Duration // Of the request's route.
+	MaxEventGap    time.Duration // Of the request's route; 0 if it has no target for gaps.
+	PauseRatio     float64       // Share of the recent streams with a pause that was too long.
 	// Deferred means that the exchange is read after those that are in time, so that it
 	// waits for the deferred ones before it, too.
 	Deferred bool
@@ -114,6 +117,7 @@
 	MinQueueWait   time.Duration // Shortest QueueWait of all upstreams that have not just failed.
 	Owner          bool          // The upstream owns the shared part.
 	UncachedTokens int           // Expected number of prompt tokens to prefill.
+	HeldTokens     int           // Expected number of prompt tokens that it adds to the memory of the engine.
 }
 
 // Usable reports whether an upstream accepts new work at all.
@@ -140,6 +144,7 @@
 		}
 		return prefixes
 	}
+	fleet := fleetCapacityOf(req, states)
 	var bestInTime Choice
 	var minQueueWait time.Duration
 	anyInTime, anyHealthy := false, false
@@ -161,12 +166,17 @@
 				c.UncachedTokens = min(c.UncachedTokens, total-sharedTokens)
 			}
 		}
-		c.QueueWait, c.Prefill = queueWait(req, s), prefillTime(c.UncachedTokens)
-		c.StartWait = startWait(req, s, c.QueueWait)
-		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now)
+		c.HeldTokens = c.UncachedTokens
+		limits := fleet.of(s)
+		c.QueueWait, c.Prefill = queueWait(req, s, limits), limits.prefillTime(c.UncachedTokens)
+		c.StartWait = startWait(req, s, limits, c.QueueWait)
+		c.Cost = cost(req, s, c, limits, fleet, ranks.rankByID[s.ID], sharedTokens, now)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
 			continue // The exchange would begin after the old weights expire.
 		}
+		if req.Model != "" {
+			c.Cost += limits.interferenceCost(s, fleet, c.UncachedTokens) + fleet.rankSpread(req, s)
+		}
 		if !preferred.has(s.ID) {
 			c.Cost += poolLeaveCost(req.PauseRatio)
 		}
@@ -201,14 +211,14 @@
 // queueWait returns the expected time until an engine begins an exchange. It is
 // 0 for upstreams without a model, which refuse requests that exceed their
 // capacity.
-func queueWait(req Request, s *rcfleet.State) (d time.Duration) {
+func queueWait(req Request, s *rcfleet.State, limits capacity) (d time.Duration) {
 	if req.Model == "" {
 		return 0
 	}
 	running, prefilling, waiting := s.Ahead(req.Deferred)
-	d = prefillTime(prefilling) + time.Duration(waiting)*queuedRequestCost
+	d = limits.prefillTime(prefilling) + limits.time(time.Duration(waiting)*queuedRequestCost)
 	if over := running + 1 - s.Slots; s.Slots > 0 && over > 0 {
-		d += time.Duration(over) * slotWaitCost
+		d += limits.slotWait(over)
 	}
 	return d
 }
@@ -222,10 +232,10 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, limits capacity, fleet fleetCapacity, rank int, sharedTokens int, now time.Time) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = c.QueueWait + prefillTime(c.UncachedTokens)
+		d = c.QueueWait + limits.prefillTime(c.UncachedTokens) + limits.memoryCost(s, c.HeldTokens)
 		if !c.Owner && c.UncachedTokens > 0 && sharedTokens > 0 {
 			// Parts that could be copied count as if they were prefilled, since
 			// each copy evicts other parts from the memory of the engine.
@@ -235,11 +245,7 @@
 			d += replacedCost
 		}
 	} else {
-		queue := max(s.Running+s.PeerLoad.Running, s.Reported.Running+s.Reported.Waiting)
-		d = time.Duration(queue) * runningRequestCost
-		if s.Slots > 0 && queue >= s.Slots {
-			d += time.Duration(queue-s.Slots+1) * queuedRequestCost
-		}
+		d = limits.plainCost(req, s, fleet)
 	}
 	if s.Zone != req.Zone {
 		d += crossZoneCost
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -101,6 +101,7 @@
 			f.cfg.Metrics.Add(rcmetric.DeferredFirst, 1)
 		}
 	}
+	run.Hold(choice.HeldTokens)
 	d.logPlacement(choice)
 	if d.attempts == 1 {
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
@@ -327,6 +328,9 @@
 	fleet := d.f.cfg.Fleet
 	if reply.Load != nil {
 		fleet.SetQueueReport(up.ID, *reply.Load)
+		if fromUpstream(up, reply) {
+			fleet.ObserveSlowness(up.ID, up.Incarnation, reply.Load.Slowness)
+		}
 	}
 	d.observeRateLimit(up, reply)
 	if reply.Leaving && fromUpstream(up, reply) && d.f.cfg.OnLeaving(up, reply.Status) {
@@ -512,6 +516,12 @@
 			Int("Prefilling", s.Prefilling).Int("OthersPrefilling", s.PeerLoad.Prefilling).Bool("Copied", c.KVSource.IsValid()).
 			Int64("StartWaitMS", c.StartWait.Milliseconds()).Str("Deferred", d.deferral).Int("Priority", d.priority())
 	}
+	if s.Speed > 0 {
+		e = e.Float64("Speed", math.Round(100*s.Speed)/100)
+		if x.Generates() {
+			e = e.Int("Held", s.Held).Int("OthersHeld", s.PeerLoad.Held)
+		}
+	}
 	if !s.ReportedAt.IsZero() {
 		e = e.Int("ReportedWaiting", s.Reported.Waiting).Int64("ReportAgeMS", time.Since(s.ReportedAt).Milliseconds())
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/radishcrank/radishcrank"
@@ -409,8 +410,11 @@
 			}
 			return false
 		},
-		PauseRatio: f.longGapRatio.value(),
-		MaxWait:    d.admissionParams(0).MaxWait(),
+		Spread:        xxhash.Sum64String(string(x.ID)),
+		LatencyTarget: x.Route.LatencyTarget,
+		MaxEventGap:   x.Route.MaxEventGap,
+		PauseRatio:    f.longGapRatio.value(),
+		MaxWait:       d.admissionParams(0).MaxWait(),
 	}
 }
 
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -31,6 +31,7 @@
 	incarnation radishcrank.Incarnation
 	tokens      int // Prompt tokens that count as prefilling until the first event.
 	late        Late
+	held        int // Prompt tokens that it adds to the memory of the upstream.
 }
 
 // Begin records the start of an exchange that has to prefill a number of
@@ -117,7 +118,8 @@
 	m.Running--
 	m.Prefilling -= e.tokens
 	m.Late = m.Late.sub(e.late)
-	e.tokens, e.late = 0, Late{}
+	m.Held -= e.held
+	e.tokens, e.held, e.late = 0, 0, Late{}
 	switch o {
 	case Succeeded:
 		m.recordSuccess()
@@ -135,10 +137,14 @@
 func (f *Fleet) LocalLoads() LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	loads := LoadReport{}
+	loads, now := LoadReport{}, time.Now()
 	for _, m := range f.members {
-		if m.Running > 0 || m.Prefilling > 0 {
-			loads[keyOfHash(m.Hash)] = Load{Running: m.Running, Prefilling: m.Prefilling, Late: m.Late}
+		l := Load{Running: m.Running, Prefilling: m.Prefilling, Late: m.Late, Speed: m.speed.own(now)}
+		if m.speed.speed > 0 && f.cacheTokens[m.Service] > 0 {
+			l.Held = m.Held
+		}
+		if l != (Load{}) {
+			loads[keyOfHash(m.Hash)] = l
 		}
 	}
 	return loads
@@ -150,19 +156,27 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, m := range f.members {
-		m.PeerLoad, m.peerLoadAt = loads[keyOfHash(m.Hash)], now
+		load := loads[keyOfHash(m.Hash)]
+		m.peerMean.add(load, m.peerLoadAt, now)
+		m.PeerLoad, m.peerLoadAt = load, now
 	}
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(o Load) Load {
-	return Load{Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling, Late: l.Late.add(o.Late)}
+	return Load{
+		Running: l.Running + o.Running, Prefilling: l.Prefilling + o.Prefilling, Late: l.Late.add(o.Late),
+		Held: l.Held + o.Held, Speed: l.Speed.add(o.Speed),
+	}
 }
 
 // Sub subtracts a load that is part of a sum. Counts do not fall below zero,
 // since the part may have changed after it was added.
 func (l Load) Sub(o Load) Load {
-	return Load{Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling), Late: l.Late.sub(o.Late)}
+	return Load{
+		Running: max(0, l.Running-o.Running), Prefilling: max(0, l.Prefilling-o.Prefilling), Late: l.Late.sub(o.Late),
+		Held: max(0, l.Held-o.Held), Speed: l.Speed.sub(o.Speed),
+	}
 }
 
 func (l Late) add(o Late) Late {
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -57,7 +57,10 @@
 	Running      int       // Exchanges of this instance in progress.
 	Prefilling   int       // Prompt tokens of exchanges of this instance without a first event yet.
 	Late         Late      // The part of Running and Prefilling that the upstream begins last.
-	PeerLoad     Load      // Load from other instances as last reported.
+	Held         int       // Prompt tokens that exchanges of this instance add to its memory.
+	PeerLoad     Load      // Load from other instances as last reported, or its mean if Speed is known.
+	Speed        float64   // Speed factor as reported in the last seconds, 1 is usual; 0 if it is unknown.
+	CacheTokens  int       // KV cache capacity; 0 if it is unknown.
 	Brittle      int       // Requests that it can turn away in a second before it falls over; 0 if no upstream of its service says so.
 	Full         bool      // No new work because it is brittle and has this instance's share of its slots in use; set by rcforward.
 	Throttled    bool      // No new work because this instance has used its share of the rate limit; set by rcforward.
@@ -77,6 +80,8 @@
 	Running    int
 	Prefilling int // Prompt tokens of exchanges without a first event yet.
 	Late       Late
+	Held       int // Prompt tokens added to its memory; 0 if it does not report its speed.
+	Speed      SpeedSamples
 }
 
 // Late is the part of a load that upstreams begin after all other work, because it is past
@@ -116,6 +121,8 @@
 	listedLeaving    bool // Its entry says that it leaves.
 	removedAt        time.Time
 	peerLoadAt       time.Time // When PeerLoad was set.
+	peerMean         peerMean  // Of PeerLoad.
+	speed            speedTracker
 }
 
 // departure is what remains known of an upstream that is gone.
@@ -134,6 +141,7 @@
 	announcements          map[radishcrank.UpstreamID][]*announcement
 	announcementsExpiredAt time.Time
 	brittle                map[string]brittleness                               // Services whose upstreams are brittle.
+	cacheTokens            map[string]int                                       // KV cache capacities of engines by service.
 	goneSoftware           map[string]map[radishcrank.SoftwareVersion]time.Time // When upstreams of a service were last listed with a version, by service.
 	syncedAt               time.Time                                            // When a first complete list had arrived; zero before.
 	unreachableSince       time.Time
@@ -233,13 +241,17 @@
 
 func (f *Fleet) putLocked(e Entry) {
 	m, ok := f.members[e.ID]
-	if ok && m.Incarnation != e.Incarnation {
+	restarted := ok && m.Incarnation != e.Incarnation
+	if restarted {
 		f.cachedParts.forget(KeyOf(e.ID))
 		f.dropLocked(m)
 		ok = false
 	}
 	if !ok {
 		m = &member{State: State{Hash: xxhash.Sum64String(string(e.ID))}}
+		if restarted {
+			m.speed.peersAfter = time.Now().Add(speedIntervals*speedInterval + peerLoadTTL)
+		}
 		f.members[e.ID] = m
 		f.services[e.Service] = append(f.services[e.Service], m)
 	}
@@ -496,9 +508,14 @@
 	}
 	s.Suspect = now.Before(s.SuspectUntil)
 	s.Probing = m.failures > 0 && !s.Suspect
-	if now.Sub(m.peerLoadAt) > peerLoadTTL {
+	peersHeard := now.Sub(m.peerLoadAt) <= peerLoadTTL
+	if !peersHeard {
 		s.PeerLoad = Load{}
 	}
+	if s.Speed = m.speed.update(s.PeerLoad.Speed, now); s.Speed > 0 && peersHeard {
+		m.peerMean.apply(&s.PeerLoad)
+	}
+	s.CacheTokens = f.cacheTokens[m.Service]
 	if now.Sub(s.ReportedAt) > queueReportTTL {
 		s.Reported = radishcrank.QueueReport{}
 	}
--- a/internal/state/rcfleet/report.go
+++ b/internal/state/rcfleet/report.go
@@ -51,14 +51,19 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (r LoadReport) MarshalText() ([]byte, error) {
-	data := r.appendLoads(nil)
-	return base64.RawStdEncoding.AppendEncode(nil, r.appendLate(data)), nil
+	keys := slices.Sorted(maps.Keys(r))
+	data := r.appendLoads(nil, keys)
+	late, capacities := r.appendLate(nil), r.appendCapacities(nil, keys)
+	if len(capacities) > 0 || len(late) > 1 {
+		data = append(append(data, late...), capacities...)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, data), nil
 }
 
-func (r LoadReport) appendLoads(data []byte) []byte {
-	data = binary.AppendUvarint(data, uint64(len(r)))
+func (r LoadReport) appendLoads(data []byte, keys []UpstreamKey) []byte {
+	data = binary.AppendUvarint(data, uint64(len(keys)))
 	last := UpstreamKey(0)
-	for _, key := range slices.Sorted(maps.Keys(r)) {
+	for _, key := range keys {
 		l := r[key]
 		data = binary.AppendUvarint(data, uint64(key-last))
 		data = binary.AppendUvarint(data, uint64(max(0, l.Running)))
@@ -68,8 +73,8 @@
 	return data
 }
 
-// appendLate appends the late part of the loads. Instances of versions that know none
-// ignore what follows the loads.
+// appendLate appends the late part of the loads, which is an empty list if there is none.
+// Instances of versions that know none ignore what follows the loads.
 func (r LoadReport) appendLate(data []byte) []byte {
 	late := LoadReport{}
 	for key, l := range r {
@@ -77,10 +82,50 @@
 			late[key] = Load{Running: l.Late.Running, Prefilling: l.Late.Prefilling}
 		}
 	}
-	if len(late) == 0 {
-		return data
+	return late.appendLoads(data, slices.Sorted(maps.Keys(late)))
+}
+
+// heldUnit is the unit in which reports count the tokens in memory, rounded up.
+const heldUnit = 64
+
+// appendCapacities appends what the report says of speed and memory, if anything. It follows
+// the late part, where instances that do not know of it stop reading. Upstreams are named by
+// their places in the list, since a key takes four bytes.
+func (r LoadReport) appendCapacities(data []byte, keys []UpstreamKey) []byte {
+	last := -1
+	for i, key := range keys {
+		l := r[key]
+		if l.Held <= 0 && l.Speed.Count <= 0 {
+			continue
+		}
+		data = binary.AppendUvarint(data, uint64(i-last))
+		data = binary.AppendUvarint(data, uint64(max(0, l.Held)+heldUnit-1)/heldUnit)
+		data = binary.AppendUvarint(data, uint64(max(0, l.Speed.Count)))
+		if l.Speed.Count > 0 {
+			data = binary.AppendUvarint(data, uint64(max(0, l.Speed.Sum)))
+		}
+		last = i
+	}
+	return data
+}
+
+// readCapacities reads what appendCapacities wrote for the upstreams in the order of the
+// list.
+func (r LoadReport) readCapacities(d *reportReader, keys []UpstreamKey) {
+	for i := -1; len(d.data) > 0; {
+		step := d.int()
+		if step < 1 || step > len(keys)-1-i {
+			d.next(0)
+			return
+		}
+		i += step
+		l := r[keys[i]]
+		l.Held = d.int() * heldUnit
+		if l.Speed.Count = d.int(); l.Speed.Count > 0 {
+			l.Speed.Sum = d.int()
+		}
+		r[keys[i]] = l
 	}
-	return late.appendLoads(data)
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
@@ -89,28 +134,32 @@
 	if err != nil {
 		return err
 	}
-	report := d.loads()
+	report, keys := d.loads()
 	if len(d.data) > 0 {
-		for key, late := range d.loads() {
+		late, _ := d.loads()
+		for key, load := range late {
 			if l, ok := report[key]; ok {
-				l.Late = Late{Running: late.Running, Prefilling: late.Prefilling}
+				l.Late = Late{Running: load.Running, Prefilling: load.Prefilling}
 				report[key] = l
 			}
 		}
 	}
+	report.readCapacities(d, keys)
 	*r = report
 	return d.err
 }
 
-func (d *reportReader) loads() LoadReport {
+// loads reads a list of loads and the order of their upstreams in it.
+func (d *reportReader) loads() (loads LoadReport, keys []UpstreamKey) {
 	n := d.count()
-	loads := make(LoadReport, n)
+	loads, keys = make(LoadReport, n), make([]UpstreamKey, 0, n)
 	key := UpstreamKey(0)
 	for range n {
 		key += UpstreamKey(d.uvarint())
 		loads[key] = Load{Running: d.int(), Prefilling: d.int() * prefillingUnit}
+		keys = append(keys, key)
 	}
-	return loads
+	return loads, keys
 }
 
 // CachedParts reports that an upstream or KV store has prompt parts in its cache.
--- a/internal/state/rcfleet/report_test.go
+++ b/internal/state/rcfleet/report_test.go
@@ -84,7 +84,8 @@
 	require.Equal(t, loads, read)
 	d, err := newReportReader(text)
 	require.NoError(t, err)
-	require.Equal(t, LoadReport{1: {Running: 2, Prefilling: 64}, 9: {Running: 3, Prefilling: 160}}, d.loads())
+	first, _ := d.loads()
+	require.Equal(t, LoadReport{1: {Running: 2, Prefilling: 64}, 9: {Running: 3, Prefilling: 160}}, first)
 }
 
 // TestLateWorkIsNotAhead guards against exchanges in time that avoid an engine whose only
