Read the store for all zones by one relay, and wait for it at the start

Cause: with 88 instances in 3 zones each relay polled both tables of the platform every 700 ms, each instance polled the members table itself, and each instance polled all tables while the fleet started, because it knew no relay yet and because its first batch began after the version that it had read.

Change: the relay that ranks first reads the store and sends its batches to the relays of the other zones, which pass them on. A relay that gets none for 1 s reads the store itself, before its zone would after 1.4 s. The members table is relayed too, without the shared key. An instance that starts waits for a batch for 1.4 s before it polls. Relays record new target weights whoever read them.

--- a/internal/node/rcinstance/directory.go
+++ b/internal/node/rcinstance/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,6 +46,7 @@
 	configVersion int64 // Version of the newest configuration.
 	operator      *rcfeed.Follower
 	upstreams     *rcfeed.Follower
+	members       atomic.Pointer[rcfeed.Follower] // Of the instances; nil until it is started.
 }
 
 // initFollowers creates the followers of both tables from cfg, which holds their source
@@ -75,6 +77,10 @@
 		d.operator.Offer(b)
 	case platform.UpstreamsTable:
 		d.upstreams.Offer(b)
+	case membersTable:
+		if f := d.members.Load(); f != nil {
+			f.Offer(b)
+		}
 	}
 }
 
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -160,7 +160,7 @@
 	}
 	i.fleet.SetMinOutage(max(0, (missedHeartbeats-1)*s.UpstreamHeartbeat-restoredHeartbeatDelay))
 	i.directory.initFollowers(rcfeed.Config{
-		Source: i.store, Eras: &i.storeEras, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, Log: i.log,
+		Source: i.store, Eras: &i.storeEras, IsRelay: i.peers.isRelay, Publish: i.peers.publishBatch, ReliesOnRelay: i.peers.reliesOnStoreReader, Log: i.log,
 	})
 	return i
 }
@@ -360,7 +360,11 @@
 
 // setWeights records the weights that the operator requests for a model.
 func (i *Instance) setWeights(model radishcrank.ModelID, w radishcrank.WeightsVersion, s rcfeed.Provenance) {
-	if !i.weights.SetTarget(model, w, s) {
+	known := s
+	// Relays record targets that another relay has read: that one may be gone before it has
+	// done so.
+	known.Relayed = s.Relayed && !i.peers.isRelay()
+	if !i.weights.SetTarget(model, w, known) {
 		return
 	}
 	e := i.log.Info().Str("Event", "WeightsNamed").Str("Model", string(model)).Str("Weights", string(w)).
--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +51,12 @@
 	CPU     float64        // Number of cores that it may use.
 }
 
+// relayRole tells a follower of a table who reads it.
+type relayRole struct {
+	isRelay, relies func() bool
+	publish         func(b rcfeed.Batch)
+}
+
 // memberRegistry writes this instance's row in the store and follows the rows of the
 // others.
 type memberRegistry struct {
@@ -58,7 +65,9 @@
 	self     member
 	onPut    func(m member)
 	onRemove func(name string)
-	onReset  func() // Called when the whole table has been read.
+	onReset  func()                   // Called when the whole table has been read.
+	onFollow func(f *rcfeed.Follower) // May be nil.
+	relays   relayRole                // Zero if each instance reads the table itself.
 	eras     *rcera.Tracker
 	log      zerolog.Logger
 
@@ -144,15 +153,27 @@
 func (m *memberRegistry) follow(ctx context.Context) error {
 	f := rcfeed.New(rcfeed.Config{
 		Source: m.source, Table: membersTable, MinInterval: membersReadInterval, DelayTolerant: true, Eras: m.eras, Log: m.log,
+		IsRelay: m.relays.isRelay, ReliesOnRelay: m.relays.relies, Publish: m.publish,
 		OnReset: func(rows []rcfeed.Row, s rcfeed.Provenance) {
 			m.applyReset(rows, s)
 			m.onReset()
 		},
 		OnChange: m.applyRow,
 	})
+	if m.onFollow != nil {
+		m.onFollow(f)
+	}
 	return f.Run(ctx)
 }
 
+// publish passes a batch on to the other instances without the shared key, which no message
+// contains.
+func (m *memberRegistry) publish(b rcfeed.Batch) {
+	isKey := func(row rcfeed.Row) bool { return row.Key == sharedKey }
+	b.Rows, b.Earlier = slices.DeleteFunc(slices.Clone(b.Rows), isKey), slices.DeleteFunc(slices.Clone(b.Earlier), isKey)
+	m.relays.publish(b)
+}
+
 // applyReset applies a read of the whole table. It drops instances whose rows were
 // removed while the change history was lost, since these are missing from rows. If the
 // store came back from an older copy, missing rows are rather lost, and their instances
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -429,8 +429,10 @@
 			defer p.mu.Unlock()
 			p.membersRead = true
 		},
-		eras: &i.storeEras,
-		log:  i.log,
+		onFollow: i.directory.members.Store,
+		relays:   relayRole{isRelay: p.isRelay, relies: p.reliesOnStoreReader, publish: p.publishBatch},
+		eras:     &i.storeEras,
+		log:      i.log,
 	})
 	listener, err := net.Listen("tcp", i.settings.PeerAddr.String())
 	if err != nil {
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -5,14 +5,15 @@
 	"slices"
 	"time"
 
+	"github.com/radishcrank/radishcrank/internal/state/rcfeed"
 	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 )
 
 // With at most maxDirectPeers instances, each sends its updates to all others. Beyond
 // that each availability zone has a relay: instances send to their relay, and relays
 // send to each other and to their zone, so that the number of messages grows linearly
-// with the number of instances rather than quadratically. Relays also read the
-// platform's store for their zone.
+// with the number of instances rather than quadratically. One relay also reads the
+// platform's store and tells the other relays, which tell their zones.
 const (
 	maxDirectPeers = 12
 	// relayUpdateInterval replaces updateInterval if there are relays.
@@ -50,6 +51,42 @@
 	return !p.membersRead || p.usesRelaysLocked() && p.relayForLocked(p.instance.settings.Zone) != nil
 }
 
+// isStoreReader reports whether this instance is the relay that reads the store for the
+// relays of all zones.
+func (p *peerGroup) isStoreReader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isStoreReaderLocked()
+}
+
+// isStoreReaderLocked compares this relay with those of the other zones, by the order in
+// which a zone chooses its relay. Relays that disagree, such as during a network partition,
+// read the store more often than necessary.
+func (p *peerGroup) isStoreReaderLocked() bool {
+	if p.relayForLocked(p.instance.settings.Zone) != nil {
+		return false
+	}
+	zones := map[string]bool{p.instance.settings.Zone: true}
+	for _, m := range p.members {
+		if zones[m.Zone] {
+			continue
+		}
+		zones[m.Zone] = true
+		if relay := p.relayForLocked(m.Zone); relay != nil && comparePeers(relay, p.self) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// reliesOnStoreReader reports whether another instance reads the store for this one, or may
+// do so once the other instances are known.
+func (p *peerGroup) reliesOnStoreReader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.membersRead || p.usesRelaysLocked() && !p.isStoreReaderLocked()
+}
+
 // relayForLocked returns the relay of a zone, or nil if that is this instance or the
 // zone has none. The relay is the reachable instance with the most CPU; comparePeers
 // breaks ties by name.
@@ -97,8 +134,8 @@
 	}
 	outward := own.merge(fromZone)
 	all := outward.merge(fromOtherZones)
-	outward.Feeds = nil // Each zone's relay reads the store itself.
-	all.Streams = nil   // Instances ask relays.
+	outward.Feeds = p.feedsForRelaysLocked(own.Feeds)
+	all.Streams = nil // Instances ask relays.
 	if own.Running != nil {
 		others := p.sumLoadsLocked("")
 		p.instance.fleet.SetPeerLoads(others)
@@ -122,6 +159,19 @@
 	return updates
 }
 
+// feedsForRelaysLocked returns the batches that the relays of the other zones rely on.
+func (p *peerGroup) feedsForRelaysLocked(batches []rcfeed.Batch) (feeds []rcfeed.Batch) {
+	if len(batches) == 0 || !p.isStoreReaderLocked() {
+		return nil
+	}
+	for _, b := range batches {
+		if !b.Forwarded {
+			feeds = append(feeds, b)
+		}
+	}
+	return feeds
+}
+
 func (u peerUpdate) merge(o peerUpdate) peerUpdate {
 	return peerUpdate{
 		Engines: slices.Concat(u.Engines, o.Engines),
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -64,6 +65,7 @@
 	changed      chan struct{}
 	fault        Fault
 	calls        int
+	callsBy      map[string]int // By method and table, such as "rows-feed op".
 	started      time.Time
 	era          uint64
 	away         Fault // Between the loss of the store and its return from a copy.
@@ -78,7 +80,7 @@
 func New() *Store {
 	return &Store{
 		rows: map[string]Row{}, changed: make(chan struct{}), started: time.Now(), era: 1,
-		copies: copyLog{base: map[string]Row{}}, unwritten: map[string]Row{},
+		copies: copyLog{base: map[string]Row{}}, unwritten: map[string]Row{}, callsBy: map[string]int{},
 	}
 }
 
@@ -100,6 +102,19 @@
 	return s.calls
 }
 
+// CallsBy returns the number of HTTP requests received so far, by method and table, such as
+// "rows-feed op". Writes that did not reach the table are not counted.
+func (s *Store) CallsBy() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.callsBy)
+}
+
+// countLocked counts a call by its method and table.
+func (s *Store) countLocked(r *http.Request, table string) {
+	s.callsBy[path.Base(r.URL.Path)+" "+table]++
+}
+
 // RowCount returns the number of rows in a table.
 func (s *Store) RowCount(table string) (n int) {
 	s.mu.Lock()
@@ -188,6 +203,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
+	if table := r.URL.Query().Get("Table"); table != "" {
+		s.countLocked(r, table)
+	}
 	fault := s.faultLocked()
 	s.setEraLocked(w)
 	s.mu.Unlock()
@@ -302,6 +320,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.setEraLocked(w)
+	if rows := slices.Concat(tx.Puts, tx.Delete, tx.Expected); len(rows) > 0 {
+		s.countLocked(r, rows[0].Table)
+	}
 	for _, e := range tx.Expected {
 		if s.rows[rowKey(e)].Ver != e.Ver {
 			s.respond(w, http.StatusPreconditionFailed, response{Rows: []Row{s.rows[rowKey(e)]}, Ver: s.ver})
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -38,6 +38,17 @@
 	// before it reads the store itself. Together with the duration of a call it
 	// stays within the bounds for the propagation of changes.
 	relayTimeout = 1400 * time.Millisecond
+	// zoneRelayTimeout is relayTimeout for a relay that relies on another one. It is
+	// shorter, so that its zone gets a batch within relayTimeout of the last one.
+	zoneRelayTimeout = time.Second
+	// tolerantRelayTimeout and tolerantZoneRelayTimeout are relayTimeout and
+	// zoneRelayTimeout for a delay-tolerant table, of which relays publish an empty
+	// batch every tolerantPollWait.
+	tolerantRelayTimeout     = tolerantPollWait + 4*time.Second
+	tolerantZoneRelayTimeout = tolerantPollWait + 2*time.Second
+	// roleCheckInterval is how often an instance that waits for a batch checks whether
+	// it has become the relay.
+	roleCheckInterval = 100 * time.Millisecond
 	// relayPollWait and relayPollMargin replace pollWait and pollMargin on a
 	// relay. Each batch, even an empty one, shows the other instances that the
 	// store is reachable.
@@ -88,6 +99,13 @@
 	// At and Since are the time of the response and Provenance.Since, in Unix
 	// milliseconds on the clock of the store.
 	At, Since int64
+	// Earlier are the changes of the Span versions up to After, which count from
+	// EarlierSince. They are for instances that have missed earlier batches.
+	Span         uint64 `json:",omitempty"`
+	Earlier      []Row  `json:",omitempty"`
+	EarlierSince int64  `json:",omitempty"`
+	// Forwarded reports that this instance got the batch from a relay. It is not sent.
+	Forwarded bool `json:"-"`
 }
 
 // Response is the response of the store to a read of a table.
@@ -147,7 +165,11 @@
 	// itself.
 	IsRelay func() bool
 	Publish func(b Batch)
-	Log     zerolog.Logger
+	// ReliesOnRelay reports whether another instance reads the store for this one, or
+	// may do so once the relays are known. A relay that relies on another one publishes
+	// what it gets from that. Nil means that all instances but relays rely on one.
+	ReliesOnRelay func() bool
+	Log           zerolog.Logger
 }
 
 // Follower keeps a copy of a table up to date.
@@ -162,6 +184,8 @@
 	contiguous  bool      // The last call succeeded, so the next one misses no changes.
 	lastOfferAt time.Time
 	startedAt   time.Time
+	recent      recentSteps
+	relayPolled bool // A call has been made as a relay since the last batch from another one.
 	// rewrittenUntil is when the rows have been written again that a restore has
 	// lost, and beforeRestore is the time of the last response before it.
 	rewrittenUntil time.Time
@@ -186,6 +210,10 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.reachable, f.startedAt = true, time.Now()
+	if f.cfg.ReliesOnRelay != nil {
+		// A process that starts gets its first batch as soon as its relay knows it.
+		f.lastOfferAt = f.startedAt
+	}
 	for ctx.Err() == nil {
 		if f.synced && f.awaitOffer(ctx) {
 			continue
@@ -196,39 +224,67 @@
 }
 
 // awaitOffer waits for a batch from a relay. It reports false if the store must
-// be read instead: relayTimeout has passed since the last batch, a batch leaves a
-// gap after the known version, or the store is known to have been restored.
+// be read instead: the time for a batch is over, a batch leaves a gap after the
+// known version, the store is known to have been restored, or this instance
+// relies on no relay.
 func (f *Follower) awaitOffer(ctx context.Context) bool {
-	if f.offered == nil || f.cfg.IsRelay() {
-		return false
-	}
-	era, restored := f.cfg.Eras.Current()
-	if era != f.era {
-		return false
-	}
-	wait := relayTimeout - time.Since(f.lastOfferAt)
-	if wait <= 0 {
-		// A batch that has arrived in the meantime shows that the relay is
-		// working again.
+	for {
+		if !f.relies() {
+			return false
+		}
+		era, restored := f.cfg.Eras.Current()
+		if era != f.era {
+			return false
+		}
+		wait := f.offerTimeout() - time.Since(f.lastOfferAt)
+		if wait <= 0 {
+			// A batch that has arrived in the meantime shows that the relay is
+			// working again.
+			select {
+			case b := <-f.offered:
+				return f.apply(b)
+			default:
+				return false
+			}
+		}
+		timer := time.NewTimer(min(wait, roleCheckInterval))
 		select {
 		case b := <-f.offered:
+			timer.Stop()
 			return f.apply(b)
-		default:
+		case <-restored:
+			timer.Stop()
 			return false
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return true
 		}
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case b := <-f.offered:
-		return f.apply(b)
-	case <-restored:
-		return false
-	case <-timer.C:
+}
+
+// relies reports whether another instance reads the store for this one.
+func (f *Follower) relies() bool {
+	switch {
+	case f.offered == nil:
 		return false
-	case <-ctx.Done():
-		return true
+	case f.cfg.ReliesOnRelay != nil:
+		return f.cfg.ReliesOnRelay()
+	}
+	return !f.cfg.IsRelay()
+}
+
+// offerTimeout returns how long after a batch the next one is overdue.
+func (f *Follower) offerTimeout() time.Duration {
+	switch isRelay := f.isRelay(); {
+	case f.cfg.DelayTolerant && isRelay:
+		return tolerantZoneRelayTimeout
+	case f.cfg.DelayTolerant:
+		return tolerantRelayTimeout
+	case isRelay:
+		return zoneRelayTimeout
 	}
+	return relayTimeout
 }
 
 // apply applies a batch from a relay. It reports false if the store must be read
@@ -241,14 +297,18 @@
 		return true // The relay does not know yet that the store has been restored.
 	case b.Full && resp.Era > f.era:
 		f.reset(resp, true)
-	case resp.Era > f.era || b.After > f.version:
+	case resp.Era > f.era || !f.applyEarlier(b):
 		return false
 	default:
 		f.applyRows(resp, Provenance{Since: time.UnixMilli(b.Since), Awaited: b.Since == b.At, Relayed: true})
 	}
 	f.lastOfferAt = time.Now()
 	f.reportReachability(nil)
-	f.contiguous = false
+	f.contiguous, f.relayPolled = false, false
+	if f.isRelay() {
+		b.Forwarded = true
+		f.cfg.Publish(f.recent.extend(b))
+	}
 	return true
 }
 
@@ -268,6 +328,7 @@
 	f.cfg.OnReset(resp.Rows, Provenance{Since: f.responseAt, Relayed: relayed, Restored: restored})
 	f.version, f.era, f.synced, f.responseAt, f.contiguous = resp.Version, resp.Era, true, resp.At, true
 	f.applied.Store(&position{version: f.version, era: f.era})
+	f.recent.clear()
 	return restored
 }
 
@@ -294,12 +355,16 @@
 
 // applyRows passes on the rows that are newer than the known version.
 func (f *Follower) applyRows(resp Response, p Provenance) {
-	p.Restored = time.Now().Before(f.rewrittenUntil)
+	now := time.Now()
+	p.Restored = now.Before(f.rewrittenUntil)
+	done := step{after: f.version, since: f.responseAt, at: now}
 	for _, row := range resp.Rows {
 		if row.Version > f.version || row.Version == 0 {
 			f.cfg.OnChange(row, p)
+			done.rows = append(done.rows, row)
 		}
 	}
+	f.recent.add(done)
 	f.version, f.responseAt = max(f.version, resp.Version), resp.At
 	f.applied.Store(&position{version: f.version, era: f.era})
 }
@@ -395,6 +460,9 @@
 		if era, restored = f.cfg.Eras.Current(); era != f.era {
 			return // Restored again.
 		}
+		if f.cfg.ReliesOnRelay != nil && f.relies() {
+			return
+		}
 	}
 	isRelay := f.isRelay()
 	wait, margin := pollWait, pollMargin
@@ -404,9 +472,13 @@
 	switch {
 	case !f.reachable:
 		wait, margin = probeWait, probeMargin
-	case isRelay:
+	case isRelay && !f.relayPolled:
+		// The zone has waited for a batch, or waits for the first one.
+		wait, margin = probeWait, probeMargin
+	case isRelay && !f.cfg.DelayTolerant:
 		wait, margin = relayPollWait, relayPollMargin
 	}
+	f.relayPolled = isRelay
 	after, calledAt := f.version, time.Now()
 	callCtx, cancel := f.untilRestored(ctx, restored)
 	resp, err := f.cfg.Source.Changes(callCtx, f.cfg.Table, after, wait, margin)
@@ -440,15 +512,21 @@
 	}
 	f.applyRows(resp, p)
 	if isRelay {
-		f.cfg.Publish(Batch{
+		f.cfg.Publish(f.recent.extend(Batch{
 			Table: f.cfg.Table, Era: f.era, After: after, Version: max(after, resp.Version), Rows: resp.Rows,
 			At: resp.At.UnixMilli(), Since: p.Since.UnixMilli(),
-		})
+		}))
 	}
 	if len(resp.Rows) > 0 {
 		interval := f.cfg.MinInterval
+		if isRelay && f.cfg.DelayTolerant {
+			interval = min(interval, relayPollWait) // Few instances are relays.
+		}
 		if f.cfg.StartupMinInterval > 0 && time.Since(f.startedAt) < startupPeriod {
 			interval = f.cfg.StartupMinInterval
+			if isRelay {
+				interval = min(interval, relayPollWait) // Instances rely on a batch within relayTimeout.
+			}
 		}
 		rcwait.Sleep(ctx, interval-time.Since(start))
 	}
