Check that earlier versions can read load reports with speeds

Change: the test compares the bytes of reports with and without speeds up to where earlier versions stop.

--- a/internal/state/rcfleet/speed_test.go
+++ b/internal/state/rcfleet/speed_test.go
@@ -1,6 +1,7 @@
 package rcfleet
 
 import (
+	"encoding/base64"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,11 @@
 	text, err := full.MarshalText()
 	require.NoError(t, err)
 	require.Less(t, len(text)-len(earlier), 14)
+	counts, err := base64.RawStdEncoding.DecodeString(string(earlier))
+	require.NoError(t, err)
+	all, err := base64.RawStdEncoding.DecodeString(string(text))
+	require.NoError(t, err)
+	require.Equal(t, counts, all[:len(counts)], "earlier versions read no further")
 	var read LoadReport
 	require.NoError(t, read.UnmarshalText(text))
 	require.Equal(t, full, read)
