--- a/internal/limits/rcadmission/admission.go
+++ b/internal/limits/rcadmission/admission.go
@@ -1,5 +1,6 @@
 // Package rcadmission decides which exchanges are refused before they are sent
-// upstream, and when their callers should retry.
+// upstream, which yield to others or wait for a place, and when callers should
+// retry. It does no I/O, and time and randomness are passed in.
 //
 // It sheds load that exceeds the capacity of the upstreams. Callers cancel a
 // stream that does not start within a certain time. With a queue longer than
