Limit the rates of client accounts over all instances

Accounts of the configuration may have a rate limit (RatePerS, Burst, Unit, PlainTokens), which nothing enforced. Each instance now keeps a token bucket for the whole fleet, from its own admissions and the usage that instances report to each other with the updates that they already exchange, and refuses with 429 and Retry-After what exceeds it. Reports hold the absolute usage within slots of time, so that a repeated report or one through another relay is not counted twice. Requests that did not run, or ran through another instance, are refunded.

--- /dev/null
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -0,0 +1,249 @@
+package rclimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+// FleetLimiter limits the rate of client accounts over all instances together. Every
+// instance keeps the usage of the whole fleet, from its own admissions and the reports
+// of the others, and decides alone. It does no I/O and reads no clock.
+//
+// Usage is counted in slots of time. A report holds the absolute usage within a slot, so
+// that one that arrives twice or again through another relay is not counted twice.
+
+const (
+	// windowSlots is the number of slots of a window, and ringSlots those that are kept:
+	// a window, and some for reports that arrive late.
+	windowSlots = 32
+	ringSlots   = 40
+	// demandSlots is the number of slots over which demand is measured. demandDelay is
+	// after how many slots the reports on one are complete.
+	demandSlots = 4
+	demandDelay = 2
+	// silenceGrace is how long an instance or zone may send nothing before it counts as
+	// partitioned. Through two relays reports are 0.2 to 0.5 s old.
+	silenceGrace = 1200 * time.Millisecond
+	// equalShareDelay is how long after silenceGrace the share of demand that silent
+	// instances had is replaced by an equal share, which a fleet agrees on without
+	// messages. equalSharePart is the part that is equal from the beginning.
+	equalShareDelay = 4 * time.Second
+	equalSharePart  = 0.2
+	// shareInterval is how often the shares of an account are computed.
+	shareInterval = 100 * time.Millisecond
+	// reserveFraction is the fraction of the permitted excess by which the bucket may be
+	// overdrawn in regular operation. The rest covers what instances admit before they
+	// hear of each other.
+	reserveFraction = 0.25
+	// ampleFraction is the fraction of the burst above which all requests are admitted.
+	ampleFraction = 0.5
+	// drainTime is the time over which what is left in the bucket is spread.
+	drainTime = time.Second
+)
+
+// AccountKey names an account in reports. Two accounts whose keys collide share their
+// limits: among 3,000 accounts any two collide with a probability of 1 in 1,000.
+type AccountKey uint32
+
+// KeyOfAccount returns the key of an account.
+func KeyOfAccount(id radishcrank.ClientAccountID) AccountKey {
+	return AccountKey(xxhash.Sum64String(string(id)) >> 32)
+}
+
+// FleetRate is the limit of an account: cost per second and cost that may be used at once.
+type FleetRate struct {
+	Rate, Burst float64
+}
+
+// FleetBounds are the bounds within which a limit may be exceeded: in no window more than
+// (rate × Window + burst) × (1 + Over) + Slack.
+type FleetBounds struct {
+	Window      time.Duration
+	Over, Slack float64
+}
+
+// FleetConfig configures a FleetLimiter.
+type FleetConfig struct {
+	Instance radishcrank.InstanceID
+	Zone     radishcrank.AvailabilityZone
+	Process  int64 // Distinguishes the processes of an instance.
+	Bounds   FleetBounds
+	// Random returns numbers in [0, 1).
+	Random func() float64
+}
+
+// FleetInstance is a registered instance.
+type FleetInstance struct {
+	ID   radishcrank.InstanceID
+	Zone radishcrank.AvailabilityZone
+}
+
+// FleetLimiter is safe for concurrent use.
+type FleetLimiter struct {
+	cfg  FleetConfig
+	slot time.Duration
+
+	mu       sync.Mutex
+	accounts map[AccountKey]*fleetAccount
+	zones    []*fleetZone // The first one is this instance's.
+	peers    map[radishcrank.InstanceID]*fleetPeer
+	total    int // Registered instances.
+	revision uint64
+	reports  uint64                       // Reports made.
+	dirty    map[AccountKey]*fleetAccount // Accounts with changes that have no revision yet.
+	sweptAt  int64
+	started  int64     // First slot in which this instance knew of limits; buckets were empty then.
+	silentAt time.Time // When the silence of zones was last computed.
+}
+
+// fleetZone is an availability zone.
+type fleetZone struct {
+	id         radishcrank.AvailabilityZone
+	registered int // Instances other than this one.
+	relay      relayID
+	relaySince time.Time
+	reportAt   time.Time
+	reported   int // Instances whose usage is in the last report, other than this one.
+	newest     reportNumber
+	silent     int           // Registered instances that were not heard of.
+	silentFor  time.Duration // Time since silenceGrace passed.
+}
+
+// reportNumber orders the reports that arrive through one instance.
+type reportNumber struct {
+	through radishcrank.InstanceID
+	number  uint64
+}
+
+type relayID struct {
+	instance radishcrank.InstanceID
+	process  int64
+}
+
+// fleetPeer is another instance that reports its own usage to this one.
+type fleetPeer struct {
+	zone    int
+	process int64
+	heardAt time.Time
+	newest  reportNumber
+}
+
+// NewFleetLimiter returns a FleetLimiter whose buckets are empty.
+func NewFleetLimiter(cfg FleetConfig) *FleetLimiter {
+	l := &FleetLimiter{
+		cfg: cfg, slot: cfg.Bounds.Window / windowSlots, total: 1,
+		accounts: map[AccountKey]*fleetAccount{}, peers: map[radishcrank.InstanceID]*fleetPeer{}, dirty: map[AccountKey]*fleetAccount{},
+	}
+	l.zoneLocked(cfg.Zone)
+	return l
+}
+
+// zoneLocked returns the index of a zone.
+func (l *FleetLimiter) zoneLocked(id radishcrank.AvailabilityZone) int {
+	for i, z := range l.zones {
+		if z.id == id {
+			return i
+		}
+	}
+	l.zones = append(l.zones, &fleetZone{id: id})
+	return len(l.zones) - 1
+}
+
+// SetInstances sets the other registered instances.
+func (l *FleetLimiter) SetInstances(others []FleetInstance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, z := range l.zones {
+		z.registered = 0
+	}
+	for _, o := range others {
+		l.zones[l.zoneLocked(o.Zone)].registered++
+	}
+	l.total = len(others) + 1
+}
+
+// Decision is the result of FleetLimiter.Admit.
+type Decision struct {
+	Admitted bool
+	Wait     time.Duration // Of a rejected request: the time until the account's bucket admits it.
+	Silent   float64       // Share of the limit that is left to instances that are not heard of.
+	slot     int64
+}
+
+// Admit charges a request to an account and reports whether it may run.
+func (l *FleetLimiter) Admit(key AccountKey, limit FleetRate, cost float64, now time.Time) (d Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startLocked(now)
+	a := l.accountLocked(key, now)
+	l.rollLocked(a, now)
+	a.setLimit(l, limit)
+	k := a.cur % ringSlots
+	a.own.offered[k] += cost
+	l.changedLocked(a, k)
+	l.updateShares(a, now)
+	a.reach[k] = a.reachNow
+
+	b := &l.cfg.Bounds
+	excess := b.Over*(limit.Rate*b.Window.Seconds()+limit.Burst) + b.Slack
+	balance, used, allowed := a.replay(l, now)
+	used += a.unreported
+	available := balance - a.unreported + reserveFraction*excess*a.reachNow
+	room := ((allowed+limit.Burst)*(1+b.Over) + b.Slack - used) * a.reachNow
+	silent := a.reachNow < 1
+	rate := limit.Rate * a.reachNow
+	p := 1.0
+	if available < ampleFraction*limit.Burst*a.reachNow || silent && cost > available {
+		demand := a.demand(l, now)
+		if silent {
+			// Many instances that are alone would each admit one request beyond their share.
+			demand = max(demand, cost)
+		}
+		p = (rate + available/drainTime.Seconds()) / max(demand, 1e-9)
+	}
+	if room < cost {
+		p = 0
+		if silent {
+			p = min(1, max(0, room/cost)) * reserveFraction
+		}
+	}
+	d = Decision{Silent: 1 - a.reachNow, slot: a.cur}
+	if d.Admitted = p >= 1 || p > 0 && l.cfg.Random() < p; d.Admitted {
+		a.own.used[k] += cost
+		return d
+	}
+	need := ampleFraction*limit.Burst*a.reachNow - available
+	if room < cost {
+		need = max(need, cost-room)
+	}
+	d.Wait = min(time.Duration(max(0, need)/max(rate, 1e-9)*float64(time.Second)), b.Window)
+	if rate <= 0 {
+		d.Wait = b.Window
+	}
+	return d
+}
+
+// Refund takes back the charge of a request that has not run.
+func (l *FleetLimiter) Refund(key AccountKey, cost float64, d Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[key]
+	if a == nil || !d.Admitted || d.slot <= a.cur-ringSlots {
+		return // The charge is older than a window.
+	}
+	k := d.slot % ringSlots
+	a.own.used[k] = max(0, a.own.used[k]-cost)
+	a.own.offered[k] = max(a.own.used[k], a.own.offered[k]-cost)
+	l.changedLocked(a, k)
+}
+
+// changedLocked records a change of this instance's usage in a slot.
+func (l *FleetLimiter) changedLocked(a *fleetAccount, k int64) {
+	a.ownChanged |= 1 << k
+	a.zoneChanged |= 1 << k
+	l.dirty[a.key] = a
+}
--- /dev/null
+++ b/internal/limits/rclimit/fleetreport.go
@@ -0,0 +1,371 @@
+package rclimit
+
+import (
+	"cmp"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/radishcrank/radishcrank"
+)
+
+const (
+	// maxReported bounds the entries of a report; the rest follows in the next ones.
+	maxReported = 3000
+	// idleReportInterval is how often usage is reported of accounts far below their limit,
+	// and busyFraction the fraction of the limit from which it is reported immediately.
+	idleReportInterval = time.Second
+	busyFraction       = 0.25
+	// relayChangeTime is how long a sum by a new relay does not lower that of the old one:
+	// by then all instances of the zone have sent it full reports.
+	relayChangeTime = 2 * time.Second
+	// peerRetention is how long an instance is remembered after its last message.
+	peerRetention = time.Minute
+)
+
+// UsageEntry is the usage of an account within a slot.
+type UsageEntry struct {
+	Key     AccountKey
+	Slot    int64
+	Used    uint64 // Rounded up.
+	Offered uint64
+}
+
+// UsageEntries is the part of a report that is encoded compactly.
+type UsageEntries []UsageEntry
+
+// UsageReport is the usage by one instance or, with Members, by those of a zone.
+type UsageReport struct {
+	Zone    radishcrank.AvailabilityZone
+	From    radishcrank.InstanceID // Instance or relay that made the report.
+	Process int64
+	Number  uint64       // Increases with each report of the instance that sends it.
+	Members int          `json:",omitempty"` // Instances in the sum, including the relay; 0 if the report is that of an instance.
+	Entries UsageEntries `json:",omitempty"`
+
+	// Until is the revision up to which the report is complete.
+	Until uint64 `json:"-"`
+}
+
+// Revise assigns revisions to what has changed, if it is to be reported now. It is called
+// before reports are made.
+func (l *FleetLimiter) Revise(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startLocked(now)
+	l.sweepLocked(now)
+	for key, a := range l.dirty {
+		recent := 0.0
+		for s := a.cur - demandSlots; s <= a.cur; s++ {
+			recent += a.offered(s % ringSlots)
+		}
+		busy := !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
+		if !busy && now.Sub(a.revisedAt) < idleReportInterval {
+			continue
+		}
+		l.revision++
+		for k := range int64(ringSlots) {
+			if a.ownChanged>>k&1 != 0 {
+				a.ownRev[k] = l.revision
+			}
+			if a.zoneChanged>>k&1 != 0 {
+				a.zones[0].rev[k] = l.revision
+			}
+		}
+		a.maxRev, a.revisedAt, a.ownChanged, a.zoneChanged = l.revision, now, 0, 0
+		delete(l.dirty, key)
+	}
+}
+
+// sweepLocked removes accounts that have not been used for a while.
+func (l *FleetLimiter) sweepLocked(now time.Time) {
+	slot := l.slotOf(now)
+	if slot-l.sweptAt < ringSlots {
+		return
+	}
+	l.sweptAt = slot
+	for key, a := range l.accounts {
+		if slot-a.cur > 4*ringSlots && a.base >= 0 {
+			delete(l.accounts, key)
+			delete(l.dirty, key)
+			continue
+		}
+		for z := range a.zones {
+			maps.DeleteFunc(a.zones[z].peers, func(_ *fleetPeer, c *peerCells) bool { return c.cur <= slot-ringSlots })
+		}
+	}
+	maps.DeleteFunc(l.peers, func(_ radishcrank.InstanceID, p *fleetPeer) bool { return now.Sub(p.heardAt) > peerRetention })
+}
+
+// Own returns the report on this instance's usage that changed after a revision.
+func (l *FleetLimiter) Own(after uint64) UsageReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process}
+	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+		return a.own.used[k], a.own.offered[k], a.ownRev[k]
+	})
+	return r
+}
+
+// Zone returns the report on the usage by all instances of this one's zone, as its relay.
+func (l *FleetLimiter) Zone(after uint64, now time.Time) UsageReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateSilenceLocked(now)
+	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process, Members: max(1, l.zones[0].registered-l.zones[0].silent+1)}
+	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+		a.confirmed[k] = a.own.used[k]
+		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k), a.zones[0].rev[k]
+	})
+	return r
+}
+
+// OtherZones returns the reports on other zones as received from their relays, without
+// those that were not heard of lately.
+func (l *FleetLimiter) OtherZones(after uint64, now time.Time) (reports []UsageReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for z, zone := range l.zones {
+		if z == 0 || zone.reportAt.IsZero() || now.Sub(zone.reportAt) >= silenceGrace/2 {
+			continue
+		}
+		r := UsageReport{Zone: zone.id, From: zone.relay.instance, Process: zone.relay.process, Members: zone.reported}
+		l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+			if z >= len(a.zones) {
+				return 0, 0, 0
+			}
+			u := &a.zones[z]
+			return u.sum.used[k], u.sum.offered[k], u.rev[k]
+		})
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// fill adds the entries that changed after a revision, in the order of their revisions.
+func (l *FleetLimiter) fill(r *UsageReport, after uint64, read func(a *fleetAccount, k int64) (used, offered float64, rev uint64)) {
+	type revised struct {
+		UsageEntry
+		rev uint64
+	}
+	var found []revised
+	for key, a := range l.accounts {
+		if a.maxRev <= after {
+			continue
+		}
+		for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
+			used, offered, rev := read(a, s%ringSlots)
+			if rev > after {
+				found = append(found, revised{UsageEntry{key, s, uint64(math.Ceil(used)), uint64(math.Ceil(offered))}, rev})
+			}
+		}
+	}
+	l.reports++
+	r.Number, r.Until = l.reports, l.revision
+	if len(found) > maxReported {
+		slices.SortFunc(found, func(a, b revised) int { return cmp.Compare(a.rev, b.rev) })
+		r.Until = found[maxReported-1].rev
+		// Entries of one revision stay together.
+		end := maxReported
+		for end < len(found) && found[end].rev == r.Until {
+			end++
+		}
+		found = found[:end]
+	}
+	for _, f := range found {
+		r.Entries = append(r.Entries, f.UsageEntry)
+	}
+}
+
+// Confirm records that the relay has received a report of this instance.
+func (l *FleetLimiter) Confirm(r UsageReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range r.Entries {
+		if a := l.accounts[e.Key]; a != nil && e.Slot > a.cur-ringSlots && e.Slot <= a.cur {
+			k := e.Slot % ringSlots
+			a.confirmed[k] = min(float64(e.Used), a.own.used[k])
+		}
+	}
+}
+
+// Heard records that an instance has sent a message.
+func (l *FleetLimiter) Heard(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardLocked(id, zone, now)
+}
+
+func (l *FleetLimiter) heardLocked(id radishcrank.InstanceID, zone radishcrank.AvailabilityZone, now time.Time) *fleetPeer {
+	p := l.peers[id]
+	if p == nil {
+		p = &fleetPeer{zone: l.zoneLocked(zone)}
+		l.peers[id] = p
+	}
+	p.heardAt = now
+	return p
+}
+
+// Merge records a report of another instance that arrived through an instance, its relay
+// or itself.
+func (l *FleetLimiter) Merge(r UsageReport, through radishcrank.InstanceID, now time.Time) {
+	if r.From == l.cfg.Instance {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := merge{l: l, z: l.zoneLocked(r.Zone), now: now}
+	var newest *reportNumber
+	if r.Members > 0 {
+		zone := l.zones[m.z]
+		newest = &zone.newest
+		if relay := (relayID{r.From, r.Process}); zone.relay != relay {
+			zone.relay, zone.relaySince = relay, now
+		}
+		m.keepMax = now.Sub(zone.relaySince) < relayChangeTime
+		zone.reportAt, zone.reported = now, r.Members
+		if m.z == 0 {
+			zone.reported--
+		}
+	} else {
+		m.peer = l.heardLocked(r.From, r.Zone, now)
+		newest = &m.peer.newest
+		if m.peer.process != r.Process {
+			m.peer.process, m.peer.newest = r.Process, reportNumber{}
+			l.forgetCellsLocked(m.peer)
+		}
+	}
+	if n := (reportNumber{through, r.Number}); n.through != newest.through || n.number > newest.number {
+		*newest = n
+	} else {
+		m.keepMax = true // It was overtaken by a newer one.
+	}
+	current := l.slotOf(now)
+	for _, e := range r.Entries {
+		if e.Slot > current-ringSlots && e.Slot <= current+1 {
+			m.add(e)
+		}
+	}
+}
+
+// forgetCellsLocked forgets what an instance reported that has restarted. It remains in
+// the sums, to which the new process adds.
+func (l *FleetLimiter) forgetCellsLocked(p *fleetPeer) {
+	for _, a := range l.accounts {
+		for z := range a.zones {
+			delete(a.zones[z].peers, p)
+		}
+	}
+}
+
+// merge is the merging of one report.
+type merge struct {
+	l       *FleetLimiter
+	z       int
+	peer    *fleetPeer // Nil for the sum of a zone.
+	keepMax bool       // Entries do not lower what is known.
+	now     time.Time
+}
+
+func (m *merge) add(e UsageEntry) {
+	l := m.l
+	a := l.accountLocked(e.Key, m.now)
+	l.rollLocked(a, time.Unix(0, max(l.slotOf(m.now), e.Slot)*int64(l.slot)))
+	if e.Slot <= a.cur-ringSlots || e.Slot > a.cur {
+		return
+	}
+	k, u := e.Slot%ringSlots, &a.zones[m.z]
+	used, offered := float64(e.Used), float64(e.Offered)
+	if m.peer == nil {
+		if m.keepMax {
+			used, offered = max(used, u.sum.used[k]), max(offered, u.sum.offered[k])
+		}
+		if u.sum.used[k] == used && u.sum.offered[k] == offered {
+			return
+		}
+		u.sum.used[k], u.sum.offered[k] = used, offered
+		if m.z != 0 {
+			l.revision++
+			u.rev[k], a.maxRev = l.revision, l.revision
+		}
+		return
+	}
+	if u.peers == nil {
+		u.peers = map[*fleetPeer]*peerCells{}
+	}
+	c := u.peers[m.peer]
+	if c == nil {
+		c = &peerCells{}
+		u.peers[m.peer] = c
+	}
+	c.roll(a.cur)
+	oldUsed, oldOffered := float64(c.used[k]), float64(c.offered[k])
+	if m.keepMax {
+		used, offered = max(used, oldUsed), max(offered, oldOffered)
+	}
+	c.used[k], c.offered[k] = float32(used), float32(offered)
+	u.members.used[k] += float64(c.used[k]) - oldUsed
+	u.members.offered[k] += float64(c.offered[k]) - oldOffered
+	if m.z == 0 {
+		a.zoneChanged |= 1 << k
+		l.dirty[e.Key] = a
+	}
+}
+
+var errMalformedUsage = errors.New("malformed report of usage")
+
+// MarshalText implements encoding.TextMarshaler.
+func (r UsageEntries) MarshalText() ([]byte, error) {
+	r = slices.Clone(r)
+	slices.SortFunc(r, func(a, b UsageEntry) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Slot, b.Slot))
+	})
+	newest := int64(0)
+	for _, e := range r {
+		newest = max(newest, e.Slot)
+	}
+	data := binary.AppendUvarint(nil, uint64(newest))
+	last := AccountKey(0)
+	for _, e := range r {
+		data = binary.AppendUvarint(data, uint64(e.Key-last))
+		data = binary.AppendUvarint(data, uint64(newest-e.Slot))
+		data = binary.AppendUvarint(data, e.Used)
+		data = binary.AppendUvarint(data, e.Offered-min(e.Offered, e.Used))
+		last = e.Key
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, data), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *UsageEntries) UnmarshalText(text []byte) error {
+	data, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return err
+	}
+	next := func() (v uint64) {
+		v, n := binary.Uvarint(data)
+		if n <= 0 {
+			data, err = nil, errMalformedUsage
+			return 0
+		}
+		data = data[n:]
+		return v
+	}
+	newest := int64(next())
+	key := AccountKey(0)
+	entries := UsageEntries{}
+	for err == nil && len(data) > 0 {
+		key += AccountKey(next())
+		e := UsageEntry{Key: key, Slot: newest - int64(next())}
+		e.Used = next()
+		e.Offered = e.Used + next()
+		entries = append(entries, e)
+	}
+	*r = entries
+	return err
+}
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
+	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/limits/rcslots"
@@ -101,6 +102,8 @@
 	kvWatcher     *rckvstore.Watcher
 	quota         *rcquota.Quota
 	links         *rcdetour.Links // To upstreams.
+	// accountLimiter limits the rates of accounts. Its usage is that of the whole fleet.
+	accountLimiter *rclimit.FleetLimiter
 }
 
 // New assembles an instance.
@@ -137,6 +140,7 @@
 		Events: &platform.KVEventClient{Pool: i.pool}, Stores: i.configuredKVStores, OnDataLoss: i.fleet.ForgetCachedParts,
 		ReliesOnReports: func() bool { return i.peers.reliesOnRelay() }, Log: i.log,
 	})
+	i.accountLimiter = newAccountLimiter(i)
 	i.peers = newPeerGroup(i)
 	i.peers.origins.newerEntries = func(ctx context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) {
 		return i.directory.newerEntries(ctx)
@@ -305,6 +309,7 @@
 		Detours:       rcdetour.New(rcdetour.Config{Zone: radishcrank.AvailabilityZone(i.settings.Zone), Others: i.peers.detours}),
 		DetourSender:  &platform.DetourSender{Pool: i.peerPool},
 		Links:         i.links,
+		Accounts:      rcforward.AccountLimits{Limiter: i.accountLimiter, Table: i.routes.Load, Now: i.accountTime},
 		Log:           i.log,
 		Metrics:       i.metrics,
 	})
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
+	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
@@ -84,6 +85,8 @@
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
 	// holder, or by a relay that received it; 0 means no report.
 	Lease uint64 `json:",omitempty"`
+	// Usage is how much accounts with a rate limit have used.
+	Usage []rclimit.UsageReport `json:",omitempty"`
 }
 
 // take removes what is to be sent next from a queue.
@@ -102,7 +105,7 @@
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && len(u.Leaving) == 0 && u.Running == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && len(u.Leaving) == 0 && len(u.Usage) == 0 && u.Running == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -117,6 +120,7 @@
 	fetchedOrigins bool
 	fetchInReturn  bool // It has asked this one.
 	fetchOriginsAt time.Time
+	usage          usageLink
 }
 
 // leavingUpstream is an upstream that has said itself that it leaves.
@@ -350,6 +354,7 @@
 	if update.Running != nil {
 		p.applyLoads(from, update.Running)
 	}
+	p.applyUsage(from, update.Usage)
 	p.queueForRelay(string(from.Zone), update)
 	for _, e := range update.Engines {
 		rcrollout.Apply(p.instance.fleet, e)
@@ -523,7 +528,7 @@
 		if now := time.Now(); now.Sub(loadsAt) >= loadReportInterval {
 			p.queued.Running, loadsAt = p.instance.fleet.LocalLoads(), now
 		}
-		updates := p.updatesLocked()
+		updates := p.addUsageLocked(p.updatesLocked(), time.Now())
 		p.mu.Unlock()
 		p.sendAll(ctx, client, updates)
 		interval := updateInterval
@@ -563,8 +568,8 @@
 		return []rcrpc.Params{m}, 0
 	}
 	rest := *u
-	rest.Feeds, rest.Running, rest.Cached, rest.Streams = nil, nil, nil, nil
-	parts := []peerUpdate{{Running: u.Running}, rest, {Cached: u.Cached}, {Streams: u.Streams}}
+	rest.Feeds, rest.Running, rest.Cached, rest.Streams, rest.Usage = nil, nil, nil, nil, nil
+	parts := []peerUpdate{{Running: u.Running}, rest, {Cached: u.Cached}, {Streams: u.Streams}, {Usage: u.Usage}}
 	for _, b := range u.Feeds {
 		parts = append(parts, peerUpdate{Feeds: []rcfeed.Batch{b}})
 	}
@@ -601,6 +606,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	to.recordCall(err, time.Now())
+	p.recordUsageLocked(to, update, err)
 	if err != nil && p.usesRelaysLocked() && len(p.queued.Streams) < maxQueuedOrigins {
 		p.queued.Streams = append(p.queued.Streams, update.Streams...)
 	}
--- a/internal/routing/rcroute/table.go
+++ b/internal/routing/rcroute/table.go
@@ -44,6 +44,31 @@
 	Keys     []string
 	Priority *int // Overrides the route's priority if set.
 	Isolated bool
+	Limit    RateLimit
+}
+
+// RateLimit is the limit of an account over all instances together. The zero value means
+// none.
+type RateLimit struct {
+	Rate        float64 // Cost per second.
+	Burst       float64
+	Tokens      bool    // Cost counts tokens, not requests.
+	PlainTokens float64 // Cost in tokens of a request without token counts.
+}
+
+// Limited reports whether there is a limit.
+func (r RateLimit) Limited() bool { return r.Rate > 0 }
+
+// Cost returns the cost of a request.
+func (r RateLimit) Cost(promptTokens, outputTokens int) float64 {
+	switch tokens := float64(max(0, promptTokens)) + float64(max(0, outputTokens)); {
+	case !r.Tokens:
+		return 1
+	case tokens > 0:
+		return tokens
+	default:
+		return r.PlainTokens
+	}
 }
 
 // Limits bound the requests and connections of callers.
@@ -63,9 +88,11 @@
 	Accounts []Account
 	Limits   Limits
 
+	limited       bool
 	hosts         map[string][]*Route
 	services      map[string]*Service
 	accountsByKey map[string]*Account
+	accountsByID  map[radishcrank.ClientAccountID]*Account
 }
 
 // BuildIndex builds the lookup maps of the table and returns it.
@@ -84,7 +111,10 @@
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
 	t.accountsByKey = map[string]*Account{}
+	t.accountsByID = map[radishcrank.ClientAccountID]*Account{}
 	for i := range t.Accounts {
+		t.accountsByID[t.Accounts[i].ID] = &t.Accounts[i]
+		t.limited = t.limited || t.Accounts[i].Limit.Limited()
 		for _, key := range t.Accounts[i].Keys {
 			t.accountsByKey[key] = &t.Accounts[i]
 		}
@@ -115,6 +145,15 @@
 	return a, ok
 }
 
+// Account returns an account by ID.
+func (t *Table) Account(id radishcrank.ClientAccountID) (*Account, bool) {
+	a, ok := t.accountsByID[id]
+	return a, ok
+}
+
+// HasRateLimits reports whether the rate of any account is limited.
+func (t *Table) HasRateLimits() bool { return t.limited }
+
 // Service returns a service by name.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.services[name]
--- a/internal/serving/rcforward/detour.go
+++ b/internal/serving/rcforward/detour.go
@@ -152,6 +152,7 @@
 		d.cause = err
 		if !errors.Is(err, radishcrank.ErrNotSent) {
 			d.runs++
+			d.runsElsewhere++
 		}
 		if d.ctx.Err() == nil {
 			cfg.Detours.Avoid(through.ID)
@@ -177,6 +178,7 @@
 		return false, nil
 	case reply.Class == radishcrank.ReplyInvalid:
 		d.runs++
+		d.runsElsewhere++
 		return false, nil
 	case reply.Class == radishcrank.ReplyBusy && d.runs > 0:
 		return false, nil // This attempt has not run, and an earlier one may have.
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -107,9 +107,11 @@
 	DetourSender radishcrank.DetourSender
 	// Links tells whether this instance is cut off from all upstreams of a service. Nil
 	// means that it never is.
-	Links   *rcdetour.Links
-	Log     zerolog.Logger
-	Metrics *rcmetric.Set
+	Links *rcdetour.Links
+	// Accounts limits the rates of accounts.
+	Accounts AccountLimits
+	Log      zerolog.Logger
+	Metrics  *rcmetric.Set
 }
 
 // Forwarder forwards exchanges to upstreams. It is safe for concurrent use.
@@ -117,6 +119,7 @@
 	cfg          Config
 	longGapRatio movingAverage
 	bodies       bodyBuffers
+	limitLog     limitLog
 }
 
 func New(cfg Config) *Forwarder {
@@ -153,6 +156,8 @@
 	failure        *radishcrank.Reply
 	failureBody    []byte
 	cause          error // Error of the last attempt.
+	charge         accountCharge
+	runsElsewhere  int // Of runs, those through other instances.
 }
 
 // Serve forwards an exchange and writes the response to w. ctx must be done
@@ -177,6 +182,10 @@
 	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
 		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
 	}
+	if !d.chargeAccount() {
+		return d.refuseOverLimit()
+	}
+	defer d.refundAccount()
 	return d.run()
 }
 
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -136,6 +136,8 @@
 			}
 		})
 	}
-	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts")
+	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true,
+		rcmetric.AccountLimited: true, rcmetric.AccountCharged: true, rcmetric.AccountRefunded: true}, untested,
+		"TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts, TestAccountLimit those of accounts")
 	require.Equal(t, map[rcmetric.HistogramName]bool{rcmetric.StoreTime: true}, untestedTimings)
 }
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -57,6 +57,9 @@
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
 	StreamsUnknown         CounterName = "StreamsUnknown"
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
+	AccountLimited         CounterName = "AccountLimited"
+	AccountCharged         CounterName = "AccountCharged"
+	AccountRefunded        CounterName = "AccountRefunded"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -126,6 +129,9 @@
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
 	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
 	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
+	{AccountLimited, "requests", "Requests refused with 429 because their account exceeds its rate limit; they did not run.", "Look for `AccountLimited` lines, which name the accounts. A `SilentShare` above 0 means that instances did not hear of each other."},
+	{AccountCharged, "tokens or requests", "Cost of requests that were charged to accounts with a rate limit.", "None; compare the sum over all instances with the limits."},
+	{AccountRefunded, "tokens or requests", "Charged cost of requests that did not run here.", "None; a large share of AccountCharged means that upstreams refuse requests."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
