Keep the bounds of account limits under partitions and restarts

In trials with three zones that were partitioned from each other, accounts used up to 1.5 times their bound: each side went on with the whole limit for the first second, and instances that got few requests held other shares than the rest. Usage of instances that are not heard of is now presumed from their last report on, shares are measured over what all zones have reported, and all accounts are updated regularly. Limits are set for all accounts when the configuration changes: an instance that learned of a raised limit only with the next request counted usage above the old one as debt.

--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -16,7 +16,7 @@
 	base      float64
 	rate      [ringSlots]float64 // Limits in force in each slot.
 	burst     [ringSlots]float64
-	reach     [ringSlots]float64 // Share of the limit that was left to instances heard of.
+	reach     [ringSlots]float64 // Share of the limit that instances heard of could use.
 	own       cells
 	confirmed [ringSlots]float64 // Part of own.used that the relay's sum contains.
 	ownRev    [ringSlots]uint64
@@ -28,8 +28,10 @@
 	zones                   []zoneUsage
 
 	sharesAt   time.Time
+	complete   float64 // Demand per second by the last complete reports.
 	reachNow   float64
 	unreported float64 // Estimated usage that was not reported yet.
+	overdue    float64 // Share of instances that are about to count as silent.
 }
 
 // zoneUsage is the usage of an account in a zone, without that of this instance.
@@ -37,8 +39,14 @@
 	sum     cells // As reported by the zone's relay; contains this instance's in its own zone.
 	members cells // Sum of what instances of the zone reported to this one.
 	peers   map[*fleetPeer]*peerCells
-	rev     [ringSlots]uint64
-	share   float64 // Share of the account's demand when all instances were heard of.
+	// presumed is the share of the limit of instances that were not heard of, which they may
+	// have used in addition. floor is the least usage to count once they are heard of again:
+	// their reports arrive one after the other.
+	presumed, floor [ringSlots]float64
+	presumedTo      int64 // Slot up to which presumed has been set.
+	rev             [ringSlots]uint64
+	offered         float64 // Demand over which share was measured.
+	share           float64 // Share of the account's demand when all instances were heard of.
 }
 
 // peerCells are what one instance reported. There is one for each instance and account.
@@ -64,6 +72,7 @@
 			a.reach[k] = 1
 		}
 		l.accounts[key] = a
+		a.setLimit(l, l.limits[key])
 	}
 	for len(a.zones) < len(l.zones) {
 		a.zones = append(a.zones, zoneUsage{})
@@ -80,9 +89,10 @@
 func (l *FleetLimiter) slotOf(t time.Time) int64 { return t.UnixNano() / int64(l.slot) }
 
 // setLimit sets the limit from the current slot on. A limit that was not known is applied
-// from the start of this instance, whose bucket was empty then.
+// from the start of this instance, whose bucket was empty and overdrawn then: it does not
+// know what it used before a restart.
 func (a *fleetAccount) setLimit(l *FleetLimiter, limit FleetRate) {
-	if !a.known {
+	if !a.known && limit.Rate > 0 {
 		a.known, a.limit = true, limit
 		oldest := a.cur - ringSlots + 1
 		for s := oldest; s <= a.cur; s++ {
@@ -91,7 +101,7 @@
 				a.rate[k] = limit.Rate
 			}
 		}
-		a.base = min(limit.Burst, limit.Rate*float64(max(0, oldest-l.started))*l.slot.Seconds())
+		a.base = min(limit.Burst, limit.Rate*float64(max(0, oldest-l.started))*l.slot.Seconds()-l.reserve(limit))
 		return
 	}
 	if a.limit != limit {
@@ -130,7 +140,9 @@
 func (l *FleetLimiter) advance(a *fleetAccount) {
 	a.cur++
 	k := a.cur % ringSlots
-	a.base = min(a.burst[k]*a.reach[k], a.base+a.rate[k]*a.reach[k]*l.slot.Seconds()-a.used(k))
+	if a.known && a.cur-ringSlots >= l.started {
+		a.base = refill(a.base, a.burst[k]*a.reach[k], a.rate[k]*l.slot.Seconds()-a.consumed(k), a.reach[k] < 1)
+	}
 	a.own.used[k], a.own.offered[k], a.confirmed[k], a.ownRev[k] = 0, 0, 0, 0
 	a.ownChanged &^= 1 << k
 	a.zoneChanged &^= 1 << k
@@ -138,6 +150,7 @@
 	for z := range a.zones {
 		u := &a.zones[z]
 		u.sum.used[k], u.sum.offered[k], u.members.used[k], u.members.offered[k], u.rev[k] = 0, 0, 0, 0, 0
+		u.presumed[k], u.floor[k] = 0, 0
 	}
 }
 
@@ -161,11 +174,19 @@
 	return max(0, sum, u.members.offered[k])
 }
 
-// used returns the usage of all instances in a slot.
-func (a *fleetAccount) used(k int64) (n float64) {
+// consumed returns what counts as used by all instances in a slot.
+func (a *fleetAccount) consumed(k int64) (n float64) {
 	n = a.own.used[k]
 	for z := range a.zones {
-		n += a.usedIn(z, k)
+		n += max(a.usedIn(z, k)+a.zones[z].presumed[k], a.zones[z].floor[k])
+	}
+	return n
+}
+
+// presumed returns which part of that is presumed.
+func (a *fleetAccount) presumed(k int64) (n float64) {
+	for z := range a.zones {
+		n += a.zones[z].presumed[k]
 	}
 	return n
 }
@@ -178,86 +199,162 @@
 	return n
 }
 
-// replay returns the balance of the bucket, and what was used in the last window and
-// allowed by the rate.
-func (a *fleetAccount) replay(l *FleetLimiter, now time.Time) (balance, used, allowed float64) {
+// refill returns the balance after a slot. What a bucket holds when instances fall silent is
+// divided, so that those heard of can use only their share of it.
+func refill(balance, capacity, change float64, divided bool) float64 {
+	if divided {
+		balance = min(balance, capacity)
+	}
+	return min(capacity, balance+change)
+}
+
+// reserve returns by how much the bucket may be overdrawn in regular operation.
+func (l *FleetLimiter) reserve(limit FleetRate) float64 {
+	b := &l.cfg.Bounds
+	return reserveFraction * (b.Over*(limit.Rate*b.Window.Seconds()+limit.Burst) + b.Slack)
+}
+
+// replay returns the balance of the bucket, and what the instances heard of may still use
+// in the window that ends now.
+func (a *fleetAccount) replay(l *FleetLimiter, now time.Time) (balance, room float64) {
+	b := &l.cfg.Bounds
 	balance = a.base
 	length := l.slot.Seconds()
-	current := now.Sub(time.Unix(0, a.cur*int64(l.slot))).Seconds()
+	heard, silent := a.limit.Burst*(1+b.Over)+b.Slack, 0.0
 	for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
 		k := s % ringSlots
-		n := a.used(k)
-		accrued := a.rate[k] * length
-		if s == a.cur {
-			accrued = a.rate[k] * min(max(0, current), length)
-		}
-		balance = min(a.burst[k]*a.reach[k], balance+accrued*a.reach[k]-n)
-		if s > a.cur-windowSlots-1 {
-			used += n
-			if s > a.cur-windowSlots {
-				allowed += a.rate[k] * length
+		n := a.consumed(k)
+		if s >= l.started {
+			accrued := a.rate[k] * length
+			if s == a.cur {
+				accrued = a.rate[k] * a.elapsed(l, now) * a.reachNow
 			}
+			balance = refill(balance, a.burst[k]*a.reach[k], accrued-n, a.reach[k] < 1)
+		}
+		allowed := a.limit.Rate * length * (1 + b.Over)
+		if a.rate[k] > 0 {
+			allowed = a.rate[k] * length * (1 + b.Over)
+		}
+		if s <= a.cur-windowSlots {
+			allowed = 0 // The window ends within the current slot and begins within this one.
+		}
+		switch {
+		case s < a.cur-windowSlots:
+		case a.reach[k] < 1:
+			silent += allowed*a.reach[k] - (n - a.presumed(k))
+		default:
+			heard += allowed - n
 		}
 	}
-	return balance, used, allowed
+	return balance, heard*a.reachNow + silent
+}
+
+// elapsed returns the seconds of the current slot that have passed.
+func (a *fleetAccount) elapsed(l *FleetLimiter, now time.Time) float64 {
+	return min(max(0, now.Sub(time.Unix(0, a.cur*int64(l.slot))).Seconds()), l.slot.Seconds())
 }
 
 // demand returns what the instances heard of ask for per second: the higher one of the
-// last complete reports and of the newest.
+// newest reports and of the last complete ones.
 func (a *fleetAccount) demand(l *FleetLimiter, now time.Time) float64 {
-	sum := func(last int64) (n float64) {
-		for s := last - demandSlots + 1; s <= last; s++ {
-			n += a.offered(s % ringSlots)
-		}
-		return n
+	recent := 0.0
+	for s := a.cur - demandSlots + 1; s <= a.cur; s++ {
+		recent += a.offered(s % ringSlots)
 	}
-	length := l.slot.Seconds()
-	elapsed := min(max(0, now.Sub(time.Unix(0, a.cur*int64(l.slot))).Seconds()), length)
-	return max(sum(a.cur-demandDelay)/(demandSlots*length), sum(a.cur)/((demandSlots-1)*length+elapsed))
+	return max(a.complete, recent/((demandSlots-1)*l.slot.Seconds()+a.elapsed(l, now)))
 }
 
 // updateShares computes which share of the limit the instances may use that are heard of,
-// and what those have used that was not reported yet.
+// what they asked for lately, and what they have used that was not reported yet.
 func (l *FleetLimiter) updateShares(a *fleetAccount, now time.Time) {
-	if now.Sub(a.sharesAt) < shareInterval && now.After(a.sharesAt) {
+	if age := now.Sub(a.sharesAt); age >= 0 && age < shareInterval {
 		return
 	}
 	a.sharesAt = now
-	silent := 0.0
-	lag := time.Duration(0)
 	l.updateSilenceLocked(now)
+	silent := 0.0
+	seconds := demandSlots * l.slot.Seconds()
+	a.unreported, a.overdue = 0, 0
+	a.complete = a.demandUntil(a.cur-demandDelay, func(k int64) float64 { return a.own.offered[k] }) / seconds
 	for z, zone := range l.zones {
-		count, since := zone.silent, zone.silentFor
-		if count == 0 {
-			if zone.registered > 0 && !zone.reportAt.IsZero() {
-				lag = max(lag, min(now.Sub(zone.reportAt), silenceGrace))
-			}
+		if zone.registered == 0 {
+			continue
+		}
+		if zone.silent < zone.registered {
+			// The last complete reports are older where reports are overdue.
+			last := min(a.cur-demandDelay, l.slotOf(zone.heardAt)-1)
+			a.complete += a.demandUntil(last, func(k int64) float64 { return a.offeredIn(z, k) }) / seconds
+			used := a.demandUntil(last, func(k int64) float64 { return a.usedIn(z, k) }) / seconds
+			lag := min(now.Sub(zone.heardAt), silenceGrace)
+			a.unreported += used * lag.Seconds()
+			a.overdue += a.zones[z].share * max(0, float64(lag-overdueAge)/float64(silenceGrace-overdueAge))
+		}
+		if zone.silent == 0 {
 			continue
 		}
-		equal := float64(count) / float64(l.total)
+		equal := float64(zone.silent) / float64(l.total)
 		mix := 1.0
 		if a.hasShares() {
-			mix = min(1, equalSharePart+(1-equalSharePart)*float64(since)/float64(equalShareDelay))
+			mix = min(1, equalSharePart+(1-equalSharePart)*float64(zone.silentFor)/float64(equalShareDelay))
 		}
-		demanded := a.zones[z].share * float64(count) / float64(zone.registered)
-		silent += mix*equal + (1-mix)*demanded
+		demanded := a.zones[z].share * float64(zone.silent) / float64(zone.registered)
+		share := mix*equal + (1-mix)*demanded
+		silent += share
+		a.presume(l, z, share)
 	}
+	a.unreported = min(a.unreported, a.limit.Rate*silenceGrace.Seconds())
 	was := a.reachNow
 	a.reachNow = max(0, 1-silent)
-	if silent == 0 {
-		if was < 1 {
-			for k := range a.reach {
-				a.reach[k] = 1 // What the others used meanwhile is reported now.
+	switch {
+	case silent > 0:
+		for s := max(a.cur-ringSlots+1, l.slotOf(l.lastHeard)); s < a.cur; s++ {
+			if k := s % ringSlots; a.rate[k] > 0 {
+				a.reach[k] = max(0, 1-a.presumed(k)/(a.rate[k]*l.slot.Seconds()))
 			}
 		}
-		a.measureShares()
+		a.reach[a.cur%ringSlots] = a.reachNow
+	case was < 1:
+		for k := range a.reach {
+			a.reach[k] = 1
+		}
+	default:
+		a.measureShares(l)
 	}
-	others := 0.0
-	for s := a.cur - demandDelay - demandSlots + 1; s <= a.cur-demandDelay; s++ {
-		k := s % ringSlots
-		others += a.used(k) - a.own.used[k]
+}
+
+// demandUntil adds up what read returns for the slots over which demand is measured.
+func (a *fleetAccount) demandUntil(last int64, read func(k int64) float64) (n float64) {
+	for s := max(a.cur-ringSlots+1, last-demandSlots+1); s <= last; s++ {
+		n += read(s % ringSlots)
+	}
+	return n
+}
+
+// presume records that the silent instances of a zone may use a share of the limit, since
+// they were last heard of.
+func (a *fleetAccount) presume(l *FleetLimiter, z int, share float64) {
+	u := &a.zones[z]
+	for s := max(a.cur-ringSlots+1, u.presumedTo+1, l.slotOf(l.zones[z].silentSince)); s < a.cur; s++ {
+		u.presumed[s%ringSlots] = a.rate[s%ringSlots] * l.slot.Seconds() * share
+		u.presumedTo = s
+	}
+}
+
+// settleLocked ends the presumption on the usage of a zone, some of whose instances are
+// heard of again and report what they have used.
+func (l *FleetLimiter) settleLocked(z int) {
+	for _, a := range l.accounts {
+		if z >= len(a.zones) {
+			continue
+		}
+		u := &a.zones[z]
+		for k := range int64(ringSlots) {
+			if u.presumed[k] > 0 {
+				u.floor[k] = max(u.floor[k], a.usedIn(z, k)+u.presumed[k])
+				u.presumed[k] = 0
+			}
+		}
 	}
-	a.unreported = min(others/(demandSlots*l.slot.Seconds()), a.limit.Rate) * lag.Seconds()
 }
 
 func (a *fleetAccount) hasShares() bool {
@@ -269,22 +366,38 @@
 	return false
 }
 
-// measureShares records the zones' shares of demand in the slots that are kept.
-func (a *fleetAccount) measureShares() {
-	total := 0.0
-	for k := range int64(ringSlots) {
-		total += a.offered(k)
+// measureShares records the zones' shares of demand in the slots up to the last one that
+// all zones have reported. Later ones hold only the demand here, which may have just begun
+// to rise everywhere.
+func (a *fleetAccount) measureShares(l *FleetLimiter) {
+	last := a.cur - demandDelay
+	for _, zone := range l.zones {
+		if zone.registered > 0 {
+			last = min(last, l.slotOf(zone.heardAt)-demandDelay)
+		}
+	}
+	total := a.own.sum(a.cur, last)
+	for z := range a.zones {
+		a.zones[z].offered = 0
+		for s := a.cur - ringSlots + 1; s <= last; s++ {
+			a.zones[z].offered += a.offeredIn(z, s%ringSlots)
+		}
+		total += a.zones[z].offered
 	}
 	if total <= 0 {
 		return
 	}
 	for z := range a.zones {
-		n := 0.0
-		for k := range int64(ringSlots) {
-			n += a.offeredIn(z, k)
-		}
-		a.zones[z].share = n / total
+		a.zones[z].share = a.zones[z].offered / total
+	}
+}
+
+// sum returns what was asked for in the slots of the ring up to the last one.
+func (c *cells) sum(cur, last int64) (n float64) {
+	for s := cur - ringSlots + 1; s <= last; s++ {
+		n += c.offered[s%ringSlots]
 	}
+	return n
 }
 
 // silenceInterval is how often the silence of instances is computed.
@@ -297,24 +410,48 @@
 		return
 	}
 	l.silentAt = now
+	l.lastHeard = now
 	for z, zone := range l.zones {
-		heard, last := 0, zone.reportAt
-		if now.Sub(zone.reportAt) < silenceGrace {
-			heard = zone.reported
+		l.updateZoneLocked(z, zone, now)
+		if zone.silent > 0 && zone.silentSince.Before(l.lastHeard) {
+			l.lastHeard = zone.silentSince
 		}
-		direct := 0
-		for _, p := range l.peers {
-			switch {
-			case p.zone != z:
-			case now.Sub(p.heardAt) < silenceGrace:
-				direct++
-			case p.heardAt.After(last):
-				last = p.heardAt
-			}
+	}
+}
+
+func (l *FleetLimiter) updateZoneLocked(z int, zone *fleetZone, now time.Time) {
+	heard, last := 0, zone.reportAt
+	if now.Sub(zone.reportAt) < silenceGrace {
+		heard = zone.reported
+	}
+	direct, age := 0, time.Duration(0)
+	for _, p := range l.peers {
+		switch {
+		case p.zone != z:
+		case now.Sub(p.heardAt) < silenceGrace:
+			direct++
+			age += now.Sub(p.heardAt)
+		case p.heardAt.After(last):
+			last = p.heardAt
 		}
-		zone.silent = max(0, zone.registered-max(heard, direct))
-		if zone.silentFor = max(0, now.Sub(last)-silenceGrace); last.IsZero() {
-			zone.silentFor = equalShareDelay
+	}
+	zone.heardAt = zone.reportAt
+	if direct > heard {
+		heard, zone.heardAt = direct, now.Add(-age/time.Duration(direct))
+	}
+	silent := max(0, zone.registered-heard)
+	if silent < zone.silent {
+		l.settleLocked(z)
+	}
+	if silent > zone.silent {
+		zone.silentSince = last
+		if now.Sub(last) < silenceGrace || now.Sub(last) > 2*silenceGrace {
+			zone.silentSince = now.Add(-silenceGrace) // The relay has not heard of some instances of its zone.
 		}
 	}
+	zone.silent = silent
+	zone.silentFor = equalShareDelay
+	if !last.IsZero() {
+		zone.silentFor = max(0, now.Sub(zone.silentSince)-silenceGrace)
+	}
 }
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -1,6 +1,7 @@
 package rclimit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -25,9 +26,14 @@
 	// after how many slots the reports on one are complete.
 	demandSlots = 4
 	demandDelay = 2
+	// defaultWindow is the default of FleetBounds.Window.
+	defaultWindow = 8 * time.Second
 	// silenceGrace is how long an instance or zone may send nothing before it counts as
 	// partitioned. Through two relays reports are 0.2 to 0.5 s old.
-	silenceGrace = 1200 * time.Millisecond
+	silenceGrace = 1000 * time.Millisecond
+	// overdueAge is the age of reports from which on instances may use less of what is left in
+	// a bucket, down to their share at silenceGrace.
+	overdueAge = 500 * time.Millisecond
 	// equalShareDelay is how long after silenceGrace the share of demand that silent
 	// instances had is replaced by an equal share, which a fleet agrees on without
 	// messages. equalSharePart is the part that is equal from the beginning.
@@ -38,9 +44,11 @@
 	// reserveFraction is the fraction of the permitted excess by which the bucket may be
 	// overdrawn in regular operation. The rest covers what instances admit before they
 	// hear of each other.
-	reserveFraction = 0.25
+	reserveFraction = 0.2
 	// ampleFraction is the fraction of the burst above which all requests are admitted.
 	ampleFraction = 0.5
+	// reportDelay is how long it takes until instances have heard what another one admitted.
+	reportDelay = 500 * time.Millisecond
 	// drainTime is the time over which what is left in the bucket is spread.
 	drainTime = time.Second
 )
@@ -49,9 +57,14 @@
 // limits: among 3,000 accounts any two collide with a probability of 1 in 1,000.
 type AccountKey uint32
 
-// KeyOfAccount returns the key of an account.
-func KeyOfAccount(id radishcrank.ClientAccountID) AccountKey {
-	return AccountKey(xxhash.Sum64String(string(id)) >> 32)
+// KeyOfAccount returns the key of an account whose limit counts tokens, or requests. What was
+// used in another unit does not count after the unit of a limit has changed.
+func KeyOfAccount(id radishcrank.ClientAccountID, tokens bool) AccountKey {
+	key := AccountKey(xxhash.Sum64String(string(id)) >> 32)
+	if !tokens {
+		key = ^key
+	}
+	return key
 }
 
 // FleetRate is the limit of an account: cost per second and cost that may be used at once.
@@ -87,30 +100,38 @@
 	cfg  FleetConfig
 	slot time.Duration
 
-	mu       sync.Mutex
-	accounts map[AccountKey]*fleetAccount
-	zones    []*fleetZone // The first one is this instance's.
-	peers    map[radishcrank.InstanceID]*fleetPeer
-	total    int // Registered instances.
-	revision uint64
-	reports  uint64                       // Reports made.
-	dirty    map[AccountKey]*fleetAccount // Accounts with changes that have no revision yet.
-	sweptAt  int64
-	started  int64     // First slot in which this instance knew of limits; buckets were empty then.
-	silentAt time.Time // When the silence of zones was last computed.
+	mu              sync.Mutex
+	limits          map[AccountKey]FleetRate
+	accounts        map[AccountKey]*fleetAccount
+	zones           []*fleetZone // The first one is this instance's.
+	peers           map[radishcrank.InstanceID]*fleetPeer
+	total           int // Registered instances.
+	revision        uint64
+	reports         uint64                       // Reports made.
+	dirty           map[AccountKey]*fleetAccount // Accounts with changes that have no revision yet.
+	sweptAt         int64
+	refreshedAt     time.Time
+	refreshedSilent int       // Silent instances at that time.
+	started         int64     // First slot in which this instance knew of limits; buckets were empty then.
+	lastHeard       time.Time // When all instances were last heard of.
+	silentAt        time.Time // When the silence of zones was last computed.
 }
 
 // fleetZone is an availability zone.
 type fleetZone struct {
-	id         radishcrank.AvailabilityZone
-	registered int // Instances other than this one.
-	relay      relayID
-	relaySince time.Time
-	reportAt   time.Time
-	reported   int // Instances whose usage is in the last report, other than this one.
-	newest     reportNumber
-	silent     int           // Registered instances that were not heard of.
-	silentFor  time.Duration // Time since silenceGrace passed.
+	id          radishcrank.AvailabilityZone
+	registered  int // Instances other than this one.
+	relay       relayID
+	relaySince  time.Time
+	reportAt    time.Time
+	reported    int // Instances whose usage is in the last report, other than this one.
+	lastMembers int // Members of the last report.
+	newest      reportNumber
+	heardAt     time.Time     // Mean time of the last reports.
+	silent      int           // Registered instances that were not heard of.
+	silentFor   time.Duration // Time since silenceGrace passed.
+	// silentSince is when the last one of them was heard of.
+	silentSince time.Time
 }
 
 // reportNumber orders the reports that arrive through one instance.
@@ -128,12 +149,16 @@
 type fleetPeer struct {
 	zone    int
 	process int64
+	since   time.Time // When the process was first heard of.
 	heardAt time.Time
 	newest  reportNumber
 }
 
 // NewFleetLimiter returns a FleetLimiter whose buckets are empty.
 func NewFleetLimiter(cfg FleetConfig) *FleetLimiter {
+	if cfg.Bounds.Window <= 0 {
+		cfg.Bounds.Window = defaultWindow
+	}
 	l := &FleetLimiter{
 		cfg: cfg, slot: cfg.Bounds.Window / windowSlots, total: 1,
 		accounts: map[AccountKey]*fleetAccount{}, peers: map[radishcrank.InstanceID]*fleetPeer{}, dirty: map[AccountKey]*fleetAccount{},
@@ -166,6 +191,19 @@
 	l.total = len(others) + 1
 }
 
+// SetLimits sets the limits of all accounts. They hold from now on: a raised limit does not
+// fill a bucket with what would have accrued before.
+func (l *FleetLimiter) SetLimits(limits map[AccountKey]FleetRate, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startLocked(now)
+	l.limits = limits
+	for key, a := range l.accounts {
+		l.rollLocked(a, now)
+		a.setLimit(l, limits[key])
+	}
+}
+
 // Decision is the result of FleetLimiter.Admit.
 type Decision struct {
 	Admitted bool
@@ -174,43 +212,44 @@
 	slot     int64
 }
 
-// Admit charges a request to an account and reports whether it may run.
-func (l *FleetLimiter) Admit(key AccountKey, limit FleetRate, cost float64, now time.Time) (d Decision) {
+// Admit charges a request to an account and reports whether it may run. Requests of accounts
+// without a limit may run.
+func (l *FleetLimiter) Admit(key AccountKey, cost float64, now time.Time) (d Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.startLocked(now)
 	a := l.accountLocked(key, now)
 	l.rollLocked(a, now)
-	a.setLimit(l, limit)
+	limit := a.limit
+	if limit.Rate <= 0 {
+		return Decision{Admitted: true, slot: math.MinInt64}
+	}
 	k := a.cur % ringSlots
 	a.own.offered[k] += cost
 	l.changedLocked(a, k)
 	l.updateShares(a, now)
-	a.reach[k] = a.reachNow
 
-	b := &l.cfg.Bounds
-	excess := b.Over*(limit.Rate*b.Window.Seconds()+limit.Burst) + b.Slack
-	balance, used, allowed := a.replay(l, now)
-	used += a.unreported
-	available := balance - a.unreported + reserveFraction*excess*a.reachNow
-	room := ((allowed+limit.Burst)*(1+b.Over) + b.Slack - used) * a.reachNow
+	balance, room := a.replay(l, now)
+	room -= a.unreported
+	available := balance - a.unreported
+	if available > 0 {
+		available *= 1 - a.overdue
+	}
+	if a.reachNow == 1 {
+		available += l.reserve(limit)
+	}
 	silent := a.reachNow < 1
 	rate := limit.Rate * a.reachNow
 	p := 1.0
-	if available < ampleFraction*limit.Burst*a.reachNow || silent && cost > available {
-		demand := a.demand(l, now)
-		if silent {
-			// Many instances that are alone would each admit one request beyond their share.
-			demand = max(demand, cost)
-		}
-		p = (rate + available/drainTime.Seconds()) / max(demand, 1e-9)
+	demand := a.demand(l, now)
+	if silent {
+		// Many instances that are alone would each admit one request beyond their share.
+		demand = max(demand, cost)
 	}
-	if room < cost {
-		p = 0
-		if silent {
-			p = min(1, max(0, room/cost)) * reserveFraction
-		}
+	if silent || available < ampleFraction*limit.Burst {
+		p = (rate + available/drainTime.Seconds()) / max(demand, 1e-9)
 	}
+	p = min(p, l.windowFraction(a, cost, demand, room))
 	d = Decision{Silent: 1 - a.reachNow, slot: a.cur}
 	if d.Admitted = p >= 1 || p > 0 && l.cfg.Random() < p; d.Admitted {
 		a.own.used[k] += cost
@@ -220,13 +259,27 @@
 	if room < cost {
 		need = max(need, cost-room)
 	}
-	d.Wait = min(time.Duration(max(0, need)/max(rate, 1e-9)*float64(time.Second)), b.Window)
-	if rate <= 0 {
-		d.Wait = b.Window
+	d.Wait = l.cfg.Bounds.Window
+	if seconds := max(0, need) / max(rate, 1e-9); seconds < d.Wait.Seconds() {
+		d.Wait = time.Duration(seconds * float64(time.Second))
 	}
 	return d
 }
 
+// windowFraction returns the fraction of requests that what is left in the window allows.
+// All instances heard of decide by the same, until they hear what the others admitted.
+func (l *FleetLimiter) windowFraction(a *fleetAccount, cost, demand, room float64) float64 {
+	b := &l.cfg.Bounds
+	share := ((a.limit.Rate*b.Window.Seconds()+a.limit.Burst)*(1+b.Over) + b.Slack) * a.reachNow
+	if share < cost && a.reachNow < 1 {
+		return reserveFraction * room / cost // Instances that are alone could never admit it.
+	}
+	if room < cost {
+		return 0
+	}
+	return room / max(demand*reportDelay.Seconds(), cost)
+}
+
 // Refund takes back the charge of a request that has not run.
 func (l *FleetLimiter) Refund(key AccountKey, cost float64, d Decision) {
 	l.mu.Lock()
--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -23,6 +23,8 @@
 	// relayChangeTime is how long a sum by a new relay does not lower that of the old one:
 	// by then all instances of the zone have sent it full reports.
 	relayChangeTime = 2 * time.Second
+	// refreshInterval is how often the shares of all accounts are updated.
+	refreshInterval = time.Second
 	// peerRetention is how long an instance is remembered after its last message.
 	peerRetention = time.Minute
 )
@@ -58,6 +60,7 @@
 	defer l.mu.Unlock()
 	l.startLocked(now)
 	l.sweepLocked(now)
+	l.refreshLocked(now)
 	for key, a := range l.dirty {
 		recent := 0.0
 		for s := a.cur - demandSlots; s <= a.cur; s++ {
@@ -81,6 +84,27 @@
 	}
 }
 
+// refreshLocked updates the shares of all accounts every refreshInterval, and when instances
+// fall silent. Instances that get few requests of an account would otherwise hold other
+// shares than the rest.
+func (l *FleetLimiter) refreshLocked(now time.Time) {
+	l.updateSilenceLocked(now)
+	silent := 0
+	for _, zone := range l.zones {
+		silent += zone.silent
+	}
+	if age := now.Sub(l.refreshedAt); age >= 0 && age < refreshInterval && silent == l.refreshedSilent {
+		return
+	}
+	l.refreshedAt, l.refreshedSilent = now, silent
+	for _, a := range l.accounts {
+		if a.known {
+			l.rollLocked(a, now)
+			l.updateShares(a, now)
+		}
+	}
+}
+
 // sweepLocked removes accounts that have not been used for a while.
 func (l *FleetLimiter) sweepLocked(now time.Time) {
 	slot := l.slotOf(now)
@@ -207,6 +231,9 @@
 		p = &fleetPeer{zone: l.zoneLocked(zone)}
 		l.peers[id] = p
 	}
+	if silent := now.Sub(p.heardAt) >= silenceGrace; silent {
+		l.settleLocked(p.zone)
+	}
 	p.heardAt = now
 	return p
 }
@@ -228,7 +255,10 @@
 			zone.relay, zone.relaySince = relay, now
 		}
 		m.keepMax = now.Sub(zone.relaySince) < relayChangeTime
-		zone.reportAt, zone.reported = now, r.Members
+		if now.Sub(zone.reportAt) >= silenceGrace || r.Members > zone.lastMembers {
+			l.settleLocked(m.z)
+		}
+		zone.reportAt, zone.reported, zone.lastMembers = now, r.Members, r.Members
 		if m.z == 0 {
 			zone.reported--
 		}
@@ -236,7 +266,10 @@
 		m.peer = l.heardLocked(r.From, r.Zone, now)
 		newest = &m.peer.newest
 		if m.peer.process != r.Process {
-			m.peer.process, m.peer.newest = r.Process, reportNumber{}
+			if r.Process < m.peer.process && now.Sub(m.peer.since) < relayChangeTime {
+				return // Sent before the restart.
+			}
+			m.peer.since, m.peer.process, m.peer.newest = now, r.Process, reportNumber{}
 			l.forgetCellsLocked(m.peer)
 		}
 	}
--- a/internal/node/rcinstance/accountusage.go
+++ b/internal/node/rcinstance/accountusage.go
@@ -8,6 +8,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 )
 
 // usageHeartbeat is how often a relay reports the usage of its zone if nothing has
@@ -53,6 +54,20 @@
 	return time.Now()
 }
 
+// setAccountLimits applies the limits of a configuration.
+func (i *Instance) setAccountLimits(t *rcroute.Table) {
+	if i.accountLimiter == nil {
+		return
+	}
+	limits := map[rclimit.AccountKey]rclimit.FleetRate{}
+	for _, a := range t.Accounts {
+		if a.Limit.Limited() {
+			limits[rclimit.KeyOfAccount(a.ID, a.Limit.Tokens)] = rclimit.FleetRate{Rate: a.Limit.Rate, Burst: a.Limit.Burst}
+		}
+	}
+	i.accountLimiter.SetLimits(limits, i.accountTime())
+}
+
 // limitsAccounts reports whether any account has a rate limit.
 func (i *Instance) limitsAccounts() bool {
 	t := i.routes.Load()
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -359,6 +359,7 @@
 }
 
 func (i *Instance) setRoutes(t *rcroute.Table) {
+	i.setAccountLimits(t)
 	i.routes.Store(t)
 	i.log.Info().Str("Event", "Config").Int64("Version", t.Version).Int("Routes", len(t.Routes)).Int("Accounts", len(t.Accounts)).Send()
 }
--- a/internal/serving/rcforward/accountlimit.go
+++ b/internal/serving/rcforward/accountlimit.go
@@ -50,8 +50,8 @@
 	}
 	limit := account.Limit
 	c := &d.charge
-	c.key, c.cost = rclimit.KeyOfAccount(d.x.Account), limit.Cost(d.x.PromptTokens, d.x.OutputTokens)
-	c.decision = limits.Limiter.Admit(c.key, rclimit.FleetRate{Rate: limit.Rate, Burst: limit.Burst}, c.cost, limits.Now())
+	c.key, c.cost = rclimit.KeyOfAccount(d.x.Account, limit.Tokens), limit.Cost(d.x.PromptTokens, d.x.OutputTokens)
+	c.decision = limits.Limiter.Admit(c.key, c.cost, limits.Now())
 	if c.decision.Admitted {
 		d.f.cfg.Metrics.Add(rcmetric.AccountCharged, int64(c.cost))
 	}
