--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -60,6 +60,9 @@
 	Deferred               CounterName = "Deferred"
 	DeferredFirst          CounterName = "DeferredFirst"
 	PlacesAwaited          CounterName = "PlacesAwaited"
+	AccountLimited         CounterName = "AccountLimited"
+	AccountCharged         CounterName = "AccountCharged"
+	AccountRefunded        CounterName = "AccountRefunded"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -132,6 +135,9 @@
 	{Deferred, "attempts", "Attempts sent with a lower priority because their response begins after the latency target.", "Demand exceeds the capacity of the engines; see the runbook on overload."},
 	{DeferredFirst, "attempts", "Attempts sent with a lower priority although not late yet, because the demand of their account is many times its usual, or their caller returned earlier than told, in a shortage.", "`Placed` lines say which (`Deferred`); talk to the account."},
 	{PlacesAwaited, "replies", "Rejections of plain upstreams after which this instance waits until a place there may be free.", "If it rises for longer than a burst, add servers to the service; see the runbook on overload."},
+	{AccountLimited, "requests", "Requests refused with 429 because their account exceeds its rate limit; they did not run.", "Look for `AccountLimited` lines, which name the accounts. A `SilentShare` above 0 means that instances did not hear of each other."},
+	{AccountCharged, "tokens or requests", "Cost of requests that were charged to accounts with a rate limit.", "None; compare the sum over all instances with the limits."},
+	{AccountRefunded, "tokens or requests", "Charged cost of requests that did not run here.", "None; a large share of AccountCharged means that upstreams refuse requests."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
