Bound the memory and the connections of untrusted clients

Cause: nothing bounded what all connections together hold. A head was parsed up to 1 MiB whatever the configuration says, a body was allocated in full from its Content-Length and copied into the request's prompt, the kernel held up to 6 MB for each connection, and clients could take all descriptors.

Change: rcmemory decides without I/O who may hold how much of a fraction of MemoryMb, and evicts those that hold most for longest without progress while memory is short. rcguard wraps the listeners for clients, readiness and metrics, and those of the own interface: heads, bodies and buffered responses reserve memory first, heads are bounded by the configuration, connections by MaxFds, and kernel buffers are smaller, most of all in a crowd. Refusals are 431 and 503 with Retry-After before anything has run, or a closed connection. Request.PromptBody replaces a copy of each body; keys of contents stay the same. Connections of instances without a proof of the key are bounded at 128. TestMetricsAreRecorded lists the four new counters as covered by the tests of rcguard; buffer_test passes the new parameter.

--- a/internal/eval/rccrowd/crowd_test.go
+++ b/internal/eval/rccrowd/crowd_test.go
@@ -238,6 +238,33 @@
 	})
 }
 
+// TestCrowdsOnSmallestMachine guards against bounds that hold only because a lowered limit of
+// descriptors keeps the crowd small. With bodies of 200 KB, the kernel held 79 MB for 800
+// connections.
+func TestCrowdsOnSmallestMachine(t *testing.T) {
+	lowered := limits
+	defer func() { limits = lowered }()
+	limits = Limits{MemoryMB: 112, MaxFDs: 3075, MaxBodyBytes: 4 << 20}
+	body := strings.Repeat("b", limits.MaxBodyBytes)
+	const medium = 200_000
+	runAll(t, []crowd{
+		{name: "MediumBodies", size: 1500, client: func(conn net.Conn, n int) {
+			io.WriteString(conn, BodyHead(n, medium))
+			WriteRepeatedly(conn, body, 60_000)
+			time.Sleep(500 * time.Millisecond)
+			WriteRepeatedly(conn, body, medium-60_000-10)
+		}},
+		{name: "LargestBodies", size: 300, client: func(conn net.Conn, n int) {
+			io.WriteString(conn, BodyHead(n, len(body)))
+			WriteRepeatedly(conn, body, len(body))
+		}},
+		{name: "SlowReaders", size: 1500, slow: true, client: func(conn net.Conn, n int) {
+			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+			io.WriteString(conn, RequestHead("/large/", n)+"Content-Length: 1\r\n\r\nb")
+		}},
+	})
+}
+
 // TestSingleRequestsInCalm guards against limits that a single request inside the limits of
 // the pages meets: many short lines, a body of the largest size, and a slow but steady upload.
 func TestSingleRequestsInCalm(t *testing.T) {
--- a/internal/limits/rcpoison/record.go
+++ b/internal/limits/rcpoison/record.go
@@ -23,17 +23,34 @@
 // collision-resistant: an account must not be able to craft a content whose
 // verdict applies to a content of another account.
 func KeyOf(req radishcrank.Request) Key {
-	return hash(string(req.Account), string(req.Model), req.Adapter, req.Prompt)
+	h := newHasher(string(req.Account), string(req.Model), req.Adapter)
+	h.writeLength(len(req.Prompt) + len(req.PromptBody))
+	h.WriteString(req.Prompt)
+	h.Write(req.PromptBody)
+	return h.key()
 }
 
-func hash(fields ...string) Key {
-	h := blake3.New()
+func hash(fields ...string) Key { return newHasher(fields...).key() }
+
+// hasher hashes fields, each after its length.
+type hasher struct{ *blake3.Hasher }
+
+func newHasher(fields ...string) hasher {
+	h := hasher{blake3.New()}
 	for _, field := range fields {
-		var n [8]byte
-		binary.LittleEndian.PutUint64(n[:], uint64(len(field)))
-		h.Write(n[:])
+		h.writeLength(len(field))
 		h.WriteString(field)
 	}
+	return h
+}
+
+func (h hasher) writeLength(n int) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(n))
+	h.Write(b[:])
+}
+
+func (h hasher) key() Key {
 	var sum [32]byte
 	h.Sum(sum[:0])
 	return Key(hex.EncodeToString(sum[:keyBytes]))
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/radishcrank/radishcrank/internal/record/rcorder"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdecision"
 	"github.com/radishcrank/radishcrank/internal/serving/rcfront"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/serving/rcops"
 	"github.com/radishcrank/radishcrank/internal/serving/rcrelay"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
@@ -44,6 +45,10 @@
 	// MaxHeaderBytes within that limit.
 	headerReadTimeout = 5 * time.Second
 	maxHeaderBytes    = 1 << 20
+	// operatorHeaderBytes is far more than the operators' command sends.
+	operatorHeaderBytes = 64 << 10
+	// idleTimeout closes idle connections, later than clients and proxies usually do.
+	idleTimeout = 2 * time.Minute
 )
 
 // Config holds the settings, listeners and platform clients of an instance.
@@ -99,9 +104,6 @@
 			err = trace.Wrap(err, "instance %s", cfg.BootSettings.ID)
 		}
 	}()
-	if cfg.Listeners, err = cfg.Listeners.withTLS(cfg.BootSettings, cfg.Log); err != nil {
-		return nil, err
-	}
 	now := time.Now()
 	d = &Daemon{
 		cfg: cfg,
@@ -112,6 +114,11 @@
 		metrics:        &rcmetric.Set{},
 		drainRequested: make(chan struct{}),
 	}
+	// The handler refuses heads beyond the limit with a JSON response, up to twice its size.
+	maxHead := func() int { return int(2 * d.document().Defaults.MaxHeaderBytes) }
+	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, maxHead, d.metrics, cfg.Log); err != nil {
+		return nil, err
+	}
 	d.newPeers()
 	d.newRetryAndPoison()
 	d.newSnapshots()
@@ -210,11 +217,14 @@
 		Ready:         d.isReady,
 		Log:           d.cfg.Log,
 	})
-	return &http.Server{
+	server := &http.Server{
 		Handler:           front,
 		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	rcguard.Configure(server)
+	return server
 }
 
 func (d *Daemon) newOperatorServer() *http.Server {
@@ -228,5 +238,7 @@
 		Metrics:     d.metrics,
 		Log:         d.cfg.Log,
 	})
-	return &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout}
+	server := &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: operatorHeaderBytes}
+	rcguard.Configure(server)
+	return server
 }
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -18,6 +17,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/limits/rcslots"
@@ -28,6 +28,7 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcdetour"
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcclock"
 	"github.com/radishcrank/radishcrank/internal/state/rcera"
@@ -101,6 +102,7 @@
 	kvWatcher     *rckvstore.Watcher
 	quota         *rcquota.Quota
 	links         *rcdetour.Links // To upstreams.
+	clientMemory  *rcmemory.Budget
 }
 
 // New assembles an instance.
@@ -185,14 +187,16 @@
 	add(i.followRestores)
 	add(i.kvWatcher.Run)
 	add(i.runController)
+	add(i.logLimitedClients)
 	i.pool.SetObserver(i.links.Observe)
 	add(i.links.Run)
 
-	clientListener, err := net.Listen("tcp", i.settings.ClientAddr.String())
+	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), i.clientGuard())
 	if err != nil {
 		return err
 	}
 	clientServer := &http.Server{Handler: i.clientHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	rcguard.Configure(clientServer)
 	stopped := make(chan struct{})
 	g.Add(func() error {
 		err := clientServer.Serve(clientListener)
@@ -251,11 +255,12 @@
 }
 
 func (i *Instance) serve(g *run.Group, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := rcguard.Listen(addr, i.sideGuard())
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	rcguard.Configure(s)
 	g.Add(func() error { return ignoreClosed(s.Serve(l)) }, func(error) { s.Close() })
 	return nil
 }
--- a/internal/peer/rcrpc/server.go
+++ b/internal/peer/rcrpc/server.go
@@ -18,6 +18,9 @@
 	// maxConnections allows for the connections of a zone of 34 instances while all
 	// of them are being replaced, and of instances in other zones.
 	maxConnections = 512
+	// maxHandshakes bounds the connections that have not proved yet that they know the key, so
+	// that clients without it leave room for instances.
+	maxHandshakes = 128
 	// maxConcurrentCalls bounds the calls that run concurrently for one connection.
 	maxConcurrentCalls = 32
 	// acceptRetryDelay is the delay after a failed accept. It avoids a busy loop
@@ -30,11 +33,13 @@
 	cfg      Config
 	listener net.Listener
 	slots    chan struct{}
+	// handshakes has a place for each connection that is not authenticated yet.
+	handshakes chan struct{}
 }
 
 // NewServer returns a server on listener, which Run closes.
 func NewServer(listener net.Listener, cfg Config) *Server {
-	return &Server{cfg: cfg.withDefaults(), listener: listener, slots: make(chan struct{}, maxConnections)}
+	return &Server{cfg: cfg.withDefaults(), listener: listener, slots: make(chan struct{}, maxConnections), handshakes: make(chan struct{}, maxHandshakes)}
 }
 
 // Run serves connections until ctx is done, then closes all of them.
@@ -64,9 +69,16 @@
 			continue
 		}
 		select {
+		case s.handshakes <- struct{}{}:
+		default:
+			conn.Close()
+			continue
+		}
+		select {
 		case s.slots <- struct{}{}:
 			running.Go(func() { s.serve(ctx, conn) })
 		default:
+			<-s.handshakes
 			conn.Close()
 		}
 	}
@@ -77,6 +89,10 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	peer, err := handshake(conn, s.cfg.Identity, s.cfg.Keys(), false, s.cfg.DialTimeout)
+	select {
+	case <-s.handshakes:
+	default: // Called without a place.
+	}
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
@@ -337,7 +338,7 @@
 // received nothing yet. A failure of
 // a retryable exchange is kept while another upstream may still succeed.
 func (d *dispatch) forwardBuffered(ctx context.Context, reply *radishcrank.Reply, up radishcrank.Upstream) (done bool, o rcfleet.Outcome, crashed bool) {
-	body, err := d.f.bodies.read(reply.Body)
+	body, err := d.f.bodies.read(rcmemory.ReserverFrom(ctx), reply.Body)
 	if err == nil && reply.Unframed {
 		err = rcframing.CheckBody(reply.Header, body)
 		d.logUnframed(up, reply, len(body), err == nil)
--- a/internal/serving/rcforward/buffer.go
+++ b/internal/serving/rcforward/buffer.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"sync/atomic"
+
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 )
 
 // bodyBuffers bounds the memory of all responses that are being buffered.
@@ -11,8 +13,9 @@
 	used atomic.Int64 // Bytes beyond freeBodyBytes of each response.
 }
 
-// read reads a response body to its end.
-func (b *bodyBuffers) read(r io.Reader) (body []byte, err error) {
+// read reads a response body to its end. Its memory is reserved until the end of the
+// request.
+func (b *bodyBuffers) read(memory rcmemory.Reserver, r io.Reader) (body []byte, err error) {
 	var buf bytes.Buffer
 	var reserved int64
 	defer func() { b.used.Add(-reserved) }()
@@ -26,7 +29,7 @@
 		// A buffer doubles when it grows.
 		const grown = 2 * freeBodyBytes
 		reserved += grown
-		if b.used.Add(grown) > maxBufferedBodies || buf.Len() > maxBufferedBody {
+		if b.used.Add(grown) > maxBufferedBodies || buf.Len() > maxBufferedBody || !memory.Reserve(grown) {
 			return nil, errBodyTooLarge
 		}
 	}
--- a/internal/serving/rcforward/buffer_test.go
+++ b/internal/serving/rcforward/buffer_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 )
 
 // endlessBody is a body of the same bytes without end.
@@ -47,13 +48,13 @@
 	for i := range bodies {
 		bodies[i] = newEndlessBody("x")
 		wg.Go(func() {
-			_, err := b.read(bodies[i])
+			_, err := b.read(rcmemory.ReserverFrom(t.Context()), bodies[i])
 			require.ErrorIs(t, err, errBodyTooLarge)
 		})
 	}
 	wg.Wait()
 	require.Zero(t, b.used.Load())
-	body, err := b.read(io.LimitReader(newEndlessBody("x"), maxBufferedBody))
+	body, err := b.read(rcmemory.ReserverFrom(t.Context()), io.LimitReader(newEndlessBody("x"), maxBufferedBody))
 	require.NoError(t, err, "memory was not given back")
 	require.Len(t, body, maxBufferedBody)
 }
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -167,7 +167,7 @@
 		tried: map[radishcrank.UpstreamID]bool{},
 		guardRequest: radishcrank.Request{
 			ID: x.ID, Account: x.Account, Model: x.Model,
-			Prompt: x.Method + " " + x.Target + "\n" + string(x.Body), Parts: sharedParts(x),
+			Prompt: x.Method + " " + x.Target + "\n", PromptBody: x.Body, Parts: sharedParts(x),
 		},
 	}
 	d.partKeys = rcpoison.PartKeys(d.guardRequest)
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -136,6 +136,8 @@
 			}
 		})
 	}
-	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true}, untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts")
+	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true,
+		rcmetric.ConnectionsRefused: true, rcmetric.ConnectionsEvicted: true, rcmetric.HeadsTooLong: true, rcmetric.RefusedForMemory: true},
+		untested, "TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts, the tests of rcguard the last four")
 	require.Equal(t, map[rcmetric.HistogramName]bool{rcmetric.StoreTime: true}, untestedTimings)
 }
--- a/internal/serving/rcfront/body.go
+++ b/internal/serving/rcfront/body.go
@@ -12,8 +12,15 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 )
 
+// decodedCopies is how often the text of a body is held besides the body itself, decoded.
+const decodedCopies = 2
+
 // maxDiscardedBytes limits how much of a body that is too large is read and discarded.
 const maxDiscardedBytes = 64 << 20
 
@@ -26,11 +33,22 @@
 		return nil, err
 	}
 	defer rc.SetReadDeadline(time.Time{})
-	body, err = io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, info.settings.MaxBodyBytes))
+	memory := rcmemory.ReserverFrom(c.Request().Context())
+	body, err = rcguard.ReadBody(http.MaxBytesReader(c.Response(), c.Request().Body, info.settings.MaxBodyBytes), c.Request().ContentLength, memory)
+	if err == nil && !memory.Reserve(decodedCopies*int64(len(body))) {
+		err = rcguard.ErrNoMemory
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		memory.Accept()
 		return body, nil
+	case errors.Is(err, rcguard.ErrNoMemory):
+		c.Response().Header().Set("Connection", "close") // The rest of the body is not awaited.
+		return nil, &radishcrank.Refusal{
+			Status: http.StatusServiceUnavailable, Code: "no_memory", Message: "the memory for requests is used up",
+			Outcome: radishcrank.OutcomeNotRun, RetryAfter: time.Second,
+		}
 	case errors.As(err, &tooLarge):
 		// A client that sends its whole body before it reads would not receive the
 		// response if the connection were closed in between, so the rest of the body is
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -57,6 +57,10 @@
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
 	StreamsUnknown         CounterName = "StreamsUnknown"
 	AttemptUnconfirmed     CounterName = "AttemptUnconfirmed"
+	ConnectionsRefused     CounterName = "ConnectionsRefused"
+	ConnectionsEvicted     CounterName = "ConnectionsEvicted"
+	HeadsTooLong           CounterName = "HeadsTooLong"
+	RefusedForMemory       CounterName = "RefusedForMemory"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -126,6 +130,10 @@
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
 	{StreamsUnknown, "requests", "Requests refused because it is unknown on which software version the stream began that they take up.", "Find out why other instances were not reached; `StreamTakenUp` lines name the streams."},
 	{AttemptUnconfirmed, "attempts", "Attempts to continue a stream that were given up because the upstream has restarted, or did not confirm that it has not.", "If this goes on, the list of upstreams is out of date."},
+	{ConnectionsRefused, "connections", "Connections of clients that were closed at once because descriptors or memory were used up.", "Look for a crowd of connections that send nothing; the runbook of untrusted clients has more."},
+	{ConnectionsEvicted, "connections", "Connections of clients that were closed because they held memory or a descriptor without progress while these were short.", "As for ConnectionsRefused."},
+	{HeadsTooLong, "requests", "Requests answered with 431 because their head exceeds `MaxHeaderBytes`.", "Find the client, or raise the limit."},
+	{RefusedForMemory, "requests", "Requests answered with 503 because the memory for requests is used up; they did not run.", "If no crowd explains it, the instances have too little memory (`MemoryMb`) for the bodies of their clients."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
--- a/request.go
+++ b/request.go
@@ -13,9 +13,12 @@
 	Adapter string
 	// Parts identify the parts of the prompt that other requests of the account may hold;
 	// empty if they are unknown.
-	Parts      []string
-	Prompt     string // Canonical text of all messages; prefix caching operates on its bytes.
-	Chat       bool   // Respond in the chat format of the API.
+	Parts  []string
+	Prompt string // Canonical text of all messages; prefix caching operates on its bytes.
+	// PromptBody continues Prompt, where a copy into a string would double the memory of a
+	// large body. Only the key of the content covers it.
+	PromptBody []byte
+	Chat       bool // Respond in the chat format of the API.
 	Stream     bool
 	MaxTokens  int
 	Priority   Priority
