Bound idle connections to upstreams; test refusals for lack of memory

Change: rcconn.Config.MaxIdle, an eighth (detours: a sixteenth) of the descriptors. Below TLS the connection is closed without an answer.

--- a/internal/node/rcinstance/guard.go
+++ b/internal/node/rcinstance/guard.go
@@ -8,6 +8,7 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 	"github.com/radishcrank/radishcrank/internal/state/rcwait"
+	"github.com/radishcrank/radishcrank/platform"
 )
 
 const (
@@ -27,18 +28,23 @@
 	socketBytes          = 128 << 10
 	// reservedFDs of the descriptors of a process are reserved for files.
 	reservedFDs = 200
+	// clientFDFraction of the rest may be connections of clients. Each of their requests may
+	// need a second one, to an upstream.
+	clientFDFraction = 0.5
+	// idleFDFraction of the rest may be idle connections to upstreams, and half of it to other
+	// instances. Both are closed after 4 s.
+	idleFDFraction = 0.125
 	// minClientConnections are accepted however few descriptors there are.
 	minClientConnections = 32
 	// limitedLogInterval is how often a line tells of clients that meet the limits.
 	limitedLogInterval = 10 * time.Second
 )
 
-// clientGuard returns the limits of the clients' listener. A client's request may need a
-// second descriptor, that of a connection to an upstream, so that clients get half of them.
+// clientGuard returns the limits of the clients' listener.
 func (i *Instance) clientGuard() rcguard.Config {
 	cfg := rcmemory.Config{ConnBytes: rcguard.ConnBytes, Limit: i.memoryFraction(requestMemoryFraction)}
-	if fds := i.settings.MaxFDs; fds > 0 {
-		cfg.MaxConnections = max(minClientConnections, (fds-reservedFDs)/2)
+	if i.settings.MaxFDs > 0 {
+		cfg.MaxConnections = max(minClientConnections, fdFraction(i.settings, clientFDFraction))
 	}
 	i.clientMemory = rcmemory.New(cfg)
 	return rcguard.Config{Budget: i.clientMemory, Metrics: i.metrics, CrowdedAt: int(i.memoryFraction(socketMemoryFraction) / socketBytes), MaxHeadBytes: func() int {
@@ -56,6 +62,15 @@
 	})}
 }
 
+// fdFraction returns a fraction of the descriptors that are not reserved, at least 1, or 0 if
+// they have no limit.
+func fdFraction(s platform.Settings, f float64) int {
+	if s.MaxFDs <= 0 {
+		return 0
+	}
+	return max(1, int(f*float64(s.MaxFDs-reservedFDs)))
+}
+
 func (i *Instance) memoryFraction(f float64) int64 {
 	return int64(f * float64(i.settings.MemoryMB) * (1 << 20))
 }
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -115,8 +115,8 @@
 		log:       log.With().Str("Instance", s.Instance).Logger(),
 		fleet:     rcfleet.New(),
 		board:     rcboard.New(),
-		pool:      rcconn.New(rcconn.Config{}),
-		peerPool:  rcconn.New(rcconn.Config{}),
+		pool:      rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction)}),
+		peerPool:  rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction/2)}),
 		metrics:   &rcmetric.Set{},
 		startedAt: time.Now(),
 	}
--- a/internal/serving/rcguard/listener.go
+++ b/internal/serving/rcguard/listener.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -221,7 +222,9 @@
 	if c.cfg.Encrypted {
 		if !c.Reserve(int64(encryptedCopies * n)) {
 			c.cfg.Metrics.Add(rcmetric.RefusedForMemory, 1)
-			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: ErrNoMemory}
+			// net/http answers other errors that it gets through TLS with 400, which would be
+			// untrue.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.ErrDeadlineExceeded}
 		}
 		return n, err
 	}
--- a/internal/serving/rcguard/listener_test.go
+++ b/internal/serving/rcguard/listener_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -129,3 +131,63 @@
 	require.Positive(t, metrics.Value(rcmetric.ConnectionsRefused))
 	require.EqualValues(t, 1, metrics.Value(rcmetric.ConnectionsEvicted))
 }
+
+// budgetOf is a Reserver with a limit.
+type budgetOf struct{ left, most int64 }
+
+func (b *budgetOf) Reserve(n int64) bool {
+	b.left -= n
+	b.most = min(b.most, b.left)
+	return b.left >= 0
+}
+func (b *budgetOf) Return(n int64) { b.left += n }
+func (b *budgetOf) Accept()        {}
+
+// TestReadBody guards against bodies that are changed, cut bodies that are taken for whole
+// ones, and memory that is allocated for bytes that are only announced.
+func TestReadBody(t *testing.T) {
+	const limit = 1 << 20
+	for _, size := range []int{0, 1, firstBodyBytes, firstBodyBytes + 1, 55_000, 300_000} {
+		text := strings.Repeat("0123456789", size/10+1)[:size]
+		for _, length := range []int64{int64(size), -1} {
+			body, err := ReadBody(iotest.OneByteReader(strings.NewReader(text)), length, &budgetOf{left: limit})
+			require.NoError(t, err)
+			require.Equal(t, text, string(body))
+		}
+		_, err := ReadBody(strings.NewReader(text), int64(size+1), &budgetOf{left: limit})
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+	memory := &budgetOf{left: limit, most: limit}
+	_, err := ReadBody(strings.NewReader("a"), 100*limit, memory)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.EqualValues(t, limit, memory.most)
+	_, err = ReadBody(strings.NewReader(strings.Repeat("a", 2*limit)), -1, &budgetOf{left: limit})
+	require.ErrorIs(t, err, ErrNoMemory)
+}
+
+// TestHeadsBelowTLS guards against heads of encrypted connections that are parsed without
+// memory for them, and against encrypted requests that are refused in calm.
+func TestHeadsBelowTLS(t *testing.T) {
+	metrics := &rcmetric.Set{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rcmemory.ReserverFrom(r.Context()).Accept()
+		fmt.Fprint(w, rcmemory.ReserverFrom(r.Context()).Reserve(1<<20))
+	}))
+	s.Listener = Wrap(s.Listener, Config{Budget: rcmemory.New(rcmemory.Config{Limit: 512 << 10}), Encrypted: true, Metrics: metrics})
+	Configure(s.Config)
+	s.StartTLS()
+	defer s.Close()
+	for range 20 {
+		resp, err := s.Client().Get(s.URL)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "false", string(body), "the connection below TLS is not known")
+	}
+	r, err := http.NewRequest(http.MethodGet, s.URL, nil)
+	require.NoError(t, err)
+	r.Header.Set("X-A", strings.Repeat("a", 100<<10))
+	_, err = s.Client().Do(r)
+	require.Error(t, err)
+	require.Positive(t, metrics.Value(rcmetric.RefusedForMemory))
+}
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -58,6 +58,9 @@
 // Config configures a Pool. Zero values select the defaults.
 type Config struct {
 	DialTimeout time.Duration
+	// MaxIdle bounds the idle connections to all addresses, each of which takes a descriptor;
+	// 0 means no limit.
+	MaxIdle int
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 }
@@ -70,6 +73,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// idleCount is the number of connections in idle.
+	idleCount int
 }
 
 // Observer is called when an upstream was reached, by a new connection or a reply, or when
@@ -248,6 +253,7 @@
 	for len(idle) > 0 {
 		c := idle[len(idle)-1] // Reuse the most recently used one, so that surplus connections expire.
 		idle = idle[:len(idle)-1]
+		p.idleCount--
 		p.idle[addr] = idle
 		age := time.Since(c.idleSince)
 		if age > c.idleTimeout || fresh && age > maxFreshIdleTime || !c.usable() {
@@ -292,11 +298,12 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= maxIdlePerAddr {
+	if len(p.idle[addr]) >= maxIdlePerAddr || p.cfg.MaxIdle > 0 && p.idleCount >= p.cfg.MaxIdle {
 		c.Close()
 		return
 	}
 	p.idle[addr] = append(p.idle[addr], c)
+	p.idleCount++
 }
 
 // CloseIdle closes the idle connections to an address that now belongs to another
@@ -307,6 +314,7 @@
 	for _, c := range p.idle[addr] {
 		c.Close()
 	}
+	p.idleCount -= len(p.idle[addr])
 	delete(p.idle, addr)
 }
 
@@ -320,6 +328,7 @@
 		}
 		delete(p.idle, addr)
 	}
+	p.idleCount = 0
 }
 
 // body is a response body that returns its connection to the pool when it is
--- a/internal/upstream/rcconn/pool_test.go
+++ b/internal/upstream/rcconn/pool_test.go
@@ -186,3 +186,22 @@
 		})
 	}
 }
+
+// TestIdleConnectionsAreBounded guards against idle connections to many upstreams that use up
+// the descriptors of the process.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	p := New(Config{MaxIdle: 2})
+	defer p.Close()
+	var addrs []netip.AddrPort
+	for range 3 {
+		addr, _ := listen(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+		addrs = append(addrs, addr)
+		require.NoError(t, p.Connect(t.Context(), addr))
+	}
+	require.Len(t, p.idle, 2)
+	require.NotNil(t, p.takeIdle(addrs[0], false))
+	require.NoError(t, p.Connect(t.Context(), addrs[2]))
+	require.NotNil(t, p.takeIdle(addrs[2], false))
+	p.CloseIdle(addrs[1])
+	require.Zero(t, p.idleCount)
+}
