--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -19,6 +18,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rcblame"
 	"github.com/radishcrank/radishcrank/internal/limits/rcbudget"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcquota"
 	"github.com/radishcrank/radishcrank/internal/limits/rcslots"
@@ -29,6 +29,7 @@
 	"github.com/radishcrank/radishcrank/internal/routing/rcdetour"
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
 	"github.com/radishcrank/radishcrank/internal/serving/rcforward"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcboard"
 	"github.com/radishcrank/radishcrank/internal/state/rcclock"
 	"github.com/radishcrank/radishcrank/internal/state/rcera"
@@ -104,6 +105,7 @@
 	links         *rcdetour.Links // To upstreams.
 	// accountLimiter limits the rates of accounts. Its usage is that of the whole fleet.
 	accountLimiter *rclimit.FleetLimiter
+	clientMemory   *rcmemory.Budget
 }
 
 // New assembles an instance.
@@ -116,8 +118,8 @@
 		log:       log.With().Str("Instance", s.Instance).Logger(),
 		fleet:     rcfleet.New(),
 		board:     rcboard.New(),
-		pool:      rcconn.New(rcconn.Config{}),
-		peerPool:  rcconn.New(rcconn.Config{}),
+		pool:      rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction)}),
+		peerPool:  rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction/2)}),
 		metrics:   &rcmetric.Set{},
 		startedAt: time.Now(),
 	}
@@ -189,14 +191,16 @@
 	add(i.followRestores)
 	add(i.kvWatcher.Run)
 	add(i.runController)
+	add(i.logLimitedClients)
 	i.pool.SetObserver(i.links.Observe)
 	add(i.links.Run)
 
-	clientListener, err := net.Listen("tcp", i.settings.ClientAddr.String())
+	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), i.clientGuard())
 	if err != nil {
 		return err
 	}
 	clientServer := &http.Server{Handler: i.clientHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	rcguard.Configure(clientServer)
 	stopped := make(chan struct{})
 	g.Add(func() error {
 		err := clientServer.Serve(clientListener)
@@ -255,11 +259,12 @@
 }
 
 func (i *Instance) serve(g *run.Group, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := rcguard.Listen(addr, i.sideGuard())
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	rcguard.Configure(s)
 	g.Add(func() error { return ignoreClosed(s.Serve(l)) }, func(error) { s.Close() })
 	return nil
 }
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -63,6 +63,10 @@
 	AccountLimited         CounterName = "AccountLimited"
 	AccountCharged         CounterName = "AccountCharged"
 	AccountRefunded        CounterName = "AccountRefunded"
+	ConnectionsRefused     CounterName = "ConnectionsRefused"
+	ConnectionsEvicted     CounterName = "ConnectionsEvicted"
+	HeadsTooLong           CounterName = "HeadsTooLong"
+	RefusedForMemory       CounterName = "RefusedForMemory"
 )
 
 // HistogramName is the name of a latency histogram.
@@ -138,6 +142,10 @@
 	{AccountLimited, "requests", "Requests refused with 429 because their account exceeds its rate limit; they did not run.", "Look for `AccountLimited` lines, which name the accounts. A `SilentShare` above 0 means that instances did not hear of each other."},
 	{AccountCharged, "tokens or requests", "Cost of requests that were charged to accounts with a rate limit.", "None; compare the sum over all instances with the limits."},
 	{AccountRefunded, "tokens or requests", "Charged cost of requests that did not run here.", "None; a large share of AccountCharged means that upstreams refuse requests."},
+	{ConnectionsRefused, "connections", "Connections of clients that were closed at once because descriptors or memory were used up.", "Look for a crowd of connections that send nothing; the runbook of untrusted clients has more."},
+	{ConnectionsEvicted, "connections", "Connections of clients that were closed because they held memory or a descriptor without progress while these were short.", "As for ConnectionsRefused."},
+	{HeadsTooLong, "requests", "Requests answered with 431 because their head exceeds `MaxHeaderBytes`.", "Find the client, or raise the limit."},
+	{RefusedForMemory, "requests", "Requests answered with 503 because the memory for requests is used up; they did not run.", "If no crowd explains it, the instances have too little memory (`MemoryMb`) for the bodies of their clients."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
 
