Leave upstreams of zones alone that are out of reach

Cause: in a partition between availability zones each instance found out about each upstream of the other zones by itself, by a request that waited for a connection in vain, and tried each again every few seconds.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -103,6 +103,7 @@
 	kvWatcher     *rckvstore.Watcher
 	quota         *rcquota.Quota
 	links         *rcdetour.Links // To upstreams.
+	zones         *rcdetour.Zones // Whose upstreams are within reach.
 	// accountLimiter limits the rates of accounts. Its usage is that of the whole fleet.
 	accountLimiter *rclimit.FleetLimiter
 	clientMemory   *rcmemory.Budget
@@ -160,6 +161,11 @@
 		Connect:  func(ctx context.Context, to netip.AddrPort) error { return i.pool.Connect(ctx, to) },
 		OnChange: i.linksChanged,
 	})
+	i.zones = rcdetour.NewZones(rcdetour.ZonesConfig{
+		Upstreams: i.fleet.Upstreams,
+		Connect:   func(ctx context.Context, to netip.AddrPort) error { return i.pool.Connect(ctx, to) },
+		OnChange:  i.zoneChanged,
+	})
 	i.directory = &directory{
 		fleet: i.fleet, setConfig: i.setRoutes, setWeights: i.setWeights, log: i.log,
 		confirmTime: missedHeartbeats*s.UpstreamHeartbeat + restoredHeartbeatDelay,
@@ -192,8 +198,12 @@
 	add(i.kvWatcher.Run)
 	add(i.runController)
 	add(i.logLimitedClients)
-	i.pool.SetObserver(i.links.Observe)
+	i.pool.SetObserver(func(addr netip.AddrPort, reached bool) {
+		i.links.Observe(addr, reached)
+		i.zones.Observe(addr, reached)
+	})
 	add(i.links.Run)
+	add(i.zones.Run)
 
 	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), i.clientGuard())
 	if err != nil {
@@ -314,6 +324,7 @@
 		Detours:       rcdetour.New(rcdetour.Config{Zone: radishcrank.AvailabilityZone(i.settings.Zone), Others: i.peers.detours}),
 		DetourSender:  &platform.DetourSender{Pool: i.peerPool},
 		Links:         i.links,
+		Zones:         i.zones,
 		Accounts:      rcforward.AccountLimits{Limiter: i.accountLimiter, Table: i.routes.Load, Now: i.accountTime},
 		Log:           i.log,
 		Metrics:       i.metrics,
@@ -357,6 +368,16 @@
 	i.fleet.RetryFailedSince(service, since)
 }
 
+// zoneChanged records that this instance reaches no upstream of a zone, or one again.
+func (i *Instance) zoneChanged(zone radishcrank.AvailabilityZone, cut bool, since time.Time) {
+	i.log.Warn().Str("Event", "ZoneCut").Str("UpstreamZone", string(zone)).Bool("Cut", cut).Int64("SinceMS", time.Since(since).Milliseconds()).Send()
+	if cut {
+		i.metrics.Add(rcmetric.ZoneCuts, 1)
+		return
+	}
+	i.fleet.RetryZoneFailedSince(zone, since)
+}
+
 // storeEra returns the newest known era of the store.
 func (i *Instance) storeEra() uint64 {
 	era, _ := i.storeEras.Current()
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -109,6 +109,9 @@
 	// Links tells whether this instance is cut off from all upstreams of a service. Nil
 	// means that it never is.
 	Links *rcdetour.Links
+	// Zones tells which zones are out of reach, whose upstreams get no exchanges. Nil means
+	// that none is.
+	Zones *rcdetour.Zones
 	// Accounts limits the rates of accounts.
 	Accounts AccountLimits
 	Log      zerolog.Logger
@@ -346,6 +349,7 @@
 	for i := range buf {
 		_, buf[i].Throttled = f.cfg.Quota.Throttled(buf[i].Upstream)
 		buf[i].Full = buf[i].Brittle > 0 && buf[i].Running >= f.slotShare(&buf[i])
+		buf[i].Suspect = buf[i].Suspect || f.cfg.Zones.Cut(buf[i].Zone)
 	}
 	return buf
 }
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -100,13 +100,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.services[service] {
-		if m.failures > 0 && !m.failingSince.Before(t) {
-			m.failures, m.suspectUntil = 1, time.Time{}
+		m.retryFailedSince(t)
+	}
+	f.signalLocked()
+}
+
+// RetryZoneFailedSince does the same for the upstreams of an availability zone.
+func (f *Fleet) RetryZoneFailedSince(zone radishcrank.AvailabilityZone, t time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Zone == zone {
+			m.retryFailedSince(t)
 		}
 	}
 	f.signalLocked()
 }
 
+func (m *member) retryFailedSince(t time.Time) {
+	if m.failures > 0 && !m.failingSince.Before(t) {
+		m.failures, m.suspectUntil = 1, time.Time{}
+	}
+}
+
 // End records the outcome of the exchange. It must be called once.
 func (e *Exchange) End(o Outcome) {
 	e.fleet.mu.Lock()
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -52,6 +52,7 @@
 	PausesAsked            CounterName = "PausesAsked"
 	Detours                CounterName = "Detours"
 	LinkCuts               CounterName = "LinkCuts"
+	ZoneCuts               CounterName = "ZoneCuts"
 	BrittleReplies         CounterName = "BrittleReplies"
 	UnframedReplies        CounterName = "UnframedReplies"
 	StreamsTakenUp         CounterName = "StreamsTakenUp"
@@ -130,6 +131,7 @@
 	{PausesAsked, "replies", "Replies of upstreams that turned a request away and asked for a pause.", "If `UpstreamPaused` lines name most upstreams of a service, it is overloaded."},
 	{BrittleReplies, "replies", "Replies of upstreams that say that they are brittle.", "Look for `ServiceBrittle` lines; relieve the service, its requests are refused once its slots are used up."},
 	{Detours, "attempts", "Requests sent through another instance because this one reached no upstream, or owns no slots of brittle ones.", "Unless `ServiceBrittle` lines explain it, look for the links between this instance and the upstreams; `Detour` lines name the other instances."},
+	{ZoneCuts, "cuts", "Times at which this instance was found to reach no upstream of an availability zone.", "Look for the links between the zones; `ZoneCut` lines name the zone, and say how long it took to notice and how long the cut lasted."},
 	{LinkCuts, "cuts", "Times at which this instance was found to be cut off from all upstreams of a service.", "Look for the links of this instance; `LinksCut` lines say how long it took to notice, and how long the cut lasted."},
 	{UpstreamsLeaving, "upstreams", "Upstreams that told this instance in a reply that they leave.", "None: they get no further requests. Look for `UpstreamLeaving` lines if too few upstreams are left."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
