--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -43,7 +43,9 @@
 	// have used in addition. floor is the least usage to count once they are heard of again:
 	// their reports arrive one after the other.
 	presumed, floor [ringSlots]float64
-	presumedTo      int64 // Slot up to which presumed has been set.
+	presumedTo      int64   // Slot up to which presumed has been set.
+	silences        int     // Value of fleetZone.silences then.
+	silentShare     float64 // Share of the limit of instances that are not heard of now.
 	rev             [ringSlots]uint64
 	offered         float64 // Demand over which share was measured.
 	share           float64 // Share of the account's demand when all instances were heard of.
@@ -138,6 +140,11 @@
 
 // advance evicts the oldest slot and begins a new one.
 func (l *FleetLimiter) advance(a *fleetAccount) {
+	for z := range a.zones {
+		if u := &a.zones[z]; u.silentShare > 0 {
+			u.presumed[a.cur%ringSlots], u.presumedTo = a.rate[a.cur%ringSlots]*l.slot.Seconds()*u.silentShare, a.cur
+		}
+	}
 	a.cur++
 	k := a.cur % ringSlots
 	if a.known && a.cur-ringSlots >= l.started {
@@ -220,7 +227,7 @@
 	b := &l.cfg.Bounds
 	balance = a.base
 	length := l.slot.Seconds()
-	heard, silent := a.limit.Burst*(1+b.Over)+b.Slack, 0.0
+	heard, silent := a.limit.Burst*(1+b.Over)+b.Slack-windowMargin*a.bound(b), 0.0
 	for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
 		k := s % ringSlots
 		n := a.consumed(k)
@@ -249,6 +256,11 @@
 	return balance, heard*a.reachNow + silent
 }
 
+// bound returns the bound on the usage in a window.
+func (a *fleetAccount) bound(b *FleetBounds) float64 {
+	return (a.limit.Rate*b.Window.Seconds()+a.limit.Burst)*(1+b.Over) + b.Slack
+}
+
 // elapsed returns the seconds of the current slot that have passed.
 func (a *fleetAccount) elapsed(l *FleetLimiter, now time.Time) float64 {
 	return min(max(0, now.Sub(time.Unix(0, a.cur*int64(l.slot))).Seconds()), l.slot.Seconds())
@@ -290,6 +302,7 @@
 			a.overdue += a.zones[z].share * max(0, float64(lag-overdueAge)/float64(silenceGrace-overdueAge))
 		}
 		if zone.silent == 0 {
+			a.zones[z].silentShare = 0
 			continue
 		}
 		equal := float64(zone.silent) / float64(l.total)
@@ -334,8 +347,12 @@
 // they were last heard of.
 func (a *fleetAccount) presume(l *FleetLimiter, z int, share float64) {
 	u := &a.zones[z]
+	u.silentShare = share
+	if zone := l.zones[z]; u.silences != zone.silences {
+		u.silences, u.presumedTo = zone.silences, 0 // More instances are silent than when it was set.
+	}
 	for s := max(a.cur-ringSlots+1, u.presumedTo+1, l.slotOf(l.zones[z].silentSince)); s < a.cur; s++ {
-		u.presumed[s%ringSlots] = a.rate[s%ringSlots] * l.slot.Seconds() * share
+		u.presumed[s%ringSlots] = max(u.presumed[s%ringSlots], a.rate[s%ringSlots]*l.slot.Seconds()*share)
 		u.presumedTo = s
 	}
 }
@@ -444,14 +461,16 @@
 		l.settleLocked(z)
 	}
 	if silent > zone.silent {
+		zone.silences++
 		zone.silentSince = last
 		if now.Sub(last) < silenceGrace || now.Sub(last) > 2*silenceGrace {
 			zone.silentSince = now.Add(-silenceGrace) // The relay has not heard of some instances of its zone.
 		}
+		zone.silentSince = zone.silentSince.Add(-reportDelay / 2) // Their last reports were older.
 	}
 	zone.silent = silent
 	zone.silentFor = equalShareDelay
 	if !last.IsZero() {
-		zone.silentFor = max(0, now.Sub(zone.silentSince)-silenceGrace)
+		zone.silentFor = max(0, now.Sub(zone.silentSince)-silenceGrace-reportDelay/2)
 	}
 }
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -45,6 +45,9 @@
 	// overdrawn in regular operation. The rest covers what instances admit before they
 	// hear of each other.
 	reserveFraction = 0.2
+	// windowMargin is the fraction of the bound on a window that is kept for what instances
+	// admitted after their last report, before they fell silent.
+	windowMargin = 0.05
 	// ampleFraction is the fraction of the burst above which all requests are admitted.
 	ampleFraction = 0.5
 	// reportDelay is how long it takes until instances have heard what another one admitted.
@@ -129,6 +132,7 @@
 	newest      reportNumber
 	heardAt     time.Time     // Mean time of the last reports.
 	silent      int           // Registered instances that were not heard of.
+	silences    int           // Number of times that it has increased.
 	silentFor   time.Duration // Time since silenceGrace passed.
 	// silentSince is when the last one of them was heard of.
 	silentSince time.Time
@@ -269,9 +273,7 @@
 // windowFraction returns the fraction of requests that what is left in the window allows.
 // All instances heard of decide by the same, until they hear what the others admitted.
 func (l *FleetLimiter) windowFraction(a *fleetAccount, cost, demand, room float64) float64 {
-	b := &l.cfg.Bounds
-	share := ((a.limit.Rate*b.Window.Seconds()+a.limit.Burst)*(1+b.Over) + b.Slack) * a.reachNow
-	if share < cost && a.reachNow < 1 {
+	if a.bound(&l.cfg.Bounds)*a.reachNow < cost && a.reachNow < 1 {
 		return reserveFraction * room / cost // Instances that are alone could never admit it.
 	}
 	if room < cost {
@@ -280,6 +282,26 @@
 	return room / max(demand*reportDelay.Seconds(), cost)
 }
 
+// Used returns what all instances have used of an account in the last window, by what they
+// have reported to this one.
+func (l *FleetLimiter) Used(key AccountKey, now time.Time) (n float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[key]
+	if a == nil {
+		return 0
+	}
+	l.rollLocked(a, now)
+	for s := a.cur - windowSlots; s <= a.cur; s++ {
+		k := s % ringSlots
+		n += a.own.used[k]
+		for z := range a.zones {
+			n += a.usedIn(z, k)
+		}
+	}
+	return n
+}
+
 // Refund takes back the charge of a request that has not run.
 func (l *FleetLimiter) Refund(key AccountKey, cost float64, d Decision) {
 	l.mu.Lock()
