--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -2,9 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/base64"
-	"encoding/binary"
-	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -14,8 +11,9 @@
 )
 
 const (
-	// maxReported bounds the entries of a report; the rest follows in the next ones.
-	maxReported = 3000
+	// maxReported bounds the entries of a report, so that it fits into a message. The rest
+	// follows in the next ones.
+	maxReported = 1500
 	// idleReportInterval is how often usage is reported of accounts far below their limit,
 	// and busyFraction the fraction of the limit from which it is reported immediately.
 	idleReportInterval = time.Second
@@ -37,20 +35,17 @@
 	Offered uint64
 }
 
-// UsageEntries is the part of a report that is encoded compactly.
-type UsageEntries []UsageEntry
-
 // UsageReport is the usage by one instance or, with Members, by those of a zone.
 type UsageReport struct {
 	Zone    radishcrank.AvailabilityZone
 	From    radishcrank.InstanceID // Instance or relay that made the report.
 	Process int64
-	Number  uint64       // Increases with each report of the instance that sends it.
-	Members int          `json:",omitempty"` // Instances in the sum, including the relay; 0 if the report is that of an instance.
-	Entries UsageEntries `json:",omitempty"`
+	Number  uint64 // Increases with each report of the instance that sends it.
+	Members int    // Instances in the sum, including the relay; 0 if the report is that of an instance.
+	Entries []UsageEntry
 
-	// Until is the revision up to which the report is complete.
-	Until uint64 `json:"-"`
+	// Until is the revision up to which the report is complete. It is not sent.
+	Until uint64
 }
 
 // Revise assigns revisions to what has changed, if it is to be reported now. It is called
@@ -349,56 +344,3 @@
 		l.dirty[e.Key] = a
 	}
 }
-
-var errMalformedUsage = errors.New("malformed report of usage")
-
-// MarshalText implements encoding.TextMarshaler.
-func (r UsageEntries) MarshalText() ([]byte, error) {
-	r = slices.Clone(r)
-	slices.SortFunc(r, func(a, b UsageEntry) int {
-		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Slot, b.Slot))
-	})
-	newest := int64(0)
-	for _, e := range r {
-		newest = max(newest, e.Slot)
-	}
-	data := binary.AppendUvarint(nil, uint64(newest))
-	last := AccountKey(0)
-	for _, e := range r {
-		data = binary.AppendUvarint(data, uint64(e.Key-last))
-		data = binary.AppendUvarint(data, uint64(newest-e.Slot))
-		data = binary.AppendUvarint(data, e.Used)
-		data = binary.AppendUvarint(data, e.Offered-min(e.Offered, e.Used))
-		last = e.Key
-	}
-	return base64.RawStdEncoding.AppendEncode(nil, data), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (r *UsageEntries) UnmarshalText(text []byte) error {
-	data, err := base64.RawStdEncoding.AppendDecode(nil, text)
-	if err != nil {
-		return err
-	}
-	next := func() (v uint64) {
-		v, n := binary.Uvarint(data)
-		if n <= 0 {
-			data, err = nil, errMalformedUsage
-			return 0
-		}
-		data = data[n:]
-		return v
-	}
-	newest := int64(next())
-	key := AccountKey(0)
-	entries := UsageEntries{}
-	for err == nil && len(data) > 0 {
-		key += AccountKey(next())
-		e := UsageEntry{Key: key, Slot: newest - int64(next())}
-		e.Used = next()
-		e.Offered = e.Used + next()
-		entries = append(entries, e)
-	}
-	*r = entries
-	return err
-}
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -569,7 +569,10 @@
 	}
 	rest := *u
 	rest.Feeds, rest.Running, rest.Cached, rest.Streams, rest.Usage = nil, nil, nil, nil, nil
-	parts := []peerUpdate{{Running: u.Running}, rest, {Cached: u.Cached}, {Streams: u.Streams}, {Usage: u.Usage}}
+	parts := []peerUpdate{{Running: u.Running}, rest, {Cached: u.Cached}, {Streams: u.Streams}}
+	for _, r := range u.Usage {
+		parts = append(parts, peerUpdate{Usage: []rclimit.UsageReport{r}})
+	}
 	for _, b := range u.Feeds {
 		parts = append(parts, peerUpdate{Feeds: []rcfeed.Batch{b}})
 	}
