--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -444,7 +444,7 @@
 	direct, age := 0, time.Duration(0)
 	for _, p := range l.peers {
 		switch {
-		case p.zone != z:
+		case p.zone != z || now.Sub(p.relayAt) < relayMemory:
 		case now.Sub(p.heardAt) < silenceGrace:
 			direct++
 			age += now.Sub(p.heardAt)
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -155,6 +155,7 @@
 	process int64
 	since   time.Time // When the process was first heard of.
 	heardAt time.Time
+	relayAt time.Time // When it last reported as relay of its zone.
 	newest  reportNumber
 }
 
@@ -239,9 +240,7 @@
 	if available > 0 {
 		available *= 1 - a.overdue
 	}
-	if a.reachNow == 1 {
-		available += l.reserve(limit)
-	}
+	available += l.reserve(limit) * a.reachNow
 	silent := a.reachNow < 1
 	rate := limit.Rate * a.reachNow
 	p := 1.0
--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -23,6 +23,10 @@
 	relayChangeTime = 2 * time.Second
 	// refreshInterval is how often the shares of all accounts are updated.
 	refreshInterval = time.Second
+	// relayMemory is how long an instance that has reported as a relay does not count as one
+	// that reports its own usage to this one. After a partition many instances act as relays
+	// of their zone until they have found a common one.
+	relayMemory = 4 * time.Second
 	// peerRetention is how long an instance is remembered after its last message.
 	peerRetention = time.Minute
 )
@@ -248,6 +252,9 @@
 	if r.Members > 0 {
 		zone := l.zones[m.z]
 		newest = &zone.newest
+		if through == r.From {
+			l.heardLocked(r.From, r.Zone, now).relayAt = now
+		}
 		if relay := (relayID{r.From, r.Process}); zone.relay != relay {
 			zone.relay, zone.relaySince = relay, now
 		}
