Report usage to relays at once, and of busy accounts between zones

Instances now report to their relay with the next update, and relays report accounts below 0.7 of their limit once a second.

--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -14,10 +14,11 @@
 	// maxReported bounds the entries of a report, so that it fits into a message. The rest
 	// follows in the next ones.
 	maxReported = 1500
-	// idleReportInterval is how often usage is reported of accounts far below their limit,
-	// and busyFraction the fraction of the limit from which it is reported immediately.
+	// idleReportInterval is how often a relay reports the usage of accounts below their limit,
+	// and busyFraction the fraction of the limit from which it does so immediately. The usual
+	// demand is 0.56 of the limit.
 	idleReportInterval = time.Second
-	busyFraction       = 0.25
+	busyFraction       = 0.7
 	// relayChangeTime is how long a sum by a new relay does not lower that of the old one:
 	// by then all instances of the zone have sent it full reports.
 	relayChangeTime = 2 * time.Second
@@ -63,28 +64,38 @@
 	l.sweepLocked(now)
 	l.refreshLocked(now)
 	for key, a := range l.dirty {
-		recent := 0.0
-		for s := a.cur - demandSlots; s <= a.cur; s++ {
-			recent += a.offered(s % ringSlots)
+		if a.ownChanged != 0 {
+			l.revise(a, &a.ownChanged, &a.ownRev)
 		}
-		busy := !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
-		if !busy && now.Sub(a.revisedAt) < idleReportInterval {
+		if !a.busy(l) && now.Sub(a.revisedAt) < idleReportInterval {
 			continue
 		}
-		l.revision++
-		for k := range int64(ringSlots) {
-			if a.ownChanged>>k&1 != 0 {
-				a.ownRev[k] = l.revision
-			}
-			if a.zoneChanged>>k&1 != 0 {
-				a.zones[0].rev[k] = l.revision
-			}
-		}
-		a.maxRev, a.revisedAt, a.ownChanged, a.zoneChanged = l.revision, now, 0, 0
+		l.revise(a, &a.zoneChanged, &a.zones[0].rev)
+		a.revisedAt = now
 		delete(l.dirty, key)
 	}
 }
 
+// revise assigns a new revision to a set of slots, and empties it.
+func (l *FleetLimiter) revise(a *fleetAccount, changed *uint64, revisions *[ringSlots]uint64) {
+	l.revision++
+	for k := range revisions {
+		if *changed>>k&1 != 0 {
+			revisions[k] = l.revision
+		}
+	}
+	a.maxRev, *changed = l.revision, 0
+}
+
+// busy reports whether the account comes near its limit.
+func (a *fleetAccount) busy(l *FleetLimiter) bool {
+	recent := 0.0
+	for s := a.cur - demandSlots; s <= a.cur; s++ {
+		recent += a.offered(s % ringSlots)
+	}
+	return !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
+}
+
 // refreshLocked updates the shares of all accounts every refreshInterval, and when instances
 // fall silent. Instances that get few requests of an account would otherwise hold other
 // shares than the rest.
