Read only what changed for reports of usage

Reports read the usage of each slot before they looked whether it had changed. Requests that cost nothing are not limited. The tests of rclimit, rcforward and TestUsageIsCountedOnce pass.

--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -142,8 +142,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process}
-	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
-		return a.own.used[k], a.own.offered[k], a.ownRev[k]
+	l.fill(&r, after, func(a *fleetAccount) *[ringSlots]uint64 { return &a.ownRev }, func(a *fleetAccount, k int64) (used, offered float64) {
+		return a.own.used[k], a.own.offered[k]
 	})
 	return r
 }
@@ -154,9 +154,9 @@
 	defer l.mu.Unlock()
 	l.updateSilenceLocked(now)
 	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process, Members: max(1, l.zones[0].registered-l.zones[0].silent+1)}
-	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+	l.fill(&r, after, func(a *fleetAccount) *[ringSlots]uint64 { return &a.zones[0].rev }, func(a *fleetAccount, k int64) (used, offered float64) {
 		a.confirmed[k] = a.own.used[k]
-		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k), a.zones[0].rev[k]
+		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k)
 	})
 	return r
 }
@@ -171,12 +171,14 @@
 			continue
 		}
 		r := UsageReport{Zone: zone.id, From: zone.relay.instance, Process: zone.relay.process, Members: zone.reported, Age: now.Sub(zone.reportAt)}
-		l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+		revisions := func(a *fleetAccount) *[ringSlots]uint64 {
 			if z >= len(a.zones) {
-				return 0, 0, 0
+				return nil
 			}
-			u := &a.zones[z]
-			return u.sum.used[k], u.sum.offered[k], u.rev[k]
+			return &a.zones[z].rev
+		}
+		l.fill(&r, after, revisions, func(a *fleetAccount, k int64) (used, offered float64) {
+			return a.zones[z].sum.used[k], a.zones[z].sum.offered[k]
 		})
 		reports = append(reports, r)
 	}
@@ -184,7 +186,7 @@
 }
 
 // fill adds the entries that changed after a revision, in the order of their revisions.
-func (l *FleetLimiter) fill(r *UsageReport, after uint64, read func(a *fleetAccount, k int64) (used, offered float64, rev uint64)) {
+func (l *FleetLimiter) fill(r *UsageReport, after uint64, revisions func(a *fleetAccount) *[ringSlots]uint64, read func(a *fleetAccount, k int64) (used, offered float64)) {
 	type revised struct {
 		UsageEntry
 		rev uint64
@@ -194,9 +196,13 @@
 		if a.maxRev <= after {
 			continue
 		}
+		revs := revisions(a)
+		if revs == nil {
+			continue
+		}
 		for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
-			used, offered, rev := read(a, s%ringSlots)
-			if rev > after {
+			if rev := revs[s%ringSlots]; rev > after {
+				used, offered := read(a, s%ringSlots)
 				found = append(found, revised{UsageEntry{key, s, uint64(math.Ceil(used)), uint64(math.Ceil(offered))}, rev})
 			}
 		}
--- a/internal/serving/rcforward/accountlimit.go
+++ b/internal/serving/rcforward/accountlimit.go
@@ -51,6 +51,9 @@
 	limit := account.Limit
 	c := &d.charge
 	c.key, c.cost = rclimit.KeyOfAccount(d.x.Account, limit.Tokens), limit.Cost(d.x.PromptTokens, d.x.OutputTokens)
+	if c.cost <= 0 {
+		return true
+	}
 	c.decision = limits.Limiter.Admit(c.key, c.cost, limits.Now())
 	if c.decision.Admitted {
 		d.f.cfg.Metrics.Add(rcmetric.AccountCharged, int64(c.cost))
