--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -2,9 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/base64"
-	"encoding/binary"
-	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -14,17 +11,23 @@
 )
 
 const (
-	// maxReported bounds the entries of a report; the rest follows in the next ones.
-	maxReported = 3000
-	// idleReportInterval is how often usage is reported of accounts far below their limit,
-	// and busyFraction the fraction of the limit from which it is reported immediately.
+	// maxReported bounds the entries of a report, so that it fits into a message. The rest
+	// follows in the next ones.
+	maxReported = 1500
+	// idleReportInterval is how often a relay reports the usage of accounts below their limit,
+	// and busyFraction the fraction of the limit from which it does so immediately. The usual
+	// demand is 0.56 of the limit.
 	idleReportInterval = time.Second
-	busyFraction       = 0.25
+	busyFraction       = 0.7
 	// relayChangeTime is how long a sum by a new relay does not lower that of the old one:
 	// by then all instances of the zone have sent it full reports.
 	relayChangeTime = 2 * time.Second
 	// refreshInterval is how often the shares of all accounts are updated.
 	refreshInterval = time.Second
+	// relayMemory is how long an instance that has reported as a relay does not count as one
+	// that reports its own usage to this one. After a partition many instances act as relays
+	// of their zone until they have found a common one.
+	relayMemory = 4 * time.Second
 	// peerRetention is how long an instance is remembered after its last message.
 	peerRetention = time.Minute
 )
@@ -37,20 +40,19 @@
 	Offered uint64
 }
 
-// UsageEntries is the part of a report that is encoded compactly.
-type UsageEntries []UsageEntry
-
 // UsageReport is the usage by one instance or, with Members, by those of a zone.
 type UsageReport struct {
 	Zone    radishcrank.AvailabilityZone
 	From    radishcrank.InstanceID // Instance or relay that made the report.
 	Process int64
-	Number  uint64       // Increases with each report of the instance that sends it.
-	Members int          `json:",omitempty"` // Instances in the sum, including the relay; 0 if the report is that of an instance.
-	Entries UsageEntries `json:",omitempty"`
+	Number  uint64 // Increases with each report of the instance that sends it.
+	Members int    // Instances in the sum, including the relay; 0 if the report is that of an instance.
+	// Age is how long ago the relay that passes the report on has received it.
+	Age     time.Duration
+	Entries []UsageEntry
 
-	// Until is the revision up to which the report is complete.
-	Until uint64 `json:"-"`
+	// Until is the revision up to which the report is complete. It is not sent.
+	Until uint64
 }
 
 // Revise assigns revisions to what has changed, if it is to be reported now. It is called
@@ -62,28 +64,38 @@
 	l.sweepLocked(now)
 	l.refreshLocked(now)
 	for key, a := range l.dirty {
-		recent := 0.0
-		for s := a.cur - demandSlots; s <= a.cur; s++ {
-			recent += a.offered(s % ringSlots)
+		if a.ownChanged != 0 {
+			l.revise(a, &a.ownChanged, &a.ownRev)
 		}
-		busy := !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
-		if !busy && now.Sub(a.revisedAt) < idleReportInterval {
+		if !a.busy(l) && now.Sub(a.revisedAt) < idleReportInterval {
 			continue
 		}
-		l.revision++
-		for k := range int64(ringSlots) {
-			if a.ownChanged>>k&1 != 0 {
-				a.ownRev[k] = l.revision
-			}
-			if a.zoneChanged>>k&1 != 0 {
-				a.zones[0].rev[k] = l.revision
-			}
-		}
-		a.maxRev, a.revisedAt, a.ownChanged, a.zoneChanged = l.revision, now, 0, 0
+		l.revise(a, &a.zoneChanged, &a.zones[0].rev)
+		a.revisedAt = now
 		delete(l.dirty, key)
 	}
 }
 
+// revise assigns a new revision to a set of slots, and empties it.
+func (l *FleetLimiter) revise(a *fleetAccount, changed *uint64, revisions *[ringSlots]uint64) {
+	l.revision++
+	for k := range revisions {
+		if *changed>>k&1 != 0 {
+			revisions[k] = l.revision
+		}
+	}
+	a.maxRev, *changed = l.revision, 0
+}
+
+// busy reports whether the account comes near its limit.
+func (a *fleetAccount) busy(l *FleetLimiter) bool {
+	recent := 0.0
+	for s := a.cur - demandSlots; s <= a.cur; s++ {
+		recent += a.offered(s % ringSlots)
+	}
+	return !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
+}
+
 // refreshLocked updates the shares of all accounts every refreshInterval, and when instances
 // fall silent. Instances that get few requests of an account would otherwise hold other
 // shares than the rest.
@@ -130,8 +142,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process}
-	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
-		return a.own.used[k], a.own.offered[k], a.ownRev[k]
+	l.fill(&r, after, func(a *fleetAccount) *[ringSlots]uint64 { return &a.ownRev }, func(a *fleetAccount, k int64) (used, offered float64) {
+		return a.own.used[k], a.own.offered[k]
 	})
 	return r
 }
@@ -142,9 +154,9 @@
 	defer l.mu.Unlock()
 	l.updateSilenceLocked(now)
 	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process, Members: max(1, l.zones[0].registered-l.zones[0].silent+1)}
-	l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+	l.fill(&r, after, func(a *fleetAccount) *[ringSlots]uint64 { return &a.zones[0].rev }, func(a *fleetAccount, k int64) (used, offered float64) {
 		a.confirmed[k] = a.own.used[k]
-		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k), a.zones[0].rev[k]
+		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k)
 	})
 	return r
 }
@@ -155,16 +167,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for z, zone := range l.zones {
-		if z == 0 || zone.reportAt.IsZero() || now.Sub(zone.reportAt) >= silenceGrace/2 {
+		if z == 0 || zone.reportAt.IsZero() || now.Sub(zone.reportAt) >= silenceGrace {
 			continue
 		}
-		r := UsageReport{Zone: zone.id, From: zone.relay.instance, Process: zone.relay.process, Members: zone.reported}
-		l.fill(&r, after, func(a *fleetAccount, k int64) (used, offered float64, rev uint64) {
+		r := UsageReport{Zone: zone.id, From: zone.relay.instance, Process: zone.relay.process, Members: zone.reported, Age: now.Sub(zone.reportAt)}
+		revisions := func(a *fleetAccount) *[ringSlots]uint64 {
 			if z >= len(a.zones) {
-				return 0, 0, 0
+				return nil
 			}
-			u := &a.zones[z]
-			return u.sum.used[k], u.sum.offered[k], u.rev[k]
+			return &a.zones[z].rev
+		}
+		l.fill(&r, after, revisions, func(a *fleetAccount, k int64) (used, offered float64) {
+			return a.zones[z].sum.used[k], a.zones[z].sum.offered[k]
 		})
 		reports = append(reports, r)
 	}
@@ -172,7 +186,7 @@
 }
 
 // fill adds the entries that changed after a revision, in the order of their revisions.
-func (l *FleetLimiter) fill(r *UsageReport, after uint64, read func(a *fleetAccount, k int64) (used, offered float64, rev uint64)) {
+func (l *FleetLimiter) fill(r *UsageReport, after uint64, revisions func(a *fleetAccount) *[ringSlots]uint64, read func(a *fleetAccount, k int64) (used, offered float64)) {
 	type revised struct {
 		UsageEntry
 		rev uint64
@@ -182,9 +196,13 @@
 		if a.maxRev <= after {
 			continue
 		}
+		revs := revisions(a)
+		if revs == nil {
+			continue
+		}
 		for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
-			used, offered, rev := read(a, s%ringSlots)
-			if rev > after {
+			if rev := revs[s%ringSlots]; rev > after {
+				used, offered := read(a, s%ringSlots)
 				found = append(found, revised{UsageEntry{key, s, uint64(math.Ceil(used)), uint64(math.Ceil(offered))}, rev})
 			}
 		}
@@ -251,6 +269,9 @@
 	if r.Members > 0 {
 		zone := l.zones[m.z]
 		newest = &zone.newest
+		if through == r.From {
+			l.heardLocked(r.From, r.Zone, now).relayAt = now
+		}
 		if relay := (relayID{r.From, r.Process}); zone.relay != relay {
 			zone.relay, zone.relaySince = relay, now
 		}
@@ -258,7 +279,7 @@
 		if now.Sub(zone.reportAt) >= silenceGrace || r.Members > zone.lastMembers {
 			l.settleLocked(m.z)
 		}
-		zone.reportAt, zone.reported, zone.lastMembers = now, r.Members, r.Members
+		zone.reportAt, zone.reported, zone.lastMembers = now.Add(-r.Age), r.Members, r.Members
 		if m.z == 0 {
 			zone.reported--
 		}
@@ -349,56 +370,3 @@
 		l.dirty[e.Key] = a
 	}
 }
-
-var errMalformedUsage = errors.New("malformed report of usage")
-
-// MarshalText implements encoding.TextMarshaler.
-func (r UsageEntries) MarshalText() ([]byte, error) {
-	r = slices.Clone(r)
-	slices.SortFunc(r, func(a, b UsageEntry) int {
-		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Slot, b.Slot))
-	})
-	newest := int64(0)
-	for _, e := range r {
-		newest = max(newest, e.Slot)
-	}
-	data := binary.AppendUvarint(nil, uint64(newest))
-	last := AccountKey(0)
-	for _, e := range r {
-		data = binary.AppendUvarint(data, uint64(e.Key-last))
-		data = binary.AppendUvarint(data, uint64(newest-e.Slot))
-		data = binary.AppendUvarint(data, e.Used)
-		data = binary.AppendUvarint(data, e.Offered-min(e.Offered, e.Used))
-		last = e.Key
-	}
-	return base64.RawStdEncoding.AppendEncode(nil, data), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (r *UsageEntries) UnmarshalText(text []byte) error {
-	data, err := base64.RawStdEncoding.AppendDecode(nil, text)
-	if err != nil {
-		return err
-	}
-	next := func() (v uint64) {
-		v, n := binary.Uvarint(data)
-		if n <= 0 {
-			data, err = nil, errMalformedUsage
-			return 0
-		}
-		data = data[n:]
-		return v
-	}
-	newest := int64(next())
-	key := AccountKey(0)
-	entries := UsageEntries{}
-	for err == nil && len(data) > 0 {
-		key += AccountKey(next())
-		e := UsageEntry{Key: key, Slot: newest - int64(next())}
-		e.Used = next()
-		e.Offered = e.Used + next()
-		entries = append(entries, e)
-	}
-	*r = entries
-	return err
-}
