Use the tolerance of account limits, and let urgent requests go first

At several times a limit all requests were rejected alike, so that long deferrable ones displaced short urgent ones.

An account at its limit spends it on calls of plain services and the most urgent routes first. Zones are added before shares are computed.

--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -76,10 +76,15 @@
 		l.accounts[key] = a
 		a.setLimit(l, l.limits[key])
 	}
+	a.coverZones(l)
+	return a
+}
+
+// coverZones adds the zones that became known since the account was last used.
+func (a *fleetAccount) coverZones(l *FleetLimiter) {
 	for len(a.zones) < len(l.zones) {
 		a.zones = append(a.zones, zoneUsage{})
 	}
-	return a
 }
 
 func (l *FleetLimiter) startLocked(now time.Time) {
@@ -283,6 +288,7 @@
 		return
 	}
 	a.sharesAt = now
+	a.coverZones(l)
 	l.updateSilenceLocked(now)
 	silent := 0.0
 	seconds := demandSlots * l.slot.Seconds()
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -104,6 +104,7 @@
 	slot time.Duration
 
 	mu              sync.Mutex
+	classes         classes // Of all accounts with a limit.
 	limits          map[AccountKey]FleetRate
 	accounts        map[AccountKey]*fleetAccount
 	zones           []*fleetZone // The first one is this instance's.
@@ -217,9 +218,10 @@
 	slot     int64
 }
 
-// Admit charges a request to an account and reports whether it may run. Requests of accounts
+// Admit charges a request to an account and reports whether it may run. Of an account that
+// asks for more than its limit, urgent requests are admitted before others. Requests of accounts
 // without a limit may run.
-func (l *FleetLimiter) Admit(key AccountKey, cost float64, now time.Time) (d Decision) {
+func (l *FleetLimiter) Admit(key AccountKey, cost float64, urgent bool, now time.Time) (d Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.startLocked(now)
@@ -253,6 +255,8 @@
 		p = (rate + available/drainTime.Seconds()) / max(demand, 1e-9)
 	}
 	p = min(p, l.windowFraction(a, cost, demand, room))
+	l.classes.record(cost, urgent, now)
+	p = l.classes.fraction(p, urgent)
 	d = Decision{Silent: 1 - a.reachNow, slot: a.cur}
 	if d.Admitted = p >= 1 || p > 0 && l.cfg.Random() < p; d.Admitted {
 		a.own.used[k] += cost
--- a/internal/limits/rclimit/fleetlimit_test.go
+++ b/internal/limits/rclimit/fleetlimit_test.go
@@ -160,7 +160,7 @@
 	l, now := s.nodes[0].l, s.now
 	admit := func() {
 		now = now.Add(time.Millisecond)
-		l.Refund(simKey, 870, l.Admit(simKey, 870, now))
+		l.Refund(simKey, 870, l.Admit(simKey, 870, false, now))
 	}
 	require.Zero(t, testing.AllocsPerRun(1000, admit))
 	r := testing.Benchmark(func(b *testing.B) {
--- a/internal/limits/rclimit/fleetsim_test.go
+++ b/internal/limits/rclimit/fleetsim_test.go
@@ -225,7 +225,7 @@
 			s.central -= cost
 			s.accepted += cost
 		}
-		if node.l.Admit(simKey, cost, s.now).Admitted {
+		if node.l.Admit(simKey, cost, false, s.now).Admitted {
 			s.admitted += cost
 			s.log = append(s.log, simCharge{s.now, cost})
 		}
--- a/internal/node/rcinstance/accountusage.go
+++ b/internal/node/rcinstance/accountusage.go
@@ -9,6 +9,7 @@
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
 	"github.com/radishcrank/radishcrank/internal/routing/rcroute"
+	"github.com/radishcrank/radishcrank/platform"
 )
 
 // usageHeartbeat is how often a relay reports the usage of its zone if nothing has
@@ -37,11 +38,15 @@
 	allUsage                   // That of all zones, from the relay to its zone.
 )
 
+func accountBounds(s *platform.Settings) rclimit.FleetBounds {
+	return rclimit.FleetBounds{Window: s.QuotaWindow, Over: s.QuotaOver, Slack: s.QuotaSlack}
+}
+
 func newAccountLimiter(i *Instance) *rclimit.FleetLimiter {
 	s := &i.settings
 	return rclimit.NewFleetLimiter(rclimit.FleetConfig{
 		Instance: radishcrank.InstanceID(s.Instance), Zone: radishcrank.AvailabilityZone(s.Zone), Process: i.startedAt.UnixMilli(),
-		Bounds: rclimit.FleetBounds{Window: s.QuotaWindow, Over: s.QuotaOver, Slack: s.QuotaSlack},
+		Bounds: accountBounds(s).Remaining(),
 		Random: rand.Float64,
 	})
 }
@@ -59,10 +64,10 @@
 	if i.accountLimiter == nil {
 		return
 	}
-	limits := map[rclimit.AccountKey]rclimit.FleetRate{}
+	bounds, limits := accountBounds(&i.settings), map[rclimit.AccountKey]rclimit.FleetRate{}
 	for _, a := range t.Accounts {
 		if a.Limit.Limited() {
-			limits[rclimit.KeyOfAccount(a.ID, a.Limit.Tokens)] = rclimit.FleetRate{Rate: a.Limit.Rate, Burst: a.Limit.Burst}
+			limits[rclimit.KeyOfAccount(a.ID, a.Limit.Tokens)] = bounds.Raise(rclimit.FleetRate{Rate: a.Limit.Rate, Burst: a.Limit.Burst})
 		}
 	}
 	i.accountLimiter.SetLimits(limits, i.accountTime())
--- a/internal/node/rcinstance/accountusage_test.go
+++ b/internal/node/rcinstance/accountusage_test.go
@@ -76,7 +76,7 @@
 				for i, p := range all {
 					if !lost[p.self.Name] && (round == 5 || round == 26) {
 						cost := float64(10 + i)
-						require.True(t, p.instance.accountLimiter.Admit(key, cost, time.Now()).Admitted)
+						require.True(t, p.instance.accountLimiter.Admit(key, cost, false, time.Now()).Admitted)
 						spent += cost
 					}
 				}
--- a/internal/serving/rcforward/accountlimit.go
+++ b/internal/serving/rcforward/accountlimit.go
@@ -54,13 +54,17 @@
 	if c.cost <= 0 {
 		return true
 	}
-	c.decision = limits.Limiter.Admit(c.key, c.cost, limits.Now())
+	c.decision = limits.Limiter.Admit(c.key, c.cost, d.urgent(), limits.Now())
 	if c.decision.Admitted {
 		d.f.cfg.Metrics.Add(rcmetric.AccountCharged, int64(c.cost))
 	}
 	return c.decision.Admitted
 }
 
+// urgent reports whether the exchange goes before others of an account at its limit: calls
+// of plain services, which cost little, and streams of the most urgent routes.
+func (d *dispatch) urgent() bool { return !d.x.Generates() || d.x.Route.Priority <= 0 }
+
 // refundAccount takes the charge back if the exchange was certainly not run by an upstream
 // that this instance sent it to. An instance that it was sent through has charged it, too.
 func (d *dispatch) refundAccount() {
