Explain on the platform how a request would be routed now

Cause: radishcrank explain worked only on the product's own interface. On the users' platform nobody could ask an instance why a request goes where it goes, and the listener that Listen.Control defines was not opened.

Change: rcaffinity.Choose reports each upstream with its obstacle or the terms of its cost to an optional observer. rcforward.Explain runs the decisions of Serve up to the first attempt: place, which selectUpstream now uses too, and the admission check. It sends nothing; rcquota and rcpoison can be inspected without using a permit or a trial.

--- a/internal/cli/rccli/operate.go
+++ b/internal/cli/rccli/operate.go
@@ -98,14 +98,18 @@
 
 type explainCommand struct {
 	target
-	Account string `required:"" help:"Client account."`
-	Model   string `required:"" help:"Model."`
+	Account string `help:"Client account."`
+	Model   string `help:"Model. On the users' platform, none for plain services."`
 	Adapter string `help:"Adapter."`
-	Prompt  string `arg:"" type:"existingfile" help:"File with the prompt's text, or - for standard input."`
+	Prompt  string `arg:"" optional:"" type:"existingfile" help:"File with the prompt's text, or - for standard input. Not on the users' platform."`
+	platformExplain
 }
 
 // Run implements the explain command.
 func (c *explainCommand) Run(env *commandEnv) error {
+	if len(c.Platform) > 0 {
+		return c.runOnPlatform(env)
+	}
 	prompt, err := readInput(c.Prompt)
 	if err != nil {
 		return err
--- a/internal/limits/rcpoison/trial.go
+++ b/internal/limits/rcpoison/trial.go
@@ -101,6 +101,20 @@
 // mayTryLocked reports whether a request is let through although it holds convicted sets.
 func (t *Tracker) mayTryLocked(req radishcrank.Request, held []*Record) bool {
 	now := time.Now()
+	if !t.trialDueLocked(req, held, now) {
+		return false
+	}
+	for _, r := range held {
+		if t.trials[r.Key].request != req.ID {
+			t.trials[r.Key] = trial{req.ID, now}
+			t.cfg.Log.Info().Str("Event", "ConvictionTried").Str("Request", string(req.ID)).Str("Parts", string(r.Key)).Int("Crashes", len(r.Crashes)).Send()
+		}
+	}
+	return true
+}
+
+// trialDueLocked reports whether a request that holds convicted sets may be let through.
+func (t *Tracker) trialDueLocked(req radishcrank.Request, held []*Record, now time.Time) bool {
 	for _, r := range held {
 		current, tried := t.trials[r.Key]
 		if tried && current.request == req.ID {
@@ -110,15 +124,18 @@
 			return false
 		}
 	}
-	for _, r := range held {
-		if t.trials[r.Key].request != req.ID {
-			t.trials[r.Key] = trial{req.ID, now}
-			t.cfg.Log.Info().Str("Event", "ConvictionTried").Str("Request", string(req.ID)).Str("Parts", string(r.Key)).Int("Crashes", len(r.Crashes)).Send()
-		}
-	}
 	return true
 }
 
+// Inspect returns the number of convicted sets that a request holds, and whether Check would
+// refuse it, without starting a trial.
+func (t *Tracker) Inspect(req radishcrank.Request) (convicted int, refused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.heldLocked(req)
+	return len(held), len(held) > 0 && !t.trialDueLocked(req, held, time.Now())
+}
+
 // endTrialLocked lifts the convicted sets that a request held if its answer was complete, and
 // confirms those of which it was a trial if it crashed its upstream.
 func (t *Tracker) endTrialLocked(req radishcrank.Request, crashed, finished bool) {
--- a/internal/limits/rcquota/quota.go
+++ b/internal/limits/rcquota/quota.go
@@ -176,6 +176,20 @@
 	return slot / time.Duration(permits), !q.hasPermitLocked(l)
 }
 
+// Inspect returns what Throttled would, without determining the owners of slots for later
+// calls.
+func (q *Quota) Inspect(up radishcrank.Upstream) (interval time.Duration, throttled bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.limitLocked(up)
+	if l == nil {
+		return 0, false
+	}
+	copied := *l
+	slot, permits := copied.slot()
+	return slot / time.Duration(permits), !q.hasPermitLocked(&copied)
+}
+
 // Limited reports whether an upstream has a rate limit.
 func (q *Quota) Limited(up radishcrank.Upstream) bool {
 	q.mu.Lock()
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -192,7 +192,8 @@
 	if err != nil {
 		return err
 	}
-	clientServer := &http.Server{Handler: i.clientHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	forwarder := i.newForwarder()
+	clientServer := &http.Server{Handler: i.clientHandler(forwarder), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
 	stopped := make(chan struct{})
 	g.Add(func() error {
 		err := clientServer.Serve(clientListener)
@@ -221,6 +222,11 @@
 		// Clients can be served without metrics.
 		i.log.Error().Str("Event", "NoMetrics").Err(err).Send()
 	}
+	if addr := i.settings.OperatorAddr; addr.IsValid() {
+		if err := i.serve(&g, addr.String(), i.operatorHandler(forwarder)); err != nil {
+			i.log.Error().Str("Event", "NoOperatorListener").Err(err).Send()
+		}
+	}
 	return g.Run()
 }
 
@@ -279,8 +285,8 @@
 	})
 }
 
-func (i *Instance) clientHandler() http.Handler {
-	forwarder := rcforward.New(rcforward.Config{
+func (i *Instance) newForwarder() *rcforward.Forwarder {
+	return rcforward.New(rcforward.Config{
 		Zone:   radishcrank.AvailabilityZone(i.settings.Zone),
 		Fleet:  i.fleet,
 		Sender: &platform.Sender{Pool: i.pool},
@@ -308,6 +314,9 @@
 		Log:           i.log,
 		Metrics:       i.metrics,
 	})
+}
+
+func (i *Instance) clientHandler(forwarder *rcforward.Forwarder) http.Handler {
 	return &platform.ClientHandler{
 		Table: i.routes.Load, Server: forwarder, Draining: i.draining.Load, Metrics: i.metrics, Log: i.log,
 	}
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -83,6 +83,8 @@
 	// MaxWait is the longest acceptable queue wait. Healthy upstreams with a
 	// longer one are chosen only if all of them exceed it. Zero means no limit.
 	MaxWait time.Duration
+	// Observe, if set, is called with each upstream and the terms of its cost.
+	Observe func(c Candidate)
 }
 
 // KVStore is an external store of KV cache.
@@ -141,12 +143,15 @@
 	for i := range states {
 		s := &states[i]
 		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
+			req.observeObstacle(s, now)
 			continue
 		}
+		t := req.terms()
 		c := Choice{Upstream: *s, Owner: s.ID == ranks.owner}
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
 			if c.Weights == "" {
+				req.observe(c, t, obstacleNoWeights)
 				continue
 			}
 			c.ReplacedFor = replacedFor(req, c.Weights, now)
@@ -157,13 +162,15 @@
 			}
 		}
 		c.QueueWait = queueWait(req, s)
-		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now)
+		c.Cost = cost(req, s, c, ranks.rankByID[s.ID], sharedTokens, now, t)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
+			req.observe(c, t, obstacleWeightsExpire)
 			continue // The exchange would begin after the old weights expire.
 		}
 		if !preferred.has(s.ID) {
-			c.Cost += poolLeaveCost(req.PauseRatio)
+			c.Cost += t.add("OtherPool", poolLeaveCost(req.PauseRatio))
 		}
+		req.observe(c, t, "")
 		if !ok || c.Cost < best.Cost {
 			best, ok = c, true
 		}
@@ -215,35 +222,35 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, rank int, sharedTokens int, now time.Time, t *terms) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = c.QueueWait + prefillTime(c.UncachedTokens)
+		d = t.add("QueueWait", c.QueueWait) + t.add("Prefill", prefillTime(c.UncachedTokens))
 		if !c.Owner && c.UncachedTokens > 0 && sharedTokens > 0 {
 			// Parts that could be copied count as if they were prefilled, since
 			// each copy evicts other parts from the memory of the engine.
-			d += nonOwnerCost + time.Duration(rank)*rankCost
+			d += t.add("NonOwner", nonOwnerCost) + t.add("Rank", time.Duration(rank)*rankCost)
 		}
 		if replacedFor(req, c.Weights, now) >= replacedCostAge {
-			d += replacedCost
+			d += t.add("ReplacedWeights", replacedCost)
 		}
 	} else {
 		queue := max(s.Running+s.PeerLoad.Running, s.Reported.Running+s.Reported.Waiting)
-		d = time.Duration(queue) * runningRequestCost
+		d = t.add("Running", time.Duration(queue)*runningRequestCost)
 		if s.Slots > 0 && queue >= s.Slots {
-			d += time.Duration(queue-s.Slots+1) * queuedRequestCost
+			d += t.add("SlotsTaken", time.Duration(queue-s.Slots+1)*queuedRequestCost)
 		}
 	}
 	if s.Zone != req.Zone {
-		d += crossZoneCost
+		d += t.add("OtherZone", crossZoneCost)
 	}
 	if s.Probing {
-		d += probeCost * time.Duration(1+s.Running)
+		d += t.add("HasFailed", probeCost*time.Duration(1+s.Running))
 	}
 	if now.Before(s.WarmupUntil) {
-		d += warmupCost
+		d += t.add("Warmup", warmupCost)
 	}
-	return d + time.Duration(s.FailureRate*float64(failureCost))
+	return d + t.add("Failures", time.Duration(s.FailureRate*float64(failureCost)))
 }
 
 func prefillTime(n int) time.Duration { return time.Duration(n) * time.Millisecond / prefillRate }
--- /dev/null
+++ b/internal/serving/rcexplain/explain.go
@@ -0,0 +1,178 @@
+// Package rcexplain defines what an instance on the users' platform reports about how it
+// would route a request now, and a client that asks instances for it.
+package rcexplain
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// Path is where the listener for operators answers.
+	Path = "/explain"
+	// MaxRequestBytes bounds a request. A prompt of 1,000 parts takes 80 KB.
+	MaxRequestBytes = 256 << 10
+	// maxReportBytes bounds a report, which has about 1 KB for each of 5,500 upstreams.
+	maxReportBytes = 16 << 20
+	clientTimeout  = 5 * time.Second
+)
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request describes a request. It holds no key and no text.
+type Request struct {
+	Account    string `json:",omitempty"`
+	Route      string // Name of the route.
+	Service    string `json:",omitempty"` // One of the route's; default is the first.
+	Model      string `json:",omitempty"` // Empty for plain services.
+	Parts      []Part `json:",omitempty"` // The last one belongs to the request itself.
+	DeadlineMS int64  `json:",omitempty"` // Remaining time; the route's timeout bounds it.
+	Priority   *int   `json:",omitempty"` // Default is that of the account or else the route.
+}
+
+// Outcomes of a request.
+const (
+	Sent           = "Sent"           // It would be sent to Report.Upstream.
+	Waits          = "Waits"          // It would wait for an upstream to become usable.
+	Detoured       = "Detoured"       // It would be sent through another instance.
+	Refused        = "Refused"        // 503 with Retry-After.
+	RefusedFinally = "RefusedFinally" // 400, not to be repeated.
+)
+
+// Term is one term of the expected cost of an upstream.
+type Term struct {
+	Name string
+	MS   float64
+}
+
+// Upstream is one candidate. Costs are 0 if it was not considered.
+type Upstream struct {
+	ID         string
+	Zone       string
+	Chosen     bool   `json:",omitempty"`
+	Obstacle   string `json:",omitempty"` // Why it gets no request; empty if it may.
+	ObstacleMS int64  `json:",omitempty"` // How long that is expected to last; 0 if unknown.
+	CostMS     float64
+	Terms      []Term `json:",omitempty"`
+	WaitMS     float64
+	Owner      bool `json:",omitempty"`
+	Uncached   int  `json:",omitempty"` // Prompt tokens to prefill.
+	Weights    string
+	Slots      int
+	// Running and Prefilling are of this instance, and the others' as they last reported.
+	Running, Prefilling             int
+	OthersRunning, OthersPrefilling int
+	Listed                          bool // False if its removal from the list is doubted.
+	// ReportedRunning and ReportedWaiting are the load that the upstream last reported, and
+	// ReportAgeMS is how long ago; -1 if no report is known.
+	ReportedRunning, ReportedWaiting int
+	ReportAgeMS                      int64
+}
+
+// Information says where the instance's view comes from.
+type Information struct {
+	ConfigVersion  int64
+	StoreReachable bool   // By this instance, or by the relay that reads for it.
+	StoreReader    string // Instance that this one gets the list of upstreams from; empty if it reads the store.
+	Instances      int    // Registered ones, including this one.
+	NotReached     int    // Others that did not answer the last message.
+	Draining       bool   `json:",omitempty"`
+}
+
+// Report says how a request would be routed now.
+type Report struct {
+	Instance, Zone string
+	Route, Service string
+	Account, Model string `json:",omitempty"`
+	Priority       int
+	Outcome        string
+	Why            string // The limit or state that decides; empty if it would be sent.
+	Upstream       string `json:",omitempty"`
+	KVSource       string `json:",omitempty"` // Engine or KV store from which parts are copied.
+	// ExpectedWaitMS is the shortest expected wait at a healthy upstream. Above MaxWaitMS the
+	// request is refused.
+	ExpectedWaitMS, MaxWaitMS float64
+	// RetryAfterMS are the shortest and the longest delay that a refusal would name.
+	RetryAfterMS [2]float64
+	// QueueMS is how long the request may wait for an upstream to become usable.
+	QueueMS int64
+	// Convicted is the number of combinations of parts of the prompt that are known to crash
+	// upstreams. Crashes of the request's own content are not covered, since it is not given.
+	Convicted   int  `json:",omitempty"`
+	LinksCut    bool `json:",omitempty"` // This instance reaches no upstream of the service.
+	Information Information
+	Upstreams   []Upstream
+}
+
+// Error is the response to a request that cannot be explained.
+type Error struct{ Message string }
+
+// Ask asks the instance whose listener for operators has the given URL.
+func Ask(ctx context.Context, url string, req Request) (r Report, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("instance at %s: %w", url, err)
+		}
+	}()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return r, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimRight(url, "/")+Path, bytes.NewReader(body))
+	if err != nil {
+		return r, err
+	}
+	resp, err := http.DefaultClient.Do(post)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return r, fmt.Errorf("no answer within %s", clientTimeout)
+	}
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return r, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var e Error
+		if json.Unmarshal(text, &e) != nil || e.Message == "" {
+			return r, fmt.Errorf("status %d; it is no listener for operators of the platform", resp.StatusCode)
+		}
+		return r, errors.New(e.Message)
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return r, fmt.Errorf("response is no report: %w", err)
+	}
+	return r, nil
+}
+
+// ParseParts parses a list of ID:TOKENS, separated by commas.
+func ParseParts(text string) (parts []Part, err error) {
+	if text == "" {
+		return nil, nil
+	}
+	for field := range strings.SplitSeq(text, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(field), ":")
+		n, err := strconv.Atoi(count)
+		if !ok || id == "" || err != nil || n < 0 {
+			return nil, fmt.Errorf("part %q is not ID:TOKENS", field)
+		}
+		parts = append(parts, Part{ID: id, Tokens: n})
+	}
+	return parts, nil
+}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -293,21 +293,9 @@
 		buf = d.eligible(f.appendStates(x.Service, buf[:0]))
 		excluded, _, released := f.cfg.Guard.ExcludedUpstreams(d.guardRequest)
 		now := time.Now()
-		if x.Detoured && f.cfg.Links.Cut(x.Service) || d.mayDetour() && d.cutOff(buf) {
-			return choice, false // Other instances may reach an upstream now.
-		}
-		if d.ownsNoSlots(buf) {
-			return choice, false
-		}
-		req := d.affinityRequest(excluded)
-		choice, ok = rcaffinity.Choose(req, buf, now)
-		if ok {
-			return choice, true
-		}
-		untried := slices.DeleteFunc(buf, func(s rcfleet.State) bool { return d.tried[s.ID] })
-		wait := untilUsable(untried, now)
-		if wait <= 0 || now.Add(wait).After(limit) {
-			return choice, false
+		choice, ok, wait := d.place(buf, d.affinityRequest(excluded), now)
+		if ok || wait <= 0 || now.Add(wait).After(limit) {
+			return choice, ok
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -322,12 +310,32 @@
 	}
 }
 
+// place decides on one look at the upstreams. If none is usable, wait is how long until one is
+// expected to be; 0 means that waiting is of no use. It may reorder states.
+func (d *dispatch) place(states []rcfleet.State, req rcaffinity.Request, now time.Time) (choice rcaffinity.Choice, ok bool, wait time.Duration) {
+	if d.x.Detoured && d.f.cfg.Links.Cut(d.x.Service) || d.mayDetour() && d.cutOff(states) {
+		return choice, false, 0 // Other instances may reach an upstream now.
+	}
+	if d.ownsNoSlots(states) {
+		return choice, false, 0
+	}
+	if choice, ok = rcaffinity.Choose(req, states, now); ok {
+		return choice, true, 0
+	}
+	untried := slices.DeleteFunc(states, func(s rcfleet.State) bool { return d.tried[s.ID] })
+	return choice, false, untilUsable(untried, now)
+}
+
 // appendStates appends the states of a service's upstreams, with those throttled that
 // may get no request from this instance now.
 func (f *Forwarder) appendStates(service string, buf []rcfleet.State) []rcfleet.State {
+	return f.appendStatesWith(service, buf, f.cfg.Quota.Throttled)
+}
+
+func (f *Forwarder) appendStatesWith(service string, buf []rcfleet.State, throttled func(radishcrank.Upstream) (time.Duration, bool)) []rcfleet.State {
 	buf = f.cfg.Fleet.AppendStates(service, buf)
 	for i := range buf {
-		_, buf[i].Throttled = f.cfg.Quota.Throttled(buf[i].Upstream)
+		_, buf[i].Throttled = throttled(buf[i].Upstream)
 		buf[i].Full = buf[i].Brittle > 0 && buf[i].Running >= f.slotShare(&buf[i])
 	}
 	return buf
