--- a/internal/node/rcinstance/explain.go
+++ b/internal/node/rcinstance/explain.go
@@ -89,13 +89,13 @@
 	}
 	if text := q.Get("DeadlineMS"); text != "" {
 		if req.DeadlineMS, err = strconv.ParseInt(text, 10, 64); err != nil {
-			return req, fmt.Errorf("DeadlineMS %q is no number", text)
+			return req, fmt.Errorf("field DeadlineMS: %q is no number", text)
 		}
 	}
 	if text := q.Get("Priority"); text != "" {
 		priority, err := strconv.Atoi(text)
 		if err != nil {
-			return req, fmt.Errorf("Priority %q is no number", text)
+			return req, fmt.Errorf("field Priority: %q is no number", text)
 		}
 		req.Priority = &priority
 	}
@@ -209,8 +209,12 @@
 		}
 	}
 	if p.usesRelaysLocked() {
-		if relay := p.relayForLocked(i.settings.Zone); relay != nil {
-			info.StoreReader = relay.Name
+		source := p.relayForLocked(i.settings.Zone)
+		if source == nil {
+			source = p.storeReaderLocked()
+		}
+		if source != nil {
+			info.StoreReader = source.Name
 		}
 	}
 	return info
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -52,23 +52,27 @@
 }
 
 // isStoreReaderLocked reports whether this instance is the relay that reads the store for the
-// relays of all zones: the first one in the order in which a zone chooses its relay. Relays that disagree, such as during a network partition,
-// read the store more often than necessary.
+// relays of all zones: the first one in the order in which a zone chooses its relay. Relays
+// that disagree, such as during a network partition, read the store more often than necessary.
 func (p *peerGroup) isStoreReaderLocked() bool {
-	if p.relayForLocked(p.instance.settings.Zone) != nil {
-		return false
-	}
+	return p.relayForLocked(p.instance.settings.Zone) == nil && p.storeReaderLocked() == nil
+}
+
+// storeReaderLocked returns the first relay of another zone that comes before this instance,
+// or nil if there is none.
+func (p *peerGroup) storeReaderLocked() (reader *peer) {
+	first := p.self
 	zones := map[string]bool{p.instance.settings.Zone: true}
 	for _, m := range p.members {
 		if zones[m.Zone] {
 			continue
 		}
 		zones[m.Zone] = true
-		if relay := p.relayForLocked(m.Zone); relay != nil && comparePeers(relay, p.self) < 0 {
-			return false
+		if relay := p.relayForLocked(m.Zone); relay != nil && comparePeers(relay, first) < 0 {
+			first, reader = relay, relay
 		}
 	}
-	return true
+	return reader
 }
 
 // reliesOnStoreReader reports whether another instance reads the store for this one, or may
