Call a store that is out of reach less often, and count polls on a virtual clock

Cause: all instances repeated failed calls every 250 ms, although their relay notices the recovery as soon as they do, and all of them polled again when the store was back.

Change: an instance that relies on a relay repeats a failed call after 1.2 s, or goes on with the first batch. The reader polls every 700 ms again.

--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -20,6 +20,10 @@
 	// retryDelay is the pause after a failed call. A store that is down gets a
 	// few calls a second at most, and its recovery is noticed quickly.
 	retryDelay = 250 * time.Millisecond
+	// reliantRetryDelay is retryDelay for an instance that relies on a relay. Its relay
+	// notices the recovery as quickly as it would itself, and the first batch ends the
+	// pause. Together with a call that fails it stays within the 3 s for recovery.
+	reliantRetryDelay = 1200 * time.Millisecond
 	// readRetryDelay is the pause between attempts to read a whole table. It is
 	// short, because an instance cannot serve anything before the first read.
 	readRetryDelay = 100 * time.Millisecond
@@ -57,7 +61,7 @@
 	// relayPollWait and relayPollMargin replace pollWait and pollMargin on a
 	// relay. Each batch, even an empty one, shows the other instances that the
 	// store is reachable.
-	relayPollWait   = 800 * time.Millisecond
+	relayPollWait   = 700 * time.Millisecond
 	relayPollMargin = 400 * time.Millisecond
 	// minAwaitedDelay is the minimum duration of a call whose changes are
 	// considered as recent as the response. The store responds within 4 ms, so
@@ -451,6 +455,29 @@
 	return ctx, cancel
 }
 
+// pauseAfterFailure waits before the next call, or until a batch arrives from a relay.
+func (f *Follower) pauseAfterFailure(ctx context.Context, isRelay bool) {
+	retry := retryDelay
+	switch {
+	case f.cfg.DelayTolerant:
+		retry = tolerantRetryDelay
+	case !isRelay && f.relies():
+		retry = reliantRetryDelay
+	}
+	var offered chan Batch // Nil blocks.
+	if f.relies() {
+		offered = f.offered
+	}
+	timer := time.NewTimer(retry)
+	defer timer.Stop()
+	select {
+	case b := <-offered:
+		f.apply(b) // If changes are missing before it, the next call gets them.
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // poll makes one call for changes, preceded by a read of the whole table if
 // necessary.
 func (f *Follower) poll(ctx context.Context) {
@@ -510,11 +537,7 @@
 		f.synced = false
 		return
 	case err != nil:
-		retry := retryDelay
-		if f.cfg.DelayTolerant {
-			retry = tolerantRetryDelay
-		}
-		rcwait.Sleep(ctx, retry)
+		f.pauseAfterFailure(ctx, isRelay)
 		return
 	}
 	f.applyRows(resp, p)
--- a/internal/state/rcfeed/relayfail_test.go
+++ b/internal/state/rcfeed/relayfail_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// TestFewCallsDuringOutage guards against a whole fleet that calls a store which rejects calls
+// as often as its relays do, and again when the store is back.
+func TestFewCallsDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startRelayChain(t)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		c.store.update(func() { c.store.cut = true })
+		time.Sleep(12 * time.Second)
+		c.store.update(func() { c.store.cut = false })
+		time.Sleep(3 * time.Second)
+		require.LessOrEqual(t, c.sources[2].calls.Load(), int32(12))
+		before := c.sources[2].calls.Load()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, before, c.sources[2].calls.Load())
+	})
+}
+
 // TestMissedBatchNeedsNoCall guards against a call to the store for each lost message, and
 // against rows of a missed batch that count as changed later than they were.
 func TestMissedBatchNeedsNoCall(t *testing.T) {
