--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -236,6 +236,47 @@
 	l.changedLocked(a, k)
 	l.updateShares(a, now)
 
+	p, left := l.fractionLocked(a, cost, now)
+	l.classes.record(cost, urgent, now)
+	p = l.classes.fraction(p, urgent)
+	d = Decision{Silent: 1 - a.reachNow, slot: a.cur}
+	if d.Admitted = p >= 1 || p > 0 && l.cfg.Random() < p; d.Admitted {
+		a.own.used[k] += cost
+		return d
+	}
+	need := ampleFraction*limit.Burst*a.reachNow - left.balance
+	if left.window < cost {
+		need = max(need, cost-left.window)
+	}
+	d.Wait = l.cfg.Bounds.Window
+	if seconds := max(0, need) / max(limit.Rate*a.reachNow, 1e-9); seconds < d.Wait.Seconds() {
+		d.Wait = time.Duration(seconds * float64(time.Second))
+	}
+	return d
+}
+
+// Inspect returns which fraction of the requests of a cost would be admitted now, and
+// charges nothing. It is 1 for an account without a limit.
+func (l *FleetLimiter) Inspect(key AccountKey, cost float64, urgent bool, now time.Time) (fraction float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[key]
+	if a == nil || a.limit.Rate <= 0 {
+		return 1
+	}
+	l.rollLocked(a, now)
+	l.updateShares(a, now)
+	p, _ := l.fractionLocked(a, cost, now)
+	return max(0, min(1, l.classes.fraction(p, urgent)))
+}
+
+// remainder is what an account may still use: of its bucket, and in the window that ends now.
+type remainder struct{ balance, window float64 }
+
+// fractionLocked returns which fraction of the requests of a cost is admitted, and what the
+// account has left.
+func (l *FleetLimiter) fractionLocked(a *fleetAccount, cost float64, now time.Time) (p float64, left remainder) {
+	limit := a.limit
 	balance, room := a.replay(l, now)
 	room -= a.unreported
 	available := balance - a.unreported
@@ -245,7 +286,7 @@
 	available += l.reserve(limit) * a.reachNow
 	silent := a.reachNow < 1
 	rate := limit.Rate * a.reachNow
-	p := 1.0
+	p = 1.0
 	demand := a.demand(l, now)
 	if silent {
 		// Many instances that are alone would each admit one request beyond their share.
@@ -255,22 +296,7 @@
 		p = (rate + available/drainTime.Seconds()) / max(demand, 1e-9)
 	}
 	p = min(p, l.windowFraction(a, cost, demand, room))
-	l.classes.record(cost, urgent, now)
-	p = l.classes.fraction(p, urgent)
-	d = Decision{Silent: 1 - a.reachNow, slot: a.cur}
-	if d.Admitted = p >= 1 || p > 0 && l.cfg.Random() < p; d.Admitted {
-		a.own.used[k] += cost
-		return d
-	}
-	need := ampleFraction*limit.Burst*a.reachNow - available
-	if room < cost {
-		need = max(need, cost-room)
-	}
-	d.Wait = l.cfg.Bounds.Window
-	if seconds := max(0, need) / max(rate, 1e-9); seconds < d.Wait.Seconds() {
-		d.Wait = time.Duration(seconds * float64(time.Second))
-	}
-	return d
+	return p, remainder{available, room}
 }
 
 // windowFraction returns the fraction of requests that what is left in the window allows.
--- a/internal/routing/rcaffinity/choose.go
+++ b/internal/routing/rcaffinity/choose.go
@@ -89,6 +89,8 @@
 	// MaxWait is the longest acceptable queue wait. Healthy upstreams with a
 	// longer one are chosen only if all of them exceed it. Zero means no limit.
 	MaxWait time.Duration
+	// Observe, if set, is called with each upstream and the terms of its cost.
+	Observe func(c Candidate)
 }
 
 // KVStore is an external store of KV cache.
@@ -151,12 +153,15 @@
 	for i := range states {
 		s := &states[i]
 		if req.Exclude != nil && req.Exclude(s.ID) || !Usable(s, now) {
+			req.observeObstacle(s, now)
 			continue
 		}
+		t := req.terms()
 		c := Choice{Upstream: *s, Owner: s.ID == ranks.owner}
 		if req.Model != "" {
 			c.Weights = s.Weights[req.Model]
 			if c.Weights == "" {
+				req.observe(c, t, obstacleNoWeights)
 				continue
 			}
 			c.ReplacedFor = replacedFor(req, c.Weights, now)
@@ -170,16 +175,18 @@
 		limits := fleet.of(s)
 		c.QueueWait, c.Prefill = queueWait(req, s, limits), limits.prefillTime(c.UncachedTokens)
 		c.StartWait = startWait(req, s, limits, c.QueueWait)
-		c.Cost = cost(req, s, c, limits, fleet, ranks.rankByID[s.ID], sharedTokens, now)
+		c.Cost = cost(req, s, c, limits, fleet, ranks.rankByID[s.ID], sharedTokens, now, t)
 		if c.ReplacedFor > 0 && req.MaxReplacedAge > 0 && c.ReplacedFor >= req.MaxReplacedAge-c.Cost {
+			req.observe(c, t, obstacleWeightsExpire)
 			continue // The exchange would begin after the old weights expire.
 		}
 		if req.Model != "" {
-			c.Cost += limits.interferenceCost(s, fleet, c.UncachedTokens) + fleet.rankSpread(req, s)
+			c.Cost += t.add("Interference", limits.interferenceCost(s, fleet, c.UncachedTokens)) + t.add("Spread", fleet.rankSpread(req, s))
 		}
 		if !preferred.has(s.ID) {
-			c.Cost += poolLeaveCost(req.PauseRatio)
+			c.Cost += t.add("OtherPool", poolLeaveCost(req.PauseRatio))
 		}
+		req.observe(c, t, "")
 		if !ok || c.Cost < best.Cost {
 			best, ok = c, true
 		}
@@ -232,31 +239,31 @@
 	return 0
 }
 
-func cost(req Request, s *rcfleet.State, c Choice, limits capacity, fleet fleetCapacity, rank int, sharedTokens int, now time.Time) time.Duration {
+func cost(req Request, s *rcfleet.State, c Choice, limits capacity, fleet fleetCapacity, rank int, sharedTokens int, now time.Time, t *terms) time.Duration {
 	var d time.Duration
 	if req.Model != "" {
-		d = c.QueueWait + limits.prefillTime(c.UncachedTokens) + limits.memoryCost(s, c.HeldTokens)
+		d = t.add("QueueWait", c.QueueWait) + t.add("Prefill", limits.prefillTime(c.UncachedTokens)) + t.add("Memory", limits.memoryCost(s, c.HeldTokens))
 		if !c.Owner && c.UncachedTokens > 0 && sharedTokens > 0 {
 			// Parts that could be copied count as if they were prefilled, since
 			// each copy evicts other parts from the memory of the engine.
-			d += nonOwnerCost + time.Duration(rank)*rankCost
+			d += t.add("NonOwner", nonOwnerCost) + t.add("Rank", time.Duration(rank)*rankCost)
 		}
 		if replacedFor(req, c.Weights, now) >= replacedCostAge {
-			d += replacedCost
+			d += t.add("ReplacedWeights", replacedCost)
 		}
 	} else {
-		d = limits.plainCost(req, s, fleet)
+		d = t.add("Running", limits.plainCost(req, s, fleet))
 	}
 	if s.Zone != req.Zone {
-		d += crossZoneCost
+		d += t.add("OtherZone", crossZoneCost)
 	}
 	if s.Probing {
-		d += probeCost * time.Duration(1+s.Running)
+		d += t.add("HasFailed", probeCost*time.Duration(1+s.Running))
 	}
 	if now.Before(s.WarmupUntil) {
-		d += warmupCost
+		d += t.add("Warmup", warmupCost)
 	}
-	return d + time.Duration(s.FailureRate*float64(failureCost))
+	return d + t.add("Failures", time.Duration(s.FailureRate*float64(failureCost)))
 }
 
 func prefillTime(n int) time.Duration { return time.Duration(n) * time.Millisecond / prefillRate }
--- a/internal/serving/rcforward/accountlimit.go
+++ b/internal/serving/rcforward/accountlimit.go
@@ -36,29 +36,46 @@
 // exceeded its limit. Exchanges from other instances are charged like all others: those
 // that sent them charge nothing, and clients can set the header that marks them.
 func (d *dispatch) chargeAccount() (ok bool) {
-	limits := &d.f.cfg.Accounts
-	if limits.Limiter == nil || d.x.Account == "" {
+	limited, limiter := d.accountCost()
+	if !limited {
 		return true
 	}
+	c := &d.charge
+	c.decision = limiter.Limiter.Admit(c.key, c.cost, d.urgent(), limiter.Now())
+	if c.decision.Admitted {
+		d.f.cfg.Metrics.Add(rcmetric.AccountCharged, int64(c.cost))
+	}
+	return c.decision.Admitted
+}
+
+// accountCost sets what the exchange costs its account. limited is false if the account has
+// no limit.
+func (d *dispatch) accountCost() (limited bool, limits *AccountLimits) {
+	limits = &d.f.cfg.Accounts
+	if limits.Limiter == nil || d.x.Account == "" {
+		return false, limits
+	}
 	table := limits.Table()
 	if table == nil || !table.HasRateLimits() {
-		return true
+		return false, limits
 	}
 	account, ok := table.Account(d.x.Account)
 	if !ok || !account.Limit.Limited() {
-		return true
+		return false, limits
 	}
 	limit := account.Limit
-	c := &d.charge
-	c.key, c.cost = rclimit.KeyOfAccount(d.x.Account, limit.Tokens), limit.Cost(d.x.PromptTokens, d.x.OutputTokens)
-	if c.cost <= 0 {
-		return true
-	}
-	c.decision = limits.Limiter.Admit(c.key, c.cost, d.urgent(), limits.Now())
-	if c.decision.Admitted {
-		d.f.cfg.Metrics.Add(rcmetric.AccountCharged, int64(c.cost))
+	d.charge.key, d.charge.cost = rclimit.KeyOfAccount(d.x.Account, limit.Tokens), limit.Cost(d.x.PromptTokens, d.x.OutputTokens)
+	return true, limits
+}
+
+// accountFraction returns which fraction of exchanges like this one the limit of the account
+// admits now, and charges nothing.
+func (d *dispatch) accountFraction() float64 {
+	limited, limits := d.accountCost()
+	if !limited {
+		return 1
 	}
-	return c.decision.Admitted
+	return limits.Limiter.Inspect(d.charge.key, d.charge.cost, d.urgent(), limits.Now())
 }
 
 // urgent reports whether the exchange goes before others of an account at its limit: calls
--- a/internal/state/rcfeed/feed.go
+++ b/internal/state/rcfeed/feed.go
@@ -20,6 +20,10 @@
 	// retryDelay is the pause after a failed call. A store that is down gets a
 	// few calls a second at most, and its recovery is noticed quickly.
 	retryDelay = 250 * time.Millisecond
+	// reliantRetryDelay is retryDelay for an instance that relies on a relay. Its relay
+	// notices the recovery as quickly as it would itself, and the first batch ends the
+	// pause. Together with a call that fails it stays within the 3 s for recovery.
+	reliantRetryDelay = 1200 * time.Millisecond
 	// readRetryDelay is the pause between attempts to read a whole table. It is
 	// short, because an instance cannot serve anything before the first read.
 	readRetryDelay = 100 * time.Millisecond
@@ -57,7 +61,7 @@
 	// relayPollWait and relayPollMargin replace pollWait and pollMargin on a
 	// relay. Each batch, even an empty one, shows the other instances that the
 	// store is reachable.
-	relayPollWait   = 800 * time.Millisecond
+	relayPollWait   = 700 * time.Millisecond
 	relayPollMargin = 400 * time.Millisecond
 	// minAwaitedDelay is the minimum duration of a call whose changes are
 	// considered as recent as the response. The store responds within 4 ms, so
@@ -228,72 +232,6 @@
 	return ctx.Err()
 }
 
-// awaitOffer waits for a batch from a relay. It reports false if the store must
-// be read instead: the time for a batch is over, a batch leaves a gap after the
-// known version, the store is known to have been restored, or this instance
-// relies on no relay.
-func (f *Follower) awaitOffer(ctx context.Context) bool {
-	for {
-		if !f.relies() {
-			return false
-		}
-		era, restored := f.cfg.Eras.Current()
-		if era != f.era {
-			return false
-		}
-		wait := f.offerTimeout() - time.Since(f.lastOfferAt)
-		if wait <= 0 {
-			// A batch that has arrived in the meantime shows that the relay is
-			// working again.
-			select {
-			case b := <-f.offered:
-				return f.apply(b)
-			default:
-				return false
-			}
-		}
-		timer := time.NewTimer(min(wait, roleCheckInterval))
-		select {
-		case b := <-f.offered:
-			timer.Stop()
-			return f.apply(b)
-		case <-restored:
-			timer.Stop()
-			return false
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return true
-		}
-	}
-}
-
-// relies reports whether another instance reads the store for this one.
-func (f *Follower) relies() bool {
-	switch {
-	case f.offered == nil:
-		return false
-	case f.cfg.ReliesOnRelay != nil:
-		return f.cfg.ReliesOnRelay()
-	}
-	return !f.cfg.IsRelay()
-}
-
-// offerTimeout returns how long after a batch the next one is overdue.
-func (f *Follower) offerTimeout() time.Duration {
-	switch isRelay := f.isRelay(); {
-	case !f.cfg.DelayTolerant && f.lastOfferAt.Equal(f.startedAt):
-		return startTimeout
-	case f.cfg.DelayTolerant && isRelay:
-		return tolerantZoneRelayTimeout
-	case f.cfg.DelayTolerant:
-		return tolerantRelayTimeout
-	case isRelay:
-		return zoneRelayTimeout
-	}
-	return relayTimeout
-}
-
 // apply applies a batch from a relay. It reports false if the store must be read
 // instead, because changes are missing before the batch.
 func (f *Follower) apply(b Batch) bool {
@@ -418,22 +356,6 @@
 	return true
 }
 
-// takeFullOffer applies the first offered batch with the whole table, if there is
-// one. An instance that does not reach the store itself depends on it.
-func (f *Follower) takeFullOffer() bool {
-	for {
-		select {
-		case b := <-f.offered:
-			if b.Full && b.Era > f.era {
-				f.apply(b)
-				return f.synced
-			}
-		default:
-			return false
-		}
-	}
-}
-
 func (f *Follower) isRelay() bool { return f.cfg.IsRelay != nil && f.cfg.IsRelay() }
 
 // untilRestored returns a context that also ends when the store is known to have
@@ -510,11 +432,7 @@
 		f.synced = false
 		return
 	case err != nil:
-		retry := retryDelay
-		if f.cfg.DelayTolerant {
-			retry = tolerantRetryDelay
-		}
-		rcwait.Sleep(ctx, retry)
+		f.pauseAfterFailure(ctx, isRelay)
 		return
 	}
 	f.applyRows(resp, p)
