Divide account limits before other instances are known; use other zones again

Change: until the others are known, an instance uses an equal part of a limit, by the number of rows that it reads together with the shared key. Zones are avoided only while an upstream of the instance's own zone is within reach.

--- a/internal/limits/rclimit/classes_test.go
+++ b/internal/limits/rclimit/classes_test.go
@@ -31,6 +31,7 @@
 	l := NewFleetLimiter(FleetConfig{Instance: "i", Zone: "z", Random: random.Float64})
 	key, now := KeyOfAccount("a", true), time.Unix(1000, 0)
 	const rate = 100_000
+	l.SetInstances(nil)
 	l.SetLimits(map[AccountKey]FleetRate{key: {rate, rate}}, now)
 	asked, admitted := map[bool]float64{}, map[bool]float64{}
 	for range 20 * 100 { // 20 s of 50,000 tokens/s of urgent and 350,000 of other requests.
@@ -62,3 +63,23 @@
 	l.Revise(now)
 	require.NotPanics(t, func() { l.Admit(key, 1, true, now) })
 }
+
+// TestRestartedInstancesDoNotKnowEachOther guards against instances that restart at the same
+// time and each admit as much as the whole fleet until they have read who the others are.
+func TestRestartedInstancesDoNotKnowEachOther(t *testing.T) {
+	const instances, rate = 88, 260_000
+	key, start := KeyOfAccount("a", true), time.Unix(1000, 0)
+	used := 0.0
+	for i := range instances {
+		l := NewFleetLimiter(FleetConfig{Instance: "i", Zone: "z", Random: rand.New(rand.NewPCG(1, uint64(i))).Float64})
+		l.AssumeInstances(instances)
+		l.SetLimits(map[AccountKey]FleetRate{key: {rate, rate}}, start)
+		for now := start; now.Before(start.Add(time.Second)); now = now.Add(50 * time.Millisecond) {
+			if l.Admit(key, 870, true, now).Admitted {
+				used += 870
+			}
+		}
+	}
+	require.Less(t, used, 1.2*rate, "of a second")
+	require.Greater(t, used, 0.5*rate, "what they may use")
+}
--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -289,6 +289,13 @@
 	}
 	a.sharesAt = now
 	a.coverZones(l)
+	if !l.known {
+		a.reachNow = 1 / float64(max(1, l.assumed))
+		for s := max(a.cur-ringSlots+1, l.started); s <= a.cur; s++ {
+			a.reach[s%ringSlots] = a.reachNow
+		}
+		return
+	}
 	l.updateSilenceLocked(now)
 	silent := 0.0
 	seconds := demandSlots * l.slot.Seconds()
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -48,6 +48,10 @@
 	// windowMargin is the fraction of the bound on a window that is kept for what instances
 	// admitted after their last report, before they fell silent.
 	windowMargin = 0.05
+	// assumedInstances is the number of instances by which limits are divided until the others
+	// are known: that of the largest fleet. If all instances restart at once, each would
+	// otherwise admit as much as the whole fleet.
+	assumedInstances = 370
 	// ampleFraction is the fraction of the burst above which all requests are admitted.
 	ampleFraction = 0.5
 	// reportDelay is how long it takes until instances have heard what another one admitted.
@@ -109,7 +113,9 @@
 	accounts        map[AccountKey]*fleetAccount
 	zones           []*fleetZone // The first one is this instance's.
 	peers           map[radishcrank.InstanceID]*fleetPeer
-	total           int // Registered instances.
+	total           int  // Registered instances.
+	known           bool // They are known.
+	assumed         int  // Number of instances by which limits are divided before.
 	revision        uint64
 	reports         uint64                       // Reports made.
 	dirty           map[AccountKey]*fleetAccount // Accounts with changes that have no revision yet.
@@ -166,7 +172,7 @@
 		cfg.Bounds.Window = defaultWindow
 	}
 	l := &FleetLimiter{
-		cfg: cfg, slot: cfg.Bounds.Window / windowSlots, total: 1,
+		cfg: cfg, assumed: assumedInstances, slot: cfg.Bounds.Window / windowSlots, total: 1,
 		accounts: map[AccountKey]*fleetAccount{}, peers: map[radishcrank.InstanceID]*fleetPeer{}, dirty: map[AccountKey]*fleetAccount{},
 	}
 	l.zoneLocked(cfg.Zone)
@@ -184,6 +190,14 @@
 	return len(l.zones) - 1
 }
 
+// AssumeInstances sets the number of instances by which limits are divided until
+// SetInstances is called; the default is assumedInstances.
+func (l *FleetLimiter) AssumeInstances(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.assumed = n
+}
+
 // SetInstances sets the other registered instances.
 func (l *FleetLimiter) SetInstances(others []FleetInstance) {
 	l.mu.Lock()
@@ -194,7 +208,7 @@
 	for _, o := range others {
 		l.zones[l.zoneLocked(o.Zone)].registered++
 	}
-	l.total = len(others) + 1
+	l.total, l.known = len(others)+1, true
 }
 
 // SetLimits sets the limits of all accounts. They hold from now on: a raised limit does not
@@ -277,6 +291,9 @@
 // account has left.
 func (l *FleetLimiter) fractionLocked(a *fleetAccount, cost float64, now time.Time) (p float64, left remainder) {
 	limit := a.limit
+	if !l.known {
+		return l.unknownFraction(a, cost, now), remainder{}
+	}
 	balance, room := a.replay(l, now)
 	room -= a.unreported
 	available := balance - a.unreported
@@ -299,6 +316,18 @@
 	return p, remainder{available, room}
 }
 
+// unknownFraction returns the fraction of requests that is admitted while the other instances
+// are not known: what an equal part of the limit allows since the start. A request that
+// costs more than that is admitted in proportion, so that the sum over instances is right.
+func (l *FleetLimiter) unknownFraction(a *fleetAccount, cost float64, now time.Time) float64 {
+	used := 0.0
+	for _, n := range a.own.used {
+		used += n
+	}
+	since := now.Sub(time.Unix(0, l.started*int64(l.slot)))
+	return (a.limit.Rate*a.reachNow*max(0, since.Seconds()) - used) / max(cost, 1e-9)
+}
+
 // windowFraction returns the fraction of requests that what is left in the window allows.
 // All instances heard of decide by the same, until they hear what the others admitted.
 func (l *FleetLimiter) windowFraction(a *fleetAccount, cost, demand, room float64) float64 {
--- a/internal/node/rcinstance/accountusage.go
+++ b/internal/node/rcinstance/accountusage.go
@@ -90,7 +90,9 @@
 		others = append(others, rclimit.FleetInstance{ID: radishcrank.InstanceID(m.Name), Zone: radishcrank.AvailabilityZone(m.Zone)})
 	}
 	limiter := p.instance.accountLimiter
-	limiter.SetInstances(others)
+	if p.membersRead {
+		limiter.SetInstances(others)
+	}
 	limiter.Revise(p.instance.accountTime())
 	with := map[usageUpdate]*peerUpdate{}
 	out := make(map[*peer]*peerUpdate, len(updates))
--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -65,7 +65,9 @@
 	self     member
 	onPut    func(m member)
 	onRemove func(name string)
-	onReset  func()                   // Called when the whole table has been read.
+	onReset  func() // Called when the whole table has been read.
+	// onStart is called with the number of rows before this instance registered.
+	onStart  func(instances int)
 	onFollow func(f *rcfeed.Follower) // May be nil.
 	relays   relayRole                // Zero if each instance reads the table itself.
 	eras     *rcera.Tracker
@@ -94,10 +96,16 @@
 // sharedSecret returns the key with which instances authenticate each other. The first
 // instance that asks for it creates it, or writes the one that it knows already.
 func (m *memberRegistry) sharedSecret(ctx context.Context, known []byte) (key []byte, err error) {
-	for delayed := known != nil; ; {
-		rows, err := m.table.Get(ctx, sharedKey)
-		if err == nil && rows[0].Version > 0 {
-			return rows[0].Value, nil
+	for delayed, counted := known != nil, known != nil; ; {
+		var value []byte
+		var err error
+		if counted {
+			value, err = m.readSharedKey(ctx)
+		} else if value, err = m.readAtStart(ctx); err == nil {
+			counted = true
+		}
+		if err == nil && value != nil {
+			return value, nil
 		}
 		if err == nil && !delayed {
 			// Wait, so that few instances of a fleet that starts at once try to create
@@ -129,6 +137,38 @@
 	}
 }
 
+// readSharedKey returns the key, or nil if there is none.
+func (m *memberRegistry) readSharedKey(ctx context.Context) ([]byte, error) {
+	rows, err := m.table.Get(ctx, sharedKey)
+	if err != nil || rows[0].Version == 0 {
+		return nil, err
+	}
+	return rows[0].Value, nil
+}
+
+// readAtStart does the same with a read of the whole table, which also tells how many
+// instances are registered: if all restart at once, it takes them a second to learn of each
+// other.
+func (m *memberRegistry) readAtStart(ctx context.Context) (key []byte, err error) {
+	resp, err := m.source.Read(ctx, membersTable)
+	if err != nil {
+		return nil, err
+	}
+	instances := 0
+	for _, row := range resp.Rows {
+		switch {
+		case row.Key == sharedKey:
+			key = row.Value
+		case strings.HasPrefix(row.Key, memberPrefix):
+			instances++
+		}
+	}
+	if instances > 0 && m.onStart != nil {
+		m.onStart(instances)
+	}
+	return key, nil
+}
+
 // register writes this instance's row, so that the others find it.
 func (m *memberRegistry) register(ctx context.Context) error {
 	value, err := json.Marshal(m.self)
--- a/internal/node/rcinstance/members_test.go
+++ b/internal/node/rcinstance/members_test.go
@@ -36,7 +36,8 @@
 	var wg sync.WaitGroup
 	for n := range instances {
 		wg.Go(func() {
-			m := &memberRegistry{table: &platform.Table{Store: store, Name: membersTable}, log: zerolog.Nop()}
+			table := &platform.Table{Store: store, Name: membersTable}
+			m := &memberRegistry{table: table, source: table, log: zerolog.Nop()}
 			key, err := m.sharedSecret(t.Context(), nil)
 			assert.NoError(t, err)
 			keys[n] = string(key)
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -429,6 +429,11 @@
 			defer p.mu.Unlock()
 			delete(p.members, name)
 		},
+		onStart: func(instances int) {
+			if i.accountLimiter != nil {
+				i.accountLimiter.AssumeInstances(instances)
+			}
+		},
 		onReset: func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/serving/rcforward/accountlimit_test.go
+++ b/internal/serving/rcforward/accountlimit_test.go
@@ -27,6 +27,7 @@
 		Table: func() *rcroute.Table { return table },
 		Now:   time.Now,
 	}
+	f.cfg.Accounts.Limiter.SetInstances(nil)
 	f.cfg.Accounts.Limiter.SetLimits(map[rclimit.AccountKey]rclimit.FleetRate{rclimit.KeyOfAccount("a", false): {Rate: 1, Burst: 1}}, time.Now())
 	time.Sleep(10 * time.Second)
 }
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -357,11 +357,23 @@
 	for i := range buf {
 		_, buf[i].Throttled = throttled(buf[i].Upstream)
 		buf[i].Full = buf[i].Brittle > 0 && buf[i].Running >= f.slotShare(&buf[i])
-		buf[i].Suspect = buf[i].Suspect || f.cfg.Zones.Cut(buf[i].Zone)
 	}
+	f.avoidCutZones(buf)
 	return buf
 }
 
+// avoidCutZones marks the upstreams of zones that are out of reach as suspect. If no other one
+// is within reach, this instance itself may be cut off, which Links decides.
+func (f *Forwarder) avoidCutZones(states []rcfleet.State) {
+	reachable := slices.ContainsFunc(states, func(s rcfleet.State) bool {
+		return s.Zone == f.cfg.Zone && !s.Leaving && !s.Suspect && !s.Probing
+	})
+	for i := range states {
+		s := &states[i]
+		s.Suspect = s.Suspect || reachable && s.Zone != f.cfg.Zone && f.cfg.Zones.Cut(s.Zone)
+	}
+}
+
 const (
 	// busyPollInterval and fullPollInterval are how often a waiting exchange looks whether
 	// an upstream has become usable that is excluded, or full.
