--- a/internal/cli/rccli/explain.go
+++ b/internal/cli/rccli/explain.go
@@ -19,7 +19,7 @@
 	Platform  []string      `help:"URL of the listener for operators (Listen.Control) of an instance on the users' platform. With several, separated by commas, the differences are printed."`
 	Route     string        `help:"Route, on the users' platform."`
 	Service   string        `help:"Service of the route, on the users' platform. Default is the first."`
-	Parts     string        `help:"Parts of the prompt as ID:TOKENS, separated by commas, as in Radishcrank-Prefix-Hash; on the users' platform."`
+	Parts     string        `help:"Parts of the prompt as ID:TOKENS, separated by commas, in the order of the prompt; on the users' platform."`
 	Remaining time.Duration `help:"Time until the caller's deadline, on the users' platform."`
 	Priority  *int          `help:"Priority, on the users' platform; 0 is the most urgent. Default is that of the account or route."`
 }
