Renew the lease with jitter again

Change: the holder waits with jitter as before. TestUsageIsCountedOnce sets that the others are known, which limits now ask for.

--- a/internal/node/rcinstance/accountusage_test.go
+++ b/internal/node/rcinstance/accountusage_test.go
@@ -60,6 +60,7 @@
 			key := rclimit.KeyOfAccount("a", true)
 			all := newPeerGroups(n, 3)
 			for _, p := range all {
+				p.membersRead = true
 				p.instance.startedAt = time.Now()
 				p.instance.settings.QuotaWindow = 8 * time.Second
 				p.instance.accountLimiter = newAccountLimiter(p.instance)
--- a/internal/record/rclease/lease.go
+++ b/internal/record/rclease/lease.go
@@ -312,7 +312,7 @@
 		_ = l.cfg.Lead(termCtx, term)
 	}()
 	lost := false
-	for !lost && l.sleepFor(termCtx, l.cfg.Duration/renewalsPerDuration) { // Without jitter: there is only one holder.
+	for !lost && l.sleep(termCtx) {
 		version, lost = l.renew(termCtx, term, version)
 		expiry.Reset(max(0, term.remaining()))
 	}
