Load new weights on a fifth of the engines at a time

Cause: a sixth of the engines loaded at a time, while the storage of weights carries a fifth of them without slowing the loads, so that requests began on replaced weights for longer than needed. Change: the number of concurrent loads is the larger one of a fifth, rounded down, and a sixth, rounded up: services with few engines keep theirs. The time between announcement and order counts from the announcement.

--- a/internal/record/rcrollout/controller.go
+++ b/internal/record/rcrollout/controller.go
@@ -150,9 +150,10 @@
 				// Mark the engine before the goroutine starts, so that the next plan counts it.
 				c.announce(e, EngineUpdate{Model: desired.Model, LoadingFor: quiescePeriod + expectedLoadTime})
 				c.setPending(e.ID, true)
+				announcedAt := time.Now()
 				wg.Go(func() {
 					defer c.setPending(e.ID, false)
-					c.loadWeights(ctx, term, fence, desired, e)
+					c.loadWeights(ctx, term, fence, desired, e, announcedAt)
 				})
 			}
 		}
@@ -227,10 +228,10 @@
 }
 
 // loadWeights orders one engine to load the newest weights and waits for the result.
-func (c *Controller) loadWeights(ctx context.Context, term Term, fence uint64, desired rcweights.History, e rcfleet.State) {
+func (c *Controller) loadWeights(ctx context.Context, term Term, fence uint64, desired rcweights.History, e rcfleet.State, announcedAt time.Time) {
 	started := time.Now()
 	replacedAt, _ := desired.ReplacedAt(e.Weights[desired.Model])
-	report, err := c.sendOrder(ctx, term, fence, desired, e)
+	report, err := c.sendOrder(ctx, term, fence, desired, e, announcedAt)
 	if err == nil {
 		report, err = c.awaitWeights(ctx, desired, e)
 	}
@@ -250,8 +251,7 @@
 // sendOrder sends a load order, unless the engine is busy or up to date. The order
 // expects the sequence number that was just read, so that an order that arrives seconds
 // late cannot override a later one.
-func (c *Controller) sendOrder(ctx context.Context, term Term, fence uint64, desired rcweights.History, e rcfleet.State) (report Report, err error) {
-	reportRequested := time.Now()
+func (c *Controller) sendOrder(ctx context.Context, term Term, fence uint64, desired rcweights.History, e rcfleet.State, announcedAt time.Time) (report Report, err error) {
 	report, err = c.cfg.Engines.Report(ctx, e.Upstream)
 	if err != nil {
 		return report, err
@@ -259,7 +259,7 @@
 	if !report.Weights[desired.Model].Less(desired.Newest()) || report.Busy {
 		return report, nil
 	}
-	rcwait.Sleep(ctx, quiescePeriod-time.Since(reportRequested))
+	rcwait.Sleep(ctx, quiescePeriod-time.Since(announcedAt))
 	if !term.Valid() {
 		return report, errors.New("lease expired before the load order was sent")
 	}
--- a/internal/record/rcrollout/plan.go
+++ b/internal/record/rcrollout/plan.go
@@ -12,11 +12,19 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 )
 
-// enginesPerConcurrentLoad is the number of a service's engines per concurrent load; the
-// quotient is rounded up. With more concurrent loads each takes longer, so that none
-// finishes sooner. The capacity of the storage that weights are read from does not
-// shrink when engines are lost.
-const enginesPerConcurrentLoad = 6
+const (
+	// enginesPerLoad is the number of a service's engines per concurrent load that does not
+	// slow the others down.
+	enginesPerLoad = 5
+	// enginesPerSmallLoad is the same for services with few engines: the capacity of the
+	// storage that weights are read from does not shrink when engines are lost.
+	enginesPerSmallLoad = 6
+)
+
+// concurrentLoads returns how many of a service's engines may load at the same time.
+func concurrentLoads(engines int) int {
+	return max(engines/enginesPerLoad, (engines+enginesPerSmallLoad-1)/enginesPerSmallLoad)
+}
 
 // Plan returns the engines that should start to load now, in order. It is meant for
 // weights that change every few seconds while all engines serve traffic: the engines
@@ -47,7 +55,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	slots := (total+enginesPerConcurrentLoad-1)/enginesPerConcurrentLoad - loading
+	slots := concurrentLoads(total) - loading
 	if total > 1 {
 		slots = min(slots, total-1-loading) // At least one engine stays in service.
 	}
