Take streams up after all instances have restarted

Cause: clients of some deployments do not name the attempt that began a stream that they take up. Change: one instance records in the store which software versions each service runs and since when. An instance that does not know itself goes by the record, if the list of upstreams, read at that time, names no other version.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -37,6 +37,7 @@
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 	"github.com/radishcrank/radishcrank/internal/state/rckvstore"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
+	"github.com/radishcrank/radishcrank/internal/state/rcsoftware"
 	"github.com/radishcrank/radishcrank/internal/state/rcweights"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcconn"
 	"github.com/radishcrank/radishcrank/platform"
@@ -44,8 +45,9 @@
 
 // Tables of the store that the instances share, besides membersTable.
 const (
-	leaseTable   = "radishcrank-lease"
-	weightsTable = "radishcrank-weights" // When which weights were requested.
+	leaseTable    = "radishcrank-lease"
+	weightsTable  = "radishcrank-weights"  // When which weights were requested.
+	softwareTable = "radishcrank-software" // Which software versions upstreams run.
 	// verdictsTable holds the request contents that crash upstreams.
 	verdictsTable = "radishcrank-verdicts"
 )
@@ -100,6 +102,7 @@
 	storeClock    rcclock.Clock
 	storeEras     rcera.Tracker
 	weights       *rcweights.Tracker
+	software      *rcsoftware.Recorder
 	kvWatcher     *rckvstore.Watcher
 	quota         *rcquota.Quota
 	links         *rcdetour.Links // To upstreams.
@@ -149,6 +152,8 @@
 		return i.directory.newerEntries(ctx)
 	}
 	i.peers.origins.incarnation = i.engineClient().Incarnation
+	i.software = i.newSoftwareRecorder()
+	i.peers.origins.recordedAsOnly = i.software.OnlyVersion
 	i.blame = rcblame.New(rcblame.Config{
 		Instance: radishcrank.InstanceID(s.Instance), Instances: i.peers.fleetSize, Upstreams: i.fleet.Available, Announce: i.peers.announceBlame,
 		Convict: i.poisonTracker.Convict, Convicted: i.poisonTracker.ConvictedParts, Log: i.log,
@@ -194,6 +199,7 @@
 	add(i.poisonTracker.Run)
 	add(i.blame.Run)
 	add(i.weights.Run)
+	add(i.software.Run)
 	add(i.followRestores)
 	add(i.kvWatcher.Run)
 	add(i.runController)
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -58,6 +58,13 @@
 	return p.relayForLocked(p.instance.settings.Zone) == nil && p.storeReaderLocked() == nil
 }
 
+// isStoreReader reports the same; in a fleet without relays, the first instance is the one.
+func (p *peerGroup) isStoreReader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.membersRead && p.isStoreReaderLocked()
+}
+
 // storeReaderLocked returns the first relay of another zone that comes before this instance,
 // or nil if there is none.
 func (p *peerGroup) storeReaderLocked() (reader *peer) {
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -42,6 +42,9 @@
 	peers    *peerGroup
 	// newerEntries returns what the store lists of upstreams that fleet does not know yet.
 	newerEntries func(ctx context.Context) (entries []rcfleet.Entry, gone []radishcrank.UpstreamID, err error)
+	// recordedAsOnly reports whether a service has had one software version for some time, by
+	// the record in the store. An instance that started lately does not know itself.
+	recordedAsOnly func(ctx context.Context, service string, version radishcrank.SoftwareVersion, within time.Duration) bool
 	// incarnation asks an upstream which incarnation it is.
 	incarnation func(ctx context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error)
 }
@@ -63,6 +66,9 @@
 	if o, known = s.get(ctx, q); !known {
 		o, known = s.findElsewhere(ctx, q)
 	}
+	if !known {
+		o, known = s.getRecorded(ctx, q)
+	}
 	if known && o.Listed() {
 		known = s.Verify(ctx, o)
 		o.Upstream, o.Incarnation = "", 0
@@ -112,6 +118,19 @@
 	return rcorigin.Origin{Service: q.Service, Software: versions[0]}, true
 }
 
+// getRecorded answers a query from the record in the store, which also says what was listed
+// before all instances restarted.
+func (s *streamOrigins) getRecorded(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	versions, _ := s.fleet.SoftwareVersions(q.Service, q.Within)
+	if q.Service == "" || len(versions) != 1 || versions[0] == "" || s.recordedAsOnly == nil {
+		return o, false
+	}
+	if !s.recordedAsOnly(ctx, q.Service, versions[0], q.Within) || !s.isOnlyVersion(ctx, q.Service, versions[0]) {
+		return o, false
+	}
+	return rcorigin.Origin{Service: q.Service, Software: versions[0]}, true
+}
+
 // isOnlyVersion reports whether the newest list names no other software version of a service.
 // The stream may have begun, at another instance, on an upstream that this one has not heard
 // of.
--- a/internal/node/rcinstance/streams_test.go
+++ b/internal/node/rcinstance/streams_test.go
@@ -89,6 +89,38 @@
 	}
 }
 
+// TestRestartedInstanceTrustsRecord guards against streams that no instance takes up because
+// all have restarted, and against one that goes on by a record that the list contradicts.
+func TestRestartedInstanceTrustsRecord(t *testing.T) {
+	entry := func(version radishcrank.SoftwareVersion) rcfleet.Entry {
+		return rcfleet.Entry{Upstream: radishcrank.Upstream{ID: "u/" + radishcrank.UpstreamID(version), Service: "s", Software: version, Incarnation: 1}}
+	}
+	for name, c := range map[string]struct {
+		listed, newer []rcfleet.Entry
+		recorded      bool
+		err           error
+		want          bool
+	}{
+		"recorded":                {listed: []rcfleet.Entry{entry("a")}, recorded: true, want: true},
+		"not recorded":            {listed: []rcfleet.Entry{entry("a")}},
+		"two versions are listed": {listed: []rcfleet.Entry{entry("a"), entry("b")}, recorded: true},
+		"another one has started": {listed: []rcfleet.Entry{entry("a")}, newer: []rcfleet.Entry{entry("b")}, recorded: true},
+		"the list is out of date": {listed: []rcfleet.Entry{entry("a")}, err: errors.New("silent"), recorded: true},
+		"nothing is listed":       {recorded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeerGroups(1, 1)[0]
+			p.origins.newerEntries = func(context.Context) ([]rcfleet.Entry, []radishcrank.UpstreamID, error) { return c.newer, nil, c.err }
+			p.origins.recordedAsOnly = func(_ context.Context, _ string, v radishcrank.SoftwareVersion, _ time.Duration) bool {
+				return c.recorded && v == "a"
+			}
+			p.instance.fleet.Replace(c.listed)
+			_, known := p.origins.Find(t.Context(), rcorigin.Query{Service: "s", Within: 15 * time.Second})
+			require.Equal(t, c.want, known)
+		})
+	}
+}
+
 // TestListedOriginIsTrusted guards against a stream that began at an upstream which had
 // restarted with other software under its ID, and goes on at the version that was listed.
 func TestListedOriginIsTrusted(t *testing.T) {
