Keep late work in load reports without speeds

Cause: three of four load reports leave out speeds and memory, and with them they lost which part of the load is late, so that streams in time avoided engines whose backlog was late. Change: reports without speeds keep the late part, also when those of an earlier report are merged. Measured: TestReportWithoutCapacitiesKeepsLateWork fails before (Late was empty).

--- a/internal/state/rcfleet/report_test.go
+++ b/internal/state/rcfleet/report_test.go
@@ -108,3 +108,13 @@
 	e.End(Succeeded)
 	require.Equal(t, [2]int{1, 100}, ahead(false))
 }
+
+// TestReportWithoutCapacitiesKeepsLateWork guards against late work that counts as work in time
+// in the reports between those with speeds and memory, and after these are merged again.
+func TestReportWithoutCapacitiesKeepsLateWork(t *testing.T) {
+	late := Late{Running: 2, Prefilling: 1600}
+	full := LoadReport{7: {Running: 3, Prefilling: 2400, Late: late, Held: 640, Speed: SpeedSamples{Count: 1, Sum: 60}}}
+	counts := full.WithoutCapacities()
+	require.Equal(t, LoadReport{7: {Running: 3, Prefilling: 2400, Late: late}}, counts)
+	require.Equal(t, full, counts.WithCapacitiesOf(full))
+}
--- a/internal/state/rcfleet/speed.go
+++ b/internal/state/rcfleet/speed.go
@@ -180,7 +180,7 @@
 	counts := make(LoadReport, len(r))
 	for key, l := range r {
 		if l.Running > 0 || l.Prefilling > 0 {
-			counts[key] = Load{Running: l.Running, Prefilling: l.Prefilling}
+			counts[key] = Load{Running: l.Running, Prefilling: l.Prefilling, Late: l.Late}
 		}
 	}
 	return counts
@@ -192,7 +192,9 @@
 	maps.Copy(merged, r)
 	for key, l := range old {
 		if l.hasCapacity() {
-			merged[key] = Load{Running: r[key].Running, Prefilling: r[key].Prefilling, Held: l.Held, Speed: l.Speed}
+			count := r[key]
+			count.Held, count.Speed = l.Held, l.Speed
+			merged[key] = count
 		}
 	}
 	return merged
