Reject large prompts no more often because of their size

The decision whether a stream is late counted the time to read its own prompt, up to half of the latency target, and late streams are rejected at a shorter wait.

Start no longer has the time of the own prompt.

TestLateByWaitOnly set the removed field, so that it could not stay: it now checks the bound at the millisecond, with and without PaysFirst. That size plays no part is what TestLargePromptYieldsAsSmallOne checks, in serving code.

go test -race ./internal/limits/rcadmission ./internal/serving/rcforward passes.

--- a/internal/limits/rcadmission/defer_test.go
+++ b/internal/limits/rcadmission/defer_test.go
@@ -16,15 +16,21 @@
 	require.Empty(t, LatePriorities(nil))
 }
 
-// TestLateByWaitOnly guards against long prompts that idle engines defer because they take
-// longer to read than their latency target.
+// TestLateByWaitOnly guards against a bound on the wait that is not the latency target.
 func TestLateByWaitOnly(t *testing.T) {
-	s := Start{OwnPrefill: 2 * time.Second, LatencyTarget: 800 * time.Millisecond}
+	s := Start{LatencyTarget: 800 * time.Millisecond}
 	require.False(t, s.Late())
-	s.ExpectedWait = 300 * time.Millisecond
+	s.ExpectedWait = 700 * time.Millisecond
+	require.False(t, s.Late())
+	s.Elapsed = 100 * time.Millisecond
 	require.False(t, s.Late())
 	s.Elapsed = 101 * time.Millisecond
 	require.True(t, s.Late())
+	s.PaysFirst, s.Elapsed, s.ExpectedWait = true, 0, 401*time.Millisecond
+	require.True(t, s.Late())
+	s.ExpectedWait = 400 * time.Millisecond
+	require.False(t, s.Late())
+	s.Elapsed = 900 * time.Millisecond
 	s.LatencyTarget = 0
 	require.False(t, s.Late(), "no target")
 }
--- a/internal/limits/rcadmission/replay_test.go
+++ b/internal/limits/rcadmission/replay_test.go
@@ -5,12 +5,9 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"sort"
-	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/routing/rcaffinity"
@@ -74,6 +71,8 @@
 	zoneGone  bool    // A third of the engines and instances are gone in the burst.
 	hotKey    bool    // A quarter of the prompts share one part in the burst.
 	impatient bool    // A third of the callers retry at once, up to three times.
+	seed      uint64  // Of the arrivals.
+	longTail  bool    // Sizes have a long tail; otherwise they are 0.5 to 1.5 times the usual.
 }
 
 type replayCall struct {
@@ -81,8 +80,9 @@
 	instance int
 	account  int
 	tokens   int
-	uncached int // Prompt tokens to read, as instances count them.
-	work     int // The same with what a copy takes.
+	rank     float64 // Of the size in its route, from 0 to 1.
+	uncached int     // Prompt tokens to read, as instances count them.
+	work     int     // The same with what a copy takes.
 	key      string
 	sentAt   time.Duration // First.
 	receipt  time.Duration // Of the current attempt of the caller.
@@ -96,74 +96,6 @@
 	gone     bool
 }
 
-type tally struct{ sent, inTime, late, refused, gone int }
-
-type replayResult struct {
-	classes  map[string]tally
-	deferred int
-}
-
-func (r replayResult) add(c *replayCall, f func(*tally)) {
-	size := "usual size"
-	switch ratio := float64(c.tokens) / float64(c.route.tokens); {
-	case ratio > 1.4:
-		size = "largest tenth"
-	case ratio > 1.2:
-		size = "fifth below it"
-	}
-	for _, name := range []string{"all", c.route.name, fmt.Sprintf("account %d", c.account), size, fmt.Sprintf("zone %d", c.instance%3)} {
-		t := r.classes[name]
-		f(&t)
-		r.classes[name] = t
-	}
-}
-
-func (r replayResult) inTime() int   { return r.classes["all"].inTime }
-func (r replayResult) answered() int { return r.classes["all"].inTime + r.classes["all"].late }
-func (r replayResult) String() string {
-	return fmt.Sprintf("%+v deferred %d", r.classes["all"], r.deferred)
-}
-
-// requireFair checks that no class, account, prompt size or zone is served less than half as
-// often as all together.
-func (r replayResult) requireFair(t *testing.T) {
-	t.Helper()
-	share := func(c tally) float64 { return float64(c.inTime+c.late) / float64(max(1, c.sent)) }
-	all := share(r.classes["all"])
-	for name, c := range r.classes {
-		require.GreaterOrEqual(t, share(c), all/2, "%s: %+v of %+v", name, c, r.classes["all"])
-	}
-}
-
-type replayEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type replayQueue []replayEvent
-
-func (q replayQueue) Len() int { return len(q) }
-func (q replayQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q replayQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *replayQueue) Push(x any)   { *q = append(*q, x.(replayEvent)) }
-func (q *replayQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-type replayEngine struct {
-	running int
-	used    int // Tokens of the admitted calls.
-	waiting []*replayCall
-	reading []*replayCall // Admitted, in order.
-	busy    bool
-}
-
 type replay struct {
 	load      replayLoad
 	policy    policy
@@ -187,8 +119,8 @@
 func (l replayLoad) run(p policy) replayResult {
 	r := &replay{
 		owners: map[string]rcfleet.UpstreamKey{},
-		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2)), decisions: rand.New(rand.NewPCG(3, 4)), returns: make([]Returns, l.instances), mixes: make([]Mix, l.instances), accounts: make([]Accounts, l.instances),
-		own: make([][replayEngines]rcfleet.Load, l.instances), result: replayResult{classes: map[string]tally{}},
+		load:   l, policy: p, rnd: rand.New(rand.NewPCG(1, 2+l.seed)), decisions: rand.New(rand.NewPCG(3, 4)), returns: make([]Returns, l.instances), mixes: make([]Mix, l.instances), accounts: make([]Accounts, l.instances),
+		own: make([][replayEngines]rcfleet.Load, l.instances), result: newReplayResult(),
 	}
 	for i := range replayEngines {
 		id := radishcrank.UpstreamID(fmt.Sprint("e", i))
@@ -235,9 +167,13 @@
 		return
 	}
 	r.at(next, func() {
-		size := 0.5 + r.rnd.Float64()*1 // 0.5 to 1.5 of the route's usual size.
+		rank := r.rnd.Float64()
+		size := 0.5 + rank // 0.5 to 1.5 of the route's usual size.
+		if r.load.longTail {
+			size = longTail(rank)
+		}
 		c := &replayCall{
-			seq: r.seq, route: route, instance: r.rnd.IntN(r.load.instances), account: r.account(),
+			seq: r.seq, route: route, rank: rank, instance: r.rnd.IntN(r.load.instances), account: r.account(),
 			tokens: int(size * float64(route.tokens)), key: fmt.Sprint(route.name, r.rnd.IntN(40)), sentAt: r.now, receipt: r.now,
 		}
 		r.disturb(c)
@@ -341,7 +277,7 @@
 	c.priority, c.deferred = c.route.priority, false
 	content := xxhash.Sum64String(fmt.Sprint(c.sentAt, c.tokens))
 	paysFirst := r.policy.payFirst && (c.excess || r.returns[c.instance].Early(content, now))
-	start := Start{PaysFirst: paysFirst, Elapsed: r.now - c.receipt, ExpectedWait: choice.StartWait, OwnPrefill: choice.Prefill, LatencyTarget: c.route.target}
+	start := Start{PaysFirst: paysFirst, Elapsed: r.now - c.receipt, ExpectedWait: choice.StartWait, LatencyTarget: c.route.target}
 	ahead := 1.0
 	if r.policy.byPriority {
 		ahead = r.mixes[c.instance].Ahead(c.route.priority, now)
@@ -415,86 +351,3 @@
 	c.returns++
 	r.at(r.now+after, func() { c.receipt = r.now; r.receive(c) })
 }
-
-func (r *replay) change(c *replayCall, running, prefilling int) {
-	l := &r.own[c.instance][c.engine]
-	l.Running += running
-	l.Prefilling += prefilling
-	if c.deferred && prefilling != 0 {
-		l.Late.Running += max(-1, min(1, prefilling))
-		l.Late.Prefilling += prefilling
-	}
-}
-
-func (r *replay) send(c *replayCall) {
-	r.change(c, 1, c.uncached)
-	e := &r.engines[c.engine]
-	e.waiting = append(e.waiting, c)
-	r.at(min(c.receipt+c.route.abandon, c.sentAt+c.route.total), func() { r.leave(c) })
-	r.step(e)
-}
-
-// leave ends a call whose answer has not begun when its caller gives up.
-func (r *replay) leave(c *replayCall) {
-	if c.begun {
-		return
-	}
-	c.gone = true
-	r.change(c, -1, -c.uncached)
-	r.result.add(c, func(t *tally) { t.gone++ })
-}
-
-// step lets an engine admit calls and read the next prompt.
-func (r *replay) step(e *replayEngine) {
-	sort.SliceStable(e.waiting, func(i, j int) bool { return e.waiting[i].priority < e.waiting[j].priority })
-	for len(e.waiting) > 0 && (e.waiting[0].gone || e.used+e.waiting[0].tokens <= replayTokens && e.running < replaySlots) {
-		c := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		if !c.gone {
-			e.used += c.tokens
-			e.running++
-			e.reading = append(e.reading, c)
-		}
-	}
-	for !e.busy && len(e.reading) > 0 {
-		c := e.reading[0]
-		e.reading = e.reading[1:]
-		if c.gone {
-			e.end(c)
-			continue
-		}
-		e.busy = true
-		r.at(r.now+time.Duration(c.work)*time.Millisecond/replayRate, func() {
-			e.busy = false
-			r.begin(c, e)
-			r.step(e)
-		})
-	}
-}
-
-// end frees what a call that was admitted took up.
-func (e *replayEngine) end(c *replayCall) {
-	e.used -= c.tokens
-	e.running--
-}
-
-// begin delivers the first event of a call whose prompt has been read.
-func (r *replay) begin(c *replayCall, e *replayEngine) {
-	if c.gone {
-		e.end(c)
-		return
-	}
-	c.begun = true
-	r.returns[c.instance].RecordBegin(replayBegin.Add(r.now))
-	r.change(c, 0, -c.uncached)
-	if r.now-c.receipt <= c.route.target && c.returns == 0 {
-		r.result.add(c, func(t *tally) { t.inTime++ })
-	} else {
-		r.result.add(c, func(t *tally) { t.late++ })
-	}
-	r.at(r.now+time.Duration(c.route.output)*40*time.Millisecond, func() {
-		e.end(c)
-		r.change(c, -1, 0)
-		r.step(e)
-	})
-}
--- a/internal/serving/rcforward/defer_test.go
+++ b/internal/serving/rcforward/defer_test.go
@@ -76,6 +76,26 @@
 	})
 }
 
+// TestLargePromptYieldsAsSmallOne guards against a prompt that yields, and is then rejected at
+// a shorter wait, because it is larger than others behind the same backlog.
+func TestLargePromptYieldsAsSmallOne(t *testing.T) {
+	for backlog, priority := range map[time.Duration]int{300 * time.Millisecond: 1, 590 * time.Millisecond: 1, 610 * time.Millisecond: 4} {
+		for _, tokens := range []int{830, 9200, 25000} {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedSender{steps: []step{{reply: okReply(), body: strings.NewReader("id: 1\n\n")}}}
+				f := newEngineForwarder(s, "u")
+				f.cfg.Fleet.Begin("u", 40*int(backlog.Milliseconds()))
+				x := yielding()
+				x.PromptParts = []radishcrank.PromptPart{{ID: "shared", Tokens: 0}, {ID: "own", Tokens: tokens}}
+				x.ID, x.Service, x.ReceivedAt, x.Deadline = "r", "s", time.Now(), time.Now().Add(4*time.Second)
+				require.NoError(t, f.Serve(t.Context(), httptest.NewRecorder(), &x))
+				require.Len(t, s.sent, 1)
+				require.Equal(t, priority, s.sent[0].o.Priority, "%v, %d tokens", backlog, tokens)
+			})
+		}
+	}
+}
+
 // TestYieldingIsNoSilence guards against engines that are taken out of use because streams
 // that yield have not begun there, and against streams that stay at an engine of which
 // others have heard nothing either.
