--- a/internal/routing/rcaffinity/replay_test.go
+++ b/internal/routing/rcaffinity/replay_test.go
@@ -9,15 +9,19 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
 )
 
 // replayRequest is a request of a replay. Times are in milliseconds.
 type replayRequest struct {
 	at, target, first    float64
+	abandon              float64 // How long its caller waits for the first event; 0 means without end.
+	rank                 float64 // Of the size in its class, from 0 to 1.
 	prompt, left, output int
 	key                  string // Of the prompt's shared part, which is two thirds of it.
 	instance, placed     int
+	rejected, gone       bool
 }
 
 func (q *replayRequest) shared() int { return q.prompt * 2 / 3 }
@@ -41,8 +45,20 @@
 	replayReportAge = 300.0
 )
 
+// leave drops the requests whose callers no longer wait.
+func (e *replayEngine) leave(requests []*replayRequest) []*replayRequest {
+	return slices.DeleteFunc(requests, func(q *replayRequest) bool {
+		if q.gone = q.abandon > 0 && e.now > q.at+q.abandon; q.gone {
+			e.own[q.instance].Running--
+			e.own[q.instance].Prefilling -= q.placed
+		}
+		return q.gone
+	})
+}
+
 func (e *replayEngine) advance(until float64) {
 	for e.now < until {
+		e.waiting, e.reading = e.leave(e.waiting), e.leave(e.reading)
 		for len(e.waiting) > 0 && len(e.reading)+len(e.decoding) < replaySlots {
 			q := e.waiting[0]
 			e.waiting, e.reading = e.waiting[1:], append(e.reading, q)
@@ -150,7 +166,13 @@
 		req.Spread, req.LatencyTarget, req.MaxEventGap = mix(uint64(q.at*1e6)), time.Duration(q.target)*time.Millisecond, 500*time.Millisecond
 		req.Parts = []radishcrank.PromptPart{{ID: q.key, Tokens: q.shared()}, {ID: "own", Tokens: q.prompt - q.shared()}}
 		req.CachedPrefixes = func(string) map[rcfleet.UpstreamKey]rcfleet.CachedPrefix { return cached }
+		admission := rcadmission.Params{StartTimeout: time.Duration(q.abandon) * time.Millisecond}
+		req.MaxWait = admission.MaxWait()
 		c, _ := Choose(req, states, time.Now())
+		if admission.ExpectedWait = c.MinQueueWait; q.abandon > 0 && admission.ShouldRefuse() {
+			q.rejected = true
+			continue
+		}
 		e := r.engines[slices.IndexFunc(states, func(s rcfleet.State) bool { return s.ID == c.Upstream.ID })]
 		q.placed = c.HeldTokens
 		e.own[q.instance] = e.own[q.instance].Add(rcfleet.Load{Running: 1, Prefilling: q.placed})
