Explain streams that callers take up

Explain ignored Last-Event-Id and Resumes, so it did not tell why a stream cannot go on at an upstream, or at all. It now finds out where the stream began by the code of Serve (originQuery, pinTo, eligible), without metrics, and without keeping what other instances know (Origins.Inspect). Rejections because no upstream is usable say within which bounds Retry-After lies.

TestExplainSaysWhatServeDoes compares Retry-After as well; the response of its upstreams has a body now, which streams need.

--- a/internal/node/rcinstance/explain.go
+++ b/internal/node/rcinstance/explain.go
@@ -79,11 +79,11 @@
 	}
 	q := r.URL.Query()
 	for name := range q {
-		if !slices.Contains([]string{"Account", "Route", "Service", "Model", "Parts", "DeadlineMS", "Priority"}, name) {
+		if !slices.Contains([]string{"Account", "Route", "Service", "Model", "Parts", "DeadlineMS", "Priority", "LastEvent", "Resumes"}, name) {
 			return req, fmt.Errorf("unknown field %q", name)
 		}
 	}
-	req = rcexplain.Request{Account: q.Get("Account"), Route: q.Get("Route"), Service: q.Get("Service"), Model: q.Get("Model")}
+	req = rcexplain.Request{Account: q.Get("Account"), Route: q.Get("Route"), Service: q.Get("Service"), Model: q.Get("Model"), LastEvent: q.Get("LastEvent"), Resumes: q.Get("Resumes")}
 	if req.Parts, err = rcexplain.ParseParts(q.Get("Parts")); err != nil {
 		return req, err
 	}
@@ -127,8 +127,13 @@
 	x = &radishcrank.Exchange{
 		ID: "explain", Route: route.RoutePolicy, Services: route.Services(), Method: http.MethodPost, Target: route.Prefix,
 		Model: radishcrank.ModelID(req.Model), Priority: route.Priority, ReceivedAt: now,
+		LastEventID: req.LastEvent, Resumes: radishcrank.RequestID(req.Resumes),
 	}
 	switch {
+	case req.Resumes != "" && req.LastEvent == "":
+		return nil, trace.BadParameter("Resumes names the attempt of a stream that is taken up; it needs LastEvent, too")
+	case req.LastEvent != "" && !route.Stream:
+		return nil, trace.BadParameter("route %q has no streams, so that a request with LastEvent is like any other there", req.Route)
 	case req.Service != "" && !slices.Contains(x.Services, req.Service):
 		return nil, trace.NotFound("route %q has no service %q; its services are %s", req.Route, req.Service, strings.Join(x.Services, ", "))
 	case req.Service != "":
--- a/internal/node/rcinstance/streams.go
+++ b/internal/node/rcinstance/streams.go
@@ -58,10 +58,22 @@
 
 // Find implements rcforward.Origins.
 func (s *streamOrigins) Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	return s.find(ctx, q, s.registry.Add)
+}
+
+// Inspect implements rcforward.Origins.
+func (s *streamOrigins) Inspect(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	return s.find(ctx, q, func(...rcorigin.Record) {})
+}
+
+// find finds an origin, and keeps what other instances know.
+func (s *streamOrigins) find(ctx context.Context, q rcorigin.Query, keep func(...rcorigin.Record)) (o rcorigin.Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	if o, known = s.get(ctx, q); !known {
-		o, known = s.findElsewhere(ctx, q)
+		if o, known = s.findElsewhere(ctx, q); known && q.Attempt != "" {
+			keep(rcorigin.Record{Attempt: q.Attempt, Origin: o})
+		}
 	}
 	if known && o.Listed() {
 		known = s.Verify(ctx, o)
@@ -70,7 +82,7 @@
 	return o, known
 }
 
-// findElsewhere asks the other instances, and keeps what they know.
+// findElsewhere asks the other instances.
 func (s *streamOrigins) findElsewhere(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
 	if versions, _ := s.fleet.SoftwareVersions(q.Service, q.Within); q.Service != "" && len(versions) != 1 {
 		q.Service = "" // Other instances have not heard yet that it has several.
@@ -83,9 +95,6 @@
 			o, known = s.ask(ctx, q)
 		}
 	}
-	if known && q.Attempt != "" {
-		s.registry.Add(rcorigin.Record{Attempt: q.Attempt, Origin: o})
-	}
 	return o, known
 }
 
--- a/internal/serving/rcexplain/explain.go
+++ b/internal/serving/rcexplain/explain.go
@@ -40,6 +40,10 @@
 	Parts      []Part `json:",omitempty"` // The last one belongs to the request itself.
 	DeadlineMS int64  `json:",omitempty"` // Remaining time; the route's timeout bounds it.
 	Priority   *int   `json:",omitempty"` // Default is that of the account or else the route.
+	// LastEvent is the Last-Event-Id of a client that takes up a stream, and Resumes is the
+	// attempt that brought its first event, if the client names it.
+	LastEvent string `json:",omitempty"`
+	Resumes   string `json:",omitempty"`
 }
 
 // Outcomes of a request.
@@ -67,9 +71,10 @@
 	CostMS     float64
 	Terms      []Term `json:",omitempty"`
 	WaitMS     float64
-	Owner      bool `json:",omitempty"`
-	Uncached   int  `json:",omitempty"` // Prompt tokens to prefill.
-	Weights    string
+	Owner      bool   `json:",omitempty"`
+	Uncached   int    `json:",omitempty"` // Prompt tokens to prefill.
+	Weights    string // Of the model, as last reported.
+	Software   string `json:",omitempty"` // Version of the upstream's software.
 	Slots      int
 	// Running and Prefilling are of this instance, and the others' as they last reported.
 	Running, Prefilling             int
@@ -91,6 +96,17 @@
 	Draining       bool   `json:",omitempty"`
 }
 
+// Resumes says where a stream began that its client takes up. It goes on only at that service
+// and software version, on any weights that new requests may use.
+type Resumes struct {
+	LastEvent string
+	Attempt   string `json:",omitempty"` // Attempt that brought the first event; empty if the client does not name it.
+	Known     bool   // False if that is unknown, or the route does not use that service.
+	Why       string `json:",omitempty"` // Why Known is false.
+	Service   string `json:",omitempty"`
+	Software  string `json:",omitempty"`
+}
+
 // Report says how a request would be routed now.
 type Report struct {
 	Instance, Zone string
@@ -114,8 +130,9 @@
 	QueueMS int64
 	// Convicted is the number of combinations of parts of the prompt that are known to crash
 	// upstreams. Crashes of the request's own content are not covered, since it is not given.
-	Convicted   int  `json:",omitempty"`
-	LinksCut    bool `json:",omitempty"` // This instance reaches no upstream of the service.
+	Convicted   int      `json:",omitempty"`
+	LinksCut    bool     `json:",omitempty"` // This instance reaches no upstream of the service.
+	Resumes     *Resumes `json:",omitempty"` // Nil unless the client takes up a stream.
 	Information Information
 	Upstreams   []Upstream
 }
--- a/internal/serving/rcforward/explain_test.go
+++ b/internal/serving/rcforward/explain_test.go
@@ -1,10 +1,13 @@
 package rcforward
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +32,8 @@
 	leaving, suspect, paused, throttle bool
 	loading                            time.Duration
 	running, waiting                   int
+	software                           radishcrank.SoftwareVersion
+	weights                            radishcrank.WeightsVersion // Empty means version 1.
 }
 
 func drawUpstreams(rng *rand.Rand) (cases []upstreamCase) {
@@ -55,8 +60,8 @@
 	var entries []rcfleet.Entry
 	for i, c := range cases {
 		entries = append(entries, rcfleet.Entry{
-			Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Zone: radishcrank.AvailabilityZone(c.zone), Leaving: c.leaving}, Slots: 8,
-			Weights: map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": "1"},
+			Upstream: radishcrank.Upstream{ID: radishcrank.UpstreamID(fmt.Sprint("u", i)), Service: "s", Zone: radishcrank.AvailabilityZone(c.zone), Leaving: c.leaving, Software: c.software}, Slots: 8,
+			Weights: map[radishcrank.ModelID]radishcrank.WeightsVersion{"m": cmp.Or(c.weights, "1")},
 		})
 	}
 	fleet.Replace(entries)
@@ -104,29 +109,67 @@
 
 // servedCase is what became of a request.
 type servedCase struct {
-	sent   []sentRequest
-	status int
-	took   time.Duration
+	sent       []sentRequest
+	status     int
+	took       time.Duration
+	retryAfter time.Duration // Random; 0 if the request was not refused.
 }
 
 // serveCase serves a request after some explanations, of which it returns the last one.
 func serveCase(t *testing.T, cases []upstreamCase, engine bool, explanations int) (got servedCase, r rcexplain.Report) {
+	return serveExplained(t, cases, func() *radishcrank.Exchange { return explainedExchange(engine) }, func(*Config) {}, explanations)
+}
+
+func serveExplained(t *testing.T, cases []upstreamCase, exchange func() *radishcrank.Exchange, configure func(*Config), explanations int) (got servedCase, r rcexplain.Report) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedSender{steps: []step{{reply: okReply()}}}
+		s := &scriptedSender{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}}
 		f := newExplainedForwarder(cases, s, rcpoison.New(rcpoison.Config{Board: rcboard.New()}))
+		configure(&f.cfg)
 		before := f.cfg.Fleet.All()
 		for range explanations {
-			r = f.Explain(explainedExchange(engine))
+			r = f.Explain(exchange())
 		}
 		require.ElementsMatch(t, before, f.cfg.Fleet.All())
 		require.Empty(t, s.sent)
 		w, start := httptest.NewRecorder(), time.Now()
-		_ = f.Serve(t.Context(), w, explainedExchange(engine)) // Its response tells what became of it.
-		got = servedCase{s.sent, w.Code, time.Since(start)}
+		_ = f.Serve(t.Context(), w, exchange()) // Its response tells what became of it.
+		got = servedCase{sent: s.sent, status: w.Code, took: time.Since(start)}
+		if text := w.Header().Get("Retry-After"); text != "" {
+			seconds, err := strconv.ParseFloat(text, 64)
+			require.NoError(t, err)
+			got.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
 	})
 	return got, r
 }
 
+// requireAsExplained checks that a request met what its explanation says, and that the
+// explanation did not change it.
+func requireAsExplained(t *testing.T, seed uint64, want, got servedCase, r rcexplain.Report) {
+	t.Helper()
+	require.Equal(t, want.sent, got.sent, "seed %d", seed)
+	require.Equal(t, want.status, got.status, "seed %d", seed)
+	require.Equal(t, want.took, got.took, "seed %d", seed)
+	switch r.Outcome {
+	case rcexplain.Sent:
+		require.Len(t, got.sent, 1, "seed %d", seed)
+		require.Equal(t, r.Upstream, string(got.sent[0].up), "seed %d", seed)
+		require.Zero(t, got.took, "seed %d", seed)
+		require.Empty(t, r.Why)
+	case rcexplain.Refused:
+		require.Empty(t, got.sent, "seed %d", seed)
+		require.Equal(t, http.StatusServiceUnavailable, got.status, "seed %d", seed)
+		require.Zero(t, got.took, "seed %d", seed)
+		require.NotEmpty(t, r.Why)
+		require.GreaterOrEqual(t, millis(got.retryAfter)+10, r.RetryAfterMS[0], "seed %d", seed) // It has two decimals.
+		require.LessOrEqual(t, millis(got.retryAfter)-10, r.RetryAfterMS[1], "seed %d", seed)
+	case rcexplain.Waits:
+		require.NotZero(t, got.took, "seed %d", seed)
+	default:
+		require.Fail(t, "unexpected outcome", "seed %d: %s", seed, r.Outcome)
+	}
+}
+
 // TestExplainSaysWhatServeDoes guards against an explanation that differs from what the next
 // request meets, and against one that changes what becomes of later requests.
 func TestExplainSaysWhatServeDoes(t *testing.T) {
@@ -137,25 +180,9 @@
 		cases, engine := drawUpstreams(rng), rng.IntN(2) == 0
 		want, _ := serveCase(t, cases, engine, 0)
 		got, r := serveCase(t, cases, engine, 3)
-		require.Equal(t, want, got, "seed %d", seed)
 		require.Len(t, r.Upstreams, len(cases), "seed %d", seed)
 		outcomes[r.Outcome]++
-		switch r.Outcome {
-		case rcexplain.Sent:
-			require.Len(t, got.sent, 1, "seed %d", seed)
-			require.Equal(t, r.Upstream, string(got.sent[0].up), "seed %d", seed)
-			require.Zero(t, got.took, "seed %d", seed)
-			require.Empty(t, r.Why)
-		case rcexplain.Refused:
-			require.Empty(t, got.sent, "seed %d", seed)
-			require.Equal(t, http.StatusServiceUnavailable, got.status, "seed %d", seed)
-			require.Zero(t, got.took, "seed %d", seed)
-			require.NotEmpty(t, r.Why)
-		case rcexplain.Waits:
-			require.NotZero(t, got.took, "seed %d", seed)
-		default:
-			require.Fail(t, "unexpected outcome", "seed %d: %s", seed, r.Outcome)
-		}
+		requireAsExplained(t, seed, want, got, r)
 	}
 	require.Greater(t, outcomes[rcexplain.Sent], seeds/5)
 	require.Greater(t, outcomes[rcexplain.Refused], seeds/20)
--- a/internal/serving/rcforward/finish.go
+++ b/internal/serving/rcforward/finish.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcadmission"
 	"github.com/radishcrank/radishcrank/internal/routing/rcdetour"
 	"github.com/radishcrank/radishcrank/internal/state/rcfleet"
@@ -47,22 +48,30 @@
 // retryDelay estimates when a refused client can find an upstream. The result
 // is randomized, so that clients refused together do not retry together.
 func (d *dispatch) retryDelay() time.Duration {
+	return d.retryParams(d.f.cfg.Quota.Throttled).RetryAfter(rand.Float64())
+}
+
+// throttledFunc is Quota.Throttled, or Quota.Inspect.
+type throttledFunc func(radishcrank.Upstream) (interval time.Duration, throttled bool)
+
+// retryParams returns what the delay is derived from if no upstream can take the exchange.
+func (d *dispatch) retryParams(throttled throttledFunc) rcadmission.Params {
 	wait := noUpstreamWait
-	if states := d.eligible(d.f.appendStates(d.x.Service, nil)); len(states) > 0 {
+	if states := d.eligible(d.f.appendStatesWith(d.x.Service, nil, throttled)); len(states) > 0 {
 		wait = min(untilUsable(states, time.Now()), maxRetryAfter)
 		if wait == 0 {
-			wait = d.f.permitInterval(states)
+			wait = permitInterval(states, throttled)
 		}
 	}
-	return rcadmission.Params{ExpectedWait: wait, TimeToDeadline: time.Until(d.x.Deadline)}.RetryAfter(rand.Float64())
+	return rcadmission.Params{ExpectedWait: wait, TimeToDeadline: time.Until(d.x.Deadline)}
 }
 
 // permitInterval returns the mean time between two requests that throttled upstreams
 // accept together, or 0 if there are none.
-func (f *Forwarder) permitInterval(states []rcfleet.State) time.Duration {
+func permitInterval(states []rcfleet.State, throttled throttledFunc) time.Duration {
 	rate := 0.0
 	for i := range states {
-		if interval, throttled := f.cfg.Quota.Throttled(states[i].Upstream); throttled && !states[i].Leaving {
+		if interval, used := throttled(states[i].Upstream); used && !states[i].Leaving {
 			rate += 1 / interval.Seconds()
 		}
 	}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -183,8 +183,8 @@
 	if err := f.cfg.Guard.Check(d.guardRequest); err != nil {
 		return d.refuseFinally(crashesUpstreams)
 	}
-	if x.Route.Stream && x.LastEventID != "" && !d.findOrigin() {
-		return d.refuse("it is unknown on which software version the stream began", d.retryDelay())
+	if d.takesUp() && !d.findOrigin() {
+		return d.refuse(unknownOrigin, d.retryDelay())
 	}
 	if !d.chargeAccount() {
 		return d.refuseOverLimit()
--- a/internal/serving/rcforward/forward_test.go
+++ b/internal/serving/rcforward/forward_test.go
@@ -87,6 +87,10 @@
 	return o, known
 }
 
+func (s stubOrigins) Inspect(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	return s.Find(ctx, q)
+}
+
 // listedIncarnation is the answer of an upstream that has not restarted.
 func listedIncarnation(_ context.Context, up radishcrank.Upstream) (radishcrank.Incarnation, error) {
 	return up.Incarnation, nil
--- a/internal/serving/rcforward/origin.go
+++ b/internal/serving/rcforward/origin.go
@@ -27,6 +27,8 @@
 	// Find returns the origin of a stream if it is certain, and asks the other instances if
 	// this one does not know it.
 	Find(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool)
+	// Inspect returns what Find would, and does not keep what other instances know.
+	Inspect(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool)
 	// Verify reports whether an origin that only the list of upstreams says is certain by now.
 	Verify(ctx context.Context, o rcorigin.Origin) bool
 }
@@ -56,27 +58,45 @@
 	return d.origin.known.Load()
 }
 
+// unknownOrigin is why a stream that a client takes up is refused.
+const unknownOrigin = "it is unknown on which software version the stream began"
+
+// takesUp reports whether the client takes up a stream of which it has a part.
+func (d *dispatch) takesUp() bool { return d.x.Route.Stream && d.x.LastEventID != "" }
+
+// originQuery asks where the stream began that a client takes up.
+func (d *dispatch) originQuery() rcorigin.Query {
+	q := rcorigin.Query{Attempt: d.x.Resumes}
+	if len(d.x.Services) == 1 {
+		q.Service, q.Within = d.x.Service, cmp.Or(d.x.Route.Timeout, defaultStreamTime)
+	}
+	return q
+}
+
+// pinTo lets the stream that a client takes up go on only where it began. It reports false if
+// that is unknown, or is not on the route.
+func (d *dispatch) pinTo(o rcorigin.Origin, known bool) bool {
+	d.origin.pinned = true
+	if !known || !slices.Contains(d.x.Services, o.Service) {
+		return false
+	}
+	d.origin.Origin, d.x.Service = o, o.Service
+	d.origin.known.Store(true)
+	return true
+}
+
 // findOrigin finds out where the stream began that a client takes up. It reports false
 // if that is unknown.
 func (d *dispatch) findOrigin() bool {
 	x := d.x
-	d.origin.pinned = true
-	q := rcorigin.Query{Attempt: x.Resumes}
-	if len(x.Services) == 1 {
-		q.Service, q.Within = x.Service, cmp.Or(x.Route.Timeout, defaultStreamTime)
-	}
-	o, known := d.f.cfg.Origins.Find(d.ctx, q)
-	known = known && slices.Contains(x.Services, o.Service)
+	o, known := d.f.cfg.Origins.Find(d.ctx, d.originQuery())
+	known = d.pinTo(o, known)
 	d.f.cfg.Metrics.Add(rcmetric.StreamsTakenUp, 1)
 	if !known {
 		d.f.cfg.Metrics.Add(rcmetric.StreamsUnknown, 1)
 	}
 	d.f.cfg.Log.Info().Str("Event", "StreamTakenUp").Str("Request", string(x.ID)).Str("Resumes", string(x.Resumes)).
 		Str("LastEvent", x.LastEventID).Str("Software", string(o.Software)).Bool("Known", known).Send()
-	if known {
-		d.origin.Origin, x.Service = o, o.Service
-		d.origin.known.Store(true)
-	}
 	return known
 }
 
@@ -85,7 +105,12 @@
 	if !d.origin.pinned {
 		return states
 	}
-	return slices.DeleteFunc(states, func(s rcfleet.State) bool { return s.Software != d.origin.Software })
+	return slices.DeleteFunc(states, func(s rcfleet.State) bool { return !d.mayHold(&s) })
+}
+
+// mayHold reports whether the stream may begin or go on at an upstream.
+func (d *dispatch) mayHold(s *rcfleet.State) bool {
+	return !d.origin.pinned || s.Software == d.origin.Software
 }
 
 // pinOrigin records where the stream begins, right before its first event is forwarded. The
--- a/internal/serving/rcforward/origin_test.go
+++ b/internal/serving/rcforward/origin_test.go
@@ -45,6 +45,10 @@
 	return o, known
 }
 
+func (r *recordingOrigins) Inspect(ctx context.Context, q rcorigin.Query) (o rcorigin.Origin, known bool) {
+	return r.Find(ctx, q)
+}
+
 // versionedFleet is a service with several software versions.
 type versionedFleet struct {
 	fleet     *rcfleet.Fleet
--- a/internal/serving/rcforward/place.go
+++ b/internal/serving/rcforward/place.go
@@ -63,7 +63,7 @@
 	return f.appendStatesWith(service, buf, f.cfg.Quota.Throttled)
 }
 
-func (f *Forwarder) appendStatesWith(service string, buf []rcfleet.State, throttled func(radishcrank.Upstream) (time.Duration, bool)) []rcfleet.State {
+func (f *Forwarder) appendStatesWith(service string, buf []rcfleet.State, throttled throttledFunc) []rcfleet.State {
 	buf = f.cfg.Fleet.AppendStates(service, buf)
 	for i := range buf {
 		_, buf[i].Throttled = throttled(buf[i].Upstream)
