--- a/internal/cli/rccli/explain.go
+++ b/internal/cli/rccli/explain.go
@@ -4,46 +4,78 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/radishcrank/radishcrank/internal/serving/rcexplain"
 )
 
+// maxAsked bounds the instances that are asked at the same time. A report has up to some MB.
+const maxAsked = 32
+
 // platformExplain holds the flags of explain on the users' platform.
 type platformExplain struct {
 	Platform  []string      `help:"URL of the listener for operators (Listen.Control) of an instance on the users' platform. With several, separated by commas, the differences are printed."`
+	Zone      string        `help:"Ask all instances of a zone of the users' platform, as an instance at --platform knows them, and print their decisions and differences."`
 	Route     string        `help:"Route, on the users' platform."`
 	Service   string        `help:"Service of the route, on the users' platform. Default is the first."`
 	Parts     string        `help:"Parts of the prompt as ID:TOKENS, separated by commas, in the order of the prompt; on the users' platform."`
 	Remaining time.Duration `help:"Time until the caller's deadline, on the users' platform."`
 	Priority  *int          `help:"Priority, on the users' platform; 0 is the most urgent. Default is that of the account or route."`
+	LastEvent string        `help:"Last-Event-Id of a caller that takes up a stream, on the users' platform."`
+	Resumes   string        `help:"Attempt that brought the first event of that stream, as in the caller's Resumes header."`
 }
 
 // Validate implements kong.Validatable.
 func (c *explainCommand) Validate() error {
+	if len(c.Platform) > 0 {
+		return c.validateOnPlatform()
+	}
 	switch {
-	case len(c.Platform) > 0 && c.Route == "":
-		return errors.New("--route is required with --platform")
-	case len(c.Platform) > 0 && (c.Prompt != "" || c.Adapter != ""):
-		return errors.New("--platform takes --parts and no prompt or adapter: an instance on the platform routes by the parts")
-	case len(c.Platform) > 0:
-		return nil
+	case c.Zone != "":
+		return errors.New("--zone needs --platform with the URL of an instance that knows the others")
+	case c.LastEvent != "" || c.Resumes != "":
+		return errors.New("--last-event and --resumes are for --platform")
 	case c.Account == "" || c.Model == "" || c.Prompt == "":
 		return errors.New("--account, --model and a file with the prompt are required, or --platform and --route")
 	}
 	return nil
 }
 
+func (c *explainCommand) validateOnPlatform() error {
+	switch {
+	case c.Route == "":
+		return errors.New("--route is required with --platform")
+	case c.Prompt != "" || c.Adapter != "":
+		return errors.New("--platform takes --parts and no prompt or adapter: an instance on the platform routes by the parts")
+	case c.Resumes != "" && c.LastEvent == "":
+		return errors.New("--resumes needs --last-event")
+	case c.Remaining < 0:
+		return errors.New("--remaining must not be negative")
+	case c.Priority != nil && *c.Priority < 0:
+		return errors.New("--priority must not be negative")
+	}
+	for _, text := range c.Platform {
+		if u, err := url.Parse(text); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			return fmt.Errorf("--platform: %q is no URL such as http://10.0.0.7:8081", text)
+		}
+	}
+	if _, err := rcexplain.ParseParts(c.Parts); err != nil {
+		return fmt.Errorf("--parts: %w", err)
+	}
+	return nil
+}
+
 // answer is what one instance answered.
 type answer struct {
-	URL    string
-	Report *rcexplain.Report `json:",omitempty"`
-	Error  string            `json:",omitempty"`
+	URL      string            `json:",omitempty"`
+	Instance string            `json:",omitempty"` // As another instance knows it, if a zone is asked.
+	Report   *rcexplain.Report `json:",omitempty"`
+	Error    string            `json:",omitempty"`
+	err      error
 }
 
 // runOnPlatform asks all instances at the same time. It fails if one of them does not answer,
@@ -53,204 +85,130 @@
 	if err != nil {
 		return fmt.Errorf("--parts: %w", err)
 	}
-	req := rcexplain.Request{
-		Account: c.Account, Route: c.Route, Service: c.Service, Model: c.Model, Parts: parts, DeadlineMS: c.Remaining.Milliseconds(), Priority: c.Priority,
+	answers := make([]answer, len(c.Platform))
+	for i, url := range c.Platform {
+		answers[i].URL = url
 	}
-	answers, errs := askAll(env.ctx, c.Platform, req)
+	if c.Zone != "" {
+		if answers, err = instancesOf(env.ctx, c.Platform, c.Zone); err != nil {
+			return err
+		}
+	}
+	askAll(env.ctx, answers, rcexplain.Request{
+		Account: c.Account, Route: c.Route, Service: c.Service, Model: c.Model, Parts: parts, DeadlineMS: c.Remaining.Milliseconds(), Priority: c.Priority,
+		LastEvent: c.LastEvent, Resumes: c.Resumes,
+	})
 	if c.JSON {
 		if err := printJSON(env.out, answers); err != nil {
 			return err
 		}
-		return errors.Join(errs...)
+		return failures(answers)
 	}
 	var reports []*rcexplain.Report
 	for _, a := range answers {
-		if a.Report != nil {
-			reports = append(reports, a.Report)
-			if err := printReport(env.out, a.Report); err != nil {
-				return err
-			}
+		if a.Report == nil {
+			continue
+		}
+		reports = append(reports, a.Report)
+		if c.Zone != "" {
+			fmt.Fprintf(env.out, "%s: %s\n", a.Report.Instance, decision(a.Report))
+		} else if err := printReport(env.out, a.Report); err != nil {
+			return err
 		}
 	}
 	if len(reports) > 1 {
 		printDifferences(env.out, reports)
 	}
-	return errors.Join(errs...)
+	return failures(answers)
 }
 
-func askAll(ctx context.Context, urls []string, req rcexplain.Request) (answers []answer, errs []error) {
-	answers, errs = make([]answer, len(urls)), make([]error, len(urls))
-	var wg sync.WaitGroup
-	for n, url := range urls {
-		wg.Go(func() {
-			answers[n].URL = url
-			r, err := rcexplain.Ask(ctx, url, req)
-			if err != nil {
-				answers[n].Error, errs[n] = err.Error(), err
-				return
+// instancesOf returns an answer to fill in for each instance of a zone, as the first of the
+// instances at the URLs that answers knows them.
+func instancesOf(ctx context.Context, urls []string, zone string) (answers []answer, err error) {
+	var failed []answer
+	for _, url := range urls {
+		list, err := rcexplain.Instances(ctx, url)
+		if err != nil {
+			failed = append(failed, answer{URL: url, err: err})
+			continue
+		}
+		var zones []string
+		for _, i := range list {
+			zones = append(zones, i.Zone)
+			if i.Zone == zone {
+				answers = append(answers, answer{Instance: i.Name, URL: i.URL})
 			}
-			answers[n].Report = &r
-		})
-	}
-	wg.Wait()
-	return answers, errs
-}
-
-// decision returns what would become of the request, on one line.
-func decision(r *rcexplain.Report) string {
-	switch r.Outcome {
-	case rcexplain.Sent:
-		return "sent to " + r.Upstream
-	case rcexplain.Waits:
-		return fmt.Sprintf("waits about %.0f ms: %s", r.ExpectedWaitMS, r.Why)
-	case rcexplain.Detoured:
-		return "sent through another instance: " + r.Why
-	case rcexplain.RefusedFinally:
-		return "rejected with 400: " + r.Why
-	}
-	text := "rejected with 503: " + r.Why
-	if r.RetryAfterMS[1] > 0 {
-		text += fmt.Sprintf(" (Retry-After between %.2f and %.2f s)", r.RetryAfterMS[0]/1000, r.RetryAfterMS[1]/1000)
+		}
+		if len(answers) == 0 {
+			slices.Sort(zones)
+			return nil, fmt.Errorf("--zone: no instance is registered in %q; the zones are %s", zone, strings.Join(slices.Compact(zones), ", "))
+		}
+		return answers, nil
 	}
-	return text
+	return nil, failures(failed)
 }
 
-func printReport(w io.Writer, r *rcexplain.Report) error {
-	fmt.Fprintf(w, "%s in zone %s: %s\n", r.Instance, r.Zone, decision(r))
-	fmt.Fprintf(w, "  Route %s, service %s, model %s, account %s, priority %d.\n", r.Route, r.Service, orNone(r.Model), orNone(r.Account), r.Priority)
-	fmt.Fprintf(w, "  Expected wait %.0f ms of at most %.0f ms; it may wait %d ms for an upstream to become usable.\n", r.ExpectedWaitMS, r.MaxWaitMS, r.QueueMS)
-	if r.AccountFraction < 1 {
-		fmt.Fprintf(w, "  The rate limit of the account admits %.0f%% of such requests.\n", 100*r.AccountFraction)
-	}
-	if r.Deferred != "" {
-		fmt.Fprintf(w, "  It would yield to other requests at the engine: %s.\n", r.Deferred)
-	}
-	if r.Convicted > 0 {
-		fmt.Fprintf(w, "  The prompt holds %d combinations of parts that are known to crash upstreams.\n", r.Convicted)
-	}
-	if r.LinksCut {
-		fmt.Fprintln(w, "  This instance reaches no upstream of the service.")
-	}
-	i := r.Information
-	source := "the store, which it reads itself"
-	if i.StoreReader != "" {
-		source = "the store, through " + i.StoreReader
-	}
-	if !i.StoreReachable {
-		source += " (out of reach now)"
-	}
-	fmt.Fprintf(w, "  Configuration %d from %s. %d of %d other instances do not answer.\n", i.ConfigVersion, source, i.NotReached, i.Instances-1)
-	if i.Draining {
-		fmt.Fprintln(w, "  This instance is about to stop.")
-	}
-	return printUpstreams(w, r.Upstreams)
-}
+// errNoListener means that an instance cannot be asked.
+var errNoListener = errors.New("it has no listener for operators in its settings, could not open it, or is of an earlier version")
 
-func printUpstreams(w io.Writer, upstreams []rcexplain.Upstream) error {
-	sorted := slices.Clone(upstreams)
-	slices.SortStableFunc(sorted, func(a, b rcexplain.Upstream) int {
-		switch {
-		case (a.Obstacle == "") != (b.Obstacle == ""):
-			if a.Obstacle == "" {
-				return -1
-			}
-			return 1
-		case a.CostMS < b.CostMS:
-			return -1
-		case a.CostMS > b.CostMS:
-			return 1
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	tw := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
-	fmt.Fprint(tw, "  Upstream\tZone\tCost\tRunning\tOthers\tReport\tWhy\n")
-	for _, u := range sorted {
-		cost, why := fmt.Sprintf("%.0f ms", u.CostMS), terms(u)
-		if u.Obstacle != "" {
-			cost, why = "-", u.Obstacle
-			if u.ObstacleMS > 0 {
-				why += fmt.Sprintf(" for %d ms", u.ObstacleMS)
-			}
-		}
-		if u.Chosen {
-			why = "chosen: " + why
-		}
-		report := "none"
-		if u.ReportAgeMS >= 0 {
-			report = fmt.Sprintf("%d ms ago", u.ReportAgeMS)
-		}
-		fmt.Fprintf(tw, "  %s\t%s\t%s\t%d\t%d\t%s\t%s\n", u.ID, u.Zone, cost, u.Running, u.OthersRunning, report, why)
+// askAll fills the answers in.
+func askAll(ctx context.Context, answers []answer, req rcexplain.Request) {
+	var wg sync.WaitGroup
+	asked := make(chan struct{}, maxAsked)
+	for i := range answers {
+		wg.Go(func() {
+			asked <- struct{}{}
+			defer func() { <-asked }()
+			answers[i].ask(ctx, req)
+		})
 	}
-	return tw.Flush()
+	wg.Wait()
 }
 
-func terms(u rcexplain.Upstream) string {
-	var parts []string
-	for _, t := range u.Terms {
-		parts = append(parts, fmt.Sprintf("%s %.0f", t.Name, t.MS))
+func (a *answer) ask(ctx context.Context, req rcexplain.Request) {
+	if a.URL == "" {
+		a.err = fmt.Errorf("instance %s: %w", a.Instance, errNoListener)
+	} else if r, err := rcexplain.Ask(ctx, a.URL, req); err != nil {
+		a.err = err
+	} else {
+		a.Report = &r
 	}
-	if !u.Listed {
-		parts = append(parts, "removal doubted")
+	if a.err != nil {
+		a.Error = a.err.Error()
 	}
-	return strings.Join(parts, ", ")
 }
 
-// printDifferences prints what the instances do not agree on.
-func printDifferences(w io.Writer, reports []*rcexplain.Report) {
-	fmt.Fprintln(w, "Differences:")
-	same := true
-	compare := func(what string, of func(r *rcexplain.Report) string) {
-		by := map[string][]string{}
-		var values []string
-		for _, r := range reports {
-			v := of(r)
-			if by[v] == nil {
-				values = append(values, v)
-			}
-			by[v] = append(by[v], r.Instance)
+// failures returns the errors of all answers. Those that several instances give alike, such as
+// that an account does not exist, are one error.
+func failures(answers []answer) error {
+	by := map[string][]string{}
+	var causes, texts []string
+	for _, a := range answers {
+		if a.err == nil {
+			continue
 		}
-		if len(values) < 2 {
-			return
+		cause := a.err.Error()
+		if inner := errors.Unwrap(a.err); inner != nil {
+			cause = inner.Error()
 		}
-		same = false
-		for _, v := range values {
-			fmt.Fprintf(w, "  %s: %s at %s\n", what, v, strings.Join(by[v], ", "))
+		if by[cause] == nil {
+			causes = append(causes, cause)
 		}
-	}
-	compare("Outcome", func(r *rcexplain.Report) string { return r.Outcome })
-	compare("Chosen", func(r *rcexplain.Report) string { return orNone(r.Upstream) })
-	compare("Configuration", func(r *rcexplain.Report) string { return fmt.Sprint(r.Information.ConfigVersion) })
-	compare("Instances", func(r *rcexplain.Report) string { return fmt.Sprint(r.Information.Instances) })
-	compare("Store reachable", func(r *rcexplain.Report) string { return fmt.Sprint(r.Information.StoreReachable) })
-	var ids []string
-	for _, r := range reports {
-		for _, u := range r.Upstreams {
-			if !slices.Contains(ids, u.ID) {
-				ids = append(ids, u.ID)
-			}
+		who := a.URL
+		if a.Instance != "" {
+			who = strings.TrimSpace(a.Instance + " " + a.URL)
 		}
+		by[cause] = append(by[cause], who)
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		compare(id, func(r *rcexplain.Report) string {
-			n := slices.IndexFunc(r.Upstreams, func(u rcexplain.Upstream) bool { return u.ID == id })
-			switch {
-			case n < 0:
-				return "not known"
-			case r.Upstreams[n].Obstacle != "":
-				return r.Upstreams[n].Obstacle
-			}
-			return "usable"
-		})
-	}
-	if same {
-		fmt.Fprintln(w, "  none")
+	for _, cause := range causes {
+		where := "instance at " + by[cause][0]
+		if n := len(by[cause]); n > 1 {
+			where = fmt.Sprintf("%d instances (%s)", n, names(by[cause]))
+		}
+		texts = append(texts, where+": "+cause)
 	}
-}
-
-func orNone(text string) string {
-	if text == "" {
-		return "none"
+	if len(texts) == 0 {
+		return nil
 	}
-	return text
+	return errors.New(strings.Join(texts, "; "))
 }
--- a/internal/cli/rccli/explain_test.go
+++ b/internal/cli/rccli/explain_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,74 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rcexplain"
 )
 
+// zoneInstances serves reports of instances, and the list of them at the first one.
+func zoneInstances(t *testing.T, list []rcexplain.Instance, report func(name string) (int, any)) (url string) {
+	for i := range list {
+		name := list[i].Name
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			status, body := http.StatusOK, any(list)
+			if r.URL.Path == rcexplain.Path {
+				status, body = report(name)
+			}
+			w.WriteHeader(status)
+			json.NewEncoder(w).Encode(body)
+		}))
+		t.Cleanup(server.Close)
+		if list[i].URL == "here" {
+			list[i].URL = server.URL
+		}
+		if i == 0 {
+			url = server.URL
+		}
+	}
+	return url
+}
+
+// TestExplainZone guards against instances of a zone that are not asked, or are asked although
+// they belong to another, against answers that hide who did not answer, and against errors
+// that repeat for each instance.
+func TestExplainZone(t *testing.T) {
+	f := newFixture(t)
+	list := []rcexplain.Instance{
+		{Name: "i0", Zone: "z0", URL: "here"}, {Name: "i1", Zone: "z1", URL: "here"}, {Name: "i2", Zone: "z1", URL: "here"},
+		{Name: "i3", Zone: "z1", URL: "http://127.0.0.1:1"}, {Name: "i4", Zone: "z1"},
+	}
+	asked := make(chan string, 10)
+	url := zoneInstances(t, list, func(name string) (int, any) {
+		asked <- name
+		return http.StatusOK, rcexplain.Report{
+			Instance: name, Zone: "z1", Outcome: rcexplain.Sent, Upstream: "u1", Resumes: &rcexplain.Resumes{Known: name == "i1", Service: "s", Software: "v1"},
+			Upstreams: []rcexplain.Upstream{{ID: "u1", Weights: map[string]string{"i1": "1", "i2": "2"}[name], Listed: true}},
+		}
+	})
+	code, out, errOut := f.run(t, "", "explain", "--platform", url, "--zone", "z1", "--route", "r", "--last-event", "3")
+	require.Equal(t, ExitError, code)
+	for _, line := range []string{"i1: sent to u1", "i2: sent to u1", "Stream began at: s, software v1 at i1", "Stream began at: unknown at i2", "u1, weights: 1 at i1", "u1, weights: 2 at i2"} {
+		require.Contains(t, out, line)
+	}
+	require.NotContains(t, out, "Outcome")
+	require.Contains(t, errOut, "i3 http://127.0.0.1:1: it does not answer")
+	require.Contains(t, errOut, "; instance at i4: it has no listener for operators")
+	close(asked)
+	for name := range asked {
+		require.Contains(t, []string{"i1", "i2"}, name)
+	}
+
+	code, _, errOut = f.run(t, "", "explain", "--platform", "http://127.0.0.1:1,"+url, "--zone", "z2", "--route", "r")
+	require.Equal(t, ExitError, code)
+	require.Contains(t, errOut, `no instance is registered in "z2"; the zones are z0, z1`)
+	_, _, errOut = f.run(t, "", "explain", "--platform", "http://127.0.0.1:1", "--zone", "z2", "--route", "r")
+	require.Contains(t, errOut, "instance at http://127.0.0.1:1: it does not answer")
+
+	url = zoneInstances(t, []rcexplain.Instance{{Name: "i0", Zone: "z", URL: "here"}, {Name: "i1", Zone: "z", URL: "here"}}, func(string) (int, any) {
+		return http.StatusNotFound, rcexplain.Error{Message: `account "x" does not exist`}
+	})
+	_, out, errOut = f.run(t, "", "explain", "--platform", url, "--zone", "z", "--route", "r", "--account", "x")
+	require.Empty(t, out)
+	require.Equal(t, 1, strings.Count(errOut, "does not exist"))
+	require.Contains(t, errOut, "2 instances (i0 ")
+}
+
 func reportingInstance(t *testing.T, name, chosen, obstacle string) (url string, got *rcexplain.Request) {
 	got = &rcexplain.Request{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +117,12 @@
 	_, _, errOut = f.run(t, "", "explain", "--platform", f.url, "--route", "advice") // The product's own interface.
 	require.Contains(t, errOut, "no listener for operators of the platform")
 
-	for _, args := range [][]string{{"--platform", a}, {"--platform", a, "--route", "r", "--adapter", "x"}, {"--model", "m"}, {}} {
+	for _, args := range [][]string{
+		{"--platform", a}, {"--platform", a, "--route", "r", "--adapter", "x"}, {"--model", "m"}, {},
+		{"--zone", "z"}, {"--zone", "z", "--route", "r"}, {"--platform", "127.0.0.1:80", "--route", "r"}, {"--platform", "nowhere", "--route", "r"},
+		{"--platform", a, "--route", "r", "--parts", "x"}, {"--platform", a, "--route", "r", "--parts", "x:-1"}, {"--platform", a, "--route", "r", "--remaining=-1s"},
+		{"--platform", a, "--route", "r", "--priority=-1"}, {"--platform", a, "--route", "r", "--resumes", "r0"}, {"--last-event", "3"},
+	} {
 		code, _, errOut := f.run(t, "", append([]string{"explain"}, args...)...)
 		require.Equal(t, ExitUsage, code, "%v: %s", args, errOut)
 	}
--- a/internal/node/rcinstance/explain.go
+++ b/internal/node/rcinstance/explain.go
@@ -52,9 +52,32 @@
 			writeJSON(w, http.StatusServiceUnavailable, rcexplain.Error{Message: err.Error()})
 		}
 	})
+	mux.HandleFunc("GET "+rcexplain.InstancesPath, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, i.registered())
+	})
 	return mux
 }
 
+// registered returns the instances that this one knows, and itself.
+func (i *Instance) registered() (list []rcexplain.Instance) {
+	p := i.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	add := func(m member) {
+		known := rcexplain.Instance{Name: m.Name, Zone: m.Zone}
+		if m.Operators.IsValid() {
+			known.URL = "http://" + m.Operators.String()
+		}
+		list = append(list, known)
+	}
+	add(p.self.member)
+	for _, m := range p.members {
+		add(m.member)
+	}
+	slices.SortFunc(list, func(a, b rcexplain.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -133,7 +156,7 @@
 	case req.Resumes != "" && req.LastEvent == "":
 		return nil, trace.BadParameter("Resumes names the attempt of a stream that is taken up; it needs LastEvent, too")
 	case req.LastEvent != "" && !route.Stream:
-		return nil, trace.BadParameter("route %q has no streams, so that a request with LastEvent is like any other there", req.Route)
+		return nil, trace.BadParameter("route %q has no streams, where LastEvent has no effect", req.Route)
 	case req.Service != "" && !slices.Contains(x.Services, req.Service):
 		return nil, trace.NotFound("route %q has no service %q; its services are %s", req.Route, req.Service, strings.Join(x.Services, ", "))
 	case req.Service != "":
--- a/internal/node/rcinstance/explain_resumes_test.go
+++ b/internal/node/rcinstance/explain_resumes_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/radishcrank/radishcrank/internal/serving/rcexplain"
+	"github.com/radishcrank/radishcrank/internal/state/rcorigin"
 )
 
 // TestExplainTakenUpStream guards against an explanation at another instance than the one
@@ -62,6 +63,16 @@
 	require.Equal(t, completeStream(8), b.text.String())
 	require.Equal(t, r.Upstream, at("s1-1"))
 
+	// Only the other instance knows this stream.
+	s.instances[0].peers.origins.registry.AddOwn(rcorigin.Record{Attempt: "elsewhere", Origin: rcorigin.Origin{Service: "llm", Software: "v1.2"}})
+	req.Resumes = "elsewhere"
+	r, err = rcexplain.Ask(t.Context(), "http://"+operators.String(), req)
+	require.NoError(t, err)
+	require.True(t, r.Resumes.Known)
+	require.Equal(t, "v1.2", r.Resumes.Software)
+	_, kept := s.instances[1].peers.origins.registry.Get("elsewhere")
+	require.False(t, kept, "the explanation changed what the instance knows")
+
 	req.Resumes = "never"
 	r, err = rcexplain.Ask(t.Context(), "http://"+operators.String(), req)
 	require.NoError(t, err)
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -243,6 +243,8 @@
 	if addr := i.settings.OperatorAddr; addr.IsValid() {
 		if err := i.serve(&g, addr.String(), i.operatorHandler(forwarder)); err != nil {
 			i.log.Error().Str("Event", "NoOperatorListener").Err(err).Send()
+		} else {
+			i.peers.self.Operators = addr // It registers with it once the group runs.
 		}
 	}
 	return g.Run()
--- a/internal/node/rcinstance/members.go
+++ b/internal/node/rcinstance/members.go
@@ -47,8 +47,10 @@
 	Zone    string
 	Peer    netip.AddrPort
 	Callers netip.AddrPort `json:",omitzero"` // Where it listens for callers; zero for earlier versions.
-	Born    int64          // Start time in Unix milliseconds.
-	CPU     float64        // Number of cores that it may use.
+	// Operators is where it listens for operators; zero if it does not, or for earlier versions.
+	Operators netip.AddrPort `json:",omitzero"`
+	Born      int64          // Start time in Unix milliseconds.
+	CPU       float64        // Number of cores that it may use.
 }
 
 // relayRole tells a follower of a table who reads it.
--- a/internal/serving/rcexplain/explain.go
+++ b/internal/serving/rcexplain/explain.go
@@ -3,26 +3,18 @@
 package rcexplain
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"strconv"
 	"strings"
-	"time"
 )
 
 const (
-	// Path is where the listener for operators answers.
-	Path = "/explain"
+	// Path is where the listener for operators answers, and InstancesPath where it lists the
+	// instances that are registered.
+	Path          = "/explain"
+	InstancesPath = "/instances"
 	// MaxRequestBytes bounds a request. A prompt of 1,000 parts takes 80 KB.
 	MaxRequestBytes = 256 << 10
-	// maxReportBytes bounds a report, which has about 1 KB for each of 5,500 upstreams.
-	maxReportBytes = 16 << 20
-	clientTimeout  = 5 * time.Second
 )
 
 // Part is a part of a prompt.
@@ -137,51 +129,6 @@
 	Upstreams   []Upstream
 }
 
-// Error is the response to a request that cannot be explained.
-type Error struct{ Message string }
-
-// Ask asks the instance whose listener for operators has the given URL.
-func Ask(ctx context.Context, url string, req Request) (r Report, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("instance at %s: %w", url, err)
-		}
-	}()
-	body, err := json.Marshal(req)
-	if err != nil {
-		return r, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
-	defer cancel()
-	post, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimRight(url, "/")+Path, bytes.NewReader(body))
-	if err != nil {
-		return r, err
-	}
-	resp, err := http.DefaultClient.Do(post)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return r, fmt.Errorf("no answer within %s", clientTimeout)
-	}
-	if err != nil {
-		return r, err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	if err != nil {
-		return r, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		var e Error
-		if json.Unmarshal(text, &e) != nil || e.Message == "" {
-			return r, fmt.Errorf("status %d; it is no listener for operators of the platform", resp.StatusCode)
-		}
-		return r, errors.New(e.Message)
-	}
-	if err := json.Unmarshal(text, &r); err != nil {
-		return r, fmt.Errorf("response is no report: %w", err)
-	}
-	return r, nil
-}
-
 // ParseParts parses a list of ID:TOKENS, separated by commas.
 func ParseParts(text string) (parts []Part, err error) {
 	if text == "" {
