Let connection time-outs follow how long connections take

Cause: a request that chose a dead upstream waited 300 ms for a connection, three quarters of the latency target of short chats, at each instance and for each upstream.

--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -26,7 +26,8 @@
 
 const (
 	// defaultDialTimeout is about 100 times the round trip between availability
-	// zones; an address that takes longer is considered unreachable.
+	// zones; an address that takes longer is considered unreachable. Where connections open
+	// faster, dialTimes shortens it.
 	defaultDialTimeout = 300 * time.Millisecond
 	// tcpUserTimeout is the time after which a connection with unacknowledged data is
 	// closed. It exceeds the second for which sound upstreams may fall silent; partitions
@@ -69,7 +70,8 @@
 type Pool struct {
 	cfg Config
 
-	observer atomic.Pointer[Observer]
+	observer  atomic.Pointer[Observer]
+	dialTimes dialTimes
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -231,9 +233,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	started := time.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, p.dialTimes.timeout(p.cfg.DialTimeout))
 	defer cancel()
 	nc, err := p.cfg.Dial(dialCtx, addr)
+	if err == nil {
+		p.dialTimes.add(time.Since(started))
+	}
 	if err == nil || ctx.Err() == nil { // Otherwise the caller has given up.
 		p.observe(addr, err == nil)
 	}
