Tell all instances of upstreams that are not what is listed

Cause: a crashed engine is back under another name within a second, and the list drops the old one seconds later. Change: an upstream that answers 421 gets no new work for 1 s, then 2 and 4 s, at all instances, until its entry or weights change.

--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -334,6 +334,7 @@
 		Origins:       i.peers.origins,
 		Incarnation:   i.engineClient().Incarnation,
 		OnLeaving:     i.noteLeaving,
+		OnMisdirected: i.noteMisdirected,
 		Slots:         rcslots.New(rcslots.Config{Instance: radishcrank.InstanceID(i.settings.Instance), Others: i.peers.others}),
 		Detours:       rcdetour.New(rcdetour.Config{Zone: radishcrank.AvailabilityZone(i.settings.Zone), Others: i.peers.detours}),
 		DetourSender:  &platform.DetourSender{Pool: i.peerPool},
@@ -374,6 +375,17 @@
 	return changed
 }
 
+// noteMisdirected records that an upstream is not what is listed, and tells the other
+// instances with the next update. It reports whether that is new.
+func (i *Instance) noteMisdirected(r rcfleet.Misdirected) (changed bool) {
+	if !i.fleet.MarkMisdirected(r) {
+		return false
+	}
+	i.log.Info().Str("Event", "UpstreamMisdirected").Str("Upstream", string(r.Upstream)).Uint64("Incarnation", uint64(r.Incarnation)).Str("Weights", string(r.Weights)).Send()
+	i.peers.announceMisdirected(r)
+	return true
+}
+
 // linksChanged records that this instance is cut off from all upstreams of a service, or
 // reaches one again. What failed meanwhile says little of the upstreams.
 func (i *Instance) linksChanged(service string, cut bool, since time.Time) {
--- a/internal/node/rcinstance/peers.go
+++ b/internal/node/rcinstance/peers.go
@@ -80,6 +80,8 @@
 	Streams []rcorigin.Record     `json:",omitempty"` // Where streams began.
 	Limits  []rcquota.Observation `json:",omitempty"` // Rate limits that upstreams have announced, changed or ended.
 	Leaving []leavingUpstream     `json:",omitempty"` // Upstreams that have said that they leave.
+	// Misdirected are upstreams that have said that they are not what is listed.
+	Misdirected []rcfleet.Misdirected `json:",omitempty"`
 	// Stores tells the zone of a relay which KV stores respond.
 	Stores []rckvstore.Report `json:",omitempty"`
 	// Lease is the rclease.Term.Position of the order lease's holder. It is sent by the
@@ -105,7 +107,7 @@
 }
 
 func (u *peerUpdate) empty() bool {
-	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && len(u.Leaving) == 0 && len(u.Usage) == 0 && u.Running == nil && u.Lease == 0
+	return len(u.Engines) == 0 && len(u.Cached) == 0 && len(u.Crashes) == 0 && len(u.Feeds) == 0 && len(u.Streams) == 0 && len(u.Limits) == 0 && len(u.Blame) == 0 && len(u.Stores) == 0 && len(u.Leaving) == 0 && len(u.Misdirected) == 0 && len(u.Usage) == 0 && u.Running == nil && u.Lease == 0
 }
 
 // peer is another instance.
@@ -236,6 +238,13 @@
 	p.wakeSender()
 }
 
+func (p *peerGroup) announceMisdirected(r rcfleet.Misdirected) {
+	p.mu.Lock()
+	p.queued.Misdirected = append(p.queued.Misdirected, r)
+	p.mu.Unlock()
+	p.wakeSender()
+}
+
 // announceBlame tells the others of prompt parts at a crash.
 func (p *peerGroup) announceBlame(r rcblame.Report) {
 	p.mu.Lock()
@@ -371,6 +380,9 @@
 	for _, l := range update.Leaving {
 		p.instance.fleet.SetLeaving(l.Upstream, l.Incarnation)
 	}
+	for _, r := range update.Misdirected {
+		p.instance.fleet.MarkMisdirected(r)
+	}
 	if len(update.Stores) > 0 {
 		p.instance.kvWatcher.Offer(update.Stores)
 	}
@@ -407,6 +419,7 @@
 	}
 	queue.Limits = append(queue.Limits, update.Limits...)
 	queue.Leaving = append(queue.Leaving, update.Leaving...)
+	queue.Misdirected = append(queue.Misdirected, update.Misdirected...)
 	queue.Blame = appendBlame(queue.Blame, update.Blame...)
 	queue.Lease = max(queue.Lease, update.Lease)
 }
--- a/internal/node/rcinstance/relay.go
+++ b/internal/node/rcinstance/relay.go
@@ -177,14 +177,15 @@
 
 func (u peerUpdate) merge(o peerUpdate) peerUpdate {
 	return peerUpdate{
-		Engines: slices.Concat(u.Engines, o.Engines),
-		Cached:  slices.Concat(u.Cached, o.Cached),
-		Crashes: u.Crashes, // The local records already include received ones.
-		Feeds:   u.Feeds,
-		Streams: slices.Concat(u.Streams, o.Streams),
-		Limits:  slices.Concat(u.Limits, o.Limits),
-		Leaving: slices.Concat(u.Leaving, o.Leaving),
-		Blame:   slices.Concat(u.Blame, o.Blame),
-		Lease:   max(u.Lease, o.Lease),
+		Engines:     slices.Concat(u.Engines, o.Engines),
+		Cached:      slices.Concat(u.Cached, o.Cached),
+		Crashes:     u.Crashes, // The local records already include received ones.
+		Feeds:       u.Feeds,
+		Streams:     slices.Concat(u.Streams, o.Streams),
+		Limits:      slices.Concat(u.Limits, o.Limits),
+		Leaving:     slices.Concat(u.Leaving, o.Leaving),
+		Misdirected: slices.Concat(u.Misdirected, o.Misdirected),
+		Blame:       slices.Concat(u.Blame, o.Blame),
+		Lease:       max(u.Lease, o.Lease),
 	}
 }
--- a/internal/node/rcinstance/relay_test.go
+++ b/internal/node/rcinstance/relay_test.go
@@ -41,6 +41,25 @@
 	return all
 }
 
+// TestMisdirectedReachesAll guards against an upstream that is gone and that each instance has
+// to find out about by itself.
+func TestMisdirectedReachesAll(t *testing.T) {
+	for _, n := range []int{3, 24} {
+		all := newPeerGroups(n, 3)
+		r := rcfleet.Misdirected{Upstream: "u", Incarnation: 1}
+		for _, p := range all {
+			p.instance.fleet.Put(rcfleet.Entry{Upstream: radishcrank.Upstream{ID: "u", Service: "s", Incarnation: 1}})
+		}
+		all[1].instance.fleet.MarkMisdirected(r)
+		all[1].announceMisdirected(r)
+		deliverUpdates(t, all)
+		for _, p := range all {
+			s, _ := p.instance.fleet.Get("u")
+			require.True(t, s.Suspect, "%d instances, %s", n, p.self.Name)
+		}
+	}
+}
+
 // deliverUpdates runs rounds in which every instance sends its updates, until there are
 // none, and returns the number of messages.
 func deliverUpdates(t *testing.T, all []*peerGroup) (messages int) {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -135,6 +135,11 @@
 	switch reply.Class {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
 		outcome = rcfleet.Refused
+		if reply.Class == radishcrank.ReplyMisdirected && f.cfg.OnMisdirected(rcfleet.Misdirected{
+			Upstream: up.ID, Incarnation: up.Incarnation, Model: x.Model, Weights: choice.Weights,
+		}) {
+			f.cfg.Metrics.Add(rcmetric.UpstreamsMisdirected, 1)
+		}
 		d.logAttempt(up, rcmetric.AttemptRefused, reply.Status, nil)
 		return false, nil
 	case radishcrank.ReplyInvalid:
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -94,6 +94,10 @@
 	// OnLeaving is called with the status of each reply that says that its upstream leaves,
 	// and reports whether that is new. The default only records it in Fleet.
 	OnLeaving func(up radishcrank.Upstream, status int) (changed bool)
+	// OnMisdirected is called when an upstream has said that it is not the one that was listed,
+	// or serves other weights, and reports whether that is new. The default only records it in
+	// Fleet.
+	OnMisdirected func(r rcfleet.Misdirected) (changed bool)
 	// Slots divides the slots of brittle upstreams among the instances. Nil means that this
 	// is the only one.
 	Slots *rcslots.Divider
@@ -129,6 +133,9 @@
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) bool { return cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
 	}
+	if cfg.OnMisdirected == nil {
+		cfg.OnMisdirected = cfg.Fleet.MarkMisdirected
+	}
 	return &Forwarder{cfg: cfg}
 }
 
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -95,6 +95,10 @@
 		{steps: []step{{reply: unframed}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UnframedReplies}},
 		{steps: []step{{reply: limited}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.LimitedReplies}},
 		{steps: []step{{reply: leaving}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.UpstreamsLeaving}},
+		{
+			steps: []step{{reply: radishcrank.Reply{Class: radishcrank.ReplyMisdirected, Status: http.StatusMisdirectedRequest}}, {reply: okReply()}}, x: nonIdempotent(),
+			counters: []rcmetric.CounterName{rcmetric.UpstreamsMisdirected},
+		},
 		{steps: []step{{reply: pausing}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.PausesAsked}},
 		{steps: []step{{reply: brittle}}, x: nonIdempotent(), counters: []rcmetric.CounterName{rcmetric.BrittleReplies}},
 		{steps: []step{{reply: okReply(), body: strings.NewReader("id: 2\n\n")}}, x: takenUp(), counters: []rcmetric.CounterName{rcmetric.StreamsTakenUp}},
--- a/internal/state/rcfleet/exchange.go
+++ b/internal/state/rcfleet/exchange.go
@@ -91,7 +91,7 @@
 }
 
 func (m *member) recordSuccess() {
-	m.failures, m.suspectUntil = 0, time.Time{}
+	m.failures, m.suspectUntil, m.misdirected = 0, time.Time{}, false
 }
 
 // RetryFailedSince ends the suspicion of upstreams of a service that first failed at a time
--- a/internal/state/rcfleet/fleet.go
+++ b/internal/state/rcfleet/fleet.go
@@ -115,6 +115,7 @@
 	failures     int
 	failingSince time.Time // When the first of them was; meaningless without failures.
 	suspectUntil time.Time
+	misdirected  bool // Its last failure was that it is not what is listed.
 	// unconfirmedUntil ends the time in which the entry may be that of an upstream
 	// that is gone.
 	unconfirmedUntil time.Time
@@ -534,6 +535,7 @@
 	}
 	m.Weights = newestWeights(m.Weights, map[radishcrank.ModelID]radishcrank.WeightsVersion{model: w})
 	m.LoadingUntil = time.Time{}
+	m.recordWeights()
 	f.signalLocked()
 }
 
@@ -609,5 +611,6 @@
 		m.failingSince = now
 	}
 	m.failures++
+	m.misdirected = false
 	m.suspectUntil = now.Add(min(initialSuspicion<<min(m.failures-1, 8), maxSuspicion))
 }
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -49,6 +49,7 @@
 	NewsLost               CounterName = "NewsLost"
 	LimitedReplies         CounterName = "LimitedReplies"
 	UpstreamsLeaving       CounterName = "UpstreamsLeaving"
+	UpstreamsMisdirected   CounterName = "UpstreamsMisdirected"
 	PausesAsked            CounterName = "PausesAsked"
 	Detours                CounterName = "Detours"
 	LinkCuts               CounterName = "LinkCuts"
@@ -133,6 +134,7 @@
 	{Detours, "attempts", "Requests sent through another instance because this one reached no upstream, or owns no slots of brittle ones.", "Unless `ServiceBrittle` lines explain it, look for the links between this instance and the upstreams; `Detour` lines name the other instances."},
 	{ZoneCuts, "cuts", "Times at which this instance was found to reach no upstream of an availability zone.", "Look for the links between the zones; `ZoneCut` lines name the zone, and say how long it took to notice and how long the cut lasted."},
 	{LinkCuts, "cuts", "Times at which this instance was found to be cut off from all upstreams of a service.", "Look for the links of this instance; `LinksCut` lines say how long it took to notice, and how long the cut lasted."},
+	{UpstreamsMisdirected, "replies", "Replies by which an upstream is not the one that is listed, or serves other weights, when that was not known.", "None: it gets no requests for 1 s or longer, at all instances. A lasting rise means that the list of upstreams is out of date."},
 	{UpstreamsLeaving, "upstreams", "Upstreams that told this instance in a reply that they leave.", "None: they get no further requests. Look for `UpstreamLeaving` lines if too few upstreams are left."},
 	{LimitedReplies, "replies", "Replies of upstreams that limit the rate of their requests.", "Look for the upstreams in `RateLimit` lines; they are in need."},
 	{StreamsTakenUp, "requests", "Requests whose callers take up a stream again.", "Find out why streams break: upstreams, instances or links."},
