Take no retry for an upstream that was not reached

Cause: an attempt that found no connection took a retry from the fleet's budget, although no upstream had seen the request. Change: only attempts that may have reached an upstream count. Measured: TestUnreachedUpstreamTakesNoRetry fails before (503).

--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -245,7 +245,7 @@
 			d.cause = errors.Join(errors.New(crashesUpstreams), d.cause)
 			return d.finishWithoutAnswer()
 		}
-		if d.attempts+d.runs > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
+		if d.arrivals() > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return d.giveUp()
 		}
@@ -261,6 +261,11 @@
 	}
 }
 
+// arrivals returns how many upstreams the exchange may have reached. Only those beyond the first
+// count as retries: while many upstreams refuse connections, the budget would be spent on
+// requests that none of them has seen.
+func (d *dispatch) arrivals() int { return d.attempts - d.unreached }
+
 // convictedMeanwhile reports whether the content was found to crash upstreams while the
 // exchange waited or ran.
 func (d *dispatch) convictedMeanwhile() bool {
--- a/internal/serving/rcforward/misdirected_test.go
+++ b/internal/serving/rcforward/misdirected_test.go
@@ -34,3 +34,28 @@
 		}
 	})
 }
+
+// TestUnreachedUpstreamTakesNoRetry guards against requests that are rejected for lack of retries
+// although no upstream has seen them yet, as when many upstreams have crashed at once.
+func TestUnreachedUpstreamTakesNoRetry(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  step
+		status int
+	}{
+		"connection refused": {first: step{err: radishcrank.ErrNotSent}, status: http.StatusOK},
+		"rejected":           {first: step{reply: radishcrank.Reply{Status: http.StatusServiceUnavailable, Class: radishcrank.ReplyBusy}}, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedSender{steps: []step{c.first, {reply: okReply(), body: strings.NewReader("id: 1\n\n")}}}
+				f := newEngineForwarder(s, "a", "b")
+				f.cfg.Budget = stubBudget{empty: true}
+				x := streaming(radishcrank.RetryNever)
+				x.ID, x.Service, x.ReceivedAt, x.Deadline = "r", "s", time.Now(), time.Now().Add(5*time.Second)
+				w := httptest.NewRecorder()
+				require.NoError(t, f.Serve(t.Context(), w, &x))
+				require.Equal(t, c.status, w.Code)
+			})
+		})
+	}
+}
