Count streams that callers leave as answers to their parts

A part that nearly only comes in streams that their callers leave was never counted as answered.

An answer that goes on for 100 ms after its first event now counts as one to its parts, though it does not clear them of crashes: crashes were seen 35 ms after an answer had begun. A part with an answer neither stands for one without any that came to the same crashes, nor is it blamed before it.

TestCallersLeaveStreams failed before (the pair was convicted).

--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -107,6 +107,7 @@
 		}
 	}
 	var all []candidate
+	now := time.Now()
 	instances := t.cfg.Instances()
 	for p, found := range sightings {
 		all = append(all, weigh(p, found, clusters, instances))
@@ -118,9 +119,15 @@
 		if !t.isEnoughLocked(c) || !t.othersAnsweredLocked(c.part, crashes) {
 			continue
 		}
-		if slices.ContainsFunc(all[:n], func(stronger candidate) bool { return covers(stronger.part, c.part, crashes) }) {
+		answered := t.answered.has(c.part, now)
+		if slices.ContainsFunc(all[:n], func(stronger candidate) bool {
+			return (answered || !t.answered.has(stronger.part, now)) && covers(stronger.part, c.part, crashes)
+		}) {
 			continue
 		}
+		if _, accompanied := t.accompliceLocked(c.part, crashes, all); answered && accompanied {
+			continue // Parts that have had no answer are judged first.
+		}
 		set := t.companionsLocked(c.part, crashes)
 		if len(set) == 1 {
 			if q, found := t.accompliceLocked(c.part, crashes, all); found {
--- a/internal/limits/rcblame/run.go
+++ b/internal/limits/rcblame/run.go
@@ -10,6 +10,10 @@
 	// beginTime is how long after its first event a run still counts as beginning. A run
 	// that has been writing for longer has not crashed its upstream by beginning.
 	beginTime = 500 * time.Millisecond
+	// leftTime is for how long after its first event an answer has to go on to count as an
+	// answer to its parts although its caller left it. Crashes were seen 35 ms after an
+	// answer had begun.
+	leftTime = 100 * time.Millisecond
 )
 
 // Run is a run of a request on an upstream.
@@ -20,6 +24,7 @@
 	up           radishcrank.Upstream
 	startedAt    time.Time
 	firstEventAt time.Time
+	lastEventAt  time.Time
 	cleared      bool // The answer has outlasted its beginning, and its parts are cleared.
 }
 
@@ -45,6 +50,7 @@
 		return
 	}
 	now := time.Now()
+	r.lastEventAt = now
 	if !r.firstEventAt.IsZero() && r.beginning(now) {
 		return
 	}
@@ -89,6 +95,10 @@
 		t.clearLocked(r.parts, now)
 	case crashed:
 		t.reportLocked(r, now)
+	case r.lastEventAt.Sub(r.firstEventAt) >= leftTime:
+		for _, p := range r.parts {
+			t.answered.add(p, now)
+		}
 	}
 	t.usage.add(r, now)
 	delete(t.runs[r.up.ID], r)
