Single a part out only by crashes at which it was alone

Two crashes and less evidence still suffice for a member of a convicted set, but only crashes count at which no other part without an answer was in the same run, or in another run and at a further crash.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -17,11 +17,12 @@
 	*Tracker
 	convicted [][]Key
 	announced []Report
+	presence  float64 // Of each part.
 	crashed   int
 }
 
 func newJudged() *judged {
-	j := &judged{}
+	j := &judged{presence: 0.004}
 	j.Tracker = New(Config{
 		Instance: "i", Instances: func() int { return 3 }, Upstreams: func(string) int { return 5 },
 		Announce: func(r Report) { j.announced = append(j.announced, r) },
@@ -39,12 +40,18 @@
 	run.End(false, whole)
 }
 
-// crash plays a crash of an upstream with one beginning run, which another instance reports.
+// crash plays a crash of an upstream, which another instance reports. A "|" separates the
+// beginning runs.
 func (j *judged) crash(parts ...Key) {
-	r := Report{Crash: fmt.Sprint("u", j.crashed), Service: "s", Runs: [][]int{{}}}
-	for n, p := range parts {
-		r.Suspects = append(r.Suspects, Suspect{Part: p, Presence: 0.004})
-		r.Runs[0] = append(r.Runs[0], n)
+	r := Report{Crash: fmt.Sprint("u", j.crashed), Service: "s", Runs: [][]int{nil}}
+	for _, p := range parts {
+		if p == "|" {
+			r.Runs = append(r.Runs, nil)
+			continue
+		}
+		last := &r.Runs[len(r.Runs)-1]
+		*last = append(*last, len(r.Suspects))
+		r.Suspects = append(r.Suspects, Suspect{Part: p, Presence: j.presence})
 	}
 	j.crashed++
 	j.Merge(r)
@@ -77,3 +84,34 @@
 		})
 	}
 }
+
+// TestSoundPartIsSingledOut guards against a sound part that is convicted together with a
+// crashing one, and then alone because of crashes at which the next crashing parts, or those
+// with another cause, had it with them.
+func TestSoundPartIsSingledOut(t *testing.T) {
+	for name, crashes := range map[string][][]Key{
+		"next crashing part":       {{"b", "y"}, {"b", "y"}},
+		"two crashing parts":       {{"b", "y"}, {"b", "z"}},
+		"other crashes":            {{"b"}, {"b", "y"}, {"b"}},
+		"another run at the crash": {{"b", "|", "y"}, {"b", "|", "y"}, {"b", "|", "y"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				j := newJudged()
+				j.presence = 0.015
+				j.Merge(Report{Convicted: []Key{"b", "x"}})
+				for _, parts := range crashes {
+					j.crash(parts...)
+				}
+				j.settle()
+				require.NotContains(t, j.convicted, []Key{"b"})
+				for range minAnswers {
+					j.crash("other", "x")
+				}
+				j.settle()
+				require.Contains(t, j.convicted, []Key{"x"})
+				require.NotContains(t, j.convicted, []Key{"b"})
+			})
+		})
+	}
+}
--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -116,7 +116,7 @@
 		return cmp.Or(cmp.Compare(b.evidence, a.evidence), cmp.Compare(a.part, b.part))
 	})
 	for n, c := range all {
-		if !t.isEnoughLocked(c) || !t.othersAnsweredLocked(c.part, crashes) {
+		if !c.isEnough() && !t.isSingledOutLocked(c.part, clusters, sightings) || !t.othersAnsweredLocked(c.part, crashes) {
 			continue
 		}
 		answered := t.answered.has(c.part, now)
@@ -145,14 +145,55 @@
 	return false
 }
 
-// isEnoughLocked reports whether the evidence against a part is enough to convict it.
-func (t *Tracker) isEnoughLocked(c candidate) bool {
-	if t.inConvictedLocked(c.part) {
-		return c.crashes >= minSingledOut && c.evidence >= minSingledOutEvidence
-	}
+// isEnough reports whether the evidence against a part is enough to convict it.
+func (c candidate) isEnough() bool {
 	return c.crashes >= minBlamedCrashes && c.clusters >= minClusters && c.evidence >= minEvidence
 }
 
+// isSingledOutLocked reports whether the evidence against a part that is convicted together
+// with others is enough to convict it alone. Only the crashes count at which nothing else is
+// to blame: the part may come along with the next crashing one.
+func (t *Tracker) isSingledOutLocked(p Key, clusters [][]*crash, sightings map[Key][]sighting) bool {
+	if !t.inConvictedLocked(p) {
+		return false
+	}
+	now := time.Now()
+	var found []sighting
+	for n, cluster := range clusters {
+		s := sighting{cluster: n}
+		for _, c := range cluster {
+			if seen, present := c.presence[p]; present && !t.isAccompaniedLocked(p, c, sightings, now) {
+				s.presence, s.crashes = s.plus(seen), s.crashes+1
+			}
+		}
+		if s.crashes > 0 {
+			found = append(found, s)
+		}
+	}
+	if len(found) == 0 {
+		return false
+	}
+	c := weigh(p, found, clusters, t.cfg.Instances())
+	return c.crashes >= minSingledOut && c.evidence >= minSingledOutEvidence
+}
+
+// isAccompaniedLocked reports whether a part that has had no answer was at a crash beside p:
+// in the same run, or in another one and at a further crash.
+func (t *Tracker) isAccompaniedLocked(p Key, c *crash, sightings map[Key][]sighting, now time.Time) bool {
+	for q := range c.presence {
+		if q == p || t.answered.has(q, now) {
+			continue
+		}
+		if found := sightings[q]; len(found) > 1 || found[0].crashes > 1 {
+			return true
+		}
+		if slices.ContainsFunc(c.runs, func(run []Key) bool { return slices.Contains(run, p) && slices.Contains(run, q) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // covers reports whether a part was present at nearly all crashes of another one, so
 // that it may be to blame for them instead.
 func covers(p, other Key, crashes []*crash) bool {
