Tell other instances which suspects have had an answer

Whether a part had an answer in the last minute was known only to the instance that brought it, and to those that had the part as a suspect then.

Instances now tell each other of suspects of at least two crashes of the last 5 s that have had an answer: at most eight parts, and each part once in 2 s, by whichever instance is first.

TestPartIsAnsweredElsewhere failed before.

--- a/internal/limits/rcblame/answers.go
+++ b/internal/limits/rcblame/answers.go
@@ -1,6 +1,10 @@
 package rcblame
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// soundTime is how long an answer also clears the parts of its prompt of crashes that
@@ -9,6 +13,12 @@
 	// answeredTime is how long a part that an answer has cleared is blamed only alone,
 	// and not because it comes together with another one.
 	answeredTime = time.Minute
+	// tellInterval is the least time until the others are told again that a suspect has had
+	// an answer, for those that have just started. Suspects are told while the last crash
+	// with them is not older than tellTime, at most maxTold at a time.
+	tellInterval = 2 * time.Second
+	tellTime     = 5 * time.Second
+	maxTold      = 8
 	// maxAnswers bounds the answers of a service that are known to have begun.
 	maxAnswers = 64
 )
@@ -56,12 +66,53 @@
 			news = append(news, p)
 		}
 	}
+	t.addAnsweredLocked(parts, now)
 	t.removeSuspectsLocked(parts, now)
 	if len(news) > 0 {
 		t.cfg.Announce(Report{Sound: news})
 	}
 }
 
+// addAnsweredLocked records that parts have had an answer here.
+func (t *Tracker) addAnsweredLocked(parts []Key, now time.Time) {
+	for _, p := range parts {
+		t.answered.add(p, now)
+		t.ownAnswer.add(p, now)
+	}
+}
+
+// tellAnsweredLocked tells the others which suspects of several crashes have had an answer
+// here. An instance that has just started, or that serves few requests, would blame them
+// together with the part that comes with them.
+func (t *Tracker) tellAnsweredLocked(now time.Time) {
+	crashes := map[Key]int{}
+	for _, c := range t.crashes {
+		if c.explained || now.Sub(c.knownAt) >= tellTime {
+			continue
+		}
+		for p := range c.presence {
+			if t.ownAnswer.has(p, now) && !t.told.has(p, now) {
+				crashes[p]++
+			}
+		}
+	}
+	var news []Key
+	for p, n := range crashes {
+		if n > 1 {
+			news = append(news, p)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	slices.SortFunc(news, func(a, b Key) int { return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b)) })
+	news = news[:min(len(news), maxTold)]
+	for _, p := range news {
+		t.told.add(p, now)
+	}
+	t.cfg.Announce(Report{Answered: news})
+}
+
 // removeSuspectsLocked removes parts from all crashes. A set of parts that was convicted
 // together with one of them is convicted without it.
 func (t *Tracker) removeSuspectsLocked(parts []Key, now time.Time) {
--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -115,3 +115,31 @@
 		})
 	}
 }
+
+// TestPartIsAnsweredElsewhere guards against a sound part that is convicted together with a
+// crashing one, by an instance that has not seen it answered: it has just started, or others
+// serve most of the requests with it.
+func TestPartIsAnsweredElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serving, started := newJudged(), newJudged()
+		serving.answer(leftTime/2, true, "all", "b")
+		time.Sleep(2 * soundTime)
+		var told []time.Duration
+		start := time.Now()
+		for len(started.convicted) == 0 {
+			require.Less(t, time.Since(start), 10*time.Second, "nothing is convicted")
+			serving.crash("b", "x")
+			started.crash("b", "x")
+			for _, r := range serving.announced {
+				if len(r.Answered) > 0 {
+					require.Equal(t, []Key{"b"}, r.Answered)
+					told = append(told, time.Since(start))
+				}
+				started.Merge(r)
+			}
+			serving.announced = nil
+		}
+		require.Equal(t, [][]Key{{"x"}}, started.convicted)
+		require.Len(t, told, 1, "told at %s, convicted at %s", told, time.Since(start))
+	})
+}
--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -73,6 +73,7 @@
 			t.rememberLocked(set)
 		}
 	}
+	t.tellAnsweredLocked(now)
 	byService := map[string][]*crash{}
 	for _, c := range t.crashes {
 		if now.Sub(c.knownAt) >= settleTime {
--- a/internal/limits/rcblame/report.go
+++ b/internal/limits/rcblame/report.go
@@ -29,7 +29,9 @@
 	Runs    [][]int       `json:",omitempty"` // Beginning runs on it, as indices of Suspects.
 	Sound   []Key         `json:",omitempty"` // Suspects that an answer has cleared.
 	Begun   []Key         `json:",omitempty"` // Parts of the prompt of an answer of Service that has begun.
-	Alive   []string      `json:",omitempty"` // Crashes that were none: the process still answers.
+	// Answered are suspects that have had an answer at the sender within answeredTime.
+	Answered []Key    `json:",omitempty"`
+	Alive    []string `json:",omitempty"` // Crashes that were none: the process still answers.
 	// Convicted are parts that crash upstreams when a prompt holds all of them.
 	Convicted []Key `json:",omitempty"`
 }
--- a/internal/limits/rcblame/run.go
+++ b/internal/limits/rcblame/run.go
@@ -96,9 +96,7 @@
 	case crashed:
 		t.reportLocked(r, now)
 	case r.lastEventAt.Sub(r.firstEventAt) >= leftTime:
-		for _, p := range r.parts {
-			t.answered.add(p, now)
-		}
+		t.addAnsweredLocked(r.parts, now)
 	}
 	t.usage.add(r, now)
 	delete(t.runs[r.up.ID], r)
