Blame a part alone only on evidence without its company

A part was convicted alone once it had been at two crashes without another part that has had no answer, however likely that was by chance. A sound part that came along with crashing ones was, when runs with it were at two crashes with other causes.

The crashes without company now have to be as unlikely as for a part that is singled out of a convicted set. TestSoundPartIsAtOtherCrashes failed before.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -143,3 +143,17 @@
 		require.Len(t, told, 1, "told at %s, convicted at %s", told, time.Since(start))
 	})
 }
+
+// TestSoundPartIsAtOtherCrashes guards against a sound part that is convicted alone, since
+// runs with it were at crashes with other causes beside those of a crashing part.
+func TestSoundPartIsAtOtherCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJudged()
+		j.presence = 0.02
+		for _, parts := range [][]Key{{"b"}, {"b", "x"}, {"b", "x"}, {"b", "x"}, {"b"}, {"b", "x"}} {
+			j.crash(parts...)
+		}
+		j.settle()
+		require.Equal(t, [][]Key{{"b", "x"}}, j.convicted)
+	})
+}
--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -159,11 +159,17 @@
 		return false
 	}
 	now := time.Now()
+	return t.isBlamedAloneLocked(p, clusters, func(c *crash) bool { return t.isAccompaniedLocked(p, c, sightings, now) })
+}
+
+// isBlamedAloneLocked reports whether the crashes at which a part was not accompanied are
+// enough to blame it alone.
+func (t *Tracker) isBlamedAloneLocked(p Key, clusters [][]*crash, accompanied func(*crash) bool) bool {
 	var found []sighting
 	for n, cluster := range clusters {
 		s := sighting{cluster: n}
 		for _, c := range cluster {
-			if seen, present := c.presence[p]; present && !t.isAccompaniedLocked(p, c, sightings, now) {
+			if seen, present := c.presence[p]; present && !accompanied(c) {
 				s.presence, s.crashes = s.plus(seen), s.crashes+1
 			}
 		}
@@ -334,20 +340,14 @@
 			}
 		}
 	}
-	unaccompanied := 0
-	for _, c := range crashes {
-		if _, present := c.presence[p]; !present || c.explained {
-			continue
-		}
-		accompanied := false
+	if t.isBlamedAloneLocked(p, clustersOf(crashes), func(c *crash) bool {
 		for q := range c.presence {
-			accompanied = accompanied || together[q] > 0
-		}
-		if !accompanied {
-			unaccompanied++
+			if together[q] > 0 {
+				return true
+			}
 		}
-	}
-	if unaccompanied >= minSingledOut {
+		return false
+	}) {
 		return best, false
 	}
 	for q, n := range together {
