Keep answers to suspects known over restarts

Only the instance that had brought an answer told the others that a suspect had one, so nobody knew once it had restarted. Every instance that knows now tells it, with the time since the answer, so that it counts for a minute in all and not longer.

TestAnswersAreForgottenInRestarts failed before.

--- a/internal/limits/rcblame/answers.go
+++ b/internal/limits/rcblame/answers.go
@@ -66,23 +66,14 @@
 			news = append(news, p)
 		}
 	}
-	t.addAnsweredLocked(parts, now)
 	t.removeSuspectsLocked(parts, now)
 	if len(news) > 0 {
 		t.cfg.Announce(Report{Sound: news})
 	}
 }
 
-// addAnsweredLocked records that parts have had an answer here.
-func (t *Tracker) addAnsweredLocked(parts []Key, now time.Time) {
-	for _, p := range parts {
-		t.answered.add(p, now)
-		t.ownAnswer.add(p, now)
-	}
-}
-
-// tellAnsweredLocked tells the others which suspects of several crashes have had an answer
-// here. An instance that has just started, or that serves few requests, would blame them
+// tellAnsweredLocked tells the others which suspects of several crashes have had an answer.
+// An instance that has just started, or that serves few requests, would blame them
 // together with the part that comes with them.
 func (t *Tracker) tellAnsweredLocked(now time.Time) {
 	crashes := map[Key]int{}
@@ -91,24 +82,26 @@
 			continue
 		}
 		for p := range c.presence {
-			if t.ownAnswer.has(p, now) && !t.told.has(p, now) {
+			if t.answered.has(p, now) && !t.told.has(p, now) {
 				crashes[p]++
 			}
 		}
 	}
-	var news []Key
+	var news []AnsweredPart
 	for p, n := range crashes {
-		if n > 1 {
-			news = append(news, p)
+		if at, ok := t.answered.at(p); ok && n > 1 {
+			news = append(news, AnsweredPart{p, now.Sub(at)})
 		}
 	}
 	if len(news) == 0 {
 		return
 	}
-	slices.SortFunc(news, func(a, b Key) int { return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b)) })
+	slices.SortFunc(news, func(a, b AnsweredPart) int {
+		return cmp.Or(cmp.Compare(crashes[b.Part], crashes[a.Part]), cmp.Compare(a.Part, b.Part))
+	})
 	news = news[:min(len(news), maxTold)]
-	for _, p := range news {
-		t.told.add(p, now)
+	for _, a := range news {
+		t.told.add(a.Part, now)
 	}
 	t.cfg.Announce(Report{Answered: news})
 }
--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -132,7 +132,8 @@
 			started.crash("b", "x")
 			for _, r := range serving.announced {
 				if len(r.Answered) > 0 {
-					require.Equal(t, []Key{"b"}, r.Answered)
+					require.Len(t, r.Answered, 1)
+					require.Equal(t, Key("b"), r.Answered[0].Part)
 					told = append(told, time.Since(start))
 				}
 				started.Merge(r)
@@ -157,3 +158,26 @@
 		require.Equal(t, [][]Key{{"b", "x"}}, j.convicted)
 	})
 }
+
+// TestAnswersAreForgottenInRestarts guards against answers that no instance knows of any more
+// once the instance that brought them has restarted, and against answers that count for
+// longer because instances tell each other of them again and again.
+func TestAnswersAreForgottenInRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		previous := newJudged()
+		previous.answer(leftTime/2, true, "b")
+		time.Sleep(2 * soundTime)
+		for n, wait := range []time.Duration{0, answeredTime / 2, answeredTime / 2} {
+			time.Sleep(wait)
+			next := newJudged()
+			for range 2 {
+				previous.crash("b", "x")
+			}
+			for _, r := range previous.announced {
+				next.Merge(r)
+			}
+			require.Equal(t, n < 2, next.answered.has("b", time.Now()), "instance %d", n)
+			previous = next
+		}
+	})
+}
--- a/internal/limits/rcblame/report.go
+++ b/internal/limits/rcblame/report.go
@@ -19,6 +19,12 @@
 	Own      float64 `json:",omitempty"`
 }
 
+// AnsweredPart is a part that had an answer some time ago.
+type AnsweredPart struct {
+	Part Key
+	Ago  time.Duration
+}
+
 // Report is what an instance tells the others.
 type Report struct {
 	Crash    string    `json:",omitempty"` // Upstream and incarnation that crashed; empty if none did.
@@ -29,9 +35,9 @@
 	Runs    [][]int       `json:",omitempty"` // Beginning runs on it, as indices of Suspects.
 	Sound   []Key         `json:",omitempty"` // Suspects that an answer has cleared.
 	Begun   []Key         `json:",omitempty"` // Parts of the prompt of an answer of Service that has begun.
-	// Answered are suspects that have had an answer at the sender within answeredTime.
-	Answered []Key    `json:",omitempty"`
-	Alive    []string `json:",omitempty"` // Crashes that were none: the process still answers.
+	// Answered are suspects that have had an answer within answeredTime, at any instance.
+	Answered []AnsweredPart `json:",omitempty"`
+	Alive    []string       `json:",omitempty"` // Crashes that were none: the process still answers.
 	// Convicted are parts that crash upstreams when a prompt holds all of them.
 	Convicted []Key `json:",omitempty"`
 }
--- a/internal/limits/rcblame/run.go
+++ b/internal/limits/rcblame/run.go
@@ -96,7 +96,9 @@
 	case crashed:
 		t.reportLocked(r, now)
 	case r.lastEventAt.Sub(r.firstEventAt) >= leftTime:
-		t.addAnsweredLocked(r.parts, now)
+		for _, p := range r.parts {
+			t.answered.add(p, now)
+		}
 	}
 	t.usage.add(r, now)
 	delete(t.runs[r.up.ID], r)
--- a/internal/limits/rcblame/tracker.go
+++ b/internal/limits/rcblame/tracker.go
@@ -55,7 +55,6 @@
 	suspected map[Key]int
 	sound     recentParts // Cleared by an answer not longer than soundTime ago.
 	answered  recentParts // That had an answer not longer than answeredTime ago, here or elsewhere.
-	ownAnswer recentParts // The same, here.
 	told      recentParts // Told to have had an answer not longer than tellInterval ago.
 	usage     usage
 	answers   map[string][]answer // The last ones that have begun at any instance, by service.
@@ -70,7 +69,7 @@
 		cfg: cfg, runs: map[radishcrank.UpstreamID]map[*Run]bool{}, suspected: map[Key]int{},
 		answers: map[string][]answer{},
 		sound:   recentParts{lifetime: soundTime}, answered: recentParts{lifetime: answeredTime},
-		ownAnswer: recentParts{lifetime: answeredTime}, told: recentParts{lifetime: tellInterval}, usage: newUsage(),
+		told: recentParts{lifetime: tellInterval}, usage: newUsage(),
 	}
 }
 
@@ -107,9 +106,9 @@
 		t.convictLocked(r.Convicted, false)
 	}
 	t.removeSuspectsLocked(r.Sound, now)
-	for _, p := range r.Answered[:min(len(r.Answered), maxTold)] {
-		t.answered.add(p, now)
-		t.told.add(p, now)
+	for _, a := range r.Answered[:min(len(r.Answered), maxTold)] {
+		t.answered.addAt(a.Part, now.Add(-max(a.Ago, 0)), now)
+		t.told.add(a.Part, now)
 	}
 	for _, id := range r.Alive {
 		if c := t.crashLocked(id); c != nil {
--- a/internal/limits/rcblame/usage.go
+++ b/internal/limits/rcblame/usage.go
@@ -44,11 +44,17 @@
 	current, previous map[Key]time.Time
 }
 
-func (p *recentParts) add(k Key, now time.Time) {
+func (p *recentParts) add(k Key, now time.Time) { p.addAt(k, now, now) }
+
+// addAt adds a part whose lifetime began at a time, unless it is known from a later one.
+func (p *recentParts) addAt(k Key, at, now time.Time) {
+	if known, ok := p.at(k); ok && known.After(at) {
+		return
+	}
 	if p.current == nil || now.Sub(p.rotatedAt) >= p.lifetime || len(p.current) >= maxUsageParts {
 		p.previous, p.current, p.rotatedAt = p.current, map[Key]time.Time{}, now
 	}
-	p.current[k] = now
+	p.current[k] = at
 }
 
 // any reports whether there are parts whose lifetime has not ended.
@@ -56,10 +62,15 @@
 	return len(p.current) > 0 && now.Sub(p.rotatedAt) < p.lifetime
 }
 
-func (p *recentParts) has(k Key, now time.Time) bool {
-	at, ok := p.current[k]
-	if !ok {
+// at returns when the lifetime of a part began.
+func (p *recentParts) at(k Key) (at time.Time, ok bool) {
+	if at, ok = p.current[k]; !ok {
 		at, ok = p.previous[k]
 	}
+	return at, ok
+}
+
+func (p *recentParts) has(k Key, now time.Time) bool {
+	at, ok := p.at(k)
 	return ok && now.Sub(at) < p.lifetime
 }
