Convict a set without a part that has an answer later

A part convicted together with a crashing one was taken out of the set only by an answer that clears it while it is a suspect at a known crash. Answers that others bring or that callers leave changed nothing once the set was convicted, and the crashing part went on reaching upstreams in other company.

Sets are now convicted without the parts that had an answer since the first crash that the set explains. TestAnswerAfterConviction failed before.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -181,3 +181,19 @@
 		}
 	})
 }
+
+// TestAnswerAfterConviction guards against a crashing part that goes on reaching upstreams in
+// other company, although a part that it is convicted together with has had an answer since.
+func TestAnswerAfterConviction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJudged()
+		for range 6 {
+			j.crash("b", "x")
+		}
+		j.settle()
+		require.Equal(t, [][]Key{{"b", "x"}}, j.convicted)
+		j.answer(leftTime, false, "all", "b")
+		j.judge(time.Now())
+		require.Equal(t, [][]Key{{"b", "x"}, {"x"}}, j.convicted)
+	})
+}
--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -74,6 +74,7 @@
 		}
 	}
 	t.tellAnsweredLocked(now)
+	t.narrowLocked(now)
 	byService := map[string][]*crash{}
 	for _, c := range t.crashes {
 		if now.Sub(c.knownAt) >= settleTime {
@@ -279,7 +280,12 @@
 
 // explain records whether a run at the crash held all parts of a convicted set.
 func (c *crash) explain(set []Key) {
-	c.explained = c.explained || slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
+	c.explained = c.explained || c.holds(set)
+}
+
+// holds reports whether a run at the crash held all parts of a set.
+func (c *crash) holds(set []Key) bool {
+	return slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
 }
 
 // companionsLocked returns the parts that all runs with p at the crashes hold. If p was
@@ -410,6 +416,29 @@
 	}
 }
 
+// narrowLocked convicts sets without the parts that have had an answer since the first crash
+// that such a set explains.
+func (t *Tracker) narrowLocked(now time.Time) {
+	for _, set := range slices.Clone(t.convicted) {
+		if len(set) == 1 {
+			continue
+		}
+		for _, c := range t.crashes {
+			if !c.holds(set) {
+				continue
+			}
+			rest := slices.DeleteFunc(slices.Clone(set), func(p Key) bool {
+				at, ok := t.answered.at(p)
+				return ok && at.After(c.knownAt) && t.answered.has(p, now)
+			})
+			if len(rest) > 0 && len(rest) < len(set) {
+				t.convictLocked(rest, true)
+			}
+			break
+		}
+	}
+}
+
 // convictLocked convicts a set of parts and, if announce is set, tells the others.
 func (t *Tracker) convictLocked(set []Key, announce bool) {
 	if !t.rememberLocked(set) {
