Count no presence for runs that would not notice a crash

A run that was not sent, or that ends because nothing was heard of the upstream, would not have noticed a crash there, and no longer counts.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -197,3 +197,20 @@
 		require.Equal(t, [][]Key{{"b", "x"}, {"x"}}, j.convicted)
 	})
 }
+
+// TestRunsOnSeveredLinks guards against a crashing part that is not convicted for long, since
+// requests with it hang at links that are severed and make it look as if it were everywhere.
+func TestRunsOnSeveredLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJudged()
+		for range 10 {
+			run := j.Begin([]Key{"x"}, "s", radishcrank.Upstream{ID: "severed"})
+			time.Sleep(time.Second)
+			run.Lost()
+			run.End(false, false)
+		}
+		j.Begin([]Key{"x"}, "s", radishcrank.Upstream{ID: "u"}).End(true, false)
+		require.Len(t, j.announced, 1)
+		require.Less(t, j.announced[0].Suspects[0].Presence, minPresence)
+	})
+}
--- a/internal/limits/rcblame/run.go
+++ b/internal/limits/rcblame/run.go
@@ -26,6 +26,7 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	cleared      bool // The answer has outlasted its beginning, and its parts are cleared.
+	lost         bool
 }
 
 // Begin records that a request is sent to an upstream. parts are the parts of its prompt
@@ -65,6 +66,15 @@
 	r.t.clearLocked(r.parts, now)
 }
 
+// Lost records that the request was not sent, or that the run ends because nothing was heard
+// of the upstream. Such a run would not have noticed a crash, and is no presence of its parts.
+// It must be called before End.
+func (r *Run) Lost() {
+	if r != nil {
+		r.lost = true
+	}
+}
+
 // beginning reports whether the run may have crashed its upstream by beginning.
 func (r *Run) beginning(now time.Time) bool {
 	return r.firstEventAt.IsZero() || now.Sub(r.firstEventAt) < beginTime
@@ -100,7 +110,9 @@
 			t.answered.add(p, now)
 		}
 	}
-	t.usage.add(r, now)
+	if !r.lost {
+		t.usage.add(r, now)
+	}
 	delete(t.runs[r.up.ID], r)
 	if len(t.runs[r.up.ID]) == 0 {
 		delete(t.runs, r.up.ID)
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -108,9 +108,12 @@
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
 	}
 	blame := f.cfg.Blame.Begin(d.partKeys, x.Service, up)
-	outcome, crashed := rcfleet.Canceled, false
+	outcome, crashed, lost := rcfleet.Canceled, false, false
 	defer func() {
 		run.End(outcome)
+		if lost {
+			blame.Lost()
+		}
 		blame.End(crashed && !isTimeout(d.cause), outcome == rcfleet.Succeeded)
 		end(crashed, outcome == rcfleet.Succeeded)
 	}()
@@ -140,6 +143,7 @@
 			d.runs++
 		}
 		outcome, crashed = d.classifyFailure(ctx, up, err)
+		lost = isTimeout(err) || errors.Is(err, radishcrank.ErrNotSent)
 		return false, nil
 	}
 	defer reply.Body.Close()
@@ -179,6 +183,7 @@
 			blame.Received()
 		}
 		done, outcome, crashed = d.forwardStream(ctx, reply, received, watchdogTimer, weights, choice)
+		lost = outcome == rcfleet.Broken && isTimeout(d.cause)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
