Leave reports of crashes unchanged that are passed on

Cause: a tracker blanked the parts of a report that it does not count, while relays were still to pass the report on. Change: the tracker leaves reports alone, and ignores parts without a name. Measured: TestReportIsNotChanged fails before.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -214,3 +214,22 @@
 		require.Less(t, j.announced[0].Suspects[0].Presence, minPresence)
 	})
 }
+
+// TestReportIsNotChanged guards against reports that lose names of parts while they are passed on
+// to other instances. These counted the parts without a name as one that was present at nearly
+// all crashes, and convicted it again and again.
+func TestReportIsNotChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJudged()
+		j.Merge(Report{Sound: []Key{"sound"}})
+		suspects := []Suspect{{Part: "sound", Presence: 0.1}, {Part: "other", Presence: 0.1}, {Presence: 0.1}}
+		passedOn := Report{Crash: "u0", Service: "s", Suspects: suspects, Runs: [][]int{{0, 1, 2}}}
+		j.Merge(passedOn)
+		require.Equal(t, []Key{"sound", "other", ""}, []Key{suspects[0].Part, suspects[1].Part, suspects[2].Part})
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		require.Len(t, j.crashes, 1)
+		require.Equal(t, [][]Key{{"other"}}, j.crashes[0].runs)
+		require.NotContains(t, j.crashes[0].presence, Key(""))
+	})
+}
--- a/internal/limits/rcblame/crashes.go
+++ b/internal/limits/rcblame/crashes.go
@@ -138,26 +138,27 @@
 		t.crashes = append(t.crashes, c)
 	}
 	watched := cmp.Or(r.Watched, usageWindow)
-	for i, s := range r.Suspects[:min(len(r.Suspects), maxSuspects)] {
-		if t.sound.has(s.Part, now) {
-			r.Suspects[i].Part = ""
+	// The report may be on its way to other instances, so it is not changed.
+	counted := make([]Key, min(len(r.Suspects), maxSuspects)) // Empty for those that do not count.
+	for i, s := range r.Suspects[:len(counted)] {
+		if s.Part == "" || t.sound.has(s.Part, now) {
 			continue
 		}
 		seen, known := c.presence[s.Part]
 		if !known {
 			if len(c.presence) >= 2*maxSuspects {
-				r.Suspects[i].Part = ""
 				continue
 			}
 			t.suspected[s.Part]++
 		}
+		counted[i] = s.Part
 		c.presence[s.Part] = seen.plus(presence{watched, (s.Presence - s.Own) * watched.Seconds(), s.Own * watched.Seconds()})
 	}
 	for _, run := range r.Runs[:min(len(r.Runs), maxRuns)] {
 		var parts []Key
 		for _, i := range run {
-			if i >= 0 && i < len(r.Suspects) && r.Suspects[i].Part != "" {
-				parts = append(parts, r.Suspects[i].Part)
+			if i >= 0 && i < len(counted) && counted[i] != "" {
+				parts = append(parts, counted[i])
 			}
 		}
 		if len(parts) > 0 && len(c.runs) < 2*maxRuns {
