--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -73,6 +73,8 @@
 			t.rememberLocked(set)
 		}
 	}
+	t.tellAnsweredLocked(now)
+	t.narrowLocked(now)
 	byService := map[string][]*crash{}
 	for _, c := range t.crashes {
 		if now.Sub(c.knownAt) >= settleTime {
@@ -107,6 +109,7 @@
 		}
 	}
 	var all []candidate
+	now := time.Now()
 	instances := t.cfg.Instances()
 	for p, found := range sightings {
 		all = append(all, weigh(p, found, clusters, instances))
@@ -115,12 +118,18 @@
 		return cmp.Or(cmp.Compare(b.evidence, a.evidence), cmp.Compare(a.part, b.part))
 	})
 	for n, c := range all {
-		if !t.isEnoughLocked(c) || !t.othersAnsweredLocked(c.part, crashes) {
+		if !c.isEnough() && !t.isSingledOutLocked(c.part, clusters, sightings) || !t.othersAnsweredLocked(c.part, crashes) {
 			continue
 		}
-		if slices.ContainsFunc(all[:n], func(stronger candidate) bool { return covers(stronger.part, c.part, crashes) }) {
+		answered := t.answered.has(c.part, now)
+		if slices.ContainsFunc(all[:n], func(stronger candidate) bool {
+			return (answered || !t.answered.has(stronger.part, now)) && covers(stronger.part, c.part, crashes)
+		}) {
 			continue
 		}
+		if _, accompanied := t.accompliceLocked(c.part, crashes, all); answered && accompanied {
+			continue // Parts that have had no answer are judged first.
+		}
 		set := t.companionsLocked(c.part, crashes)
 		if len(set) == 1 {
 			if q, found := t.accompliceLocked(c.part, crashes, all); found {
@@ -138,14 +147,61 @@
 	return false
 }
 
-// isEnoughLocked reports whether the evidence against a part is enough to convict it.
-func (t *Tracker) isEnoughLocked(c candidate) bool {
-	if t.inConvictedLocked(c.part) {
-		return c.crashes >= minSingledOut && c.evidence >= minSingledOutEvidence
-	}
+// isEnough reports whether the evidence against a part is enough to convict it.
+func (c candidate) isEnough() bool {
 	return c.crashes >= minBlamedCrashes && c.clusters >= minClusters && c.evidence >= minEvidence
 }
 
+// isSingledOutLocked reports whether the evidence against a part that is convicted together
+// with others is enough to convict it alone. Only the crashes count at which nothing else is
+// to blame: the part may come along with the next crashing one.
+func (t *Tracker) isSingledOutLocked(p Key, clusters [][]*crash, sightings map[Key][]sighting) bool {
+	if !t.inConvictedLocked(p) {
+		return false
+	}
+	now := time.Now()
+	return t.isBlamedAloneLocked(p, clusters, func(c *crash) bool { return t.isAccompaniedLocked(p, c, sightings, now) })
+}
+
+// isBlamedAloneLocked reports whether the crashes at which a part was not accompanied are
+// enough to blame it alone.
+func (t *Tracker) isBlamedAloneLocked(p Key, clusters [][]*crash, accompanied func(*crash) bool) bool {
+	var found []sighting
+	for n, cluster := range clusters {
+		s := sighting{cluster: n}
+		for _, c := range cluster {
+			if seen, present := c.presence[p]; present && !accompanied(c) {
+				s.presence, s.crashes = s.plus(seen), s.crashes+1
+			}
+		}
+		if s.crashes > 0 {
+			found = append(found, s)
+		}
+	}
+	if len(found) == 0 {
+		return false
+	}
+	c := weigh(p, found, clusters, t.cfg.Instances())
+	return c.crashes >= minSingledOut && c.evidence >= minSingledOutEvidence
+}
+
+// isAccompaniedLocked reports whether a part that has had no answer was at a crash beside p:
+// in the same run, or in another one and at a further crash.
+func (t *Tracker) isAccompaniedLocked(p Key, c *crash, sightings map[Key][]sighting, now time.Time) bool {
+	for q := range c.presence {
+		if q == p || t.answered.has(q, now) {
+			continue
+		}
+		if found := sightings[q]; len(found) > 1 || found[0].crashes > 1 {
+			return true
+		}
+		if slices.ContainsFunc(c.runs, func(run []Key) bool { return slices.Contains(run, p) && slices.Contains(run, q) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // covers reports whether a part was present at nearly all crashes of another one, so
 // that it may be to blame for them instead.
 func covers(p, other Key, crashes []*crash) bool {
@@ -224,7 +280,12 @@
 
 // explain records whether a run at the crash held all parts of a convicted set.
 func (c *crash) explain(set []Key) {
-	c.explained = c.explained || slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
+	c.explained = c.explained || c.holds(set)
+}
+
+// holds reports whether a run at the crash held all parts of a set.
+func (c *crash) holds(set []Key) bool {
+	return slices.ContainsFunc(c.runs, func(run []Key) bool { return containsAll(run, set) })
 }
 
 // companionsLocked returns the parts that all runs with p at the crashes hold. If p was
@@ -285,20 +346,14 @@
 			}
 		}
 	}
-	unaccompanied := 0
-	for _, c := range crashes {
-		if _, present := c.presence[p]; !present || c.explained {
-			continue
-		}
-		accompanied := false
+	if t.isBlamedAloneLocked(p, clustersOf(crashes), func(c *crash) bool {
 		for q := range c.presence {
-			accompanied = accompanied || together[q] > 0
-		}
-		if !accompanied {
-			unaccompanied++
+			if together[q] > 0 {
+				return true
+			}
 		}
-	}
-	if unaccompanied >= minSingledOut {
+		return false
+	}) {
 		return best, false
 	}
 	for q, n := range together {
@@ -361,6 +416,29 @@
 	}
 }
 
+// narrowLocked convicts sets without the parts that have had an answer since the first crash
+// that such a set explains.
+func (t *Tracker) narrowLocked(now time.Time) {
+	for _, set := range slices.Clone(t.convicted) {
+		if len(set) == 1 {
+			continue
+		}
+		for _, c := range t.crashes {
+			if !c.holds(set) {
+				continue
+			}
+			rest := slices.DeleteFunc(slices.Clone(set), func(p Key) bool {
+				at, ok := t.answered.at(p)
+				return ok && at.After(c.knownAt) && t.answered.has(p, now)
+			})
+			if len(rest) > 0 && len(rest) < len(set) {
+				t.convictLocked(rest, true)
+			}
+			break
+		}
+	}
+}
+
 // convictLocked convicts a set of parts and, if announce is set, tells the others.
 func (t *Tracker) convictLocked(set []Key, announce bool) {
 	if !t.rememberLocked(set) {
--- a/internal/serving/rcforward/attempt.go
+++ b/internal/serving/rcforward/attempt.go
@@ -92,9 +92,12 @@
 		f.cfg.Metrics.Record(rcmetric.PlacementTime, time.Since(x.ReceivedAt))
 	}
 	blame := f.cfg.Blame.Begin(d.partKeys, x.Service, up)
-	outcome, crashed := rcfleet.Canceled, false
+	outcome, crashed, lost := rcfleet.Canceled, false, false
 	defer func() {
 		run.End(outcome)
+		if lost {
+			blame.Lost()
+		}
 		blame.End(crashed && !isTimeout(d.cause), outcome == rcfleet.Succeeded)
 		end(crashed, outcome == rcfleet.Succeeded)
 	}()
@@ -124,6 +127,7 @@
 			d.runs++
 		}
 		outcome, crashed = d.classifyFailure(ctx, up, err)
+		lost = isTimeout(err) || errors.Is(err, radishcrank.ErrNotSent)
 		return false, nil
 	}
 	defer reply.Body.Close()
@@ -135,6 +139,11 @@
 	switch reply.Class {
 	case radishcrank.ReplyBusy, radishcrank.ReplyMisdirected:
 		outcome = rcfleet.Refused
+		if reply.Class == radishcrank.ReplyMisdirected && f.cfg.OnMisdirected(rcfleet.Misdirected{
+			Upstream: up.ID, Incarnation: up.Incarnation, Model: x.Model, Weights: choice.Weights,
+		}) {
+			f.cfg.Metrics.Add(rcmetric.UpstreamsMisdirected, 1)
+		}
 		d.logAttempt(up, rcmetric.AttemptRefused, reply.Status, nil)
 		return false, nil
 	case radishcrank.ReplyInvalid:
@@ -163,6 +172,7 @@
 			blame.Received()
 		}
 		done, outcome, crashed = d.forwardStream(ctx, reply, received, watchdogTimer, weights, choice)
+		lost = outcome == rcfleet.Broken && isTimeout(d.cause)
 		if !done && outcome != rcfleet.Succeeded {
 			return false, nil
 		}
--- a/internal/serving/rcforward/forward.go
+++ b/internal/serving/rcforward/forward.go
@@ -94,6 +94,10 @@
 	// OnLeaving is called with the status of each reply that says that its upstream leaves,
 	// and reports whether that is new. The default only records it in Fleet.
 	OnLeaving func(up radishcrank.Upstream, status int) (changed bool)
+	// OnMisdirected is called when an upstream has said that it is not the one that was listed,
+	// or serves other weights, and reports whether that is new. The default only records it in
+	// Fleet.
+	OnMisdirected func(r rcfleet.Misdirected) (changed bool)
 	// Slots divides the slots of brittle upstreams among the instances. Nil means that this
 	// is the only one.
 	Slots *rcslots.Divider
@@ -129,6 +133,9 @@
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(up radishcrank.Upstream, _ int) bool { return cfg.Fleet.SetLeaving(up.ID, up.Incarnation) }
 	}
+	if cfg.OnMisdirected == nil {
+		cfg.OnMisdirected = cfg.Fleet.MarkMisdirected
+	}
 	return &Forwarder{cfg: cfg}
 }
 
@@ -238,7 +245,7 @@
 			d.cause = errors.Join(errors.New(crashesUpstreams), d.cause)
 			return d.finishWithoutAnswer()
 		}
-		if d.attempts+d.runs > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
+		if d.arrivals() > 0 && !d.retryGranted.Swap(false) && !d.f.cfg.Budget.AllowRetry(d.x.Service) {
 			d.f.cfg.Metrics.Add(rcmetric.RepeatsDenied, 1)
 			return d.giveUp()
 		}
@@ -254,6 +261,11 @@
 	}
 }
 
+// arrivals returns how many upstreams the exchange may have reached. Only those beyond the first
+// count as retries: while many upstreams refuse connections, the budget would be spent on
+// requests that none of them has seen.
+func (d *dispatch) arrivals() int { return d.attempts - d.unreached }
+
 // convictedMeanwhile reports whether the content was found to crash upstreams while the
 // exchange waited or ran.
 func (d *dispatch) convictedMeanwhile() bool {
