Count all suspects beside a part as its company

A part was still convicted alone for crashes at which another part without an answer was in other runs only, although it came along with a further crashing part: only parts of its own runs counted as company there.

TestSoundPartRunsBesideCrashingOnes failed before.

--- a/internal/limits/rcblame/company_test.go
+++ b/internal/limits/rcblame/company_test.go
@@ -214,3 +214,18 @@
 		require.Less(t, j.announced[0].Suspects[0].Presence, minPresence)
 	})
 }
+
+// TestSoundPartRunsBesideCrashingOnes guards against a sound part that is convicted alone,
+// since it came along with one crashing part and was in runs beside those of another one.
+func TestSoundPartRunsBesideCrashingOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJudged()
+		j.presence = 0.02
+		for _, parts := range [][]Key{{"b", "|", "y"}, {"b", "|", "y"}, {"b", "x"}, {"b", "|", "y"}, {"b", "x"}} {
+			j.crash(parts...)
+		}
+		j.settle()
+		require.NotContains(t, j.convicted, []Key{"b"})
+		require.Contains(t, j.convicted, []Key{"b", "x"})
+	})
+}
--- a/internal/limits/rcblame/judge.go
+++ b/internal/limits/rcblame/judge.go
@@ -319,10 +319,10 @@
 	return 0
 }
 
-// accompliceLocked returns the part that was most often in a run together with p, if parts of
-// such runs that have had no answer and were in several crashes were at nearly all crashes with
-// p: p may only have come along with several crashing parts, and have been in other runs beside
-// them.
+// accompliceLocked returns the part that was most often in a run together with p, if parts that
+// have had no answer and were in several crashes were at nearly all crashes with p: p may only
+// have come along with several crashing parts, and have been in other runs beside these or
+// further ones.
 func (t *Tracker) accompliceLocked(p Key, crashes []*crash, all []candidate) (best Key, found bool) {
 	now := time.Now()
 	if !t.answered.any(now) {
@@ -348,7 +348,7 @@
 	}
 	if t.isBlamedAloneLocked(p, clustersOf(crashes), func(c *crash) bool {
 		for q := range c.presence {
-			if together[q] > 0 {
+			if _, known := together[q]; known {
 				return true
 			}
 		}
