Give fake upstreams machines with speed, slots and memory

The soak test has no upstreams that report four load values, run out of memory or read slowly, and no callers that state token counts or read slowly. Fake upstreams get a Machine (slots, speed, neighbors, memory), the shape of a response, slow reading of bodies and a limit on unread responses; fake callers state tokens, send long bodies, read slowly and return Retry-After. Without these fields both behave as before. go test -race -count=3 passes for rcfakeupstream, -count=2 for rcfakecaller.

--- a/internal/standin/rcfakeupstream/upstream.go
+++ b/internal/standin/rcfakeupstream/upstream.go
@@ -4,6 +4,7 @@
 package rcfakeupstream
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -82,6 +83,19 @@
 	// Admit returns whether a request is admitted and, if not, the pause that the response
 	// asks for, if any. It may block. Nil admits all requests.
 	Admit func(id string) (pause time.Duration, ok bool)
+	// Machine describes the upstream's machine. Nil means one without limits, on which the
+	// upstream reports no load.
+	Machine *Machine
+	// OnRun is called when a request begins to run, as OnRequest, with the request.
+	OnRun func(r *http.Request)
+	// Shape returns the shape of a response to which no Delivery applies. Nil means Shape{}.
+	Shape func(id string) Shape
+	// ReadPause returns the pause after each piece of a request's body. Nil means that the
+	// body is not read by itself.
+	ReadPause func(id string) time.Duration
+	// UnreadTimeout is after how long an event or plain response that remains unread is
+	// aborted. 0 means never.
+	UnreadTimeout time.Duration
 	// RejectOrders rejects orders as if the engine were executing another one.
 	RejectOrders bool
 }
@@ -111,6 +125,7 @@
 	lastRun      time.Time
 	leaving      bool
 	brittle      int
+	held         *holdings
 }
 
 // Start starts an upstream on a free loopback port.
@@ -119,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), software: cfg.SoftwareVersion, born: cfg.Born, rejectOrders: cfg.RejectOrders}
+	u := &Upstream{cfg: cfg, Addr: l.Addr().String(), weights: max(1, cfg.Weights), software: cfg.SoftwareVersion, born: cfg.Born, rejectOrders: cfg.RejectOrders, held: newHoldings()}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l) // Returns only after Close.
 	return u, nil
@@ -140,7 +155,7 @@
 func (u *Upstream) Restart(software string, born int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.software, u.born, u.sequence = software, born, 0
+	u.software, u.born, u.sequence, u.held = software, born, 0, newHoldings()
 }
 
 // SetRateLimit sets the number of requests per second that the upstream announces to
@@ -180,6 +195,7 @@
 	u.announceRateLimit(h)
 	u.announceLeaving(h)
 	u.announceBrittle(h)
+	u.announceLoad(h)
 	if expected := r.Header.Get("Radishcrank-Expect-Instance"); expected != "" && expected != u.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -208,13 +224,24 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if u.cfg.ReadPause != nil {
+		if readSlowly(r, u.cfg.ReadPause(id)) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	expired := false
 	if u.cfg.Wait != nil {
 		var closed bool
-		if expired, closed = awaitTurn(r, u.cfg.Wait()); closed {
+		waited := u.wait()
+		expired, closed = awaitTurn(r, u.cfg.Wait())
+		if waited(); closed {
 			return
 		}
 	}
+	freeSlot, hasSlot := u.takeSlot()
+	if hasSlot {
+		defer freeSlot()
+	}
 	fault := None
 	if u.cfg.Fault != nil {
 		fault = u.cfg.Fault()
@@ -222,7 +249,7 @@
 	u.mu.Lock()
 	loading, weights := u.loading, u.weights
 	u.mu.Unlock()
-	if expired || loading || fault == Refuse || !u.expectsWeights(r) {
+	if expired || !hasSlot || loading || fault == Refuse || !u.expectsWeights(r) {
 		h.Set("Radishcrank-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -234,10 +261,15 @@
 	if u.cfg.OnRequest != nil {
 		u.cfg.OnRequest(id, weights)
 	}
+	if u.cfg.OnRun != nil {
+		u.cfg.OnRun(r)
+	}
 	if u.cfg.Crashes != nil && u.cfg.Crashes(r) {
 		u.cfg.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
+	defer u.prefill(r, id)()
+	u.announceLoad(h)
 	h.Set("Radishcrank-Response-Seal", "seal-"+u.cfg.ID)
 	if u.cfg.Model != "" {
 		h.Set("Radishcrank-Weight-Versions", strconv.FormatInt(weights, 10))
@@ -248,19 +280,25 @@
 			return
 		}
 	}
+	shape := Shape{}
+	if u.cfg.Shape != nil {
+		shape = u.cfg.Shape(id)
+	}
+	shape.Delay = cmp.Or(shape.Delay, u.cfg.Delay)
 	switch {
 	case fault == Reset:
 		panic(http.ErrAbortHandler)
 	case fault == Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case u.cfg.Model == "":
-		time.Sleep(u.cfg.Delay)
-		fmt.Fprintf(w, "done %s", id)
+		time.Sleep(u.pace(shape.Delay))
+		u.extendWrite(http.NewResponseController(w))
+		fmt.Fprintf(w, "done %s%s", id, shape.padding())
 		if fault == Truncate {
 			panic(http.ErrAbortHandler)
 		}
 	default:
-		u.stream(w, r, fault)
+		u.stream(w, r, fault, shape)
 	}
 }
 
@@ -305,14 +343,14 @@
 	return " by " + u.software
 }
 
-func event(n int, mark string) string {
-	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, mark)
+func event(n int, text string) string {
+	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, text)
 }
 
 // stream writes the events after the one in the Last-Event-Id header.
-func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, fault Fault, shape Shape) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	last, mark := lastEventID(r), u.softwareMark()
+	last, text := lastEventID(r), shape.padding()+u.softwareMark()
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= u.cfg.EventCount; i++ {
 		if fault == Truncate && i == (last+u.cfg.EventCount)/2 {
@@ -320,11 +358,12 @@
 			controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		io.WriteString(w, event(i, mark)) // A failed write shows when it is flushed.
+		u.extendWrite(controller)
+		io.WriteString(w, event(i, text)) // A failed write shows when it is flushed.
 		if controller.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
-		time.Sleep(u.cfg.Delay)
+		time.Sleep(u.pace(shape.Delay))
 	}
 }
 
