Play demanding loads in the soak test

The soak test had no accounts with rate limits, no upstreams with limited memory or different speeds, and no slow readers. Schedule 7 has them, with faults of instances and links between them during spikes; its checks judge what upstreams ran in each window, 429 below the limit, Retry-After, engines out of memory and incomplete responses. TestSoakOfYoungStore fails: instances panic in rclimit while the store's clock is younger than the ring of slots.

--- a/internal/cli/rccli/soak.go
+++ b/internal/cli/rccli/soak.go
@@ -16,7 +16,8 @@
 	Seed      uint64        `help:"Seed of the fault schedule." default:"1"`
 	For       time.Duration `help:"Duration of the fault schedule. Recovery checks follow it." default:"20s"`
 	Instances int           `help:"Number of instances, at most 200. With more than 12, relays are used." default:"3"`
-	Schedule  int           `help:"Version of the schedule: 0 is the newest, 1 the first, 2 has no restores of the store and slow engines, 2 and 3 have no upstreams in need, 4 no broken-off answers, 5 no crashing prompt parts, 6 no upstreams that announce that they leave or pause." default:"0" enum:"0,1,2,3,4,5,6"`
+	Schedule  int           `help:"Version of the schedule: 0 is the newest, 1 the first, 2 has no restores of the store and slow engines, 2 and 3 have no upstreams in need, 4 no broken-off answers, 5 no crashing prompt parts, 6 no upstreams that announce that they leave or pause; 7 has what 3 has, rate limits of accounts, upstreams with different speeds and limited memory, and slow readers." default:"0" enum:"0,1,2,3,4,5,6,7"`
+	StoreAge  time.Duration `help:"Age of the store's clock at the start of schedule 7." default:"1h"`
 	Program   string        `help:"Instance program; by default, radishcrankd in the directory of this program." type:"path"`
 	Dir       string        `help:"Directory for settings and logs; by default, a temporary one that is kept if a guarantee is violated." type:"path"`
 }
@@ -37,7 +38,7 @@
 		}
 	}
 	report, err := rcsoak.Run(env.ctx, rcsoak.Config{
-		Seed: c.Seed, Duration: c.For, Instances: c.Instances, Schedule: rcsoak.ScheduleVersion(c.Schedule), Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: env.out,
+		Seed: c.Seed, Duration: c.For, Instances: c.Instances, Schedule: rcsoak.ScheduleVersion(c.Schedule), StoreAge: c.StoreAge, Program: []string{c.Program, "platform"}, Dir: c.Dir, Out: env.out,
 	})
 	if err != nil {
 		return err
--- a/internal/eval/rcsoak/environment.go
+++ b/internal/eval/rcsoak/environment.go
@@ -40,8 +40,8 @@
  {"Name":"book","Hostname":"a.example","Prefix":"/book/","Kind":"non_idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":1},
  {"Name":"look","Hostname":"a.example","Prefix":"/look/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2},
  {"Name":"new","Hostname":"a.example","Prefix":"/new%[2]d/","Kind":"idempotent","Service":"desk","TimeoutMs":1500,"TargetLatencyMs":150,"MaxAttempts":2}],
-"Services":[{"Name":"llm","Engine":{"Slots":32,"Models":[{"Name":"m"}]}},{"Name":"desk"}],
-"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]},{"Name":"t%[3]d","ApiKeys":["n%[3]d"]}]}`
+"Services":[{"Name":"llm","Engine":{"Slots":32,%[4]s"Models":[{"Name":"m"}]}},{"Name":"desk"}],
+"Limits":{"MaxBodyBytes":1000000},"Tenants":[{"Name":"t1","ApiKeys":["k1"]},{"Name":"t%[3]d","ApiKeys":["n%[3]d"]}%[5]s]}`
 
 // upstream is a fake upstream behind a proxy.
 type upstream struct {
@@ -53,6 +53,7 @@
 	limit               rateLimit
 	deliveries          deliveries
 	announcements       announcements
+	machine             machineState
 	wait                atomic.Int64 // Longest wait of a request before it begins, as a time.Duration.
 	occupations         atomic.Int32 // Number of actions because of which it rejects orders.
 	createdAt           time.Time    // As it says.
@@ -70,6 +71,8 @@
 	arrival func(u *upstream, id string) // A request has arrived.
 	begin   func(u *upstream, id string, weights int64)
 	admit   func(u *upstream, id string) (pause time.Duration, ok bool)
+	// overflow is called when an engine runs out of memory.
+	overflow func(u *upstream, id string, held int)
 	// crashes reports whether a request that begins crashes the engine, and crashed is
 	// called when it has.
 	crashes func(u *upstream, r *http.Request) bool
@@ -80,6 +83,8 @@
 type environment struct {
 	faultWindow             // All faults that affect requests.
 	storeFaults faultWindow // Faults of the store only.
+	peerFaults  faultWindow // Faults of the links between instances only.
+	loads       *loads      // Nil in schedules without demanding loads.
 	callbacks   callbacks
 
 	// peers maps the peer addresses that instances announce to those of their
@@ -119,9 +124,12 @@
 	leaseKey     = "lease/orders"
 )
 
-func newEnvironment(c callbacks, software []string) (e *environment, err error) {
-	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), callbacks: c, peers: map[string]string{}, software: software}
+func newEnvironment(c callbacks, software []string, l *loads) (e *environment, err error) {
+	e = &environment{store: rcfakestore.New(), runCounter: rcfakeupstream.NewRunCounter(), callbacks: c, peers: map[string]string{}, software: software, loads: l}
 	e.store.Rewrite = e.redirectPeers
+	if l != nil {
+		e.store.SetAge(l.storeAge)
+	}
 	e.server = httptest.NewServer(e.store)
 	e.changeConfig(true, true)
 	e.nameWeights()
@@ -192,6 +200,9 @@
 		cfg.OnCrash = func() { e.callbacks.crashed(u) }
 		cfg.OnRequest = func(id string, weights int64) { e.callbacks.begin(u, id, weights) }
 	}
+	if e.loads != nil {
+		e.loads.equip(u, e.created, &cfg, e.callbacks)
+	}
 	server, err := rcfakeupstream.Start(cfg)
 	if err != nil {
 		return err
@@ -309,7 +320,7 @@
 	if key {
 		next.key++
 	}
-	e.store.PutBytes("op", "config", fmt.Appendf(nil, configTemplate, next.version, next.route, next.key))
+	e.putConfigLocked(next)
 	if route {
 		next.routeAt = time.Now()
 	}
@@ -319,6 +330,10 @@
 	e.config = next
 }
 
+func (e *environment) putConfigLocked(c configState) {
+	e.store.PutBytes("op", "config", fmt.Appendf(nil, configTemplate, c.version, c.route, c.key, e.loads.engineFields(), e.loads.accountEntries()))
+}
+
 func (e *environment) nameWeights() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -42,6 +42,9 @@
 RetryBudgetRatio = %.2f
 RetryBudgetSlack = 1000
 BudgetWindowS = 10
+QuotaWindowS = 8
+QuotaOver = 0.1
+QuotaSlack = 60
 [Provider]
 Address = "%s"
 RowBytes = 65536
--- a/internal/eval/rcsoak/restore.go
+++ b/internal/eval/rcsoak/restore.go
@@ -43,6 +43,7 @@
 	end := time.Now().Add(a.duration + rcfakestore.RewriteTime)
 	s.env.extend(end)
 	s.env.storeFaults.extend(end)
+	s.env.loads.restoreLimits(end)
 	for _, i := range s.instances {
 		i.extend(end)
 	}
--- a/internal/eval/rcsoak/schedule.go
+++ b/internal/eval/rcsoak/schedule.go
@@ -56,6 +56,16 @@
 	cutFromUpstreams actionKind = "cut from upstreams"
 )
 
+// Demanding loads, which excuse no failure of an instance.
+const (
+	spikeAccount  actionKind = "spike of an account" // An account asks for a multiple of its usual.
+	lowerLimit    actionKind = "lower limit"         // The configuration lowers the limit of an account, and raises it again.
+	longPrompts   actionKind = "long prompts"        // Requests whose prompts take much memory.
+	slowReaders   actionKind = "slow readers"        // Callers read large responses slowly.
+	slowUploads   actionKind = "slow uploads"        // An upstream reads large bodies slowly.
+	neighborsCome actionKind = "neighbors come"      // Neighbors slow some engines down.
+)
+
 var (
 	plannedKinds = []actionKind{stopInstance, changeSettings, changeConfig, nameWeights, drainUpstream, revokeKey, occupyEngines}
 	faultKinds   = []actionKind{killInstance, killAll, pauseInstance, cutStore, cutUpstream, failStore, forgetStore, crashUpstream, failService, cutPeers}
@@ -67,7 +77,9 @@
 	// troubleKinds are the kinds of upstreams in need.
 	troubleKinds = []actionKind{limitUpstream, replaceSoftware, breakOffAnswers, sendCrashingPart, sayLeaving, askForPauses, cutFromUpstreams}
 	// harmlessKinds are the kinds of troubles that excuse no failure of an instance.
-	harmlessKinds = []actionKind{limitUpstream, breakOffAnswers, sendCrashingPart, sayLeaving, askForPauses, cutFromUpstreams}
+	harmlessKinds = append([]actionKind{limitUpstream, breakOffAnswers, sendCrashingPart, sayLeaving, askForPauses, cutFromUpstreams}, loadKinds...)
+	// loadKinds are the kinds of demanding loads.
+	loadKinds = []actionKind{spikeAccount, lowerLimit, longPrompts, slowReaders, slowUploads, neighborsCome}
 	// lostKinds are planned operations that fall right before a restore, which loses
 	// what instances wrote because of them.
 	lostKinds = []actionKind{changeConfig, nameWeights, drainUpstream, revokeKey}
@@ -196,6 +208,10 @@
 	// NoAnnouncements is without upstreams that say that they leave or ask for pauses, and
 	// without instances that are cut off from all upstreams.
 	NoAnnouncements
+	// DemandingLoads has the content of NoTroubles, accounts with rate limits, upstreams with
+	// different speeds and limited memory, and slow readers. Demanding loads are in no other
+	// version, so that seeds keep the schedules that they had before.
+	DemandingLoads
 )
 
 // newSchedule returns the actions for a seed. Actions overlap, since the gaps
@@ -247,7 +263,7 @@
 	since := func(versions ...ScheduleVersion) bool {
 		return cfg.Schedule == NewestSchedule || slices.Contains(versions, cfg.Schedule)
 	}
-	if since(NoTroubles, NoBrokenOff, NoCrashingParts, NoAnnouncements) {
+	if since(NoTroubles, NoBrokenOff, NoCrashingParts, NoAnnouncements, DemandingLoads) {
 		schedule = append(schedule, newDrills(cfg)...)
 	}
 	if since(NoBrokenOff, NoCrashingParts, NoAnnouncements) {
@@ -265,6 +281,9 @@
 			schedule = append(schedule, newCutActions(cfg)...)
 		}
 	}
+	if cfg.Schedule == DemandingLoads {
+		schedule = append(schedule, newLoadActions(cfg)...)
+	}
 	slices.SortStableFunc(schedule, func(a, b action) int { return int(a.at - b.at) })
 	return schedule
 }
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -52,9 +52,12 @@
 	Duration  time.Duration // Of the schedule; checks of the recovery follow.
 	Instances int           // 0 is DefaultInstances.
 	Schedule  ScheduleVersion
-	Program   []string  // Command line of an instance.
-	Dir       string    // For settings and logs.
-	Out       io.Writer // Receives the schedule and the violations.
+	// StoreAge is the age of the store's clock at the start with DemandingLoads; 0 is
+	// defaultStoreAge.
+	StoreAge time.Duration
+	Program  []string  // Command line of an instance.
+	Dir      string    // For settings and logs.
+	Out      io.Writer // Receives the schedule and the violations.
 }
 
 // Report is the result of a run.
@@ -77,6 +80,7 @@
 	env        *environment
 	instances  []*instance
 	parts      *crashingParts
+	callers    *callers
 	background sync.WaitGroup // Restarts, ends of faults and triggered actions.
 
 	mu                       sync.Mutex
@@ -143,10 +147,16 @@
 		s.checkDrain(u, id)
 		s.checkLimit(u, id)
 		s.checkLeaving(u, id)
+		s.env.loads.recordArrival(id)
+	}
+	var demanding *loads
+	if cfg.Schedule == DemandingLoads {
+		demanding = newLoads(cfg.StoreAge)
 	}
 	if s.env, err = newEnvironment(callbacks{
 		order: onOrder, arrival: onArrival, begin: s.checkWeights, sender: s.recordSender, admit: s.admit, crashes: s.crashes, crashed: s.crashInPlace,
-	}, software); err != nil {
+		overflow: s.checkOverflow,
+	}, software, demanding); err != nil {
 		return report, err
 	}
 	defer s.env.close()
@@ -237,6 +247,7 @@
 	s.startedAt = time.Now()
 	traffic, stop := context.WithCancel(ctx)
 	c := newCallers(s)
+	s.callers = c
 	var wg sync.WaitGroup
 	wg.Go(func() { c.pollReadiness(traffic) })
 	wg.Go(func() { s.watchDrains(traffic) })
@@ -244,6 +255,7 @@
 	for _, i := range s.instances {
 		wg.Go(func() { s.probeConfig(traffic, i) })
 	}
+	s.startAccounts(traffic, &wg)
 	for n := range callerCount {
 		wg.Go(func() { c.run(traffic, n, rand.New(rand.NewPCG(s.cfg.Seed, uint64(n)+1))) })
 	}
@@ -271,6 +283,7 @@
 	s.logDeliveries()
 	s.logParts()
 	s.checkCutOff()
+	s.checkLoads()
 	for _, i := range s.instances {
 		i.mu.Lock()
 		for _, exit := range i.exits {
@@ -389,6 +402,8 @@
 		s.breakOffAnswers(later)
 	case replaceSoftware:
 		s.replaceSoftware(ctx, a)
+	case spikeAccount, lowerLimit, longPrompts, slowReaders, slowUploads, neighborsCome:
+		s.performLoad(ctx, a, later)
 	case forgetStore:
 		s.env.store.DiscardHistory()
 	case failService:
@@ -427,6 +442,7 @@
 		link := i.storeProxy
 		if a.kind == cutPeers {
 			link = i.peerProxy
+			s.env.peerFaults.extend(end)
 		} else {
 			i.extend(end)
 			i.storeLinkFaults.extend(end)
--- a/internal/standin/rcfakestore/store.go
+++ b/internal/standin/rcfakestore/store.go
@@ -87,6 +87,10 @@
 // Now returns the current time of the store's clock, which starts at the Unix epoch.
 func (s *Store) Now() time.Time { return time.UnixMilli(time.Since(s.started).Milliseconds()) }
 
+// SetAge sets how long ago the store's clock was at the Unix epoch. It must be called before
+// the first call.
+func (s *Store) SetAge(age time.Duration) { s.started = time.Now().Add(-age) }
+
 // SetFault sets the injected fault; None disables it.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
