Judge demanding loads apart from starts and planned stops

Planned stops counted as faults of instances, so that few engines out of memory were judged; now only kills, pauses, cut links and faults of the store excuse one.

--- a/internal/eval/rcsoak/accounts.go
+++ b/internal/eval/rcsoak/accounts.go
@@ -32,6 +32,13 @@
 	// spikingAccounts is the number of accounts that have spikes and lowered limits. The
 	// others stay below their limits.
 	spikingAccounts = 2
+	// heldReportTime is after how long an instance that has started knows what others send to
+	// engines, which they report every 400 ms.
+	heldReportTime = time.Second
+	// staysBelowTime is for how long an account must stay below its limit after a 429 that is
+	// no consequence of the limit. Instances admit a part of the requests while less than half
+	// of the burst is left, since they hear of each other's usage late.
+	staysBelowTime = time.Second
 	// focusTime is how long an account's requests come to one instance only, or to all.
 	focusTime = time.Second
 )
@@ -48,8 +55,9 @@
 	spikes     atomic.Int32 // Actions because of which it asks for more.
 	requests   atomic.Int64
 	limited    atomic.Int64
-	// excused counts the responses with 429 while it was below its limit that faults excuse.
-	excused atomic.Int64
+	// excused and starting count the responses with 429 while it was below its limit, which
+	// faults excuse or that come from an instance that has just started.
+	excused, starting atomic.Int64
 
 	mu      sync.Mutex
 	lowered int // Actions that lower its limit.
@@ -74,8 +82,10 @@
 	cost float64
 }
 
-// centralBucket replays all that an account asks for in one token bucket.
+// centralBucket replays all that an account asks for in one token bucket. It is empty at
+// first, as that of instances that all have just started, which are judged only later.
 type centralBucket struct {
+	startedAt  time.Time
 	level      float64
 	at         time.Time
 	exceededAt time.Time // When a request last found too little in it.
@@ -134,9 +144,7 @@
 	for rcwait.Sleep(ctx, probeInterval) {
 		now := time.Now()
 		since := now.Add(-configApply)
-		if !s.env.storeFaults.faultFreeSince(since) || s.stalledSince(since) > 0 || slices.ContainsFunc(s.instances, func(i *instance) bool {
-			return !i.storeLinkFaults.faultFreeSince(since) || !i.pauses.faultFreeSince(since)
-		}) {
+		if !s.storeInReach(now, configApply) || s.stalledSince(since) > 0 || slices.ContainsFunc(s.instances, func(i *instance) bool { return !i.pauses.faultFreeSince(since) }) {
 			continue
 		}
 		for _, a := range s.env.loads.accounts {
@@ -193,14 +201,14 @@
 	defer a.mu.Unlock()
 	rate := a.lowestRateLocked()
 	b := &a.bucket
-	if b.at.IsZero() {
-		b.level = rate
-	} else {
-		b.level += rate * max(0, now.Sub(b.at).Seconds())
+	if b.startedAt.IsZero() {
+		b.startedAt, b.at = now, now
 	}
-	b.level, b.at = min(b.level, rate), now
+	b.level, b.at = min(rate, b.level+rate*max(0, now.Sub(b.at).Seconds())), now
 	if b.level < cost {
-		b.exceededAt = now
+		if now.Sub(b.startedAt) > faultGracePeriod {
+			b.exceededAt = now
+		}
 		return
 	}
 	b.level -= cost
@@ -258,22 +266,41 @@
 	if !exceeded.Before(since) {
 		return
 	}
+	// One that exceeds its limit right afterwards does not stay below it.
+	time.Sleep(staysBelowTime)
+	a.mu.Lock()
+	exceeded = a.bucket.exceededAt
+	a.mu.Unlock()
+	if !exceeded.Before(since) && exceeded.Before(start.Add(staysBelowTime)) {
+		return
+	}
 	text := fmt.Sprintf("%s of account %s got 429 at %s from %s (running for %s); a central bucket holds %.0f",
 		id, a.name, s.elapsed(start), i.name(), start.Sub(i.lastStart()), level)
-	if s.awaitStallDetection(); !s.instancesInTouch(i, start, quotaWindow) {
+	if !s.instancesInTouch(start, quotaWindow) || !s.storeInReach(start, quotaWindow) {
 		a.excused.Add(1)
 		return
 	}
+	if start.Sub(i.lastStart()) < faultGracePeriod {
+		a.starting.Add(1)
+		return
+	}
 	s.violation("requests within the limit are admitted", "%s", text)
 }
 
 // instancesInTouch reports whether no instance and no link between instances has had a fault
-// for a time, and instance i has been running for faultGracePeriod. Planned operations on the
-// others are no fault.
-func (s *soak) instancesInTouch(i *instance, now time.Time, free time.Duration) bool {
+// for a time. Planned operations are no fault.
+func (s *soak) instancesInTouch(now time.Time, free time.Duration) bool {
 	since := now.Add(-free)
-	return i.lastStart().Before(now.Add(-faultGracePeriod)) && s.env.peerFaults.faultFreeSince(since) && s.stalledSince(since) == 0 &&
-		!slices.ContainsFunc(s.instances, func(o *instance) bool { return !o.faultFreeSince(since) })
+	return s.env.peerFaults.faultFreeSince(since) && s.stalledSince(since) == 0 && !slices.ContainsFunc(s.instances, func(i *instance) bool {
+		return !i.kills.faultFreeSince(since) || !i.pauses.faultFreeSince(since)
+	})
+}
+
+// storeInReach reports whether neither the store nor the links to it have had a fault for a
+// time.
+func (s *soak) storeInReach(now time.Time, free time.Duration) bool {
+	since := now.Add(-free)
+	return s.env.storeFaults.faultFreeSince(since) && !slices.ContainsFunc(s.instances, func(i *instance) bool { return !i.storeLinkFaults.faultFreeSince(since) })
 }
 
 // checkAccounts checks at the end of a run that no account used more than its bound in any
@@ -287,8 +314,8 @@
 				s.violation("refusals are true", "%s got 429 and ran %d times", id, n)
 			}
 		}
-		s.logf("account %s: %d requests, %d limited, %d of them below its limit and excused, at most %.3f of its bound",
-			a.name, a.requests.Load(), a.limited.Load(), a.excused.Load(), worst)
+		s.logf("account %s: %d requests, %d limited, below its limit %d of them under faults and %d by instances that had just started; at most %.3f of its bound",
+			a.name, a.requests.Load(), a.limited.Load(), a.excused.Load(), a.starting.Load(), worst)
 		a.mu.Unlock()
 		if worst > 1 {
 			s.violation("rate limits of accounts hold", "upstreams ran %.0f of account %s in %s until %s, %.3f of its bound", used, a.name, quotaWindow, s.elapsed(at), worst)
@@ -358,11 +385,17 @@
 	}
 	s.env.mu.Unlock()
 	s.logf("%s  %s ran out of memory at %s: it holds %d tokens; all hold %d: %v", s.elapsed(now), u.id, id, held, total, engines)
-	if i == nil || !s.instancesInTouch(i, now, faultGracePeriod) || !u.linkFaults.faultFreeSince(since) {
-		return
+	switch {
+	case i == nil || now.Sub(i.lastStart()) < heldReportTime:
+		s.logf("  excused: the instance has just started")
+	case !s.instancesInTouch(now, faultGracePeriod) || !s.storeInReach(now, faultGracePeriod):
+		s.logf("  excused: instances or the store have had faults")
+	case !u.linkFaults.faultFreeSince(since):
+		s.logf("  excused: the engine has crashed or could not be reached")
+	default:
+		s.violation("upstreams do not run out of memory", "%s got %s from %s and holds %d tokens of %d; %d fit in %d engines, which hold %d",
+			u.id, id, i.name(), held, engineTokens, engineTokens*len(engines), len(engines), total)
 	}
-	s.violation("upstreams do not run out of memory", "%s got %s from %s and holds %d tokens of %d; %d fit in %d engines, which hold %d",
-		u.id, id, i.name(), held, engineTokens, engineTokens*len(engines), len(engines), total)
 }
 
 // startAccounts starts the traffic of accounts with limits.
@@ -385,5 +418,6 @@
 	s.checkAccounts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.logf("demanding loads: %d complete responses, by status %v, %d engines out of memory", l.answered.Load(), l.statuses, l.overflows.Load())
+	s.logf("demanding loads: %d complete responses, slow readers got %d complete and %d broken ones, %d engines out of memory; by status %v",
+		l.answered.Load(), l.large.Load(), l.broken.Load(), l.overflows.Load(), l.statuses)
 }
--- a/internal/eval/rcsoak/loads.go
+++ b/internal/eval/rcsoak/loads.go
@@ -73,6 +73,8 @@
 	answered  atomic.Int64
 	overflows atomic.Int64 // Engines that ran out of memory.
 	numbers   atomic.Int64 // Numbers the requests of all actions.
+	large     atomic.Int64 // Large responses that slow readers got completely.
+	broken    atomic.Int64 // Those of which they got a part.
 
 	mu       sync.Mutex
 	statuses map[string]int // Number of responses by service and status code, 0 for none.
@@ -97,17 +99,17 @@
 }
 
 // equip gives an upstream a machine.
-func (l *loads) equip(s *upstream, number int, cfg *rcfakeupstream.Config, c callbacks) {
-	state := &s.machine
+func (l *loads) equip(u *upstream, number int, cfg *rcfakeupstream.Config, c callbacks) {
+	state := &u.machine
 	cfg.Machine = &rcfakeupstream.Machine{Slots: engineSlots, Speed: engineSpeeds[number%len(engineSpeeds)], Neighbors: func() float64 {
 		if state.neighbors.Load() == 0 {
 			return 1
 		}
 		return float64(state.factor.Load())
 	}}
-	if s.service == "llm" {
+	if u.service == "llm" {
 		cfg.Machine.CapacityTokens, cfg.Machine.PrefillRate = engineTokens, prefillRate
-		cfg.Machine.OnOverflow = func(id string, held int) { c.overflow(s, id, held) }
+		cfg.Machine.OnOverflow = func(id string, held int) { c.overflow(u, id, held) }
 	}
 	cfg.UnreadTimeout = unreadTimeout
 	cfg.OnRun = func(r *http.Request) { l.recordRun(r.Header.Get("Radishcrank-Attempt-Id")) }
@@ -205,12 +207,18 @@
 	}
 	switch {
 	case r.Err != nil && strings.HasPrefix(want, r.Body):
+		if padding != "" {
+			s.env.loads.broken.Add(1)
+		}
 	case !r.Signed:
 		s.violation("answers come from upstreams", "%s: status 200 without the signature of an upstream", q.ID)
 	case r.Body != want:
 		s.violation("answers are whole", "%s: got %d bytes of %d (%v)", q.ID, len(r.Body), len(want), r.Err)
 	default:
 		s.env.loads.answered.Add(1)
+		if padding != "" {
+			s.env.loads.large.Add(1)
+		}
 	}
 }
 
--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -58,6 +58,7 @@
 	faultWindow                 // All faults of the instance.
 	pauses          faultWindow // Pauses only.
 	storeLinkFaults faultWindow // Faults of the link to the store only.
+	kills           faultWindow // Kills only, without planned stops.
 
 	number     int
 	program    []string
--- a/internal/eval/rcsoak/soak.go
+++ b/internal/eval/rcsoak/soak.go
@@ -475,6 +475,7 @@
 // kill kills an instance and restarts it.
 func (s *soak) kill(ctx context.Context, i *instance) {
 	i.extend(time.Now().Add(restartDelay))
+	i.kills.extend(time.Now().Add(restartDelay))
 	s.env.extend(time.Now().Add(restartDelay))
 	stopped := !i.running()
 	done := i.signal(syscall.SIGKILL, true)
