--- a/internal/eval/rcsoak/loads.go
+++ b/internal/eval/rcsoak/loads.go
@@ -38,16 +38,19 @@
 	// unreadTimeout is after how long upstreams abort responses that remain unread.
 	unreadTimeout = 2 * time.Second
 	// The responses to slow readers exceed what the kernel buffers for a connection.
-	largeResponse     = 8 << 20
-	largeEvent        = largeResponse / streamEvents
-	slowReaderCount   = 6
-	slowReaderBuffer  = 4 << 10
+	largeResponse   = 8 << 20
+	largeEvent      = largeResponse / streamEvents
+	slowReaderCount = 6
+	// slowReaderBuffer is the size of a receive buffer. With one of 4 KiB the kernel passes only
+	// 45 KB/s on loopback, whatever the reader does.
+	slowReaderBuffer  = 64 << 10
 	slowReaderTimeout = 8 * time.Second
-	maxReadPause      = time.Millisecond
-	uploadInterval    = 100 * time.Millisecond
-	maxUpload         = 400_000
-	uploadReadPause   = 5 * time.Millisecond
-	maxNeighbors      = 3 // Highest factor by which neighbors slow an engine down.
+	// maxReadPause lets some readers finish within the time limits of the routes.
+	maxReadPause    = 300 * time.Microsecond
+	uploadInterval  = 100 * time.Millisecond
+	maxUpload       = 400_000
+	uploadReadPause = 5 * time.Millisecond
+	maxNeighbors    = 3 // Highest factor by which neighbors slow an engine down.
 	// defaultStoreAge exceeds the windows of all limits.
 	defaultStoreAge = time.Hour
 	// loadStream is the stream of random numbers for demanding loads.
@@ -236,7 +239,7 @@
 func (s *soak) readSlowly(ctx context.Context, a action) {
 	client, rng := newLoadClient(true), s.actionRand(a)
 	s.repeat(ctx, a, a.duration/slowReaderCount, rng, func(i *instance, id string) {
-		q := rcfakecaller.Request{ID: id, Path: callerPaths[rng.IntN(len(callerPaths))], ReadPause: time.Duration(rng.Int64N(int64(maxReadPause)))}
+		q := rcfakecaller.Request{ID: id, Path: callerPaths[rng.IntN(len(callerPaths))], ReadPause: time.Duration(rng.Int64N(int64(maxReadPause))), Timeout: longPromptTimeout}
 		shape := rcfakeupstream.Shape{Padding: largeResponse}
 		if generates(q.Path) {
 			shape.Padding = largeEvent
