--- a/internal/eval/rcsoak/process.go
+++ b/internal/eval/rcsoak/process.go
@@ -42,6 +42,9 @@
 RetryBudgetRatio = %.2f
 RetryBudgetSlack = 1000
 BudgetWindowS = 10
+QuotaWindowS = 8
+QuotaOver = 0.1
+QuotaSlack = 60
 [Provider]
 Address = "%s"
 RowBytes = 65536
@@ -55,6 +58,7 @@
 	faultWindow                 // All faults of the instance.
 	pauses          faultWindow // Pauses only.
 	storeLinkFaults faultWindow // Faults of the link to the store only.
+	kills           faultWindow // Kills only, without planned stops.
 
 	number     int
 	program    []string
