--- a/internal/eval/rccrowd/crowd_test.go
+++ b/internal/eval/rccrowd/crowd_test.go
@@ -39,22 +39,32 @@
 	return p
 }
 
-// ask makes one ordinary request, again if it is refused or its connection is closed, as
-// callers do, and returns whether it was answered.
+// ask makes one ordinary request and returns whether it was answered.
 func ask(p *Process) bool {
+	return askUntilAnswered(p, func(n int) (*http.Request, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+p.FrontAddr+"/look/ordinary", strings.NewReader(strings.Repeat("o", 55_000)))
+		if err == nil {
+			r.Host = "a.example"
+			r.Header.Set("X-Api-Key", "k1")
+			r.Header.Set("Radishcrank-Attempt-Id", fmt.Sprint("ordinary", n))
+		}
+		return r, err
+	})
+}
+
+// askUntilAnswered sends a request of 55,000 bytes, again if it is refused or its connection is
+// closed, as callers do, and returns whether it was answered.
+func askUntilAnswered(p *Process, request func(n int) (*http.Request, error)) bool {
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	const attempts = 40
 	for n := range attempts {
 		if !p.Alive() {
 			return false
 		}
-		r, err := http.NewRequest(http.MethodPost, "http://"+p.FrontAddr+"/look/ordinary", strings.NewReader(strings.Repeat("o", 55_000)))
+		r, err := request(n)
 		if err != nil {
 			return false
 		}
-		r.Host = "a.example"
-		r.Header.Set("X-Api-Key", "k1")
-		r.Header.Set("Radishcrank-Attempt-Id", fmt.Sprint("ordinary", n))
 		if resp, err := client.Do(r); err == nil {
 			body, err := io.ReadAll(resp.Body)
 			resp.Body.Close()
@@ -68,7 +78,7 @@
 }
 
 // requireSound checks what must hold while a crowd is there, whatever the machine's speed.
-func requireSound(t *testing.T, p *Process) {
+func requireSound(t *testing.T, p *Process, limits Limits, ask func(*Process) bool) {
 	t.Helper()
 	p.Settle()
 	answered := ask(p)
@@ -96,8 +106,9 @@
 	slow   bool // They read one byte a second.
 }
 
-func (c crowd) run(t *testing.T) {
-	p := start(t)
+func (c crowd) run(t *testing.T) { c.runOn(t, start(t), limits, ask) }
+
+func (c crowd) runOn(t *testing.T, p *Process, limits Limits, ask func(*Process) bool) {
 	addr := p.FrontAddr
 	if c.addr != nil {
 		addr = c.addr(p)
@@ -107,7 +118,7 @@
 	if c.slow {
 		clients.ReadSlowly()
 	}
-	requireSound(t, p)
+	requireSound(t, p, limits, ask)
 }
 
 func runAll(t *testing.T, crowds []crowd) {
@@ -295,16 +306,19 @@
 			io.WriteString(conn, ChunkedHead(n)+strings.Repeat("1\r\nc\r\n", 55_000)+"0\r\n\r\n")
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			conn, err := net.Dial("tcp", p.FrontAddr)
-			require.NoError(t, err)
-			defer conn.Close()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
-			send(conn, len(name))
-			answer := make([]byte, len("HTTP/1.1 200 OK"))
-			_, err = io.ReadFull(conn, answer)
-			require.NoError(t, err)
-			require.Equal(t, "HTTP/1.1 200 OK", string(answer))
-		})
+		t.Run(name, func(t *testing.T) { requireAnswer(t, p.FrontAddr, func(conn net.Conn) { send(conn, len(name)) }) })
 	}
 }
+
+// requireAnswer checks that a request is answered with 200.
+func requireAnswer(t *testing.T, addr string, send func(conn net.Conn)) {
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+	send(conn)
+	answer := make([]byte, len("HTTP/1.1 200 OK"))
+	_, err = io.ReadFull(conn, answer)
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 200 OK", string(answer))
+}
--- a/internal/eval/rccrowd/process.go
+++ b/internal/eval/rccrowd/process.go
@@ -63,6 +63,7 @@
 // Process is a running instance with a fake store and a fake upstream.
 type Process struct {
 	FrontAddr, ReadyAddr, PeerAddr, MetricsAddr string
+	OperatorAddr                                string // Only of the product's own interface.
 
 	cmd      *exec.Cmd
 	log      *os.File
@@ -116,16 +117,9 @@
 	}
 	p.cmd = exec.Command(program, "platform")
 	p.cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+settings)
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	if err := p.cmd.Start(); err != nil {
-		p.cmd = nil
+	if err := p.launch(); err != nil {
 		return p, err
 	}
-	go func() {
-		defer close(p.exited)
-		_ = p.cmd.Wait() // The state of the process tells how it ended.
-	}()
-	p.polled.Go(p.poll)
 	const startAttempts = 1000
 	for range startAttempts {
 		resp, err := http.Get("http://" + p.ReadyAddr + "/radishcrank/ready")
@@ -143,6 +137,21 @@
 	return p, fmt.Errorf("not ready after %d checks", startAttempts)
 }
 
+// launch starts the command of the process and the samples of what it uses.
+func (p *Process) launch() error {
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		p.cmd = nil
+		return err
+	}
+	go func() {
+		defer close(p.exited)
+		_ = p.cmd.Wait() // The state of the process tells how it ended.
+	}()
+	p.polled.Go(p.poll)
+	return nil
+}
+
 func freePorts(ip string, n int) (ports []int, err error) {
 	for range n {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -259,7 +268,7 @@
 		return 0
 	}
 	local := map[string]bool{}
-	for _, addr := range []string{p.FrontAddr, p.ReadyAddr, p.PeerAddr, p.MetricsAddr} {
+	for _, addr := range []string{p.FrontAddr, p.ReadyAddr, p.PeerAddr, p.MetricsAddr, p.OperatorAddr} {
 		local[procAddr(addr)] = true
 	}
 	for line := range strings.Lines(string(text)) {
@@ -281,7 +290,7 @@
 // procAddr returns an IPv4 address as /proc/net/tcp has it, on a little-endian machine.
 func procAddr(addr string) string {
 	tcp, err := net.ResolveTCPAddr("tcp4", addr)
-	if err != nil {
+	if err != nil || tcp.IP.To4() == nil {
 		return ""
 	}
 	ip := tcp.IP.To4()
