Bound what clients of the product's own interface hold

Change: chats are decoded element by element into their text; decoded and encoded copies, responses of services and answers reserve from the budget; listeners for clients and operators open with the bounded buffers of rcguard; limits by memory and descriptors are shared with the platform's path (rcguard.Machine, moved from rcinstance) and so is the log line ClientsLimited; the rest of an unread body is awaited for 500 ms, and an operator's request for 30 s. Copies for decoding are no longer reserved for calls to plain services, which are not decoded.

Trial: without boundUnreadBody, TestStalledBody fails.

--- a/internal/cli/rcserve/serve.go
+++ b/internal/cli/rcserve/serve.go
@@ -20,6 +20,7 @@
 
 	"github.com/radishcrank/radishcrank/internal/node/rcdaemon"
 	"github.com/radishcrank/radishcrank/internal/platform/rcplatform"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 )
 
@@ -107,20 +108,20 @@
 			l.Close()
 		}
 	}()
-	open := func(name string, addr netip.AddrPort) net.Listener {
+	open := func(name string, addr netip.AddrPort, listen func(addr string) (net.Listener, error)) net.Listener {
 		if err != nil {
 			return nil
 		}
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", addr.String()); err != nil {
+		if listener, err = listen(addr.String()); err != nil {
 			err = trace.Wrap(err, "opening the listener for %s", name)
 			return nil
 		}
 		return listener
 	}
-	l.Callers = open("callers", boot.Callers)
-	l.Operators = open("operators", boot.Operators)
-	l.Peers = open("peers", boot.Peers)
+	l.Callers = open("callers", boot.Callers, rcguard.Open)
+	l.Operators = open("operators", boot.Operators, rcguard.Open)
+	l.Peers = open("peers", boot.Peers, func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return l, err
 	}
--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
@@ -47,6 +48,9 @@
 	maxHeaderBytes    = 1 << 20
 	// operatorHeaderBytes is far more than the operators' command sends.
 	operatorHeaderBytes = 64 << 10
+	// operatorReadTimeout bounds the time in which a request of an operator must arrive. Its
+	// body has at most 1 MB.
+	operatorReadTimeout = 30 * time.Second
 	// idleTimeout closes idle connections, later than clients and proxies usually do.
 	idleTimeout = 2 * time.Minute
 )
@@ -88,6 +92,7 @@
 	poisonTracker  *rcpoison.Tracker
 	warmUpSource   atomic.Value // An rcsnapshot.Source; set when the warm-up ends.
 	clientServer   *http.Server
+	clientMemory   *rcmemory.Budget
 	operatorServer *http.Server
 
 	ready          atomic.Bool // Set when the warm-up ends.
@@ -114,9 +119,7 @@
 		metrics:        &rcmetric.Set{},
 		drainRequested: make(chan struct{}),
 	}
-	// The handler refuses heads beyond the limit with a JSON response, up to twice its size.
-	maxHead := func() int { return int(2 * d.document().Defaults.MaxHeaderBytes) }
-	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, maxHead, d.metrics, cfg.Log); err != nil {
+	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, d.clientGuard(), d.operatorGuard(), cfg.Log); err != nil {
 		return nil, err
 	}
 	d.newPeers()
@@ -238,7 +241,7 @@
 		Metrics:     d.metrics,
 		Log:         d.cfg.Log,
 	})
-	server := &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: operatorHeaderBytes}
+	server := &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout, ReadTimeout: operatorReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: operatorHeaderBytes}
 	rcguard.Configure(server)
 	return server
 }
--- a/internal/node/rcdaemon/listeners.go
+++ b/internal/node/rcdaemon/listeners.go
@@ -1,6 +1,7 @@
 package rcdaemon
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 
@@ -10,7 +11,6 @@
 	"github.com/radishcrank/radishcrank/internal/serving/rccert"
 	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
-	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // Listeners holds the open listeners of an instance.
@@ -30,35 +30,51 @@
 }
 
 const (
-	// requestMemoryBytes is what the requests and responses of clients may hold. It is 0.3 of
-	// the 256 MB that an instance has; the heap grows to about twice of what it holds.
-	requestMemoryBytes  = 77 << 20
-	operatorMemoryBytes = 16 << 20
+	// memoryBytes is what an instance has.
+	memoryBytes = 256 << 20
+	// requestMemoryFraction is the fraction of it that the requests and responses of clients
+	// may hold. The heap grows to about twice of what it holds.
+	requestMemoryFraction = 0.3
+	operatorMemoryBytes   = 16 << 20
 	// maxOperatorConnections is far more than operators need. The connections of clients are
-	// bounded by requestMemoryBytes, at about 2,400.
+	// bounded by their memory, at about 2,400, and by the descriptors of the process.
 	maxOperatorConnections = 64
 )
 
-func guardConfig(bytes int64, connections int, encrypted bool, maxHead func() int, metrics *rcmetric.Set) rcguard.Config {
+// clientGuard returns the limits of the clients' listener.
+func (d *Daemon) clientGuard() rcguard.Config {
+	cfg := rcguard.Machine{MemoryBytes: memoryBytes, MaxFDs: rcguard.MaxFDs()}.ClientConfig(requestMemoryFraction, d.metrics)
+	// The handler refuses heads beyond the limit with a JSON response, up to twice its size.
+	cfg.MaxHeadBytes = func() int { return int(2 * d.document().Defaults.MaxHeaderBytes) }
+	cfg.Encrypted = d.cfg.BootSettings.Certificate != ""
+	d.clientMemory = cfg.Budget
+	return cfg
+}
+
+// operatorGuard returns the limits of the operators' listener.
+func (d *Daemon) operatorGuard() rcguard.Config {
 	return rcguard.Config{
-		Budget:       rcmemory.New(rcmemory.Config{Limit: bytes, MaxConnections: connections, ConnBytes: rcguard.ConnBytes}),
-		MaxHeadBytes: maxHead, Encrypted: encrypted, Metrics: metrics,
+		Budget:    rcmemory.New(rcmemory.Config{Limit: operatorMemoryBytes, MaxConnections: maxOperatorConnections, ConnBytes: rcguard.ConnBytes}),
+		Encrypted: d.cfg.BootSettings.Certificate != "", Metrics: d.metrics,
 	}
 }
 
+// logLimitedClients logs how many clients met the limits.
+func (d *Daemon) logLimitedClients(ctx context.Context) error {
+	return rcguard.LogLimited(ctx, d.cfg.Log, d.metrics, d.clientMemory)
+}
+
 // guarded guards the clients' and operators' listeners against clients that use up memory or
-// descriptors, and wraps them in TLS if the boot settings name a certificate. maxHead returns
-// the limit of the heads of clients' requests. The peer listener does not use TLS; peers
-// authenticate each other with the shared key.
-func (l Listeners) guarded(boot *rcconfig.BootSettings, maxHead func() int, metrics *rcmetric.Set, log zerolog.Logger) (Listeners, error) {
-	encrypted := boot.Certificate != ""
+// descriptors, and wraps them in TLS if the boot settings name a certificate. The peer listener
+// does not use TLS; peers authenticate each other with the shared key.
+func (l Listeners) guarded(boot *rcconfig.BootSettings, clients, operators rcguard.Config, log zerolog.Logger) (Listeners, error) {
 	if l.Callers != nil {
-		l.Callers = rcguard.Wrap(l.Callers, guardConfig(requestMemoryBytes, 0, encrypted, maxHead, metrics))
+		l.Callers = rcguard.Wrap(l.Callers, clients)
 	}
 	if l.Operators != nil {
-		l.Operators = rcguard.Wrap(l.Operators, guardConfig(operatorMemoryBytes, maxOperatorConnections, encrypted, nil, metrics))
+		l.Operators = rcguard.Wrap(l.Operators, operators)
 	}
-	if !encrypted {
+	if boot.Certificate == "" {
 		return l, nil
 	}
 	certs, err := rccert.New(rccert.Config{CertFile: boot.Certificate, KeyFile: boot.PrivateKey, Log: log})
--- a/internal/node/rcdaemon/run.go
+++ b/internal/node/rcdaemon/run.go
@@ -39,6 +39,7 @@
 	addLoop(&g, d.gossipPoisonRecords)
 	addLoop(&g, d.broadcastUsage)
 	addLoop(&g, d.runOrders)
+	addLoop(&g, d.logLimitedClients)
 	addLoop(&g, d.watcher.Run)
 	addLoop(&g, d.syncer.Run)
 	addLoop(&g, d.members.Run)
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -119,8 +119,8 @@
 		log:       log.With().Str("Instance", s.Instance).Logger(),
 		fleet:     rcfleet.New(),
 		board:     rcboard.New(),
-		pool:      rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction)}),
-		peerPool:  rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction/2)}),
+		pool:      rcconn.New(rcconn.Config{MaxIdle: machine(s).FDs(idleFDFraction)}),
+		peerPool:  rcconn.New(rcconn.Config{MaxIdle: machine(s).FDs(idleFDFraction / 2)}),
 		metrics:   &rcmetric.Set{},
 		startedAt: time.Now(),
 	}
--- a/internal/serving/rcfront/body.go
+++ b/internal/serving/rcfront/body.go
@@ -10,21 +10,47 @@
 	"os"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 )
 
-// decodedCopies is how often the text of a body is held besides the body itself, decoded.
-const decodedCopies = 2
+const (
+	// decodedCopies is how often the text of a body is held besides the body itself, decoded:
+	// as the text of one message and as the prompt.
+	decodedCopies = 2
+	// encodedCopies is how often the text of a prompt is held as it is encoded for an engine:
+	// in the buffer of the encoder, which doubles, and in the request.
+	encodedCopies = 3
+	// invalidTextGrowth is how many bytes a byte that is not UTF-8 becomes when it is decoded.
+	invalidTextGrowth = 3
+)
 
 // maxDiscardedBytes limits how much of a body that is too large is read and discarded.
 const maxDiscardedBytes = 64 << 20
 
-// readBody reads the request body within the account's size and time limits.
+// encodedBytes returns how much the encodings of a prompt for engines hold.
+func encodedBytes(prompt string) int64 {
+	size := len(prompt)
+	for _, escaped := range []string{`"`, `\`, "\n"} {
+		size += strings.Count(prompt, escaped)
+	}
+	return encodedCopies * int64(size)
+}
+
+// decodedBytes returns how much a body holds, besides itself, while it is decoded.
+func decodedBytes(body []byte) int64 {
+	if utf8.Valid(body) {
+		return decodedCopies * int64(len(body))
+	}
+	return invalidTextGrowth * decodedCopies * int64(len(body))
+}
+
+// readBody reads the request body within the account's size and time limits. If it fails, the
+// read deadline stays, since net/http reads the rest of the body before it closes the connection.
 func readBody(c echo.Context) (body []byte, err error) {
 	info := c.Get(requestInfoKey).(*requestInfo)
 	rc := http.NewResponseController(c.Response())
@@ -32,23 +58,20 @@
 	if err := rc.SetReadDeadline(time.Now().Add(info.settings.BodyReadTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
-	defer rc.SetReadDeadline(time.Time{})
 	memory := rcmemory.ReserverFrom(c.Request().Context())
 	body, err = rcguard.ReadBody(http.MaxBytesReader(c.Response(), c.Request().Body, info.settings.MaxBodyBytes), c.Request().ContentLength, memory)
-	if err == nil && !memory.Reserve(decodedCopies*int64(len(body))) {
-		err = rcguard.ErrNoMemory
-	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		memory.Accept()
+		if err := rc.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return nil, err
+		}
+		c.Set(bodyReadKey, true)
 		return body, nil
 	case errors.Is(err, rcguard.ErrNoMemory):
 		c.Response().Header().Set("Connection", "close") // The rest of the body is not awaited.
-		return nil, &radishcrank.Refusal{
-			Status: http.StatusServiceUnavailable, Code: "no_memory", Message: "the memory for requests is used up",
-			Outcome: radishcrank.OutcomeNotRun, RetryAfter: time.Second,
-		}
+		return nil, requestWithoutMemory()
 	case errors.As(err, &tooLarge):
 		// A client that sends its whole body before it reads would not receive the
 		// response if the connection were closed in between, so the rest of the body is
@@ -87,19 +110,49 @@
 		*t = messageText(s)
 		return nil
 	}
-	var raw []json.RawMessage
-	if err := json.Unmarshal(data, &raw); err != nil {
-		return err
-	}
 	var b strings.Builder
-	for i, part := range raw {
+	i := 0
+	err := eachElement(data, func(part []byte) error {
 		text, err := partText(part)
 		if err != nil {
 			return fmt.Errorf("part %d: %w", i, err)
 		}
 		b.WriteString(text)
-	}
+		i++
+		return nil
+	})
 	*t = messageText(b.String())
+	return err
+}
+
+// eachElement calls f with each element of data, which is a valid JSON array. A decoded list
+// would hold many times the bytes of very short elements.
+func eachElement(data []byte, f func(element []byte) error) error {
+	depth, start, inString := 0, 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '[' || c == '{':
+			if depth++; depth == 1 {
+				start = i + 1
+			}
+		case depth == 1 && (c == ',' || c == ']'):
+			element := bytes.TrimSpace(data[start:i])
+			if len(element) == 0 {
+				return nil // The array is empty.
+			}
+			if err := f(element); err != nil {
+				return err
+			}
+			start = i + 1
+		case c == ']' || c == '}':
+			depth--
+		}
+	}
 	return nil
 }
 
--- a/internal/serving/rcfront/error.go
+++ b/internal/serving/rcfront/error.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
 // errorBody is the error response of the OpenAI API, extended by the outcome.
@@ -33,12 +34,34 @@
 	return errorBody{Error: errorDetail{Message: r.Message, Type: kind, Code: r.Code, Outcome: r.Outcome}}
 }
 
+// codeNoMemory is the code of errors for lack of memory.
+const codeNoMemory = "no_memory"
+
+// requestWithoutMemory returns the refusal of a request that there is no memory for.
+func requestWithoutMemory() error {
+	return &radishcrank.Refusal{
+		Status: http.StatusServiceUnavailable, Code: codeNoMemory, Message: "the memory for requests is used up",
+		Outcome: radishcrank.OutcomeNotRun, RetryAfter: time.Second,
+	}
+}
+
+// responseWithoutMemory returns the error of a request whose response there is no memory for.
+func responseWithoutMemory() error {
+	return &radishcrank.Refusal{
+		Status: http.StatusBadGateway, Code: codeNoMemory, Message: "the memory for responses is used up",
+		Outcome: radishcrank.OutcomeMayHaveRun, RetryAfter: time.Second,
+	}
+}
+
 // handleError implements echo.HTTPErrorHandler.
 func (s *Server) handleError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
 	refusal := asRefusal(err)
+	if refusal.Code == codeNoMemory && refusal.Outcome == radishcrank.OutcomeNotRun {
+		s.cfg.Metrics.Add(rcmetric.RefusedForMemory, 1)
+	}
 	h := c.Response().Header()
 	h.Set(radishcrank.HeaderOutcome, string(refusal.Outcome))
 	if refusal.RetryAfter > 0 {
--- a/internal/serving/rcfront/generate.go
+++ b/internal/serving/rcfront/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
@@ -19,7 +21,7 @@
 type completionRequest struct {
 	Model               string        `json:"model"`
 	Prompt              singlePrompt  `json:"prompt"`
-	Messages            []message     `json:"messages"`
+	Messages            chatPrompt    `json:"messages"`
 	Stream              bool          `json:"stream"`
 	StreamOptions       streamOptions `json:"stream_options"`
 	MaxTokens           int           `json:"max_tokens"`
@@ -31,19 +33,34 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
-// chatPrompt returns the canonical text of a chat. Each message is rendered
-// independently of the messages after it, so that chats with the same leading
-// messages share a prefix.
-func chatPrompt(messages []message) string {
+// chatPrompt is the canonical text of a chat. Each message is rendered independently of
+// the messages after it, so that chats with the same leading messages share a prefix.
+type chatPrompt string
+
+// UnmarshalJSON implements json.Unmarshaler for a list of messages.
+func (p *chatPrompt) UnmarshalJSON(data []byte) error {
+	if *p = ""; string(data) == "null" {
+		return nil
+	}
+	if data[0] != '[' {
+		return errors.New("messages must be a list")
+	}
 	var b strings.Builder
-	for _, m := range messages {
+	b.Grow(len(data)) // A rendered message is shorter than its JSON, unless that is very short.
+	err := eachElement(data, func(element []byte) error {
+		var m message
+		if err := json.Unmarshal(element, &m); err != nil {
+			return err
+		}
 		b.WriteString("<|")
 		b.WriteString(m.Role)
 		b.WriteString("|>")
 		b.WriteString(string(m.Content))
 		b.WriteByte('\n')
-	}
-	return b.String()
+		return nil
+	})
+	*p = chatPrompt(b.String())
+	return err
 }
 
 func (s *Server) serveChat(c echo.Context) error {
@@ -54,7 +71,7 @@
 	if len(body.Messages) == 0 {
 		return invalidRequest(http.StatusBadRequest, "missing_messages", "messages must not be empty")
 	}
-	return s.generate(c, body, chatPrompt(body.Messages), true)
+	return s.generate(c, body, string(body.Messages), true)
 }
 
 func (s *Server) serveCompletion(c echo.Context) error {
@@ -74,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if !rcmemory.ReserverFrom(c.Request().Context()).Reserve(decodedBytes(body)) {
+		return requestWithoutMemory()
+	}
 	if err := json.Unmarshal(body, v); err != nil {
 		return invalidRequest(http.StatusBadRequest, "malformed_json", "the request body is not a valid request: "+err.Error())
 	}
@@ -88,6 +108,9 @@
 	if body.Choices != nil && *body.Choices != 1 {
 		return invalidRequest(http.StatusBadRequest, "unsupported_n", "n must be 1")
 	}
+	if !rcmemory.ReserverFrom(c.Request().Context()).Reserve(encodedBytes(prompt)) {
+		return requestWithoutMemory()
+	}
 	settings := info.doc.EffectiveSettings(rcconfig.Scope{Account: info.account.ID, Model: radishcrank.ModelID(body.Model)})
 	req := radishcrank.Request{
 		ID:        info.id,
@@ -109,7 +132,7 @@
 	if req.Stream {
 		return s.stream(ctx, req, newStreamSink(c, req, body.StreamOptions.IncludeUsage))
 	}
-	sink := &bufferSink{}
+	sink := &bufferSink{memory: rcmemory.ReserverFrom(c.Request().Context())}
 	if err := s.run(ctx, req, sink, func() radishcrank.Usage { return sink.finish.Usage }); err != nil {
 		return err
 	}
--- a/internal/serving/rcfront/server.go
+++ b/internal/serving/rcfront/server.go
@@ -43,7 +43,7 @@
 	s := &Server{cfg: cfg, echo: echo.New()}
 	s.echo.HideBanner = true
 	s.echo.HTTPErrorHandler = s.handleError
-	s.echo.Use(s.authenticate)
+	s.echo.Use(boundUnreadBody, s.authenticate)
 	s.echo.GET(pathReady, s.serveReady)
 	s.echo.POST("/v1/chat/completions", s.serveChat)
 	s.echo.POST("/v1/completions", s.serveCompletion)
@@ -55,6 +55,23 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
+// lingerTime bounds how long net/http awaits the rest of a body that no handler has read. The
+// client would not receive the response if the connection were closed at once.
+const lingerTime = 500 * time.Millisecond
+
+// boundUnreadBody is middleware that bounds how long the body of a request is awaited that is
+// refused before its body has been read.
+func boundUnreadBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		err := next(c)
+		if c.Request().ContentLength != 0 && c.Get(bodyReadKey) == nil {
+			// Fails only on response writers in tests and closed connections.
+			_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(lingerTime))
+		}
+		return err
+	}
+}
+
 const pathReady = "/readyz"
 
 // serveReady tells the load balancer whether the instance accepts new requests.
@@ -73,7 +90,11 @@
 	settings rcconfig.Settings
 }
 
-const requestInfoKey = "call"
+// Keys of the echo context.
+const (
+	requestInfoKey = "call"
+	bodyReadKey    = "body read" // Set once the whole body has been read.
+)
 
 // authenticate is middleware that assigns the request identifier, checks the size of
 // the header and authenticates the account. The load balancer's readiness check needs
--- a/internal/serving/rcfront/server_test.go
+++ b/internal/serving/rcfront/server_test.go
@@ -50,6 +50,7 @@
 
 type fixture struct {
 	url    string
+	doc    *rcconfig.Document
 	engine *rcfakeengine.Engine
 	calls  *recordingCallRunner
 
@@ -85,7 +86,7 @@
 		Board: board, Dialer: rcengine.NewDialer(), MaxAttempts: 2,
 		Chooser: rcdecision.New(rcdecision.Config{Board: board, BlockBytes: func() int { return 16 }}),
 	})
-	f := &fixture{engine: engine, calls: calls, replayer: relay}
+	f := &fixture{doc: doc, engine: engine, calls: calls, replayer: relay}
 	server := httptest.NewServer(rcfront.New(rcfront.Config{
 		Document:    func() *rcconfig.Document { return doc },
 		InstanceTag: rcfront.InstanceTag("i-1"),
--- a/internal/serving/rcfront/service.go
+++ b/internal/serving/rcfront/service.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/state/rcmetric"
 )
 
@@ -25,7 +26,8 @@
 		return invalidRequest(http.StatusBadRequest, "malformed_path", "the service's name must not be encoded")
 	}
 	key := r.Header.Get(radishcrank.HeaderIdempotencyKey)
-	if service.RunsAtMostOnce(r.Method, path) && key == "" {
+	atMostOnce := service.RunsAtMostOnce(r.Method, path)
+	if atMostOnce && key == "" {
 		return invalidRequest(http.StatusBadRequest, "missing_idempotency_key", "this call needs an Idempotency-Key header")
 	}
 	body, err := readBody(c)
@@ -48,5 +50,10 @@
 	if err != nil {
 		return err
 	}
+	// The response of a call that must not be repeated is read for its record, whatever becomes
+	// of the client. A repeat of the request gets it.
+	if atMostOnce && !rcmemory.ReserverFrom(r.Context()).Reserve(int64(len(response.Body))) {
+		return responseWithoutMemory()
+	}
 	return c.Blob(response.Status, response.ContentType, response.Body)
 }
--- a/internal/serving/rcfront/sink.go
+++ b/internal/serving/rcfront/sink.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/serving/rcsse"
 )
 
@@ -180,12 +181,28 @@
 
 // bufferSink collects a response that is not streamed.
 type bufferSink struct {
-	text   strings.Builder
-	finish radishcrank.Finish
-}
+	text     strings.Builder
+	finish   radishcrank.Finish
+	memory   rcmemory.Reserver
+	reserved int // Bytes of text for which memory is reserved.
+}
+
+const (
+	// sinkBytes is the part of a buffered response for which memory is reserved at once.
+	sinkBytes = 16 << 10
+	// bufferedCopies is how often its text is held: in the buffer, which grows, and in the
+	// response that is written.
+	bufferedCopies = 3
+)
 
 // Token implements radishcrank.StreamSink.
 func (s *bufferSink) Token(t radishcrank.Token) error {
+	for s.text.Len()+len(t.Text) > s.reserved {
+		if !s.memory.Reserve(bufferedCopies * sinkBytes) {
+			return responseWithoutMemory()
+		}
+		s.reserved += sinkBytes
+	}
 	s.text.WriteString(t.Text)
 	return nil
 }
--- a/internal/serving/rcguard/listener.go
+++ b/internal/serving/rcguard/listener.go
@@ -88,6 +88,16 @@
 
 // Listen listens on a TCP address.
 func Listen(addr string, cfg Config) (*Listener, error) {
+	l, err := Open(addr)
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(l, cfg), nil
+}
+
+// Open opens a listener whose connections hold little in the kernel. The bounds have to be set
+// before it listens, since they decide how much a client is told that it may send.
+func Open(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var sockErr error
 		err := raw.Control(func(fd uintptr) {
@@ -102,12 +112,11 @@
 	if err != nil {
 		return nil, err
 	}
-	guarded := Wrap(l, cfg)
-	if guarded.raw != nil {
+	if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
 		// Fails only on a closed listener.
-		_ = guarded.raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+		_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
 	}
-	return guarded, nil
+	return l, nil
 }
 
 // Wrap guards an open listener. Connections other than those of TCP are not guarded.
--- a/internal/upstream/rcengine/client.go
+++ b/internal/upstream/rcengine/client.go
@@ -146,11 +146,13 @@
 // post sends a message. It maps error statuses by which the engine rejects the
 // message to ErrStaleFence and ErrUpstreamBusy.
 func (c *client) post(ctx context.Context, path string, message any) (*http.Response, error) {
-	body, err := json.Marshal(message)
-	if err != nil {
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	encoder.SetEscapeHTML(false) // Chats have angle brackets, of which each would take six bytes.
+	if err := encoder.Encode(message); err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(path), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(path), bytes.NewReader(body.Bytes()))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/rcservice/client.go
+++ b/internal/upstream/rcservice/client.go
@@ -14,6 +14,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
@@ -108,13 +110,10 @@
 	if resp.Header.Get(radishcrank.HeaderOutcome) == string(radishcrank.OutcomeNotRun) {
 		return response, nil, fmt.Errorf("status %d: %w", resp.StatusCode, radishcrank.ErrUpstreamBusy)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := readBody(ctx, resp)
 	if err != nil {
 		return response, nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return response, nil, fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
-	}
 	if rcframing.Unframed(resp) {
 		if err := rcframing.CheckBody(resp.Header, body); err != nil {
 			return response, nil, err
@@ -127,6 +126,22 @@
 	}, resp.Header, nil
 }
 
+// readBody reads the body of a response. Its memory is reserved until the end of the client's
+// request; calls that are made without one, and so keep nothing for a client, reserve none.
+func readBody(ctx context.Context, resp *http.Response) (body []byte, err error) {
+	length := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		length = 0 // The header names the length that a body would have.
+	}
+	if length <= maxResponseBytes {
+		body, err = rcguard.ReadBody(io.LimitReader(resp.Body, maxResponseBytes+1), length, rcmemory.ReserverFrom(ctx))
+	}
+	if length > maxResponseBytes || len(body) > maxResponseBytes {
+		return nil, fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
+	}
+	return body, err
+}
+
 func newRequest(ctx context.Context, up radishcrank.Upstream, call radishcrank.ServiceCall) (*http.Request, error) {
 	// net/http retries a request on another connection if it can rewind the body,
 	// for any method if an Idempotency-Key header is set. A reader that cannot be
