Apply HeaderTimeoutMs and IdleTimeoutMs to clients' connections

Both were read from the configuration but constants (5 s and 75 s) were used, since http.Server cannot change its timeouts while it runs. Where the configuration sets none, the constants stay.

--- a/internal/node/rcinstance/guard.go
+++ b/internal/node/rcinstance/guard.go
@@ -39,9 +39,24 @@
 		}
 		return 0
 	}
+	cfg.Timeouts = i.clientTimeouts
 	return cfg
 }
 
+// clientTimeouts returns how long clients may take for a request header and keep a connection
+// without a request.
+func (i *Instance) clientTimeouts() rcguard.Timeouts {
+	timeouts := rcguard.Timeouts{Header: readHeaderTimeout, Idle: idleTimeout}
+	t := i.routes.Load()
+	if t != nil && t.Limits.HeaderTimeout > 0 {
+		timeouts.Header = t.Limits.HeaderTimeout
+	}
+	if t != nil && t.Limits.IdleTimeout > 0 {
+		timeouts.Idle = t.Limits.IdleTimeout
+	}
+	return timeouts
+}
+
 // sideGuard returns the limits of a listener that is not for clients.
 func (i *Instance) sideGuard() rcguard.Config {
 	return rcguard.Config{Metrics: i.metrics, Budget: rcmemory.New(rcmemory.Config{
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -62,11 +62,11 @@
 	// shutdownMargin completes a shutdown this long before the platform kills the
 	// process.
 	shutdownMargin = 700 * time.Millisecond
-	// readHeaderTimeout bounds the time for a client's request header until the
-	// configuration sets a bound.
+	// readHeaderTimeout bounds the time for a request header where the configuration sets no
+	// bound.
 	readHeaderTimeout = 5 * time.Second
-	// idleTimeout closes idle client connections somewhat later than any configuration
-	// asks for. Closing one that a client is about to use would fail its request.
+	// idleTimeout closes idle connections where the configuration sets no timeout, somewhat
+	// later than any asks for. Closing one that a client is about to use would fail its request.
 	idleTimeout = 75 * time.Second
 	// crashRecordDelay is longer than crash records take to reach all instances, relays
 	// included.
@@ -210,7 +210,7 @@
 		return err
 	}
 	forwarder := i.newForwarder()
-	clientServer := &http.Server{Handler: i.clientHandler(forwarder), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	clientServer := &http.Server{Handler: i.clientHandler(forwarder), ErrorLog: nil} // The listener has its timeouts.
 	rcguard.Configure(clientServer)
 	stopped := make(chan struct{})
 	g.Add(func() error {
--- a/internal/serving/rcforward/metrics_test.go
+++ b/internal/serving/rcforward/metrics_test.go
@@ -144,7 +144,7 @@
 		})
 	}
 	require.Equal(t, map[rcmetric.CounterName]bool{rcmetric.Rejected: true, rcmetric.NewsLost: true, rcmetric.Detours: true, rcmetric.LinkCuts: true, rcmetric.ZoneCuts: true,
-		rcmetric.AccountLimited: true, rcmetric.AccountCharged: true, rcmetric.AccountRefunded: true, rcmetric.DeferredFirst: true, rcmetric.ConnectionsRefused: true, rcmetric.ConnectionsEvicted: true, rcmetric.HeadsTooLong: true, rcmetric.RefusedForMemory: true}, untested,
+		rcmetric.AccountLimited: true, rcmetric.AccountCharged: true, rcmetric.AccountRefunded: true, rcmetric.DeferredFirst: true, rcmetric.ConnectionsRefused: true, rcmetric.ConnectionsEvicted: true, rcmetric.HeadsTooLong: true, rcmetric.HeadsTooSlow: true, rcmetric.RefusedForMemory: true}, untested,
 		"TestDetours covers Detours, TestCallersOfCutOffZone LinkCuts and ZoneCuts, TestAccountLimit those of accounts, TestWhoPaysFirst DeferredFirst, the tests of rcguard those of connections and memory")
 	require.Equal(t, map[rcmetric.HistogramName]bool{rcmetric.StoreTime: true}, untestedTimings)
 }
--- a/internal/serving/rcguard/listener.go
+++ b/internal/serving/rcguard/listener.go
@@ -75,7 +75,10 @@
 	// Encrypted tells that the listener is used below TLS, so that heads cannot be told
 	// from other bytes. Their size has to be bounded by the HTTP server.
 	Encrypted bool
-	Metrics   *rcmetric.Set
+	// Timeouts returns how long connections wait for requests. Nil leaves that to the HTTP
+	// server, whose own timeouts must be 0 otherwise. It has no effect below TLS.
+	Timeouts func() Timeouts
+	Metrics  *rcmetric.Set
 }
 
 // Listener is a net.Listener whose connections are guarded.
@@ -157,7 +160,7 @@
 		if !ok {
 			return nc, nil
 		}
-		c := &Conn{TCPConn: tcp, cfg: &l.cfg}
+		c := &Conn{TCPConn: tcp, cfg: &l.cfg, waiting: waiting{since: time.Now()}}
 		c.inHead.Store(true)
 		h, evicted := l.cfg.Budget.Open(c, time.Now())
 		c.closeAll(evicted)
@@ -203,7 +206,9 @@
 	holder   *rcmemory.Holder
 	inHead   atomic.Bool
 	accepted atomic.Bool
-	head     headScanner
+	// head and waiting are used only while the server waits for a head.
+	head    headScanner
+	waiting waiting
 }
 
 func (c *Conn) setState(s http.ConnState) {
@@ -214,13 +219,18 @@
 	case http.StateIdle:
 		c.accepted.Store(false)
 		c.holder.SetState(rcmemory.Idle, time.Now())
+		c.waiting = waiting{since: time.Now()}
 		c.inHead.Store(true)
 	}
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	n, err = c.TCPConn.Read(p)
+	if c.cfg.Timeouts != nil && !c.cfg.Encrypted && c.inHead.Load() {
+		n, err = c.readHead(p)
+	} else {
+		n, err = c.TCPConn.Read(p)
+	}
 	if n == 0 || c.accepted.Load() {
 		return n, err
 	}
@@ -237,6 +247,7 @@
 		}
 		return n, err
 	}
+	c.waiting.begin(time.Now())
 	text, lines := c.head.scan(p[:n])
 	if text == 0 {
 		return n, err
--- a/internal/serving/rcguard/machine.go
+++ b/internal/serving/rcguard/machine.go
@@ -69,7 +69,7 @@
 // LogLimited logs how many clients met the limits, in one line a period however large a crowd
 // is, until ctx is done.
 func LogLimited(ctx context.Context, log zerolog.Logger, metrics *rcmetric.Set, budget *rcmemory.Budget) error {
-	names := []rcmetric.CounterName{rcmetric.ConnectionsRefused, rcmetric.ConnectionsEvicted, rcmetric.HeadsTooLong, rcmetric.RefusedForMemory}
+	names := []rcmetric.CounterName{rcmetric.ConnectionsRefused, rcmetric.ConnectionsEvicted, rcmetric.HeadsTooLong, rcmetric.HeadsTooSlow, rcmetric.RefusedForMemory}
 	last := make([]int64, len(names))
 	for rcwait.Sleep(ctx, limitedLogInterval) {
 		line, changed := log.Warn().Str("Event", "ClientsLimited"), false
--- a/internal/state/rcmetric/metric.go
+++ b/internal/state/rcmetric/metric.go
@@ -67,6 +67,7 @@
 	ConnectionsRefused     CounterName = "ConnectionsRefused"
 	ConnectionsEvicted     CounterName = "ConnectionsEvicted"
 	HeadsTooLong           CounterName = "HeadsTooLong"
+	HeadsTooSlow           CounterName = "HeadsTooSlow"
 	RefusedForMemory       CounterName = "RefusedForMemory"
 )
 
@@ -147,6 +148,7 @@
 	{ConnectionsRefused, "connections", "Connections of clients that were closed at once because descriptors or memory were used up.", "Look for a crowd of connections that send nothing; the runbook of untrusted clients has more."},
 	{ConnectionsEvicted, "connections", "Connections of clients that were closed because they held memory or a descriptor without progress while these were short.", "As for ConnectionsRefused."},
 	{HeadsTooLong, "requests", "Requests answered with 431 because their head exceeds `MaxHeaderBytes`.", "Find the client, or raise the limit."},
+	{HeadsTooSlow, "requests", "Requests answered with 408 because their head took longer than `HeaderTimeoutMs`.", "Look for a crowd of clients that stop inside a head; raise the timeout if clients are slow."},
 	{RefusedForMemory, "requests", "Requests answered with 503 because the memory for requests is used up; they did not run.", "If no crowd explains it, the instances have too little memory (`MemoryMb`) for the bodies of their clients."},
 	{NewsLost, "messages", "Failed messages to other instances.", "If the log lines name only one instance or zone, it is down or unreachable."},
 }
