Reserve memory for retained streams and messages of other instances

Both were bounded one by one (1 MiB for each stream and 32 MiB for those that have ended; 64 KiB for each of 512 connections) but did not count for the budget of clients. A share of the budget (rcmemory.Share, rcguard.Share) now belongs to no connection. Replay buffers reserve from it in steps of 4 KiB; where there is nothing, ended streams make room, the oldest first, and a stream that still gets nothing keeps its newest tokens only, so that a client that resumes it further back continues on an engine with the same weights. Messages are counted while they are read and handled and are never refused, since the instances depend on them; connections of clients yield.

go test -race of rcmemory, rcguard, rcrelay and rcrpc pass.

--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -14,7 +14,6 @@
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/limits/rclimit"
-	"github.com/radishcrank/radishcrank/internal/limits/rcmemory"
 	"github.com/radishcrank/radishcrank/internal/limits/rcpoison"
 	"github.com/radishcrank/radishcrank/internal/limits/rcretry"
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
@@ -92,7 +91,7 @@
 	poisonTracker  *rcpoison.Tracker
 	warmUpSource   atomic.Value // An rcsnapshot.Source; set when the warm-up ends.
 	clientServer   *http.Server
-	clientMemory   *rcmemory.Budget
+	clientGuard    rcguard.Config // Limits of the clients' listener.
 	operatorServer *http.Server
 
 	ready          atomic.Bool // Set when the warm-up ends.
@@ -119,7 +118,8 @@
 		metrics:        &rcmetric.Set{},
 		drainRequested: make(chan struct{}),
 	}
-	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, d.clientGuard(), d.operatorGuard(), cfg.Log); err != nil {
+	d.clientGuard = d.newClientGuard()
+	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, d.clientGuard, d.operatorGuard(), cfg.Log); err != nil {
 		return nil, err
 	}
 	d.newPeers()
@@ -205,6 +205,7 @@
 		Retrier:         d.retrier,
 		CrashTracker:    d.poisonTracker,
 		RefreshLoad:     d.watcher.PollSoon,
+		ReplayMemory:    rcguard.NewShare(d.clientGuard),
 	})
 	replay := replayer{d: d, relay: relay}
 	rcrpc.Handle(d.handlers, methodStreamFetch, replay.handleStreamFetch)
--- a/internal/node/rcdaemon/listeners.go
+++ b/internal/node/rcdaemon/listeners.go
@@ -41,13 +41,12 @@
 	maxOperatorConnections = 64
 )
 
-// clientGuard returns the limits of the clients' listener.
-func (d *Daemon) clientGuard() rcguard.Config {
+// newClientGuard returns the limits of the clients' listener.
+func (d *Daemon) newClientGuard() rcguard.Config {
 	cfg := rcguard.Machine{MemoryBytes: memoryBytes, MaxFDs: rcguard.MaxFDs()}.ClientConfig(requestMemoryFraction, d.metrics)
 	// The handler refuses heads beyond the limit with a JSON response, up to twice its size.
 	cfg.MaxHeadBytes = func() int { return int(2 * d.document().Defaults.MaxHeaderBytes) }
 	cfg.Encrypted = d.cfg.BootSettings.Certificate != ""
-	d.clientMemory = cfg.Budget
 	return cfg
 }
 
@@ -61,7 +60,7 @@
 
 // logLimitedClients logs how many clients met the limits.
 func (d *Daemon) logLimitedClients(ctx context.Context) error {
-	return rcguard.LogLimited(ctx, d.cfg.Log, d.metrics, d.clientMemory)
+	return rcguard.LogLimited(ctx, d.cfg.Log, d.metrics, d.clientGuard.Budget)
 }
 
 // guarded guards the clients' and operators' listeners against clients that use up memory or
--- a/internal/node/rcdaemon/peers.go
+++ b/internal/node/rcdaemon/peers.go
@@ -6,6 +6,7 @@
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/peer/rcmember"
 	"github.com/radishcrank/radishcrank/internal/peer/rcrpc"
+	"github.com/radishcrank/radishcrank/internal/serving/rcguard"
 	"github.com/radishcrank/radishcrank/internal/state/rcconfig"
 	"github.com/radishcrank/radishcrank/internal/state/rcrevision"
 )
@@ -19,6 +20,7 @@
 func (d *Daemon) newPeers() {
 	boot := d.cfg.BootSettings
 	d.handlers = rcrpc.NewHandlers()
+	d.handlers.SetMemory(rcguard.NewShare(d.clientGuard))
 	rpc := rcrpc.Config{
 		Identity: rcrpc.Identity{Instance: boot.ID, Zone: boot.Zone},
 		Keys:     rcrpc.FixedKeys(rcrpc.Keys{Current: boot.PeerKey, Old: boot.OldPeerKey}),
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -205,7 +205,9 @@
 	add(i.links.Run)
 	add(i.zones.Run)
 
-	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), i.clientGuard())
+	guard := i.clientGuard()
+	i.peers.handlers.SetMemory(rcguard.NewShare(guard)) // Before the group runs.
+	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), guard)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/rcrpc/frame.go
+++ b/internal/peer/rcrpc/frame.go
@@ -59,14 +59,27 @@
 }
 
 func readFrame(r io.Reader, limit int) ([]byte, error) {
+	size, err := readSize(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	return readBody(r, size)
+}
+
+// readSize reads the size of the body that follows.
+func readSize(r io.Reader, limit int) (int, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size == 0 || uint64(size) > uint64(limit) {
-		return nil, &FrameSizeError{Size: int(size), Limit: limit}
+		return 0, &FrameSizeError{Size: int(size), Limit: limit}
 	}
+	return int(size), nil
+}
+
+func readBody(r io.Reader, size int) ([]byte, error) {
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
 		// The header announced a body, so the frame is truncated.
@@ -81,6 +94,7 @@
 // stream is the jsonrpc2.ObjectStream of an authenticated connection.
 type stream struct {
 	conn         net.Conn
+	memory       Memory
 	idleTimeout  time.Duration
 	writeTimeout time.Duration
 }
@@ -105,7 +119,17 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(s.idleTimeout)); err != nil {
 		return err
 	}
-	return Decode(s.conn, MaxMessageBytes, message)
+	size, err := readSize(s.conn, MaxMessageBytes)
+	if err != nil {
+		return err
+	}
+	s.memory.Take(int64(size))
+	defer s.memory.Return(int64(size))
+	body, err := readBody(s.conn, size)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, message)
 }
 
 // Close implements io.Closer.
--- a/internal/peer/rcrpc/method.go
+++ b/internal/peer/rcrpc/method.go
@@ -60,12 +60,28 @@
 // before the first call is served.
 type Handlers struct {
 	byName map[string]handler
+	memory Memory
 }
 
+// Memory counts what messages hold. They are bounded one by one and by the number of
+// connections, and the instances depend on them, so that none is refused.
+type Memory interface {
+	Take(n int64)
+	Return(n int64)
+}
+
+type uncounted struct{}
+
+func (uncounted) Take(int64)   {}
+func (uncounted) Return(int64) {}
+
+// SetMemory sets where messages are counted while they are read and handled.
+func (h *Handlers) SetMemory(m Memory) { h.memory = m }
+
 type handler func(ctx context.Context, from Identity, params json.RawMessage) (any, error)
 
 // NewHandlers returns an empty set of handlers.
-func NewHandlers() *Handlers { return &Handlers{byName: make(map[string]handler)} }
+func NewHandlers() *Handlers { return &Handlers{byName: make(map[string]handler), memory: uncounted{}} }
 
 // Handle registers f as the handler of a method. It panics if the method already
 // has a handler.
--- a/internal/peer/rcrpc/server.go
+++ b/internal/peer/rcrpc/server.go
@@ -105,7 +105,7 @@
 // directions.
 func newConn(conn net.Conn, peer Identity, cfg Config) *jsonrpc2.Conn {
 	d := &dispatcher{handlers: cfg.Handlers, peer: peer, slots: make(chan struct{}, maxConcurrentCalls)}
-	s := &stream{conn: conn, idleTimeout: cfg.IdleTimeout, writeTimeout: cfg.WriteTimeout}
+	s := &stream{conn: conn, memory: cfg.Handlers.memory, idleTimeout: cfg.IdleTimeout, writeTimeout: cfg.WriteTimeout}
 	return jsonrpc2.NewConn(context.Background(), s, d, jsonrpc2.SetLogger(discardLogger{}))
 }
 
@@ -127,8 +127,16 @@
 func (d *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	select {
 	case d.slots <- struct{}{}:
+		size := int64(0)
+		if req.Params != nil {
+			size = int64(len(*req.Params))
+		}
+		d.handlers.memory.Take(size)
 		go func() {
-			defer func() { <-d.slots }()
+			defer func() {
+				d.handlers.memory.Return(size)
+				<-d.slots
+			}()
 			d.run(ctx, conn, req)
 		}()
 	default:
--- a/internal/serving/rcguard/listener.go
+++ b/internal/serving/rcguard/listener.go
@@ -163,7 +163,7 @@
 		c := &Conn{TCPConn: tcp, cfg: &l.cfg, waiting: waiting{since: time.Now()}}
 		c.inHead.Store(true)
 		h, evicted := l.cfg.Budget.Open(c, time.Now())
-		c.closeAll(evicted)
+		l.cfg.closeAll(evicted)
 		if h == nil {
 			l.cfg.Metrics.Add(rcmetric.ConnectionsRefused, 1)
 			nc.Close()
@@ -309,7 +309,7 @@
 // Reserve implements rcmemory.Reserver.
 func (c *Conn) Reserve(n int64) bool {
 	ok, evicted := c.holder.Reserve(n, time.Now())
-	c.closeAll(evicted)
+	c.cfg.closeAll(evicted)
 	return ok
 }
 
@@ -322,15 +322,6 @@
 	c.holder.SetState(rcmemory.Forwarding, time.Now())
 }
 
-func (c *Conn) closeAll(evicted []*rcmemory.Holder) {
-	for _, h := range evicted {
-		o := h.Owner.(*Conn)
-		_ = o.SetLinger(0)    // The kernel must not keep what the client does not read. Fails only on a closed connection.
-		_ = o.TCPConn.Close() // Fails only if it is closed. The server notices and closes o.
-	}
-	c.cfg.Metrics.Add(rcmetric.ConnectionsEvicted, int64(len(evicted)))
-}
-
 // RetryAfter returns the Retry-After value, in seconds, of a request that is refused for lack
 // of memory. Clients that are refused together do not return together.
 func RetryAfter() string { return strconv.FormatFloat(0.5+rand.Float64(), 'f', 2, 64) }
--- a/internal/serving/rcrelay/generation.go
+++ b/internal/serving/rcrelay/generation.go
@@ -209,6 +209,7 @@
 	if ws, ok := g.sink.(radishcrank.WeightsSink); ok && g.req.PinnedWeights != weights {
 		ws.SetWeights(weights)
 	}
+	g.relay.reserve(g.stream, t.Text)
 	g.stream.append(t.Text)
 	g.lastText, g.hasLastText = t.Text, true
 	g.req.ResumeFrom = t.Index + 1
--- a/internal/serving/rcrelay/relay.go
+++ b/internal/serving/rcrelay/relay.go
@@ -97,6 +97,15 @@
 	Retrier         Retrier                      // Nil allows any number of retries and no hedging.
 	CrashTracker    CrashTracker                 // Nil disables crash tracking.
 	RefreshLoad     func(radishcrank.UpstreamID) // Requests a new load report; nil waits for the next regular one.
+	ReplayMemory    ReplayMemory                 // Nil sets no limit besides those of the settings.
+}
+
+// ReplayMemory is the memory of the replay buffers of all streams.
+type ReplayMemory interface {
+	// Reserve reserves n more bytes, if they are free.
+	Reserve(n int64) bool
+	// Return gives n bytes back.
+	Return(n int64)
 }
 
 // Relay implements radishcrank.Generator.
@@ -118,6 +127,9 @@
 	if cfg.Retrier == nil {
 		cfg.Retrier = unlimited{}
 	}
+	if cfg.ReplayMemory == nil {
+		cfg.ReplayMemory = unlimitedMemory{}
+	}
 	if cfg.CrashTracker == nil {
 		cfg.CrashTracker = noCrashTracker{}
 	}
@@ -227,6 +239,7 @@
 	r.ended[0] = nil
 	r.ended = r.ended[1:]
 	r.endedBytes -= s.size()
+	r.cfg.ReplayMemory.Return(s.takeReserved())
 	if r.streams[s.id] == s {
 		delete(r.streams, s.id)
 	}
--- a/internal/serving/rcrelay/stream.go
+++ b/internal/serving/rcrelay/stream.go
@@ -27,6 +27,9 @@
 	firstIndex int      // Index of the first buffered token.
 	texts      []string // Texts of the buffered tokens.
 	bytes      int
+	reserved   int // Bytes for which memory is reserved.
+	limit      int // Limit on bytes.
+	untried    int // Tokens until memory is asked for again after there was none.
 	done       bool
 	doneAt     time.Time
 	finish     radishcrank.Finish
@@ -38,17 +41,18 @@
 }
 
 func newStream(req radishcrank.Request, settings Settings, cancel context.CancelCauseFunc) *stream {
-	return &stream{id: req.ID, account: req.Account, settings: settings, cancel: cancel, firstIndex: req.ResumeFrom}
+	return &stream{id: req.ID, account: req.Account, settings: settings, cancel: cancel, firstIndex: req.ResumeFrom, limit: settings.MaxReplayBytes}
 }
 
-// append adds the next token and drops the oldest ones that exceed the size limit.
+// append adds the next token and drops the oldest ones that exceed the size limit or the
+// memory that is reserved.
 func (s *stream) append(text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.texts = append(s.texts, text)
 	s.bytes += len(text) + tokenOverhead
 	drop := 0
-	for s.bytes > s.settings.MaxReplayBytes && drop < len(s.texts) {
+	for s.bytes > s.limit && drop < len(s.texts) {
 		s.bytes -= len(s.texts[drop]) + tokenOverhead
 		s.texts[drop] = ""
 		drop++
