--- a/internal/node/rcdaemon/daemon.go
+++ b/internal/node/rcdaemon/daemon.go
@@ -47,6 +47,9 @@
 	maxHeaderBytes    = 1 << 20
 	// operatorHeaderBytes is far more than the operators' command sends.
 	operatorHeaderBytes = 64 << 10
+	// operatorReadTimeout bounds the time in which a request of an operator must arrive. Its
+	// body has at most 1 MB.
+	operatorReadTimeout = 30 * time.Second
 	// idleTimeout closes idle connections, later than clients and proxies usually do.
 	idleTimeout = 2 * time.Minute
 )
@@ -88,6 +91,7 @@
 	poisonTracker  *rcpoison.Tracker
 	warmUpSource   atomic.Value // An rcsnapshot.Source; set when the warm-up ends.
 	clientServer   *http.Server
+	clientGuard    rcguard.Config // Limits of the clients' listener.
 	operatorServer *http.Server
 
 	ready          atomic.Bool // Set when the warm-up ends.
@@ -114,9 +118,8 @@
 		metrics:        &rcmetric.Set{},
 		drainRequested: make(chan struct{}),
 	}
-	// The handler refuses heads beyond the limit with a JSON response, up to twice its size.
-	maxHead := func() int { return int(2 * d.document().Defaults.MaxHeaderBytes) }
-	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, maxHead, d.metrics, cfg.Log); err != nil {
+	d.clientGuard = d.newClientGuard()
+	if d.cfg.Listeners, err = cfg.Listeners.guarded(cfg.BootSettings, d.clientGuard, d.operatorGuard(), cfg.Log); err != nil {
 		return nil, err
 	}
 	d.newPeers()
@@ -202,6 +205,7 @@
 		Retrier:         d.retrier,
 		CrashTracker:    d.poisonTracker,
 		RefreshLoad:     d.watcher.PollSoon,
+		ReplayMemory:    rcguard.NewShare(d.clientGuard),
 	})
 	replay := replayer{d: d, relay: relay}
 	rcrpc.Handle(d.handlers, methodStreamFetch, replay.handleStreamFetch)
@@ -238,7 +242,7 @@
 		Metrics:     d.metrics,
 		Log:         d.cfg.Log,
 	})
-	server := &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: operatorHeaderBytes}
+	server := &http.Server{Handler: ops, ReadHeaderTimeout: operatorHeaderTimeout, ReadTimeout: operatorReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: operatorHeaderBytes}
 	rcguard.Configure(server)
 	return server
 }
--- a/internal/node/rcinstance/instance.go
+++ b/internal/node/rcinstance/instance.go
@@ -64,11 +64,11 @@
 	// shutdownMargin completes a shutdown this long before the platform kills the
 	// process.
 	shutdownMargin = 700 * time.Millisecond
-	// readHeaderTimeout bounds the time for a client's request header until the
-	// configuration sets a bound.
+	// readHeaderTimeout bounds the time for a request header where the configuration sets no
+	// bound.
 	readHeaderTimeout = 5 * time.Second
-	// idleTimeout closes idle client connections somewhat later than any configuration
-	// asks for. Closing one that a client is about to use would fail its request.
+	// idleTimeout closes idle connections where the configuration sets no timeout, somewhat
+	// later than any asks for. Closing one that a client is about to use would fail its request.
 	idleTimeout = 75 * time.Second
 	// crashRecordDelay is longer than crash records take to reach all instances, relays
 	// included.
@@ -122,8 +122,8 @@
 		log:       log.With().Str("Instance", s.Instance).Logger(),
 		fleet:     rcfleet.New(),
 		board:     rcboard.New(),
-		pool:      rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction)}),
-		peerPool:  rcconn.New(rcconn.Config{MaxIdle: fdFraction(s, idleFDFraction/2)}),
+		pool:      rcconn.New(rcconn.Config{MaxIdle: machine(s).FDs(idleFDFraction)}),
+		peerPool:  rcconn.New(rcconn.Config{MaxIdle: machine(s).FDs(idleFDFraction / 2)}),
 		metrics:   &rcmetric.Set{},
 		startedAt: time.Now(),
 	}
@@ -211,12 +211,14 @@
 	add(i.links.Run)
 	add(i.zones.Run)
 
-	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), i.clientGuard())
+	guard := i.clientGuard()
+	i.peers.handlers.SetMemory(rcguard.NewShare(guard)) // Before the group runs.
+	clientListener, err := rcguard.Listen(i.settings.ClientAddr.String(), guard)
 	if err != nil {
 		return err
 	}
 	forwarder := i.newForwarder()
-	clientServer := &http.Server{Handler: i.clientHandler(forwarder), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	clientServer := &http.Server{Handler: i.clientHandler(forwarder), ErrorLog: nil} // The listener has its timeouts.
 	rcguard.Configure(clientServer)
 	stopped := make(chan struct{})
 	g.Add(func() error {
--- a/internal/serving/rcguard/listener.go
+++ b/internal/serving/rcguard/listener.go
@@ -75,7 +75,10 @@
 	// Encrypted tells that the listener is used below TLS, so that heads cannot be told
 	// from other bytes. Their size has to be bounded by the HTTP server.
 	Encrypted bool
-	Metrics   *rcmetric.Set
+	// Timeouts returns how long connections wait for requests. Nil leaves that to the HTTP
+	// server, whose own timeouts must be 0 otherwise. It has no effect below TLS.
+	Timeouts func() Timeouts
+	Metrics  *rcmetric.Set
 }
 
 // Listener is a net.Listener whose connections are guarded.
@@ -88,6 +91,16 @@
 
 // Listen listens on a TCP address.
 func Listen(addr string, cfg Config) (*Listener, error) {
+	l, err := Open(addr)
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(l, cfg), nil
+}
+
+// Open opens a listener whose connections hold little in the kernel. The bounds have to be set
+// before it listens, since they decide how much a client is told that it may send.
+func Open(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var sockErr error
 		err := raw.Control(func(fd uintptr) {
@@ -102,12 +115,11 @@
 	if err != nil {
 		return nil, err
 	}
-	guarded := Wrap(l, cfg)
-	if guarded.raw != nil {
+	if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
 		// Fails only on a closed listener.
-		_ = guarded.raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+		_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
 	}
-	return guarded, nil
+	return l, nil
 }
 
 // Wrap guards an open listener. Connections other than those of TCP are not guarded.
@@ -148,10 +160,10 @@
 		if !ok {
 			return nc, nil
 		}
-		c := &Conn{TCPConn: tcp, cfg: &l.cfg}
+		c := &Conn{TCPConn: tcp, cfg: &l.cfg, waiting: waiting{since: time.Now()}}
 		c.inHead.Store(true)
 		h, evicted := l.cfg.Budget.Open(c, time.Now())
-		c.closeAll(evicted)
+		l.cfg.closeAll(evicted)
 		if h == nil {
 			l.cfg.Metrics.Add(rcmetric.ConnectionsRefused, 1)
 			nc.Close()
@@ -194,7 +206,9 @@
 	holder   *rcmemory.Holder
 	inHead   atomic.Bool
 	accepted atomic.Bool
-	head     headScanner
+	// head and waiting are used only while the server waits for a head.
+	head    headScanner
+	waiting waiting
 }
 
 func (c *Conn) setState(s http.ConnState) {
@@ -205,13 +219,18 @@
 	case http.StateIdle:
 		c.accepted.Store(false)
 		c.holder.SetState(rcmemory.Idle, time.Now())
+		c.waiting = waiting{since: time.Now()}
 		c.inHead.Store(true)
 	}
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	n, err = c.TCPConn.Read(p)
+	if c.cfg.Timeouts != nil && !c.cfg.Encrypted && c.inHead.Load() {
+		n, err = c.readHead(p)
+	} else {
+		n, err = c.TCPConn.Read(p)
+	}
 	if n == 0 || c.accepted.Load() {
 		return n, err
 	}
@@ -228,6 +247,7 @@
 		}
 		return n, err
 	}
+	c.waiting.begin(time.Now())
 	text, lines := c.head.scan(p[:n])
 	if text == 0 {
 		return n, err
@@ -289,7 +309,7 @@
 // Reserve implements rcmemory.Reserver.
 func (c *Conn) Reserve(n int64) bool {
 	ok, evicted := c.holder.Reserve(n, time.Now())
-	c.closeAll(evicted)
+	c.cfg.closeAll(evicted)
 	return ok
 }
 
@@ -302,15 +322,6 @@
 	c.holder.SetState(rcmemory.Forwarding, time.Now())
 }
 
-func (c *Conn) closeAll(evicted []*rcmemory.Holder) {
-	for _, h := range evicted {
-		o := h.Owner.(*Conn)
-		_ = o.SetLinger(0)    // The kernel must not keep what the client does not read. Fails only on a closed connection.
-		_ = o.TCPConn.Close() // Fails only if it is closed. The server notices and closes o.
-	}
-	c.cfg.Metrics.Add(rcmetric.ConnectionsEvicted, int64(len(evicted)))
-}
-
 // RetryAfter returns the Retry-After value, in seconds, of a request that is refused for lack
 // of memory. Clients that are refused together do not return together.
 func RetryAfter() string { return strconv.FormatFloat(0.5+rand.Float64(), 'f', 2, 64) }
