--- a/internal/limits/rclimit/fleetlimit_test.go
+++ b/internal/limits/rclimit/fleetlimit_test.go
@@ -31,6 +31,18 @@
 // TestFleetBound guards against more usage in a window than the bound, whatever fails: zones
 // that are partitioned, instances that are, kills, joins, freezes and changed limits.
 func TestFleetBound(t *testing.T) {
+	checkBound(t, 8, "zones", "some alone", "all alone", "kills", "joins", "freeze", "limit")
+}
+
+// TestFleetPartitionBound guards against more usage than the bound in partitions that last until
+// a majority uses more than its equal share, including those in which instances hear of each
+// other in one direction only, or of different sets of instances.
+func TestFleetPartitionBound(t *testing.T) {
+	checkBound(t, 16, "a third", "a third of each zone", "two thirds alone", "middle zone reaches both", "cycle", "some are not heard", "some hear nothing")
+}
+
+// checkBound checks the bound on windows under schedules of failures.
+func checkBound(t *testing.T, longest float64, failures ...string) {
 	worst := map[int]float64{}
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 3, 12, 12, 12, 12, 88}).Draw(rt, "instances")
@@ -40,10 +52,16 @@
 		w := s.weights()
 		hot := rapid.Float64Range(0.5, 4).Draw(rt, "hot")
 		hotFrom, hotFor := rapid.Float64Range(6, 12).Draw(rt, "hotFrom"), rapid.Float64Range(4, 12).Draw(rt, "hotFor")
-		failure := rapid.SampledFrom([]string{"zones", "some alone", "all alone", "kills", "joins", "freeze", "limit"}).Draw(rt, "failure")
-		failAt, failFor := rapid.Float64Range(6, 12).Draw(rt, "failAt"), rapid.Float64Range(1, 8).Draw(rt, "failFor")
+		failure := rapid.SampledFrom(failures).Draw(rt, "failure")
+		failAt, failFor := rapid.Float64Range(6, 12).Draw(rt, "failAt"), rapid.Float64Range(1, longest).Draw(rt, "failFor")
 		factor := rapid.Float64Range(0.3, 3).Draw(rt, "factor")
-		for step := range simSeconds(22) {
+		if longest > 8 {
+			hotFor = rapid.Float64Range(4, longest).Draw(rt, "hotLonger")
+			if zone := rapid.IntRange(0, simZones).Draw(rt, "busyZone"); zone < simZones {
+				s.concentrate(w, zone)
+			}
+		}
+		for step := range simSeconds(14 + longest) {
 			s.step()
 			now := float64(step) * simStep.Seconds()
 			switch step {
@@ -72,6 +90,17 @@
 	t.Logf("highest usage in a window, as fraction of the bound, by number of instances: %v", worst)
 }
 
+// concentrate moves nearly all demand to one zone.
+func (s *fleetSim) concentrate(w []float64, zone int) {
+	for i, node := range s.nodes {
+		if node.zone == zone {
+			w[i] *= simZones * 0.9
+		} else {
+			w[i] *= 0.1
+		}
+	}
+}
+
 // fail begins a failure.
 func (s *fleetSim) fail(failure string, factor float64) {
 	for i, node := range s.nodes {
@@ -80,12 +109,27 @@
 			node.side = node.zone
 		case failure == "all alone", failure == "some alone" && i%4 == 1:
 			node.side = i + simZones
+		case failure == "a third" && node.zone == 1, failure == "a third of each zone" && i/simZones%3 == 0:
+			node.side = 1
+		case failure == "two thirds alone" && i%3 > 0:
+			node.side = i + simZones
 		case failure == "kills" && i%5 < 3:
 			node.dead = true
 		case failure == "freeze" && i%4 == 1:
 			node.frozen = true
 		}
 	}
+	some := func(node *simNode) bool { return node.id[len(node.id)-1]%4 == 1 }
+	switch failure {
+	case "middle zone reaches both":
+		s.lost = func(from, to *simNode) bool { return from.zone+to.zone == 2 && from.zone != to.zone }
+	case "cycle":
+		s.lost = func(from, to *simNode) bool { return to.zone == (from.zone+1)%simZones }
+	case "some are not heard":
+		s.lost = func(from, to *simNode) bool { return some(from) && !some(to) }
+	case "some hear nothing":
+		s.lost = func(from, to *simNode) bool { return some(to) && !some(from) }
+	}
 	if failure == "limit" {
 		s.setLimit(FleetRate{s.limit.Rate * factor, s.limit.Burst * factor})
 	}
@@ -93,6 +137,7 @@
 
 // restore ends all failures.
 func (s *fleetSim) restore() {
+	s.lost = func(_, _ *simNode) bool { return false }
 	for _, node := range s.nodes {
 		node.side, node.frozen = 0, false
 		if node.dead {
