--- a/internal/limits/rclimit/fleetsim_test.go
+++ b/internal/limits/rclimit/fleetsim_test.go
@@ -21,6 +21,10 @@
 	messages []simMessage
 	log      []simCharge
 	limits   []simLimit
+	// lost reports whether messages between two nodes are lost in one direction.
+	lost func(from, to *simNode) bool
+	// change changes a report as an older program would, or is nil.
+	change   func(r *UsageReport)
 	central  float64 // Balance of a single bucket for all instances.
 	offered  float64
 	admitted float64
@@ -38,6 +42,8 @@
 	sent     map[*simNode]uint64
 	failedAt map[*simNode]time.Time
 	sentAt   time.Time
+	// relayedAt is when it last sent reports to its zone as a relay.
+	relayedAt time.Time
 }
 
 type simMessage struct {
@@ -67,11 +73,15 @@
 	configApply = 3 * time.Second
 )
 
+// crowded makes relays report as if there were too many busy accounts.
+var crowded bool
+
 func newFleetSim(n int, seed uint64, limit FleetRate) *fleetSim {
 	s := &fleetSim{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), limit: limit,
 		bounds: FleetBounds{Window: 8 * time.Second, Over: 0.1, Slack: 110_000},
 	}
+	s.lost = func(_, _ *simNode) bool { return false }
 	s.setLimit(limit)
 	s.delay = func() time.Duration { return time.Duration(20+s.random.IntN(60)) * time.Millisecond }
 	if n <= 12 {
@@ -102,6 +112,9 @@
 		Instance: node.id, Zone: radishcrank.AvailabilityZone(fmt.Sprint("z", node.zone)), Process: node.process,
 		Bounds: s.bounds, Random: s.random.Float64,
 	})
+	if crowded {
+		node.l.budget = 0
+	}
 	var others []FleetInstance
 	for _, o := range s.nodes {
 		if o != node {
@@ -141,9 +154,14 @@
 		s.send(node, relay, true, node.l.Own(node.sent[relay]))
 		return
 	}
+	toZone := s.now.Sub(node.relayedAt) >= node.l.ReportInterval()
+	if toZone {
+		node.relayedAt = s.now
+	}
 	for _, o := range s.nodes {
 		switch {
 		case o == node:
+		case o.zone == node.zone && !toZone:
 		case o.zone == node.zone:
 			after := node.sent[o]
 			s.send(node, o, false, append(node.l.OtherZones(after, s.now), node.l.Zone(after, s.now))...)
@@ -155,7 +173,10 @@
 
 func (s *fleetSim) send(from, to *simNode, own bool, reports ...UsageReport) {
 	until := uint64(math.MaxUint64)
-	for _, r := range reports {
+	for i, r := range reports {
+		if s.change != nil {
+			s.change(&reports[i])
+		}
 		until = min(until, r.Until)
 	}
 	from.sent[to] = until
@@ -176,8 +197,11 @@
 			s.deliver(m) // Sent before its sender was killed.
 			continue
 		}
-		if !s.reaches(m.from, m.to) {
+		if !s.reaches(m.from, m.to) || s.lost(m.from, m.to) || s.lost(m.to, m.from) {
 			m.from.sent[m.to], m.from.failedAt[m.to] = 0, s.now
+			if s.reaches(m.from, m.to) {
+				s.deliver(m) // Only the response is lost.
+			}
 			continue
 		}
 		delete(m.from.failedAt, m.to)
@@ -203,7 +227,7 @@
 }
 
 func (s *fleetSim) deliver(m simMessage) {
-	if m.to.dead || m.to.frozen || m.from.side != m.to.side {
+	if m.to.dead || m.to.frozen || m.from.side != m.to.side || s.lost(m.from, m.to) {
 		return
 	}
 	m.to.l.Heard(m.from.id, radishcrank.AvailabilityZone(fmt.Sprint("z", m.from.zone)), s.now)
