Keep account limits alive while the store's clock is young

Cause: slots before the beginning of the store's clock were negative indices, so that every instance ended in the first 10 s of it (TestSoakOfYoungStore). Change: the place of a slot in the ring is never negative. Measured: TestClockBeginsAtZero, which fails before (index out of range).

--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// ringIndex returns the place of a slot in the ring. Slots are negative where the window reaches
+// back beyond the beginning of the store's clock.
+func ringIndex(slot int64) int64 { return (slot%ringSlots + ringSlots) % ringSlots }
+
 // cells hold what was admitted and what was asked for in each slot.
 type cells struct {
 	used, offered [ringSlots]float64
@@ -66,7 +70,7 @@
 func (c *peerCells) roll(cur int64) {
 	for c.cur = max(c.cur, cur-ringSlots); c.cur < cur; {
 		c.cur++
-		c.used[c.cur%ringSlots], c.offered[c.cur%ringSlots] = 0, 0
+		c.used[ringIndex(c.cur)], c.offered[ringIndex(c.cur)] = 0, 0
 	}
 }
 
@@ -108,7 +112,7 @@
 		a.known, a.limit = true, limit
 		oldest := a.cur - ringSlots + 1
 		for s := oldest; s <= a.cur; s++ {
-			k := s % ringSlots
+			k := ringIndex(s)
 			if a.burst[k] = limit.Burst; s >= l.started {
 				a.rate[k] = limit.Rate
 			}
@@ -118,7 +122,7 @@
 	}
 	if a.limit != limit {
 		a.limit = limit
-		a.rate[a.cur%ringSlots], a.burst[a.cur%ringSlots] = limit.Rate, limit.Burst
+		a.rate[ringIndex(a.cur)], a.burst[ringIndex(a.cur)] = limit.Rate, limit.Burst
 	}
 }
 
@@ -152,11 +156,11 @@
 func (l *FleetLimiter) advance(a *fleetAccount) {
 	for z := range a.zones {
 		if u := &a.zones[z]; u.silentShare > 0 {
-			u.presumed[a.cur%ringSlots], u.presumedTo = a.rate[a.cur%ringSlots]*l.slot.Seconds()*u.silentShare, a.cur
+			u.presumed[ringIndex(a.cur)], u.presumedTo = a.rate[ringIndex(a.cur)]*l.slot.Seconds()*u.silentShare, a.cur
 		}
 	}
 	a.cur++
-	k := a.cur % ringSlots
+	k := ringIndex(a.cur)
 	if a.known && a.cur-ringSlots >= l.started {
 		a.base = refill(a.base, a.burst[k]*a.reach[k], a.rate[k]*l.slot.Seconds()-a.consumed(k), a.reach[k] < 1)
 	}
@@ -258,7 +262,7 @@
 	length := l.slot.Seconds()
 	heard, silent := a.limit.Burst*(1+b.Over)+b.Slack-windowMargin*a.bound(b), 0.0
 	for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
-		k := s % ringSlots
+		k := ringIndex(s)
 		n := a.consumed(k)
 		if s >= l.started {
 			accrued := a.rate[k] * length
@@ -300,7 +304,7 @@
 func (a *fleetAccount) demand(l *FleetLimiter, now time.Time) float64 {
 	recent := 0.0
 	for s := a.cur - demandSlots + 1; s <= a.cur; s++ {
-		recent += a.offered(s % ringSlots)
+		recent += a.offered(ringIndex(s))
 	}
 	return max(a.complete, recent/((demandSlots-1)*l.slot.Seconds()+a.elapsed(l, now)))
 }
--- a/internal/limits/rclimit/fleetbusy.go
+++ b/internal/limits/rclimit/fleetbusy.go
@@ -139,9 +139,9 @@
 		for s := oldest + (groupSlots-oldest%groupSlots)%groupSlots; s <= a.cur; s += step {
 			left += rate * float64(step)
 			for i := s; i < min(s+step, a.cur+1); i++ {
-				n := a.offeredIn(z, i%ringSlots)
+				n := a.offeredIn(z, ringIndex(i))
 				if z == 0 {
-					n += a.own.offered[i%ringSlots]
+					n += a.own.offered[ringIndex(i)]
 				}
 				if left -= n; i > a.cur-demandSlots {
 					near += n
@@ -172,8 +172,8 @@
 func (u *zoneUsage) lastRate(sum *[ringSlots]float64, l *FleetLimiter) float64 {
 	group, whole, part := u.newest-u.newest%groupSlots, 0.0, 0.0
 	for i := range int64(groupSlots) {
-		whole += sum[(group-groupSlots+i)%ringSlots]
-		part += sum[(group+i)%ringSlots]
+		whole += sum[ringIndex(group-groupSlots+i)]
+		part += sum[ringIndex(group+i)]
 	}
 	seconds := groupSlots * l.slot.Seconds()
 	passed := u.heardAt.Sub(time.Unix(0, group*int64(l.slot))) - reportDelay/2
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -261,7 +261,7 @@
 	if limit.Rate <= 0 {
 		return Decision{Admitted: true, slot: math.MinInt64}
 	}
-	k := a.cur % ringSlots
+	k := ringIndex(a.cur)
 	a.own.offered[k] += cost
 	l.changedLocked(a, k)
 	l.updateShares(a, now)
@@ -369,7 +369,7 @@
 	}
 	l.rollLocked(a, now)
 	for s := a.cur - windowSlots; s <= a.cur; s++ {
-		k := s % ringSlots
+		k := ringIndex(s)
 		n += a.own.used[k]
 		for z := range a.zones {
 			n += a.usedIn(z, k)
@@ -386,7 +386,7 @@
 	if a == nil || !d.Admitted || d.slot <= a.cur-ringSlots {
 		return // The charge is older than a window.
 	}
-	k := d.slot % ringSlots
+	k := ringIndex(d.slot)
 	a.own.used[k] = max(0, a.own.used[k]-cost)
 	a.own.offered[k] = max(a.own.used[k], a.own.offered[k]-cost)
 	l.changedLocked(a, k)
--- a/internal/limits/rclimit/fleetlimit_test.go
+++ b/internal/limits/rclimit/fleetlimit_test.go
@@ -224,3 +224,21 @@
 	t.Logf("%v per decision and refund", time.Duration(r.NsPerOp()))
 	require.Less(t, time.Duration(r.NsPerOp()), 2*time.Microsecond)
 }
+
+// TestClockBeginsAtZero guards against a limiter that ends the process while the store's clock is
+// younger than a window.
+func TestClockBeginsAtZero(t *testing.T) {
+	l := NewFleetLimiter(FleetConfig{Instance: "i", Zone: "z", Process: 1, Bounds: FleetBounds{Window: 8 * time.Second}, Random: func() float64 { return 0.5 }})
+	l.SetInstances(nil)
+	admitted := 0.0
+	for now := time.Unix(1, 0); now.Before(time.Unix(21, 0)); now = now.Add(100 * time.Millisecond) {
+		l.SetLimits(map[AccountKey]FleetRate{simKey: {Rate: 10, Burst: 10}}, now)
+		if l.Admit(simKey, 1, false, now).Admitted {
+			admitted++
+		}
+		l.Revise(now)
+		l.Merge(UsageReport{Zone: "z", From: "o", Process: 1, Number: uint64(now.UnixNano()), Entries: []UsageEntry{{Key: simKey, Slot: 0, Used: 1}}}, "o", now)
+		require.NotPanics(t, func() { l.Own(0); l.Zone(0, now) })
+	}
+	require.Greater(t, admitted, 100.0)
+}
--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -194,8 +194,8 @@
 			continue
 		}
 		for s := a.cur - ringSlots + 1; s <= a.cur; s++ {
-			if rev := revs[s%ringSlots]; rev > after {
-				used, offered := read(a, s%ringSlots)
+			if rev := revs[ringIndex(s)]; rev > after {
+				used, offered := read(a, ringIndex(s))
 				found = append(found, revised{UsageEntry{key, s, uint64(math.Ceil(used)), uint64(math.Ceil(offered))}, rev})
 			}
 		}
@@ -223,7 +223,7 @@
 	defer l.mu.Unlock()
 	for _, e := range r.Entries {
 		if a := l.accounts[e.Key]; a != nil && e.Slot > a.cur-ringSlots && e.Slot <= a.cur {
-			k := e.Slot % ringSlots
+			k := ringIndex(e.Slot)
 			a.confirmed[k] = min(float64(e.Used), a.own.used[k])
 		}
 	}
@@ -330,7 +330,7 @@
 	if e.Slot <= a.cur-ringSlots || e.Slot > a.cur {
 		return
 	}
-	k, u := e.Slot%ringSlots, &a.zones[m.z]
+	k, u := ringIndex(e.Slot), &a.zones[m.z]
 	used, offered := float64(e.Used), float64(e.Offered)
 	if m.peer == nil {
 		u.newest = max(u.newest, e.Slot)
--- a/internal/limits/rclimit/fleetshares.go
+++ b/internal/limits/rclimit/fleetshares.go
@@ -13,7 +13,7 @@
 	if !l.known {
 		a.reachNow = minorityFraction / float64(max(1, l.assumed))
 		for s := max(a.cur-ringSlots+1, l.started); s <= a.cur; s++ {
-			a.reach[s%ringSlots] = a.reachNow
+			a.reach[ringIndex(s)] = a.reachNow
 		}
 		return
 	}
@@ -66,11 +66,11 @@
 	switch {
 	case silent > 0:
 		for s := max(a.cur-ringSlots+1, l.slotOf(l.lastHeard)); s < a.cur; s++ {
-			if k := s % ringSlots; a.rate[k] > 0 {
+			if k := ringIndex(s); a.rate[k] > 0 {
 				a.reach[k] = max(0, 1-a.presumed(k)/(a.rate[k]*l.slot.Seconds()))
 			}
 		}
-		a.reach[a.cur%ringSlots] = a.reachNow
+		a.reach[ringIndex(a.cur)] = a.reachNow
 	case was < 1:
 		for k := range a.reach {
 			a.reach[k] = 1
@@ -83,7 +83,7 @@
 // demandUntil adds up what read returns for the slots over which demand is measured.
 func (a *fleetAccount) demandUntil(last int64, read func(k int64) float64) (n float64) {
 	for s := max(a.cur-ringSlots+1, last-demandSlots+1); s <= last; s++ {
-		n += read(s % ringSlots)
+		n += read(ringIndex(s))
 	}
 	return n
 }
@@ -97,7 +97,7 @@
 		u.silences, u.presumedTo = zone.silences, 0 // More instances are silent than when it was set.
 	}
 	for s := max(a.cur-ringSlots+1, u.presumedTo+1, l.slotOf(l.zones[z].silentSince)); s < a.cur; s++ {
-		u.presumed[s%ringSlots] = max(u.presumed[s%ringSlots], a.rate[s%ringSlots]*l.slot.Seconds()*share)
+		u.presumed[ringIndex(s)] = max(u.presumed[ringIndex(s)], a.rate[ringIndex(s)]*l.slot.Seconds()*share)
 		u.presumedTo = s
 	}
 }
@@ -146,7 +146,7 @@
 		}
 		a.zones[z].offered = 0
 		for s := a.cur - ringSlots + 1; s <= last; s++ {
-			a.zones[z].offered += a.offeredIn(z, s%ringSlots)
+			a.zones[z].offered += a.offeredIn(z, ringIndex(s))
 		}
 		total += a.zones[z].offered
 	}
@@ -161,7 +161,7 @@
 // sum returns what was asked for in the slots of the ring up to the last one.
 func (c *cells) sum(cur, last int64) (n float64) {
 	for s := cur - ringSlots + 1; s <= last; s++ {
-		n += c.offered[s%ringSlots]
+		n += c.offered[ringIndex(s)]
 	}
 	return n
 }
