--- a/internal/limits/rclimit/fleetaccount.go
+++ b/internal/limits/rclimit/fleetaccount.go
@@ -13,21 +13,19 @@
 
 // fleetAccount is the usage of one account by all instances.
 type fleetAccount struct {
-	key          AccountKey
-	cur          int64 // Newest slot.
-	limit        FleetRate
-	known        bool // The limit is known.
-	base         float64
-	rate         [ringSlots]float64 // Limits in force in each slot.
-	burst        [ringSlots]float64
-	reach        [ringSlots]float64 // Share of the limit that instances heard of could use.
-	own          cells
-	confirmed    [ringSlots]float64 // Part of own.used that the relay's sum contains.
-	ownRev       [ringSlots]uint64
-	maxRev       uint64
-	revisedAt    time.Time
-	busyUntil    time.Time // Until when the relay reports the account.
-	reportedNear float64   // nearness at revisedAt.
+	key       AccountKey
+	cur       int64 // Newest slot.
+	limit     FleetRate
+	known     bool // The limit is known.
+	base      float64
+	rate      [ringSlots]float64 // Limits in force in each slot.
+	burst     [ringSlots]float64
+	reach     [ringSlots]float64 // Share of the limit that instances heard of could use.
+	own       cells
+	confirmed [ringSlots]float64 // Part of own.used that the relay's sum contains.
+	ownRev    [ringSlots]uint64
+	maxRev    uint64
+	revisedAt time.Time
 	// ownChanged and zoneChanged are the sets of slots that changed since revisions were
 	// assigned.
 	ownChanged, zoneChanged uint64
@@ -38,7 +36,6 @@
 	reachNow   float64
 	unreported float64 // Estimated usage that was not reported yet.
 	overdue    float64 // Share of instances that are about to count as silent.
-	seldom     bool    // A zone's relay reports the account seldom.
 }
 
 // zoneUsage is the usage of an account in a zone, without that of this instance.
@@ -54,10 +51,8 @@
 	silences        int     // Value of fleetZone.silences then.
 	silentShare     float64 // Share of the limit of instances that are not heard of now.
 	rev             [ringSlots]uint64
-	offered         float64   // Demand over which share was measured.
-	share           float64   // Share of the account's demand when all instances were heard of.
-	newest          int64     // Newest slot that the zone's relay has reported.
-	heardAt         time.Time // When it did so, or until when that is known if it is older.
+	offered         float64 // Demand over which share was measured.
+	share           float64 // Share of the account's demand when all instances were heard of.
 }
 
 // peerCells are what one instance reported. There is one for each instance and account.
@@ -181,7 +176,7 @@
 	u := &a.zones[z]
 	sum := u.sum.used[k]
 	if z == 0 {
-		sum = without(&u.sum.used, &a.confirmed, k)
+		sum -= a.confirmed[k]
 	}
 	return max(0, sum, u.members.used[k])
 }
@@ -190,30 +185,11 @@
 	u := &a.zones[z]
 	sum := u.sum.offered[k]
 	if z == 0 {
-		sum = without(&u.sum.offered, &a.own.offered, k)
+		sum -= a.own.offered[k]
 	}
 	return max(0, sum, u.members.offered[k])
 }
 
-// without returns what a zone's sum holds in a slot without the part of this instance. If the
-// relay has put the usage of a group of slots into the first one, so is that part.
-func without(sum, own *[ringSlots]float64, k int64) float64 {
-	n := sum[k] - own[k]
-	if k%groupSlots == 0 {
-		for i := k + 1; i < k+groupSlots; i++ {
-			n -= max(0, own[i]-sum[i])
-		}
-	}
-	return n
-}
-
-func (a *fleetAccount) zoneUsed(k int64) float64 {
-	a.confirmed[k] = a.own.used[k]
-	return a.own.used[k] + a.usedIn(0, k)
-}
-
-func (a *fleetAccount) zoneOffered(k int64) float64 { return a.own.offered[k] + a.offeredIn(0, k) }
-
 // consumed returns what counts as used by all instances in a slot.
 func (a *fleetAccount) consumed(k int64) (n float64) {
 	n = a.own.used[k]
@@ -308,3 +284,210 @@
 	}
 	return max(a.complete, recent/((demandSlots-1)*l.slot.Seconds()+a.elapsed(l, now)))
 }
+
+// updateShares computes which share of the limit the instances may use that are heard of,
+// what they asked for lately, and what they have used that was not reported yet.
+func (l *FleetLimiter) updateShares(a *fleetAccount, now time.Time) {
+	if age := now.Sub(a.sharesAt); age >= 0 && age < shareInterval {
+		return
+	}
+	a.sharesAt = now
+	a.coverZones(l)
+	if !l.known {
+		a.reachNow = 1 / float64(max(1, l.assumed))
+		for s := max(a.cur-ringSlots+1, l.started); s <= a.cur; s++ {
+			a.reach[ringIndex(s)] = a.reachNow
+		}
+		return
+	}
+	l.updateSilenceLocked(now)
+	silent := 0.0
+	seconds := demandSlots * l.slot.Seconds()
+	a.unreported, a.overdue = 0, 0
+	a.complete = a.demandUntil(a.cur-demandDelay, func(k int64) float64 { return a.own.offered[k] }) / seconds
+	for z, zone := range l.zones {
+		if zone.registered == 0 {
+			continue
+		}
+		if zone.silent < zone.registered {
+			// The last complete reports are older where reports are overdue.
+			last := min(a.cur-demandDelay, l.slotOf(zone.heardAt)-1)
+			a.complete += a.demandUntil(last, func(k int64) float64 { return a.offeredIn(z, k) }) / seconds
+			used := a.demandUntil(last, func(k int64) float64 { return a.usedIn(z, k) }) / seconds
+			lag := min(now.Sub(zone.heardAt), silenceGrace)
+			a.unreported += used * lag.Seconds()
+			a.overdue += a.zones[z].share * max(0, float64(lag-overdueAge)/float64(silenceGrace-overdueAge))
+		}
+		if zone.silent == 0 {
+			a.zones[z].silentShare = 0
+			continue
+		}
+		equal := float64(zone.silent) / float64(l.total)
+		mix := 1.0
+		if a.hasShares() {
+			mix = min(1, equalSharePart+(1-equalSharePart)*float64(zone.silentFor)/float64(equalShareDelay))
+		}
+		demanded := a.zones[z].share * float64(zone.silent) / float64(zone.registered)
+		share := mix*equal + (1-mix)*demanded
+		silent += share
+		a.presume(l, z, share)
+	}
+	a.unreported = min(a.unreported, a.limit.Rate*silenceGrace.Seconds())
+	was := a.reachNow
+	a.reachNow = max(0, 1-silent)
+	switch {
+	case silent > 0:
+		for s := max(a.cur-ringSlots+1, l.slotOf(l.lastHeard)); s < a.cur; s++ {
+			if k := ringIndex(s); a.rate[k] > 0 {
+				a.reach[k] = max(0, 1-a.presumed(k)/(a.rate[k]*l.slot.Seconds()))
+			}
+		}
+		a.reach[ringIndex(a.cur)] = a.reachNow
+	case was < 1:
+		for k := range a.reach {
+			a.reach[k] = 1
+		}
+	default:
+		a.measureShares(l)
+	}
+}
+
+// demandUntil adds up what read returns for the slots over which demand is measured.
+func (a *fleetAccount) demandUntil(last int64, read func(k int64) float64) (n float64) {
+	for s := max(a.cur-ringSlots+1, last-demandSlots+1); s <= last; s++ {
+		n += read(ringIndex(s))
+	}
+	return n
+}
+
+// presume records that the silent instances of a zone may use a share of the limit, since
+// they were last heard of.
+func (a *fleetAccount) presume(l *FleetLimiter, z int, share float64) {
+	u := &a.zones[z]
+	u.silentShare = share
+	if zone := l.zones[z]; u.silences != zone.silences {
+		u.silences, u.presumedTo = zone.silences, 0 // More instances are silent than when it was set.
+	}
+	for s := max(a.cur-ringSlots+1, u.presumedTo+1, l.slotOf(l.zones[z].silentSince)); s < a.cur; s++ {
+		u.presumed[ringIndex(s)] = max(u.presumed[ringIndex(s)], a.rate[ringIndex(s)]*l.slot.Seconds()*share)
+		u.presumedTo = s
+	}
+}
+
+// settleLocked ends the presumption on the usage of a zone, some of whose instances are
+// heard of again and report what they have used.
+func (l *FleetLimiter) settleLocked(z int) {
+	for _, a := range l.accounts {
+		if z >= len(a.zones) {
+			continue
+		}
+		u := &a.zones[z]
+		for k := range int64(ringSlots) {
+			if u.presumed[k] > 0 {
+				u.floor[k] = max(u.floor[k], a.usedIn(z, k)+u.presumed[k])
+				u.presumed[k] = 0
+			}
+		}
+	}
+}
+
+func (a *fleetAccount) hasShares() bool {
+	for z := range a.zones {
+		if a.zones[z].share > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// measureShares records the zones' shares of demand in the slots up to the last one that
+// all zones have reported. Later ones hold only the demand here, which may have just begun
+// to rise everywhere.
+func (a *fleetAccount) measureShares(l *FleetLimiter) {
+	last := a.cur - demandDelay
+	for _, zone := range l.zones {
+		if zone.registered > 0 {
+			last = min(last, l.slotOf(zone.heardAt)-demandDelay)
+		}
+	}
+	total := a.own.sum(a.cur, last)
+	for z := range a.zones {
+		a.zones[z].offered = 0
+		for s := a.cur - ringSlots + 1; s <= last; s++ {
+			a.zones[z].offered += a.offeredIn(z, ringIndex(s))
+		}
+		total += a.zones[z].offered
+	}
+	if total <= 0 {
+		return
+	}
+	for z := range a.zones {
+		a.zones[z].share = a.zones[z].offered / total
+	}
+}
+
+// sum returns what was asked for in the slots of the ring up to the last one.
+func (c *cells) sum(cur, last int64) (n float64) {
+	for s := cur - ringSlots + 1; s <= last; s++ {
+		n += c.offered[ringIndex(s)]
+	}
+	return n
+}
+
+// silenceInterval is how often the silence of instances is computed.
+const silenceInterval = 50 * time.Millisecond
+
+// updateSilenceLocked computes how many registered instances of each zone were not heard
+// of.
+func (l *FleetLimiter) updateSilenceLocked(now time.Time) {
+	if age := now.Sub(l.silentAt); age >= 0 && age < silenceInterval {
+		return
+	}
+	l.silentAt = now
+	l.lastHeard = now
+	for z, zone := range l.zones {
+		l.updateZoneLocked(z, zone, now)
+		if zone.silent > 0 && zone.silentSince.Before(l.lastHeard) {
+			l.lastHeard = zone.silentSince
+		}
+	}
+}
+
+func (l *FleetLimiter) updateZoneLocked(z int, zone *fleetZone, now time.Time) {
+	heard, last := 0, zone.reportAt
+	if now.Sub(zone.reportAt) < silenceGrace {
+		heard = zone.reported
+	}
+	direct, age := 0, time.Duration(0)
+	for _, p := range l.peers {
+		switch {
+		case p.zone != z || now.Sub(p.relayAt) < relayMemory:
+		case now.Sub(p.heardAt) < silenceGrace:
+			direct++
+			age += now.Sub(p.heardAt)
+		case p.heardAt.After(last):
+			last = p.heardAt
+		}
+	}
+	zone.heardAt = zone.reportAt
+	if direct > heard {
+		heard, zone.heardAt = direct, now.Add(-age/time.Duration(direct))
+	}
+	silent := max(0, zone.registered-heard)
+	if silent < zone.silent {
+		l.settleLocked(z)
+	}
+	if silent > zone.silent {
+		zone.silences++
+		zone.silentSince = last
+		if now.Sub(last) < silenceGrace || now.Sub(last) > 2*silenceGrace {
+			zone.silentSince = now.Add(-silenceGrace) // The relay has not heard of some instances of its zone.
+		}
+		zone.silentSince = zone.silentSince.Add(-reportDelay / 2) // Their last reports were older.
+	}
+	zone.silent = silent
+	zone.silentFor = equalShareDelay
+	if !last.IsZero() {
+		zone.silentFor = max(0, now.Sub(zone.silentSince)-silenceGrace-reportDelay/2)
+	}
+}
--- a/internal/limits/rclimit/fleetlimit.go
+++ b/internal/limits/rclimit/fleetlimit.go
@@ -107,31 +107,24 @@
 	cfg  FleetConfig
 	slot time.Duration
 
-	mu       sync.Mutex
-	classes  classes // Of all accounts with a limit.
-	limits   map[AccountKey]FleetRate
-	accounts map[AccountKey]*fleetAccount
-	zones    []*fleetZone // The first one is this instance's.
-	peers    map[radishcrank.InstanceID]*fleetPeer
-	total    int  // Registered instances.
-	known    bool // They are known.
-	assumed  int  // Number of instances by which limits are divided before.
-	revision uint64
-	reports  uint64 // Reports made.
-	// dirty and zoneDirty are the accounts whose usage here, or in this zone, has changed and
-	// has no revision yet.
-	dirty, zoneDirty map[AccountKey]*fleetAccount
-	zoneRevisedAt    time.Time
-	budget           float64                      // Entries per second; reportBudget except in tests.
-	group            int64                        // Newest group of slots.
-	crowded          bool                         // More accounts are busy than fit into the reports.
-	coarse           [ringSlots / groupSlots]bool // Groups that are reported as a whole.
-	sweptAt          int64
-	refreshedAt      time.Time
-	refreshedSilent  int       // Silent instances at that time.
-	started          int64     // First slot in which this instance knew of limits; buckets were empty then.
-	lastHeard        time.Time // When all instances were last heard of.
-	silentAt         time.Time // When the silence of zones was last computed.
+	mu              sync.Mutex
+	classes         classes // Of all accounts with a limit.
+	limits          map[AccountKey]FleetRate
+	accounts        map[AccountKey]*fleetAccount
+	zones           []*fleetZone // The first one is this instance's.
+	peers           map[radishcrank.InstanceID]*fleetPeer
+	total           int  // Registered instances.
+	known           bool // They are known.
+	assumed         int  // Number of instances by which limits are divided before.
+	revision        uint64
+	reports         uint64                       // Reports made.
+	dirty           map[AccountKey]*fleetAccount // Accounts with changes that have no revision yet.
+	sweptAt         int64
+	refreshedAt     time.Time
+	refreshedSilent int       // Silent instances at that time.
+	started         int64     // First slot in which this instance knew of limits; buckets were empty then.
+	lastHeard       time.Time // When all instances were last heard of.
+	silentAt        time.Time // When the silence of zones was last computed.
 }
 
 // fleetZone is an availability zone.
@@ -145,7 +138,6 @@
 	lastMembers int // Members of the last report.
 	newest      reportNumber
 	heardAt     time.Time     // Mean time of the last reports.
-	direct      bool          // They report to this one themselves.
 	silent      int           // Registered instances that were not heard of.
 	silences    int           // Number of times that it has increased.
 	silentFor   time.Duration // Time since silenceGrace passed.
@@ -180,10 +172,8 @@
 		cfg.Bounds.Window = defaultWindow
 	}
 	l := &FleetLimiter{
-		budget: reportBudget,
-		cfg:    cfg, assumed: assumedInstances, slot: cfg.Bounds.Window / windowSlots, total: 1,
+		cfg: cfg, assumed: assumedInstances, slot: cfg.Bounds.Window / windowSlots, total: 1,
 		accounts: map[AccountKey]*fleetAccount{}, peers: map[radishcrank.InstanceID]*fleetPeer{}, dirty: map[AccountKey]*fleetAccount{},
-		zoneDirty: map[AccountKey]*fleetAccount{},
 	}
 	l.zoneLocked(cfg.Zone)
 	return l
@@ -310,9 +300,7 @@
 	if available > 0 {
 		available *= 1 - a.overdue
 	}
-	if !a.seldom {
-		available += l.reserve(limit) * a.reachNow
-	}
+	available += l.reserve(limit) * a.reachNow
 	silent := a.reachNow < 1
 	rate := limit.Rate * a.reachNow
 	p = 1.0
@@ -390,5 +378,5 @@
 func (l *FleetLimiter) changedLocked(a *fleetAccount, k int64) {
 	a.ownChanged |= 1 << k
 	a.zoneChanged |= 1 << k
-	l.dirty[a.key], l.zoneDirty[a.key] = a, a
+	l.dirty[a.key] = a
 }
--- a/internal/limits/rclimit/fleetreport.go
+++ b/internal/limits/rclimit/fleetreport.go
@@ -14,6 +14,11 @@
 	// maxReported bounds the entries of a report, so that it fits into a message. The rest
 	// follows in the next ones.
 	maxReported = 1500
+	// idleReportInterval is how often a relay reports the usage of accounts below their limit,
+	// and busyFraction the fraction of the limit from which it does so immediately. The usual
+	// demand is 0.56 of the limit.
+	idleReportInterval = time.Second
+	busyFraction       = 0.7
 	// relayChangeTime is how long a sum by a new relay does not lower that of the old one:
 	// by then all instances of the zone have sent it full reports.
 	relayChangeTime = 2 * time.Second
@@ -59,22 +64,36 @@
 	l.sweepLocked(now)
 	l.refreshLocked(now)
 	for key, a := range l.dirty {
-		l.revise(a, a.ownChanged, &a.ownRev)
-		a.ownChanged = 0
+		if a.ownChanged != 0 {
+			l.revise(a, &a.ownChanged, &a.ownRev)
+		}
+		if !a.busy(l) && now.Sub(a.revisedAt) < idleReportInterval {
+			continue
+		}
+		l.revise(a, &a.zoneChanged, &a.zones[0].rev)
+		a.revisedAt = now
 		delete(l.dirty, key)
 	}
-	l.reviseZoneLocked(now)
 }
 
-// revise assigns a new revision to a set of slots.
-func (l *FleetLimiter) revise(a *fleetAccount, changed uint64, revisions *[ringSlots]uint64) {
+// revise assigns a new revision to a set of slots, and empties it.
+func (l *FleetLimiter) revise(a *fleetAccount, changed *uint64, revisions *[ringSlots]uint64) {
 	l.revision++
 	for k := range revisions {
-		if changed>>k&1 != 0 {
+		if *changed>>k&1 != 0 {
 			revisions[k] = l.revision
 		}
 	}
-	a.maxRev = l.revision
+	a.maxRev, *changed = l.revision, 0
+}
+
+// busy reports whether the account comes near its limit.
+func (a *fleetAccount) busy(l *FleetLimiter) bool {
+	recent := 0.0
+	for s := a.cur - demandSlots; s <= a.cur; s++ {
+		recent += a.offered(ringIndex(s))
+	}
+	return !a.known || recent > busyFraction*(a.limit.Rate*demandSlots*l.slot.Seconds())
 }
 
 // refreshLocked updates the shares of all accounts every refreshInterval, and when instances
@@ -109,7 +128,6 @@
 		if slot-a.cur > 4*ringSlots && a.base >= 0 {
 			delete(l.accounts, key)
 			delete(l.dirty, key)
-			delete(l.zoneDirty, key)
 			continue
 		}
 		for z := range a.zones {
@@ -137,15 +155,8 @@
 	l.updateSilenceLocked(now)
 	r := UsageReport{Zone: l.cfg.Zone, From: l.cfg.Instance, Process: l.cfg.Process, Members: max(1, l.zones[0].registered-l.zones[0].silent+1)}
 	l.fill(&r, after, func(a *fleetAccount) *[ringSlots]uint64 { return &a.zones[0].rev }, func(a *fleetAccount, k int64) (used, offered float64) {
-		if !l.coarse[k/groupSlots] {
-			return a.zoneUsed(k), a.zoneOffered(k)
-		}
-		if k%groupSlots == 0 {
-			for i := k; i < k+groupSlots; i++ {
-				used, offered = used+a.zoneUsed(i), offered+a.zoneOffered(i)
-			}
-		}
-		return used, offered
+		a.confirmed[k] = a.own.used[k]
+		return a.own.used[k] + a.usedIn(0, k), a.own.offered[k] + a.offeredIn(0, k)
 	})
 	return r
 }
@@ -325,11 +336,6 @@
 	k, u := ringIndex(e.Slot), &a.zones[m.z]
 	used, offered := float64(e.Used), float64(e.Offered)
 	if m.peer == nil {
-		u.newest = max(u.newest, e.Slot)
-		if u.heardAt = m.now; l.slotOf(m.now)-u.newest >= groupSlots {
-			// History, which a relay sends to an instance that has started.
-			u.heardAt = time.Unix(0, (u.newest+groupSlots)*int64(l.slot))
-		}
 		if m.keepMax {
 			used, offered = max(used, u.sum.used[k]), max(offered, u.sum.offered[k])
 		}
@@ -361,6 +367,6 @@
 	u.members.offered[k] += float64(c.offered[k]) - oldOffered
 	if m.z == 0 {
 		a.zoneChanged |= 1 << k
-		l.zoneDirty[e.Key] = a
+		l.dirty[e.Key] = a
 	}
 }
--- a/internal/node/rcinstance/accountusage.go
+++ b/internal/node/rcinstance/accountusage.go
@@ -12,6 +12,10 @@
 	"github.com/radishcrank/radishcrank/platform"
 )
 
+// usageHeartbeat is how often a relay reports the usage of its zone if nothing has
+// changed: instances that do not hear of a zone use only their share of a limit.
+const usageHeartbeat = 250 * time.Millisecond
+
 // usageLink is what has been reported to another instance.
 type usageLink struct {
 	sent   uint64 // Revision up to which it has been sent everything; 0 after a failed call.
@@ -101,11 +105,7 @@
 			next.Usage = p.usageReports(key)
 			with[key] = next
 		}
-		wait := limiter.ReportInterval()
-		if key.kind != allUsage && reportsUsage(next.Usage) {
-			wait = 0
-		}
-		if now.Sub(to.usage.sentAt) < wait {
+		if !reportsUsage(next.Usage) && now.Sub(to.usage.sentAt) < usageHeartbeat {
 			out[to] = update
 			continue
 		}
