Record software versions only by an instance that has settled

Change: an instance records once it has been the one to do so for 2 s. Measured: TestRecorderSettles fails before (2 calls).

--- a/internal/state/rcsoftware/recorder.go
+++ b/internal/state/rcsoftware/recorder.go
@@ -23,6 +23,9 @@
 	// checkInterval is how often the recorder compares the record with the list. Streams that
 	// begin at a new version are uncertain until it is recorded.
 	checkInterval = 250 * time.Millisecond
+	// settleTime is how long an instance must have been the one that records. While a fleet
+	// starts, many take themselves for it until they know the others.
+	settleTime = 2 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = time.Second
 	// rereadDelay is how long a record counts that does not say that a version is the only one.
@@ -69,8 +72,16 @@
 
 // Run writes records while this instance is the one to do so, until ctx is done.
 func (r *Recorder) Run(ctx context.Context) error {
+	var since time.Time // When this instance became the one that records.
 	for rcwait.Sleep(ctx, checkInterval) {
-		if !r.cfg.Records() || r.cfg.Now().IsZero() {
+		switch {
+		case !r.cfg.Records() || r.cfg.Now().IsZero():
+			since = time.Time{}
+			continue
+		case since.IsZero():
+			since = time.Now()
+		}
+		if time.Since(since) < settleTime {
 			continue
 		}
 		for _, service := range r.cfg.Services() {
--- a/internal/state/rcsoftware/recorder_test.go
+++ b/internal/state/rcsoftware/recorder_test.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// TestRecorderSettles guards against calls to the store by each instance that takes itself for
+// the one that records until it knows the others.
+func TestRecorderSettles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := &countingTable{TableService: rcfaketable.New()}
+		start, listed := time.Now(), site{versions: []radishcrank.SoftwareVersion{"v1"}}
+		r := listed.recorder(calls)
+		r.cfg.Records = func() bool { return time.Since(start) < time.Second }
+		run(t, r, time.Minute)
+		require.Zero(t, calls.n)
+	})
+}
+
 // TestRecordsAreWrittenOnce guards against calls to the store at each interval, and by each
 // instance that takes part.
 func TestRecordsAreWrittenOnce(t *testing.T) {
