Let tests listen on ports that outgoing connections do not get

Their ports were free when they were chosen, and could be given to connections of other tests before they were used.

--- a/internal/eval/rccrowd/process.go
+++ b/internal/eval/rccrowd/process.go
@@ -153,8 +153,16 @@
 }
 
 func freePorts(ip string, n int) (ports []int, err error) {
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	for len(ports) < n {
+		// Ports that the kernel gives to outgoing connections may be taken by one of another test
+		// before the process listens.
+		const first, last, maxAttempts = 10_000, 32_000, 100
+		var l net.Listener
+		for range maxAttempts {
+			if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(first+rand.IntN(last-first)))); err == nil {
+				break
+			}
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/rcinstance/instance_test.go
+++ b/internal/node/rcinstance/instance_test.go
@@ -59,9 +59,14 @@
 func freePorts(t *testing.T, n int) (addrs []netip.AddrPort) {
 	t.Helper()
 	var listeners []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+	for len(listeners) < n {
+		// Ports that the kernel gives to outgoing connections may be taken by one of another test
+		// before an instance listens.
+		const first, last = 10_000, 32_000
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", first+rand.IntN(last-first)))
+		if err != nil {
+			continue // In use.
+		}
 		listeners = append(listeners, l)
 		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
 	}
