Take no answer without a length for whole if its upstream reset the upload

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. Cause: a reset is reported once. The write that fails takes it, and the read after it meets a plain end of the connection, which ends an unframed body. The pool of connections kept the write's error only to not reuse the connection; net/http reads and writes at the same time, so that either may take the reset. An upstream that closes its side first and then gets more of the upload resets it as well, and no read shows that at all. Change: at the end of an unframed body ConfirmEnd asks whether the request's writing failed, and whether the upstream has acknowledged all of it; until then it waits for a reset. The pool asks it, and rcframing.Transport does so for all clients of net/http: engines, services, the platform, operators, the load tool. Such an answer counts as broken off: repeated elsewhere where that is allowed, continued if it is a stream that may be resumed, else 502 or a cut connection. Why it works: an upstream that has received the whole request cannot reset it by closing its connection after the end that was read.

--- a/internal/cli/rcload/config.go
+++ b/internal/cli/rcload/config.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank/internal/eval/rceval"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 // Traffic shapes, named after the deployments in rceval.
@@ -90,11 +91,11 @@
 		c.ProgressInterval = DefaultProgressInterval
 	}
 	if c.Transport == nil {
-		c.Transport = &http.Transport{
+		c.Transport = rcframing.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: c.MaxInFlight,
 			TLSClientConfig:     c.TLS,
 			DisableCompression:  true,
-		}
+		})
 	}
 	return nil
 }
--- a/internal/node/rcinstance/framing_test.go
+++ b/internal/node/rcinstance/framing_test.go
@@ -25,10 +25,10 @@
 
 // receiveOver sends a request with a version of HTTP until it is not refused. Clients of
 // HTTP/1.0 know no chunks, so that a body without a length ends with the connection.
-func (s *deployment) receiveOver(version, path, id string) (a framedAnswer) {
+func (s *deployment) receiveOver(version, path, id, body string) (a framedAnswer) {
 	const maxRefusals = 20 // Broken connections keep an upstream from being used for some time.
 	for range maxRefusals {
-		if a = s.receiveOnce(version, path, id); a.status != http.StatusServiceUnavailable {
+		if a = s.receiveOnce(version, path, id, body); a.status != http.StatusServiceUnavailable {
 			break
 		}
 		<-time.After(200 * time.Millisecond)
@@ -36,12 +36,12 @@
 	return a
 }
 
-func (s *deployment) receiveOnce(version, path, id string) (a framedAnswer) {
+func (s *deployment) receiveOnce(version, path, id, body string) (a framedAnswer) {
 	conn, err := net.Dial("tcp", s.clientAddrs[0])
 	require.NoError(s.t, err)
 	defer conn.Close()
 	require.NoError(s.t, conn.SetDeadline(time.Now().Add(6*time.Second)))
-	body, generate := "body of "+id, ""
+	generate := ""
 	if strings.HasPrefix(path, "/advice/") || strings.HasPrefix(path, "/chat/") {
 		generate = fmt.Sprintf("Radishcrank-Model: m\r\nRadishcrank-Prefix-Hash: aa:2500,bb:3000,%x:900\r\n", id)
 	}
@@ -107,7 +107,7 @@
 						if stream {
 							want = completeStream(8)
 						}
-						got := s.receiveOver(version, path, id)
+						got := s.receiveOver(version, path, id, "body of "+id)
 						switch {
 						case cut == rcfakeupstream.Whole:
 							require.NoError(t, got.err)
--- a/internal/platform/rcplatform/client.go
+++ b/internal/platform/rcplatform/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -52,11 +53,11 @@
 		base:    "http://" + cfg.Addr.String(),
 		timeout: cfg.Timeout,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: rcframing.NewTransport(&http.Transport{
 				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 				MaxIdleConnsPerHost: maxIdleConns,
 				IdleConnTimeout:     idleTimeout,
-			},
+			}),
 			// Following a redirect would send a commit twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/serving/rcexplain/client.go
+++ b/internal/serving/rcexplain/client.go
@@ -11,6 +11,8 @@
 	neturl "net/url"
 	"strings"
 	"time"
+
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -19,6 +21,8 @@
 	clientTimeout  = 5 * time.Second
 )
 
+var httpClient = &http.Client{Transport: rcframing.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // Instance is a registered instance.
 type Instance struct {
 	Name, Zone string
@@ -60,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return noAnswer(err)
 	}
--- a/internal/serving/rcops/client.go
+++ b/internal/serving/rcops/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -39,7 +41,10 @@
 // NewClient returns a Client.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.HTTPClient == nil {
-		cfg.HTTPClient = &http.Client{Timeout: clientTimeout}
+		cfg.HTTPClient = &http.Client{
+			Timeout:   clientTimeout,
+			Transport: rcframing.NewTransport(http.DefaultTransport.(*http.Transport).Clone()),
+		}
 	}
 	return &Client{cfg: cfg}
 }
--- a/internal/standin/rcfakeupstream/delivery.go
+++ b/internal/standin/rcfakeupstream/delivery.go
@@ -46,11 +46,19 @@
 	Cut     Cut
 	Closing Closing
 	JSON    bool // A plain response is a JSON object.
+	// Unread leaves the rest of the request unread, so that it is still being written when the
+	// connection is closed, which resets it.
+	Unread bool
 }
 
+// unreadPause is long enough for the other side to fill the buffers of the connection.
+const unreadPause = 20 * time.Millisecond
+
 // deliver writes a response by hand and closes the connection.
 func (u *Upstream) deliver(w http.ResponseWriter, r *http.Request, d Delivery) {
-	io.Copy(io.Discard, r.Body) // Unread data would turn the end of the connection into a reset.
+	if !d.Unread {
+		io.Copy(io.Discard, r.Body) // Unread data would turn the end of the connection into a reset.
+	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // Cannot fail for HTTP/1.1.
@@ -91,6 +99,9 @@
 	if d.Cut == Whole && d.Framing == Chunked {
 		io.WriteString(conn, "0\r\n\r\n")
 	}
+	if d.Unread {
+		time.Sleep(unreadPause)
+	}
 	d.end(conn)
 }
 
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -205,7 +206,8 @@
 		buffers = append(buffers, req.Body)
 	}
 	// An upstream may respond before it has read the whole body, so a failed
-	// write does not end the exchange: the response may already have arrived.
+	// write does not end the exchange: the response may already have arrived. The read
+	// after it meets no reset, so that an unframed body seems to end properly.
 	_, writeErr := buffers.WriteTo(c.Conn)
 	resp, err = c.readHead(req.Method)
 	if err != nil {
@@ -214,8 +216,9 @@
 	p.observe(req.Addr, true)
 	c.idleTimeout = parseIdleTimeout(resp.Header)
 	resp.Body = &body{
-		ReadCloser: resp.Body, pool: p, conn: c, addr: req.Addr, stopCancel: stop,
+		ReadCloser: resp.Body, pool: p, conn: c, addr: req.Addr, stopCancel: stop, done: ctx.Done(),
 		reuse: !resp.Close && !req.OwnConn && writeErr == nil, first: !c.responded,
+		unframed: resp.Body != http.NoBody && rcframing.Unframed(resp), writeErr: writeErr,
 	}
 	c.responded = true
 	return resp, nil
@@ -345,8 +348,11 @@
 	conn       *conn
 	addr       netip.AddrPort
 	stopCancel func() bool
+	done       <-chan struct{} // Closed when the request is cancelled.
 	reuse      bool
-	first      bool // No response has arrived on the connection before.
+	first      bool  // No response has arrived on the connection before.
+	unframed   bool  // It ends with the connection.
+	writeErr   error // Of the request.
 	atEOF      bool
 	once       sync.Once
 }
@@ -377,6 +383,11 @@
 
 func (b *body) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
+	if err == io.EOF && b.unframed {
+		if broken := rcframing.ConfirmEnd(b.conn.Conn, b.writeErr, b.done); broken != nil {
+			return n, broken
+		}
+	}
 	if err == io.EOF {
 		b.atEOF = true
 	}
--- a/internal/upstream/rcengine/pool.go
+++ b/internal/upstream/rcengine/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishcrank/radishcrank"
+	"github.com/radishcrank/radishcrank/internal/upstream/rcframing"
 )
 
 const (
@@ -69,12 +70,12 @@
 
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: rcframing.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerEngine,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 		// Following a redirect would send the prompt to an address that the
 		// platform did not list.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- /dev/null
+++ b/internal/upstream/rcframing/transport.go
@@ -0,0 +1,102 @@
+package rcframing
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is an http.Transport that returns an error for broken responses that net/http takes
+// for whole ones.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that uses t, which must not be in use.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{Transport: t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	u := &upload{done: r.Context().Done(), written: make(chan struct{})}
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok { // TLS marks the end of what it transfers.
+				c.begin(u)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { u.end(info.Err) },
+	})
+	return t.Transport.RoundTrip(r.WithContext(ctx))
+}
+
+// upload is a request that is written while its response is read.
+type upload struct {
+	done    <-chan struct{} // Closed when the request is cancelled.
+	once    sync.Once
+	written chan struct{} // Closed when the request has been written, or when that has failed.
+	err     error
+}
+
+func (u *upload) end(err error) {
+	u.once.Do(func() {
+		u.err = err
+		close(u.written)
+	})
+}
+
+// confirmEnd waits until the request has been written to c, and calls ConfirmEnd.
+func (u *upload) confirmEnd(c net.Conn) error {
+	select {
+	case <-u.written:
+		return ConfirmEnd(c, u.err, u.done)
+	case <-u.done:
+		return ConfirmEnd(c, errUnacknowledged, u.done)
+	}
+}
+
+// conn is a connection whose end is reported only once it is certain that it is no reset. net/http
+// closes the connection at the end of an unframed response, also while the request is written.
+type conn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	upload   *upload // The current or last one; nil before the first.
+	received bool    // Part of the response to it has been read.
+}
+
+// begin is called before a request is written.
+func (c *conn) begin(u *upload) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upload, c.received = u, false
+}
+
+func (c *conn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	c.received = c.received || n > 0
+	u, received := c.upload, c.received
+	c.mu.Unlock()
+	if err == io.EOF && received {
+		if broken := u.confirmEnd(c.Conn); broken != nil {
+			err = broken
+		}
+	}
+	return n, err
+}
--- a/internal/upstream/rcservice/client.go
+++ b/internal/upstream/rcservice/client.go
@@ -38,12 +38,12 @@
 
 func newHTTPClient(disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: rcframing.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:   disableKeepAlives,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}),
 		// A redirect is returned as the service's response; following it would
 		// send the call twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/upstream/rcservice/client_test.go
+++ b/internal/upstream/rcservice/client_test.go
@@ -1,10 +1,12 @@
 package rcservice_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -108,3 +110,25 @@
 	require.Error(t, err)
 	require.False(t, found)
 }
+
+// TestResetCallLooksComplete guards against a response without a length that is recorded as whole
+// although its service reset the connection before it had read the call.
+func TestResetCallLooksComplete(t *testing.T) {
+	up, _ := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close() // Resets the connection, since the call has not been read.
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"Number\":1}")
+		<-time.After(10 * time.Millisecond)
+	}))
+	call := booking("k")
+	call.Body = make([]byte, 8<<20)
+	for range 20 {
+		_, err := rcservice.New().Call(t.Context(), up, call)
+		require.Error(t, err)
+		require.NotErrorIs(t, err, radishcrank.ErrNotSent)
+		require.NotErrorIs(t, err, radishcrank.ErrUpstreamBusy)
+	}
+}
