Take no response with a status below 100 for an answer

Here no such status reached a client: its handler panicked with "invalid WriteHeader code 0", and the client's connection closed without an answer, also where another upstream could have given one. Cause: http.ReadResponse takes any three characters that strconv.Atoi takes as a status, 000, 012, +20 and -00 among them, and none of its callers looked at the status before it was written to the client. A call of our own interface with a key was recorded with that status, and each repeat of it panicked. Change: rcframing.CheckHead rejects such heads where all answers are read, in the pool of connections (upstreams, other instances, store, reports, orders, KV cache stores) and in the transport of all clients of net/http. A record with such a status is answered by a lookup at the service, or with the error for answers that could not be stored. Why it works: no status below 100 leaves the code that reads responses, so that none can be written. The attempt ends like one whose answer cannot be read: what may be repeated goes to another upstream, other requests get 502 or, with a key, an unknown outcome. Nothing stays taken at the upstream, as the test checks.

--- a/internal/record/rcidem/entry.go
+++ b/internal/record/rcidem/entry.go
@@ -218,5 +218,5 @@
 
 func refuseResponseNotStored() *radishcrank.Refusal {
 	return refuse(http.StatusConflict, "answer_not_stored",
-		"the call ran; its answer was too large to store and the upstream does not know it any more", radishcrank.OutcomeRan, 0)
+		"the call ran; its answer could not be stored and the upstream does not know it any more", radishcrank.OutcomeRan, 0)
 }
--- a/internal/record/rcidem/record.go
+++ b/internal/record/rcidem/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
@@ -97,6 +98,12 @@
 	return rec
 }
 
+// replayable reports whether the record holds a response that a caller can be given. Earlier
+// versions recorded statuses that are none in HTTP.
+func (rec record) replayable() bool {
+	return rec.State == stateDone && !rec.Oversize && rec.Status >= http.StatusContinue
+}
+
 func (rec record) response() radishcrank.ServiceResponse {
 	return radishcrank.ServiceResponse{Status: rec.Status, ContentType: rec.ContentType, Body: rec.Body}
 }
--- a/internal/record/rcidem/resolve.go
+++ b/internal/record/rcidem/resolve.go
@@ -306,7 +306,7 @@
 	if !bytes.Equal(rec.BodyHash, sc.hash) {
 		return response, refuseKeyReused()
 	}
-	if rec.State == stateDone && !rec.Oversize {
+	if rec.replayable() {
 		return rec.response(), nil
 	}
 	response, found, asked := r.lookup(rec)
--- a/internal/record/rcidem/runner_test.go
+++ b/internal/record/rcidem/runner_test.go
@@ -29,6 +29,7 @@
 	delay       time.Duration
 	body        []byte
 	lookupFinds bool // Lookup finds calls that ran.
+	status      int  // Of the responses to calls.
 }
 
 func (c *fakeClient) Call(_ context.Context, up radishcrank.Upstream, call radishcrank.ServiceCall) (radishcrank.ServiceResponse, error) {
@@ -40,7 +41,7 @@
 		return radishcrank.ServiceResponse{}, radishcrank.ErrNotSent
 	}
 	c.runs[call.IdempotencyKey]++
-	return radishcrank.ServiceResponse{Status: http.StatusCreated, ContentType: "text/plain", Body: c.body}, nil
+	return radishcrank.ServiceResponse{Status: c.status, ContentType: "text/plain", Body: c.body}, nil
 }
 
 func (c *fakeClient) Lookup(_ context.Context, _ radishcrank.Upstream, call radishcrank.ServiceCall) (radishcrank.ServiceResponse, bool, error) {
@@ -50,7 +51,7 @@
 }
 
 func newFake() (*rcfaketable.Table, *fakeClient) {
-	return rcfaketable.New(), &fakeClient{runs: make(map[string]int), refuses: make(map[radishcrank.UpstreamID]bool), body: []byte("booked"), lookupFinds: true}
+	return rcfaketable.New(), &fakeClient{runs: make(map[string]int), refuses: make(map[radishcrank.UpstreamID]bool), body: []byte("booked"), lookupFinds: true, status: http.StatusCreated}
 }
 
 func newRunner(id radishcrank.InstanceID, table radishcrank.TableService, client *fakeClient) *Runner {
@@ -191,6 +192,26 @@
 	})
 }
 
+// Guards against a repeat that gets the status 000 that an earlier version recorded.
+func TestRecordedStatusIsNoStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, client := newFake()
+		one, two := newRunner("one", table, client), newRunner("two", table, client)
+		client.status = 0
+		_, err := one.Run(t.Context(), call("k", "x"))
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		response, err := two.Run(t.Context(), call("k", "x"))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusCreated, response.Status)
+		client.lookupFinds = false
+		_, err = two.Run(t.Context(), call("k", "x"))
+		require.Equal(t, radishcrank.OutcomeRan, outcomeOf(err))
+		require.Equal(t, 1, client.runs["k"])
+		drain(t, one, two)
+	})
+}
+
 // Guards against a caller that never gets a response because the instance that ran
 // the call is dead, and against rows that are never deleted.
 func TestDeadHolderAndExpiry(t *testing.T) {
--- a/internal/standin/rcfakeupstream/delivery.go
+++ b/internal/standin/rcfakeupstream/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -49,6 +50,7 @@
 	// Unread leaves the rest of the request unread, so that it is still being written when the
 	// connection is closed, which resets it.
 	Unread bool
+	Status string // Of the status line; empty means 200 OK.
 }
 
 // unreadPause is long enough for the other side to fill the buffers of the connection.
@@ -80,7 +82,7 @@
 		h.Set("Content-Length", fmt.Sprint(len(strings.Join(pieces, ""))))
 	}
 	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 200 OK\r\n")
+	fmt.Fprintf(&head, "HTTP/1.1 %s\r\n", cmp.Or(d.Status, "200 OK"))
 	h.Write(&head) // Cannot fail.
 	head.WriteString("\r\n")
 	conn.Write(head.Bytes()) // A failed write means that the other side has left, as below.
--- a/internal/upstream/rcconn/head_test.go
+++ b/internal/upstream/rcconn/head_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/radishcrank/radishcrank"
 )
 
 // TestCutHeadIsTakenForResponse guards against a response whose head its upstream broke off
@@ -48,3 +50,30 @@
 		})
 	}
 }
+
+// respondOnce requests something of an upstream that writes a response and closes the connection.
+func respondOnce(t *testing.T, response string) (body string, err error) {
+	t.Helper()
+	addr, _ := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, response)
+		}
+	})
+	p := New(Config{})
+	defer p.Close()
+	return getBody(t.Context(), p, addr)
+}
+
+// TestInvalidStatusIsResponse guards against three characters that net/http takes for a status and
+// that it panics on when they are passed on.
+func TestInvalidStatusIsResponse(t *testing.T) {
+	for _, status := range []string{"000", "012", "099", "+20", "-00", "-12"} {
+		for name, before := range map[string]string{"first": "", "interim": "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"} {
+			t.Run(status+"/"+name, func(t *testing.T) {
+				_, err := respondOnce(t, before+"HTTP/1.1 "+status+" x\r\nContent-Length: 5\r\n\r\nwhole")
+				require.Error(t, err)
+				require.NotErrorIs(t, err, radishcrank.ErrNotSent)
+			})
+		}
+	}
+}
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -133,7 +133,10 @@
 		if err != nil && c.head.left <= 0 {
 			return nil, errHeadTooLong
 		}
-		if err != nil || resp.StatusCode < 100 || resp.StatusCode >= 200 {
+		if err == nil {
+			err = rcframing.CheckHead(resp)
+		}
+		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
 		}
 	}
--- a/internal/upstream/rcframing/transport.go
+++ b/internal/upstream/rcframing/transport.go
@@ -32,7 +32,7 @@
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
 	u := &upload{done: r.Context().Done(), written: make(chan struct{})}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -42,7 +42,14 @@
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { u.end(info.Err) },
 	})
-	return t.Transport.RoundTrip(r.WithContext(ctx))
+	if resp, err = t.Transport.RoundTrip(r.WithContext(ctx)); err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // upload is a request that is written while its response is read.
--- a/internal/upstream/rcframing/transport_test.go
+++ b/internal/upstream/rcframing/transport_test.go
@@ -108,3 +108,14 @@
 		})
 	}
 }
+
+// TestInvalidStatusIsResponse guards against three characters that net/http takes for a status and
+// that it panics on when they are passed on.
+func TestInvalidStatusIsResponse(t *testing.T) {
+	for _, status := range []string{"000", "012", "099", "+20", "-00", "-12"} {
+		t.Run(status, func(t *testing.T) {
+			_, err := exchange(t, serveRaw(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 5\r\n\r\nwhole", nil), nil)
+			require.Error(t, err)
+		})
+	}
+}
