Take no response with a malformed field name for an answer

Cause: net/http takes a name with a blank, inside or before the colon, for that of another field. "Content-Length : 5" is no length then, and the body ends with the connection; in a trailer such names go unnoticed as well. Names with control bytes, bytes above 127 and empty ones were errors already; their tests stay. Change: rcframing.CheckHead rejects names that are no tokens, in final heads and, in the pool of connections, in interim ones; CheckTrailer does so at the end of chunked bodies. Both are called where all answers are read, as for the status. Announced trailers that do not come, and folded lines, are allowed as before. Why it works: a head or trailer with such a line is no answer any more, whatever its framing, so that neither the line nor a body that it delimits can be passed on. The attempt ends like one that was broken off: what may be repeated goes to another upstream, other requests get 502 or a cut stream.

--- a/internal/node/rcinstance/malformed_test.go
+++ b/internal/node/rcinstance/malformed_test.go
@@ -38,6 +38,10 @@
 				mu.Unlock()
 				s.awaitSoundUpstreams()
 				got := s.receiveOver("1.1", path, id, "body of "+id)
+				if path == "/chat/1" && delivery.Trailer != "" {
+					require.Error(t, got.err, "events are passed on as they arrive, and the connection is cut")
+					return
+				}
 				require.NoError(t, got.err)
 				status, body, runs := http.StatusOK, completeStream(8), 2
 				switch path {
@@ -70,3 +74,17 @@
 	}
 	testMalformed(t, cases)
 }
+
+// TestMalformedFieldReachesClient guards against an answer with a name of a field that is none in
+// HTTP: the client gets the line, or a body that is not the upstream's.
+func TestMalformedFieldReachesClient(t *testing.T) {
+	testMalformed(t, map[string]rcfakeupstream.Delivery{
+		"blank in name":    {Framing: rcfakeupstream.Sized, Field: "X Y: 1"},
+		"blank after name": {Framing: rcfakeupstream.Sized, Field: "X-Y : 1"},
+		"control byte":     {Framing: rcfakeupstream.Sized, Field: "X\x01Y: 1"},
+		"length":           {Framing: rcfakeupstream.Unframed, Field: "Content-Length : 4"},
+		"coding":           {Framing: rcfakeupstream.Unframed, Field: "Transfer-Encoding : chunked"},
+		"failure":          {Framing: rcfakeupstream.Sized, Status: "500 Internal Server Error", Field: "X-Y : 1"},
+		"trailer":          {Framing: rcfakeupstream.Chunked, Trailer: "X-Y : 1"},
+	})
+}
--- a/internal/platform/rcplatform/client_test.go
+++ b/internal/platform/rcplatform/client_test.go
@@ -1,6 +1,7 @@
 package rcplatform_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -120,3 +121,22 @@
 	require.Equal(t, 7*time.Second, rateLimit.RetryAfter)
 	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
 }
+
+// Guards against an answer with a malformed head that is taken for the platform's: what it says of
+// a write is unknown.
+func TestMalformedHead(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 x\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 409 Conflict\r\nX-Y : 1\r\n"} {
+		table := rcplatform.NewTableClient(serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			io.WriteString(conn, head+"Content-Length: 2\r\n\r\n{}")
+		})))
+		require.ErrorIs(t, table.Commit(t.Context(), radishcrank.Transaction{}), radishcrank.ErrUnknownOutcome, head)
+		_, err := table.Get(t.Context(), "a")
+		require.ErrorIs(t, err, radishcrank.ErrUnavailable, head)
+		require.ErrorContains(t, err, "malformed", head)
+	}
+}
--- a/internal/standin/rcfakeupstream/delivery.go
+++ b/internal/standin/rcfakeupstream/delivery.go
@@ -49,8 +49,10 @@
 	JSON    bool // A plain response is a JSON object.
 	// Unread leaves the rest of the request unread, so that it is still being written when the
 	// connection is closed, which resets it.
-	Unread bool
-	Status string // Of the status line; empty means 200 OK.
+	Unread  bool
+	Status  string // Of the status line; empty means 200 OK.
+	Field   string // A line that is added to the head.
+	Trailer string // A line that follows the last chunk.
 }
 
 // unreadPause is long enough for the other side to fill the buffers of the connection.
@@ -84,6 +86,9 @@
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "HTTP/1.1 %s\r\n", cmp.Or(d.Status, "200 OK"))
 	h.Write(&head) // Cannot fail.
+	if d.Field != "" {
+		head.WriteString(d.Field + "\r\n")
+	}
 	head.WriteString("\r\n")
 	conn.Write(head.Bytes()) // A failed write means that the other side has left, as below.
 	for n, piece := range pieces {
@@ -99,7 +104,10 @@
 		d.write(conn, cut)
 	}
 	if d.Cut == Whole && d.Framing == Chunked {
-		io.WriteString(conn, "0\r\n\r\n")
+		if d.Trailer != "" {
+			d.Trailer += "\r\n"
+		}
+		io.WriteString(conn, "0\r\n"+d.Trailer+"\r\n")
 	}
 	if d.Unread {
 		time.Sleep(unreadPause)
--- a/internal/upstream/rcconn/head_test.go
+++ b/internal/upstream/rcconn/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,3 +78,44 @@
 		}
 	}
 }
+
+// malformedFields are lines that are no fields in HTTP.
+var malformedFields = []string{
+	"X Y: 1", "X-Y : 1", "X-Y\t: 1", "X\x01Y: 1", "X\x7fY: 1", "X\xe9: 1", ": 1", "X-Y", "X(Y): 1",
+	"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked", "Connection : close",
+}
+
+// TestMalformedFieldIsPassedOn guards against a response with a name of a field that is none in
+// HTTP, whose body then ends elsewhere than the upstream says.
+func TestMalformedFieldIsPassedOn(t *testing.T) {
+	for _, field := range malformedFields {
+		for _, status := range []string{"200 OK", "500 Internal Server Error"} {
+			for name, response := range map[string]string{
+				"length":   "HTTP/1.1 " + status + "\r\nX-A: b\r\n" + field + "\r\nContent-Length: 5\r\n\r\nwhole",
+				"unframed": "HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\nwhole and more",
+				"interim":  "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\nHTTP/1.1 " + status + "\r\nContent-Length: 5\r\n\r\nwhole",
+				"trailer":  "HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + field + "\r\n\r\n",
+			} {
+				t.Run(fmt.Sprintf("%q/%s/%s", field, status[:3], name), func(t *testing.T) {
+					_, err := respondOnce(t, response)
+					require.Error(t, err)
+					require.NotErrorIs(t, err, radishcrank.ErrNotSent)
+				})
+			}
+		}
+	}
+}
+
+// TestWellFormedFieldIsRejected guards against names that HTTP allows, and folded lines, that are
+// taken for malformed ones.
+func TestWellFormedFieldIsRejected(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~09: a b\tc\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nX-Folded: a\r\n b: c\r\nContent-Length:5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nTrailer: X-A, x y\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-A: b\r\n\r\n",
+	} {
+		body, err := respondOnce(t, response)
+		require.NoError(t, err, response)
+		require.Equal(t, "whole", body)
+	}
+}
--- a/internal/upstream/rcconn/pool.go
+++ b/internal/upstream/rcconn/pool.go
@@ -219,7 +219,7 @@
 	p.observe(req.Addr, true)
 	c.idleTimeout = parseIdleTimeout(resp.Header)
 	resp.Body = &body{
-		ReadCloser: resp.Body, pool: p, conn: c, addr: req.Addr, stopCancel: stop, done: ctx.Done(),
+		ReadCloser: resp.Body, resp: resp, pool: p, conn: c, addr: req.Addr, stopCancel: stop, done: ctx.Done(),
 		reuse: !resp.Close && !req.OwnConn && writeErr == nil, first: !c.responded,
 		unframed: resp.Body != http.NoBody && rcframing.Unframed(resp), writeErr: writeErr,
 	}
@@ -347,6 +347,7 @@
 // closed after EOF.
 type body struct {
 	io.ReadCloser
+	resp       *http.Response
 	pool       *Pool
 	conn       *conn
 	addr       netip.AddrPort
@@ -386,17 +387,23 @@
 
 func (b *body) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
-	if err == io.EOF && b.unframed {
-		if broken := rcframing.ConfirmEnd(b.conn.Conn, b.writeErr, b.done); broken != nil {
+	if err == io.EOF {
+		if broken := b.checkEnd(); broken != nil {
 			return n, broken
 		}
-	}
-	if err == io.EOF {
 		b.atEOF = true
 	}
 	return n, err
 }
 
+// checkEnd returns an error if the body is not whole although its end was read.
+func (b *body) checkEnd() error {
+	if b.unframed {
+		return rcframing.ConfirmEnd(b.conn.Conn, b.writeErr, b.done)
+	}
+	return rcframing.CheckTrailer(b.resp)
+}
+
 // Close implements io.Closer.
 func (b *body) Close() error {
 	b.once.Do(func() {
--- a/internal/upstream/rcframing/transport.go
+++ b/internal/upstream/rcframing/transport.go
@@ -49,9 +49,28 @@
 		resp.Body.Close()
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
 
+// chunkedBody is a body that may be followed by a trailer.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+func (b *chunkedBody) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := CheckTrailer(b.resp); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
+
 // upload is a request that is written while its response is read.
 type upload struct {
 	done    <-chan struct{} // Closed when the request is cancelled.
--- a/internal/upstream/rcframing/transport_test.go
+++ b/internal/upstream/rcframing/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,3 +120,23 @@
 		})
 	}
 }
+
+// TestMalformedFieldIsPassedOn guards against a response with a name of a field that is none in
+// HTTP, whose body then ends elsewhere than the server says.
+func TestMalformedFieldIsPassedOn(t *testing.T) {
+	for _, field := range []string{"X Y: 1", "X-Y : 1", "X-Y\t: 1", "X\x01Y: 1", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		for name, response := range map[string]string{
+			"length":   "HTTP/1.1 200 OK\r\nX-A: b\r\n" + field + "\r\nContent-Length: 5\r\n\r\nwhole",
+			"unframed": "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nwhole and more",
+			"trailer":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + field + "\r\n\r\n",
+		} {
+			t.Run(fmt.Sprintf("%q/%s", field, name), func(t *testing.T) {
+				_, err := exchange(t, serveRaw(t, response, nil), nil)
+				require.Error(t, err)
+			})
+		}
+	}
+	text, err := exchange(t, serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n5\r\nwhole\r\n0\r\nX-A: b\r\n\r\n", nil), nil)
+	require.NoError(t, err)
+	require.Equal(t, "whole", text)
+}
