Take no write for done if the answer to it broke off

A service of the platform or an engine that answers a write or command at once with 200, and resets the connection before it has read it, was believed. Cause: rcplatform took a write for done by the status alone, whatever became of the body, and rcengine did not read the bodies of answers to commands. Evidence: TestBrokenOffAnswerToWrite and TestBrokenOffAnswerToCommand failed before, on code that sees the reset. Change: a write has an unknown outcome, and a command fails, if the answer broke off. Refusals are still believed by their heads, as in the pool of connections. Why it works: a whole answer shows that the service chose to end it; only then does its status say what became of the request. Measured: these tests pass.

--- a/internal/platform/rcplatform/client.go
+++ b/internal/platform/rcplatform/client.go
@@ -140,8 +140,8 @@
 	switch {
 	case err != nil && !sent:
 		return fmt.Errorf("%w: %w", radishcrank.ErrUnavailable, err)
-	case resp.status == http.StatusOK:
-		return nil // The write took effect even if the body could not be read.
+	case err == nil && resp.status == http.StatusOK:
+		return nil // If the body broke off, the service may not have read the whole request.
 	case resp.status == http.StatusConflict:
 		return radishcrank.ErrConflict
 	case resp.status == http.StatusServiceUnavailable:
--- a/internal/platform/rcplatform/client_test.go
+++ b/internal/platform/rcplatform/client_test.go
@@ -122,6 +122,23 @@
 	require.ErrorIs(t, err, radishcrank.ErrUnavailable)
 }
 
+// Guards against a write that is taken for done by the status of an answer that broke off: a service
+// may answer and close the connection before it has read the request.
+func TestBrokenOffAnswerToWrite(t *testing.T) {
+	objects := rcplatform.NewObjectStoreClient(serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close() // Resets the connection, since the object has not been read.
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{}")
+		<-time.After(10 * time.Millisecond)
+	})))
+	for range 10 {
+		require.ErrorIs(t, objects.Put(t.Context(), "snapshot", make([]byte, 8<<20)), radishcrank.ErrUnknownOutcome)
+	}
+}
+
 // Guards against an answer with a malformed head that is taken for the platform's: what it says of
 // a write is unknown.
 func TestMalformedHead(t *testing.T) {
--- a/internal/upstream/rcengine/malformed_test.go
+++ b/internal/upstream/rcengine/brokenanswer_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -34,3 +35,22 @@
 		require.ErrorIs(t, err, radishcrank.ErrTruncated, head)
 	}
 }
+
+// TestBrokenOffAnswerToCommand guards against a command that is taken for done by the status of an
+// answer that broke off: an engine may answer and close the connection before it has read it.
+func TestBrokenOffAnswerToCommand(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close() // Resets the connection, since the command has not been read.
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		<-time.After(10 * time.Millisecond)
+	}))
+	t.Cleanup(server.Close)
+	engine := NewDialer().Engine(radishcrank.Upstream{ID: "e1", Addr: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	for range 10 {
+		require.Error(t, engine.Import(t.Context(), make([]radishcrank.BlockHash, 200_000)))
+	}
+}
--- a/internal/upstream/rcengine/client.go
+++ b/internal/upstream/rcengine/client.go
@@ -140,7 +140,12 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	// The engine may not have read the whole message if its response broke off.
+	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes)); err != nil {
+		return transportError(ctx, err)
+	}
+	return nil
 }
 
 // post sends a message. It maps error statuses by which the engine rejects the
