--- a/internal/upstream/rcconn/upload_test.go
+++ b/internal/upstream/rcconn/upload_test.go
@@ -70,6 +70,32 @@
 	})
 }
 
+// TestResetUploadOnKeptConnection guards against the same on a connection that has been used before.
+func TestResetUploadOnKeptConnection(t *testing.T) {
+	addr, connections := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		io.WriteString(c, okResponse)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of it")
+		<-time.After(10 * time.Millisecond)
+	})
+	p := New(Config{})
+	defer p.Close()
+	_, err := getBody(t.Context(), p, addr)
+	require.NoError(t, err)
+	resp, err := p.Do(t.Context(), Request{Addr: addr, Method: http.MethodPost, Body: make([]byte, uploadBytes),
+		Head: fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", uploadBytes)})
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	require.Error(t, err)
+	require.EqualValues(t, 1, connections.Load())
+}
+
 // TestEarlyResponseIsWhole guards against a whole response that is taken for a broken one because
 // its upstream sent it before it had read the request.
 func TestEarlyResponseIsWhole(t *testing.T) {
--- a/internal/upstream/rcframing/framing.go
+++ b/internal/upstream/rcframing/framing.go
@@ -1,5 +1,5 @@
-// Package rcframing tells whole response bodies from those that were broken off. A body
-// without a length and chunks ends with its connection, and a process that is killed
+// Package rcframing tells whole responses from malformed ones and from those that were broken
+// off. A body without a length and chunks ends with its connection, and a process that is killed
 // closes its connections like one that has sent everything.
 package rcframing
 
--- a/internal/upstream/rcframing/head.go
+++ b/internal/upstream/rcframing/head.go
@@ -11,15 +11,12 @@
 // ErrMalformed reports a response that net/http accepts although HTTP does not allow it.
 var ErrMalformed = errors.New("malformed response")
 
-// minStatus is the lowest status of HTTP.
-const minStatus = 100
-
 // CheckHead returns ErrMalformed for the head of a response that is none in HTTP. net/http takes
 // any three characters that are a number for a status, and panics when it is passed on. It takes
 // names of fields with blanks, also before the colon, for those of other fields, so that a body
 // does not end where its length says.
 func CheckHead(resp *http.Response) error {
-	if resp.StatusCode < minStatus {
+	if resp.StatusCode < http.StatusContinue {
 		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
 	}
 	return checkNames(resp.Header)
--- a/internal/upstream/rcframing/transport.go
+++ b/internal/upstream/rcframing/transport.go
@@ -7,10 +7,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
-// Transport is an http.Transport that returns an error for broken responses that net/http takes
-// for whole ones.
+// Transport is an http.Transport that returns an error for malformed responses, and for broken
+// ones that net/http takes for whole.
 type Transport struct {
 	*http.Transport
 }
@@ -33,14 +34,20 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
-	u := &upload{done: r.Context().Done(), written: make(chan struct{})}
+	var current atomic.Pointer[upload] // net/http may retry on another connection.
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			u := &upload{done: r.Context().Done(), written: make(chan struct{})}
+			current.Store(u)
 			if c, ok := info.Conn.(*conn); ok { // TLS marks the end of what it transfers.
 				c.begin(u)
 			}
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { u.end(info.Err) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if u := current.Load(); u != nil {
+				u.end(info.Err)
+			}
+		},
 	})
 	if resp, err = t.Transport.RoundTrip(r.WithContext(ctx)); err != nil {
 		return nil, err
@@ -71,7 +78,7 @@
 	return n, err
 }
 
-// upload is a request that is written while its response is read.
+// upload is one attempt to write a request, while its response is read.
 type upload struct {
 	done    <-chan struct{} // Closed when the request is cancelled.
 	once    sync.Once
