Test broken answers of services with instances as real processes

Change: the booking service's stand-in answers with status 000, with a blank in a field's name, or before it has read the booking, which it then resets. Each call and its repeat at another instance get the booking that the service knows, or an unknown outcome.

--- a/internal/standin/rcfakeservice/service.go
+++ b/internal/standin/rcfakeservice/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/radishcrank/radishcrank"
 	"github.com/radishcrank/radishcrank/internal/upstream/rcservice"
@@ -22,6 +23,9 @@
 	TruncateResponses int  // The booking takes effect, and the response is truncated.
 	BreakOffUnframed  int  // The booking takes effect, and the response, which has no framing, ends inside its body.
 	WithholdResponses int  // The booking takes effect, and no response is sent before the client disconnects.
+	InvalidStatus     int  // The booking takes effect, and the response has status 000.
+	MalformedField    int  // The booking takes effect, and the name of a field of the response holds a blank.
+	ResetUpload       int  // A response without framing is sent before the booking is read, then the connection is reset.
 	NoLookup          bool // Lookups do not find any booking.
 }
 
@@ -109,6 +113,9 @@
 		{&s.faults.TruncateResponses, &f.TruncateResponses},
 		{&s.faults.BreakOffUnframed, &f.BreakOffUnframed},
 		{&s.faults.WithholdResponses, &f.WithholdResponses},
+		{&s.faults.InvalidStatus, &f.InvalidStatus},
+		{&s.faults.MalformedField, &f.MalformedField},
+		{&s.faults.ResetUpload, &f.ResetUpload},
 	} {
 		if *counter.from > 0 {
 			*counter.from--
@@ -133,11 +140,15 @@
 }
 
 func (s *Service) serveBooking(w http.ResponseWriter, r *http.Request) {
+	fault := s.nextFault()
+	if fault.ResetUpload > 0 {
+		writeRaw(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}", uploadPause)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	fault := s.nextFault()
 	switch {
 	case fault.Refuse > 0:
 		w.Header().Set(radishcrank.HeaderOutcome, string(radishcrank.OutcomeNotRun))
@@ -156,12 +167,13 @@
 		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case fault.BreakOffUnframed > 0:
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err) // Cannot fail for HTTP/1.1.
-		}
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"Number\":")
-		conn.Close()
+		writeRaw(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"Number\":", 0)
+		return
+	case fault.InvalidStatus > 0:
+		writeRaw(w, "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}", 0)
+		return
+	case fault.MalformedField > 0:
+		writeRaw(w, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{} and more", 0)
 		return
 	case fault.WithholdResponses > 0:
 		<-r.Context().Done()
@@ -170,6 +182,21 @@
 	writeJSON(w, b)
 }
 
+// uploadPause is long enough for the other side to fill the buffers of the connection.
+const uploadPause = 20 * time.Millisecond
+
+// writeRaw writes a response by hand and closes the connection after a pause. That resets it if the
+// request has not been read.
+func writeRaw(w http.ResponseWriter, response string, pause time.Duration) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // Cannot fail for HTTP/1.1.
+	}
+	defer conn.Close()
+	io.WriteString(conn, response)
+	time.Sleep(pause)
+}
+
 func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
 	key := r.Header.Get(radishcrank.HeaderIdempotencyKey)
 	b, ok := s.lookup(key)
